--- /dev/null
+++ b/crates/bramblewheel-bundle/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration bundles: model, checks, canonical bytes, digest and signatures.
--- /dev/null
+++ b/crates/bramblewheel-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control replica process: bundles, claims, registrations.
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data-plane process beside each endpoint, and the gateway.
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/bramblewheel-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in endpoints and callers, fleet runner, benches and reports.
--- /dev/null
+++ b/crates/bramblewheel-sim/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deterministic discrete-event simulator: network, disks, clocks, callers, endpoints, faults, checkers.
--- /dev/null
+++ b/crates/bramblewheel-storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Synced, checksummed log segments, snapshots and the identity file.
--- /dev/null
+++ b/crates/bramblewheel-types/src/lib.rs
@@ -0,0 +1,17 @@
+//! Identifiers, criticality, outcomes, deadlines and time shared by every crate.
+//!
+//! Nothing here reads a clock, opens a socket or draws a random number: the pure
+//! decision crates depend on this one and must stay free of side effects.
+
+pub mod criticality;
+pub mod ids;
+pub mod outcome;
+pub mod time;
+
+pub use criticality::Criticality;
+pub use ids::{
+    AttemptId, BundleDigest, BundleVersion, CallId, DaemonId, EndpointId, InvalidName,
+    OperationKey, RegionName, RequestId, ServiceName, ZoneName,
+};
+pub use outcome::{NotRunReason, Outcome};
+pub use time::{Millis, Timestamp};
--- /dev/null
+++ b/crates/bramblewheel/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the operator command line.
+
+fn main() {}
