Agree on the contracts between the parts

Bundle model, engine events and actions, control messages with their framing, header names and the values of the replicated log, so that the parts can be built side by side.

--- /dev/null
+++ b/crates/bramblewheel-protocol/src/control.rs
@@ -0,0 +1,357 @@
+//! Messages between daemons or operators and the control replicas.
+//!
+//! One connection carries requests with rising ids; replies name the id they answer and may come
+//! in any order, so that a long poll and claims share a connection.
+
+use bramblewheel_types::{
+    BundleDigest, BundleVersion, DaemonId, EndpointId, Millis, OperationKey, RegionName,
+    ServiceName, ZoneName,
+};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// A request to a control replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlRequest {
+    /// Names the reply; rising on one connection.
+    pub id: u64,
+    /// What is asked.
+    pub body: RequestBody,
+}
+
+/// A reply of a control replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlReply {
+    /// The request answered.
+    pub id: u64,
+    /// The answer.
+    pub body: ReplyBody,
+}
+
+/// What is asked of a control replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RequestBody {
+    /// A daemon asks for news and renews its lease; held until there is news or `wait` is over.
+    Poll(Box<PollRequest>),
+    /// Run-once operations, batched; answered by the leader or passed on to it.
+    Operations(Vec<OperationRequest>),
+    /// An operator publishes a bundle.
+    Publish(SignedBundle),
+    /// An operator asks which bundle is in force.
+    BundleStatus,
+    /// An operator asks which daemons are registered and which bundle each has in force.
+    FleetStatus,
+    /// An operator asks for the state of the control group.
+    GroupStatus,
+    /// An operator starts a new group; only a replica with an empty data folder accepts it.
+    Bootstrap(BootstrapRequest),
+    /// An operator replaces a lost replica.
+    Replace(ReplaceRequest),
+}
+
+/// Answer of a control replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReplyBody {
+    /// Answer to `Poll`.
+    Poll(Box<PollReply>),
+    /// Answer to `Operations`, in the same order.
+    Operations(Vec<OperationReply>),
+    /// Answer to `Publish`.
+    Publish(PublishReply),
+    /// Answer to `BundleStatus`.
+    BundleStatus(Option<SignedBundle>),
+    /// Answer to `FleetStatus`.
+    FleetStatus(Vec<DaemonStatus>),
+    /// Answer to `GroupStatus`.
+    GroupStatus(GroupStatus),
+    /// The replica did what was asked (bootstrap, replace).
+    Done,
+    /// The replica can't answer now; ask another.
+    Unavailable(Unavailable),
+    /// The request is not acceptable; the text says why.
+    Rejected(String),
+}
+
+/// Why a replica can't answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Unavailable {
+    /// It has not heard from a quorum within its lease.
+    NoQuorum,
+    /// Only the leader can answer; here is its address if known.
+    NotLeader(Option<SocketAddr>),
+    /// The data folder is empty and nobody has admitted the replica yet.
+    Uninitialized,
+    /// The replica is stopping.
+    Stopping,
+    /// Whether a command was recorded is not known; ask again.
+    Undecided,
+}
+
+/// Position in the replicated log; ordered by index. Daemons refuse older than they have seen.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct LogPosition {
+    /// Index of the last applied entry.
+    pub index: u64,
+    /// Its term.
+    pub term: u64,
+}
+
+/// A daemon asks for news and renews its lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PollRequest {
+    /// Who asks.
+    pub registration: Registration,
+    /// Bundle in force at the daemon; version 0 if none.
+    pub bundle_version: BundleVersion,
+    /// Highest position seen from any replica.
+    pub position: LogPosition,
+    /// Directory revision the daemon holds; 0 if none.
+    pub directory_revision: u64,
+    /// Services whose endpoints the daemon wants to know.
+    pub services: Vec<ServiceName>,
+    /// How long the replica may hold the request.
+    pub wait: Millis,
+}
+
+/// What a daemon says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Registration {
+    /// Name of the daemon.
+    pub daemon: DaemonId,
+    /// Drawn at random at each start of the process.
+    pub incarnation: u64,
+    /// Zone of the daemon.
+    pub zone: ZoneName,
+    /// Region of the daemon.
+    pub region: RegionName,
+    /// The endpoint it stands beside, none for a gateway.
+    pub endpoint: Option<EndpointRegistration>,
+}
+
+/// What a daemon says of its endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointRegistration {
+    /// Name of the endpoint.
+    pub endpoint: EndpointId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Address of the daemon's inbound listener.
+    pub address: SocketAddr,
+    /// The endpoint takes no new work.
+    pub draining: bool,
+}
+
+/// News for a daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PollReply {
+    /// Position at which the reply is true.
+    pub position: LogPosition,
+    /// A newer bundle, if there is one.
+    pub bundle: Option<SignedBundle>,
+    /// Revision of the directory after the changes below.
+    pub directory_revision: u64,
+    /// Whether `live` is all there is, rather than changes since the daemon's revision.
+    pub directory_is_complete: bool,
+    /// Endpoints that are live or changed.
+    pub live: Vec<DirectoryEntry>,
+    /// Endpoints that are gone.
+    pub removed: Vec<EndpointId>,
+}
+
+/// One endpoint in the directory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DirectoryEntry {
+    /// Name of the endpoint.
+    pub endpoint: EndpointId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Address of its daemon's inbound listener.
+    pub address: SocketAddr,
+    /// It takes no new work.
+    pub draining: bool,
+}
+
+/// A bundle with its detached signatures.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SignedBundle {
+    /// Version, as in the bytes.
+    pub version: BundleVersion,
+    /// SHA-256 of `bytes`.
+    pub digest: BundleDigest,
+    /// Canonical bytes of the bundle.
+    #[serde(with = "serde_bytes")]
+    pub bytes: Vec<u8>,
+    /// Signatures over the digest.
+    pub signatures: Vec<BundleSignature>,
+    /// Digest of the bundle this one is meant to follow, if the operator states it.
+    pub expected_parent: Option<BundleDigest>,
+}
+
+/// One operator's signature over a bundle's digest.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BundleSignature {
+    /// Name of the operator in the bundle in force.
+    pub operator: String,
+    /// Ed25519 signature, 64 bytes.
+    #[serde(with = "serde_bytes")]
+    pub signature: Vec<u8>,
+}
+
+/// Answer to a publish. Only `Accepted` means that the bundle is durable.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PublishReply {
+    /// Committed, now or at an earlier send of the same version and digest.
+    Accepted {
+        /// Position of the entry that holds it.
+        position: LogPosition,
+    },
+    /// Another bundle holds this version.
+    Conflict {
+        /// Digest of the bundle that holds the version.
+        winner: BundleDigest,
+    },
+    /// The version is not above the one in force.
+    Outdated {
+        /// Version in force.
+        current: BundleVersion,
+    },
+    /// The stated parent is not the bundle in force.
+    ParentMismatch {
+        /// Version in force.
+        current: BundleVersion,
+        /// Digest in force.
+        digest: Option<BundleDigest>,
+    },
+    /// Signatures are missing, wrong, or by unknown keys; the text says which.
+    BadSignatures(String),
+    /// The bytes are not a valid bundle; the text says why.
+    Invalid(String),
+}
+
+/// A run-once operation request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperationRequest {
+    /// Operation key.
+    pub key: OperationKey,
+    /// Daemon incarnation that asks, from its registration.
+    pub incarnation: u64,
+    /// Attempt that asks.
+    pub attempt: u64,
+    /// What is asked.
+    pub action: OperationAction,
+}
+
+/// What is asked of the ledger.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OperationAction {
+    /// Claim the operation for this incarnation's attempt.
+    Claim {
+        /// When the key was minted, in milliseconds since the Unix epoch.
+        minted_at_unix_millis: u64,
+    },
+    /// Record the endpoint's answer.
+    Complete(OperationAnswer),
+    /// Give the claim back: it was provably not dispatched.
+    Release,
+    /// Read the state without changing it.
+    Status,
+}
+
+/// Answer of a run-once operation as the ledger stores it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperationAnswer {
+    /// Whether the endpoint reported an error.
+    pub failed: bool,
+    /// HTTP status.
+    pub status: u16,
+    /// Body, if short enough to be kept.
+    pub body: Option<serde_bytes::ByteBuf>,
+}
+
+/// Answer of the ledger.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OperationReply {
+    /// The claim is durable at a quorum and belongs to the asking attempt.
+    Granted,
+    /// The operation has ended with this answer.
+    Completed(OperationAnswer),
+    /// Another attempt holds the claim; its result is not known.
+    Held,
+    /// The key is older than the retention horizon.
+    Expired,
+    /// The answer or the release is recorded.
+    Recorded,
+    /// No such operation is recorded.
+    Absent,
+    /// It can't be decided now; whether the claim was recorded is not known.
+    Undecided,
+}
+
+/// What the control group knows of a daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DaemonStatus {
+    /// What the daemon says of itself.
+    pub registration: Registration,
+    /// Bundle in force at its last poll.
+    pub bundle_version: BundleVersion,
+    /// Time since its last poll, in milliseconds.
+    pub silent_for: Millis,
+}
+
+/// Starts a new group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BootstrapRequest {
+    /// Drawn at random; the same at every replica of the group.
+    pub group: u64,
+    /// First voters; the replica asked must be among them.
+    pub voters: Vec<ReplicaAddress>,
+    /// First bundle: fixes the operator keys that may sign the next.
+    pub bundle: SignedBundle,
+}
+
+/// Names a replica and where its peers reach it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaAddress {
+    /// Identity, drawn at random when the data folder is made.
+    pub replica: u64,
+    /// Stable name from the settings, such as `control-1`.
+    pub name: String,
+    /// Address for messages of its peers.
+    pub peer: SocketAddr,
+    /// Address for daemons and operators.
+    pub service: SocketAddr,
+}
+
+/// Replaces a lost replica by one with an empty data folder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplaceRequest {
+    /// Replica to remove.
+    pub lost: u64,
+    /// Replica to admit, first as learner, as voter once it has the whole log synced.
+    pub replacement: ReplicaAddress,
+}
+
+/// State of the control group as one replica sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupStatus {
+    /// The replica that answers.
+    pub replica: ReplicaAddress,
+    /// Group it belongs to, none before bootstrap.
+    pub group: Option<u64>,
+    /// Current term.
+    pub term: u64,
+    /// Leader, if known.
+    pub leader: Option<u64>,
+    /// Last applied position.
+    pub position: LogPosition,
+    /// Voters.
+    pub voters: Vec<ReplicaAddress>,
+    /// Learners, not yet counted in a quorum.
+    pub learners: Vec<ReplicaAddress>,
+    /// Whether the replica heard from a quorum within its lease.
+    pub has_quorum: bool,
+}
--- a/crates/bramblewheel-protocol/src/lib.rs
+++ b/crates/bramblewheel-protocol/src/lib.rs
@@ -1,1 +1,7 @@
 //! Messages between the project's own processes, their CBOR codec and framing.
+
+pub mod codec;
+pub mod control;
+pub mod headers;
+
+pub use codec::{CodecError, read_frame, write_frame};
