Check, encode, sign and compare configuration bundles

Every rule is one function over the model, so that a bundle read from text and one decoded from bytes are held to the same rules; the parser only adds the places. Canonical bytes are the model in CBOR behind a format marker; decoding accepts a value only if encoding it again gives the same bytes. A signature by a listed operator that does not hold is refused even when enough others do; one by an unlisted name is ignored, since a bundle that admits an operator may bear it. Warnings compare what two bundles say of a path rather than their text: a route put before a not-repeatable one takes the mark away as much as an edit does.

--- a/crates/bramblewheel-bundle/src/lib.rs
+++ b/crates/bramblewheel-bundle/src/lib.rs
@@ -1,8 +1,32 @@
 //! Configuration bundles: model, checks, canonical bytes, digest and signatures.
+//!
+//! Operators write TOML ([`parse()`]); every check is one function over the model
+//! ([`check::check`]), so that a bundle that arrives as bytes ([`canonical::decode`]) is held to
+//! the same rules as one that arrives as text.
 
+pub mod canonical;
+pub mod check;
+pub mod defaults;
+pub mod diff;
+pub mod digest;
+pub mod error;
+mod format;
+pub mod key_file;
 pub mod model;
+mod parse;
+pub mod signature;
+pub mod warning;
 
+pub use canonical::DecodeError;
+pub use diff::{Change, changes};
+pub use digest::digest;
+pub use error::{BundleError, Finding, InvalidBundle, LocatedFinding, Location, Problem};
+pub use format::to_toml;
+pub use key_file::{KeyFileError, OperatorKey};
 pub use model::{
     AdmissionPolicy, Bundle, OperatorPolicy, OperatorPublicKey, RequestLimits, ResolvedRoute,
     RoutePolicy, RoutingPolicy, ServicePolicy,
 };
+pub use parse::parse;
+pub use signature::{SignatureError, verify};
+pub use warning::{Warning, warnings};
