Test bundle parsing, encoding, signatures and comparison

The digest of the example is pinned: a change of the encoding would change the digest of every signed bundle and needs a new format version. An operator entry without a name keeps its index in the key, so that a second one is not taken for a duplicate of the empty name.

--- a/crates/bramblewheel-bundle/src/parse.rs
+++ b/crates/bramblewheel-bundle/src/parse.rs
@@ -63,11 +63,13 @@
     policy.required_signatures = section.number(document, "required_signatures", 1);
     for mut key in section.tables(document, "key") {
         let name = key.required_text(document, "name");
-        if policy.keys.contains_key(&name) {
+        if !name.is_empty() && policy.keys.contains_key(&name) {
             document.add(key.key("name"), Problem::Duplicate(name));
             continue;
         }
-        key.rename(document, format!("operators.key.{name}"));
+        if !name.is_empty() {
+            key.rename(document, format!("operators.key.{name}"));
+        }
         let text = key.required_text(document, "public_key");
         let mut bytes = [0; 32];
         if hex::decode_to_slice(&text, &mut bytes).is_err() && !text.is_empty() {
--- /dev/null
+++ b/crates/bramblewheel-bundle/tests/canonical.rs
@@ -0,0 +1,109 @@
+//! One bundle has one encoding, and altered bytes are refused.
+
+mod support;
+
+use arbtest::arbtest;
+use bramblewheel_bundle::{Bundle, DecodeError, canonical, digest, parse, to_toml};
+use bramblewheel_types::{BundleDigest, BundleVersion};
+use support::{arbitrary_bundle, torgnett};
+
+#[test]
+fn bundles_survive_text_and_bytes() {
+    arbtest(|u| {
+        let bundle = arbitrary_bundle(u)?;
+        assert_eq!(parse("a.toml", &to_toml(&bundle)).as_ref(), Ok(&bundle));
+        let bytes = canonical::encode(&bundle);
+        let read = Bundle::from_signed_bytes(&bytes, digest(&bytes), bundle.version);
+        assert_eq!(read.as_ref(), Ok(&bundle));
+        assert_eq!(canonical::encode(&bundle.clone()), bytes);
+        Ok(())
+    })
+    .seed(7)
+    .size_min(200)
+    .size_max(2_000);
+}
+
+/// Changing the encoding changes the digest of every signed bundle: needs a new format version.
+#[test]
+fn the_encoding_of_a_known_bundle_stays_as_it_is() {
+    let digest = digest(&canonical::encode(&torgnett()));
+    assert_eq!(
+        digest.to_string(),
+        "206eb2ddd1ad5359e852fdb48f0a6b7b2096d58c16f3094655fe90d08ba7898c"
+    );
+}
+
+#[test]
+fn order_of_the_text_does_not_matter() {
+    let bundle = torgnett();
+    let text = to_toml(&bundle);
+    let (head, services) = text.split_once("\n[[service]]").expect("has services");
+    let mut services: Vec<&str> = services.split("\n[[service]]").collect();
+    services.reverse();
+    let reversed = format!("{head}\n[[service]]{}", services.join("\n[[service]]"));
+    let read = parse("a.toml", &reversed).expect("still valid");
+    assert_eq!(canonical::encode(&read), canonical::encode(&bundle));
+}
+
+#[test]
+fn altered_bytes_are_refused() {
+    let bundle = torgnett();
+    let bytes = canonical::encode(&bundle);
+    let stated = digest(&bytes);
+    for index in 0..bytes.len() {
+        let mut altered = bytes.clone();
+        altered[index] ^= 1;
+        let error = Bundle::from_signed_bytes(&altered, stated, bundle.version);
+        assert!(matches!(error, Err(DecodeError::DigestMismatch { .. })));
+        assert_ne!(canonical::decode(&altered).as_ref(), Ok(&bundle));
+        assert!(canonical::decode(&bytes[..index]).is_err());
+    }
+    let longer = [&bytes[..], &[0]].concat();
+    assert_eq!(canonical::decode(&longer), Err(DecodeError::NotCanonical));
+}
+
+#[test]
+fn another_encoding_of_the_same_bundle_is_refused() {
+    let bytes = canonical::encode(&torgnett());
+    // The version 1 once more, in two bytes instead of one.
+    let version = b"gversion\x01";
+    let at = bytes
+        .windows(version.len())
+        .position(|window| window == version)
+        .expect("version is encoded")
+        + version.len()
+        - 1;
+    let wider = [&bytes[..at], &[0x18, 0x01], &bytes[at + 1..]].concat();
+    assert_eq!(canonical::decode(&wider), Err(DecodeError::NotCanonical));
+}
+
+#[test]
+fn an_invalid_bundle_is_refused_as_bytes_too() {
+    let mut bundle = torgnett();
+    bundle.limits.max_depth = 0;
+    let decoded = canonical::decode(&canonical::encode(&bundle));
+    let Err(DecodeError::Invalid(invalid)) = decoded else {
+        panic!("accepted: {decoded:?}");
+    };
+    assert_eq!(invalid.findings[0].key, "limits.max_depth");
+}
+
+#[test]
+fn stated_version_and_digest_must_be_those_of_the_bytes() {
+    let bundle = torgnett();
+    let bytes = canonical::encode(&bundle);
+    let version = BundleVersion(2);
+    let error = Bundle::from_signed_bytes(&bytes, digest(&bytes), version);
+    let expected = DecodeError::VersionMismatch {
+        stated: version,
+        actual: bundle.version,
+    };
+    assert_eq!(error, Err(expected));
+    let error = Bundle::from_signed_bytes(&bytes, BundleDigest([0; 32]), bundle.version);
+    assert!(matches!(error, Err(DecodeError::DigestMismatch { .. })));
+    let long = vec![0; canonical::MAX_BUNDLE_LENGTH + 1];
+    assert_eq!(
+        canonical::decode(&long),
+        Err(DecodeError::TooLong(long.len()))
+    );
+}
