--- /dev/null
+++ b/crates/bramblewheel-sim/src/deployment/load.rs
@@ -0,0 +1,66 @@
+//! Reading of deployment files.
+
+use super::Deployment;
+use super::check::{DeploymentProblem, problems};
+use thiserror::Error;
+
+/// A deployment file can't be used.
+#[derive(Clone, Debug, PartialEq, Error)]
+pub enum DeploymentError {
+    /// The text is not TOML of the right shape.
+    #[error("{file}:{line}: {message}")]
+    Syntax {
+        /// Name of the file.
+        file: String,
+        /// Line, from 1.
+        line: usize,
+        /// What is wrong.
+        message: String,
+    },
+    /// The deployment contradicts itself.
+    #[error("{file}: {}", list(.problems))]
+    Problems {
+        /// Name of the file.
+        file: String,
+        /// What is wrong.
+        problems: Vec<DeploymentProblem>,
+    },
+}
+
+fn list(problems: &[DeploymentProblem]) -> String {
+    let texts: Vec<_> = problems.iter().map(ToString::to_string).collect();
+    texts.join("; ")
+}
+
+/// Reads and checks a deployment; `file` is the name used in errors.
+///
+/// # Errors
+/// [`DeploymentError`] when the text is not TOML of the right shape or contradicts itself.
+pub fn parse(file: &str, text: &str) -> Result<Deployment, DeploymentError> {
+    let deployment: Deployment =
+        toml::from_str(text).map_err(|error| syntax(file, text, &error))?;
+    let problems = problems(&deployment);
+    if problems.is_empty() {
+        Ok(deployment)
+    } else {
+        Err(DeploymentError::Problems {
+            file: file.to_owned(),
+            problems,
+        })
+    }
+}
+
+fn syntax(file: &str, text: &str, error: &toml::de::Error) -> DeploymentError {
+    let start = error.span().map_or(0, |span| span.start);
+    let line = 1 + text
+        .bytes()
+        .take(start)
+        .filter(|&byte| byte == b'\n')
+        .count();
+    let message = error.message().to_owned();
+    DeploymentError::Syntax {
+        file: file.to_owned(),
+        line,
+        message,
+    }
+}
--- a/crates/bramblewheel-sim/src/lib.rs
+++ b/crates/bramblewheel-sim/src/lib.rs
@@ -1,1 +1,7 @@
-//! Deterministic discrete-event simulator: network, disks, clocks, callers, endpoints, faults, checkers.
+//! Deterministic discrete-event simulator: network, disks, clocks, callers, endpoints, faults and
+//! checkers.
+//!
+//! One seed gives one run. The simulator drives the real decision and replication crates under
+//! virtual time; checkers read the history of events only.
+
+pub mod deployment;
