--- /dev/null
+++ b/crates/bramblewheel-protocol/src/client.rs
@@ -0,0 +1,258 @@
+//! Client of the control replicas, for operators' tools and tests.
+
+use crate::codec::{CodecError, MAX_CONTROL_FRAME, encode, read_frame};
+use crate::control::{ControlReply, ControlRequest, ReplyBody, RequestBody, Unavailable};
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Longest wait for a connection.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for one replica's answer where there are others to ask.
+pub const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most sends of one request by [`request_any`].
+pub const MAX_ATTEMPTS: usize = 100;
+/// Pause after the first round over all replicas; doubled after each round.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause between rounds.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// One replica gave no answer.
+#[derive(Debug, Error)]
+pub enum ClientError {
+    /// No connection; the request was not sent.
+    #[error("connect: {0}")]
+    Connect(io::Error),
+    /// The request can't be encoded; it was not sent.
+    #[error("request: {0}")]
+    Encode(CodecError),
+    /// An earlier request on this connection failed; the request was not sent.
+    #[error("connection is no longer usable")]
+    Unusable,
+    /// No answer in time.
+    #[error("no answer in time")]
+    Timeout,
+    /// The replica closed the connection before its answer.
+    #[error("connection closed before the answer")]
+    Closed,
+    /// The connection failed, or the answer is not a valid message.
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+    /// The replica answered a request that was not sent.
+    #[error("answer to request {0}, which was not sent")]
+    UnexpectedReply(u64),
+}
+
+impl ClientError {
+    /// Whether the replica may have acted on the request.
+    pub const fn may_have_run(&self) -> bool {
+        !matches!(self, Self::Connect(_) | Self::Encode(_) | Self::Unusable)
+    }
+}
+
+/// A connection to one control replica.
+#[derive(Debug)]
+pub struct ControlClient {
+    /// Taken while a request is under way, so that a request given up half-way through a frame
+    /// leaves no stream that is out of step.
+    stream: Option<TcpStream>,
+    next_id: u64,
+}
+
+impl ControlClient {
+    /// Connects to a replica's service address.
+    ///
+    /// # Errors
+    /// [`ClientError::Connect`], also when it takes longer than [`CONNECT_TIMEOUT`].
+    pub async fn connect(address: SocketAddr) -> Result<Self, ClientError> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| ClientError::Connect(io::ErrorKind::TimedOut.into()))?
+            .map_err(ClientError::Connect)?;
+        stream.set_nodelay(true).map_err(ClientError::Connect)?;
+        Ok(Self {
+            stream: Some(stream),
+            next_id: 1,
+        })
+    }
+
+    /// Sends a request and waits for its answer. After an error the connection is not usable.
+    ///
+    /// # Errors
+    /// [`ClientError`]; [`ClientError::may_have_run`] tells whether the replica may have acted.
+    pub async fn request(
+        &mut self,
+        body: RequestBody,
+        longest_wait: Duration,
+    ) -> Result<ReplyBody, ClientError> {
+        let id = self.next_id;
+        let request = ControlRequest { id, body };
+        let frame = encode(&request, MAX_CONTROL_FRAME).map_err(ClientError::Encode)?;
+        let mut stream = self.stream.take().ok_or(ClientError::Unusable)?;
+        self.next_id += 1;
+        let reply = timeout(longest_wait, exchange(&mut stream, &frame, id))
+            .await
+            .map_err(|_| ClientError::Timeout)??;
+        self.stream = Some(stream);
+        Ok(reply)
+    }
+}
+
+async fn exchange(stream: &mut TcpStream, frame: &[u8], id: u64) -> Result<ReplyBody, ClientError> {
+    stream.write_all(frame).await.map_err(CodecError::Io)?;
+    let reply: ControlReply = read_frame(stream, MAX_CONTROL_FRAME)
+        .await?
+        .ok_or(ClientError::Closed)?;
+    if reply.id != id {
+        return Err(ClientError::UnexpectedReply(reply.id));
+    }
+    Ok(reply.body)
+}
+
+/// No replica gave an answer that settles the request.
+#[derive(Debug, Error)]
+pub enum RequestError {
+    /// The request was provably not carried out.
+    #[error("no control replica could answer{}", last_note(.last))]
+    NotDone {
+        /// What each failed send came to; the last ones.
+        last: Vec<FailedAttempt>,
+    },
+    /// The request may have been carried out: ask again.
+    #[error("undecided: the request may have been carried out{}", last_note(.last))]
+    Undecided {
+        /// What each failed send came to; the last ones.
+        last: Vec<FailedAttempt>,
+    },
+}
+
+/// One send that did not settle a request.
+#[derive(Debug)]
+pub struct FailedAttempt {
+    /// Replica asked.
+    pub address: SocketAddr,
+    /// What came of it.
+    pub failure: AttemptFailure,
+}
+
+/// What came of a send that did not settle a request.
+#[derive(Debug, Error)]
+pub enum AttemptFailure {
+    /// No answer.
+    #[error(transparent)]
+    Client(#[from] ClientError),
+    /// The replica answered that it can't answer.
+    #[error("{0}")]
+    Unavailable(Unavailable),
+}
+
+impl AttemptFailure {
+    fn may_have_run(&self) -> bool {
+        match self {
+            Self::Client(error) => error.may_have_run(),
+            Self::Unavailable(why) => *why == Unavailable::Undecided,
+        }
+    }
+
+    fn leader_hint(&self) -> Option<SocketAddr> {
+        match self {
+            Self::Unavailable(Unavailable::NotLeader(leader)) => *leader,
+            _ => None,
+        }
+    }
+}
+
+fn last_note(last: &[FailedAttempt]) -> String {
+    let note = |attempt: &FailedAttempt| format!("; {}: {}", attempt.address, attempt.failure);
+    last.iter().map(note).collect()
+}
+
+/// Sends a request to one replica after the other until one settles it.
+///
+/// Follows hints to the leader, goes on to the next replica when one is unavailable or silent, and
+/// starts again after a growing pause, for at most `total_timeout` and [`MAX_ATTEMPTS`] sends. The
+/// request may reach several replicas: it must be one that is safe to send again.
+///
+/// # Errors
+/// [`RequestError::Undecided`] when a request that changes state may have been carried out,
+/// [`RequestError::NotDone`] otherwise.
+pub async fn request_any(
+    addresses: &[SocketAddr],
+    body: &RequestBody,
+    total_timeout: Duration,
+) -> Result<ReplyBody, RequestError> {
+    let deadline = Instant::now() + total_timeout;
+    let mut last: Vec<FailedAttempt> = Vec::new();
+    let mut may_have_run = false;
+    let mut pause = FIRST_PAUSE;
+    let mut hint = None;
+    let mut addresses_in_turn = addresses.iter().copied().cycle();
+    for attempt in 1..=MAX_ATTEMPTS {
+        let Some(address) = hint.take().or_else(|| addresses_in_turn.next()) else {
+            break;
+        };
+        let wait = attempt_timeout(addresses.len(), deadline);
+        let failure = match send(address, body.clone(), wait).await {
+            Ok(reply) => return Ok(reply),
+            Err(failure) => failure,
+        };
+        may_have_run |= failure.may_have_run();
+        let hopeless = matches!(failure, AttemptFailure::Client(ClientError::Encode(_)));
+        hint = failure.leader_hint();
+        last.retain(|earlier| earlier.address != address);
+        last.push(FailedAttempt { address, failure });
+        if hopeless {
+            break;
+        }
+        if attempt % addresses.len() == 0 {
+            sleep(pause.min(remaining(deadline))).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+        if remaining(deadline).is_zero() {
+            break;
+        }
+    }
+    if may_have_run && body.changes_state() {
+        return Err(RequestError::Undecided { last });
+    }
+    Err(RequestError::NotDone { last })
+}
+
+fn remaining(deadline: Instant) -> Duration {
+    deadline.saturating_duration_since(Instant::now())
+}
+
+/// A lone replica may use all the time there is.
+fn attempt_timeout(replicas: usize, deadline: Instant) -> Duration {
+    if replicas == 1 {
+        return remaining(deadline);
+    }
+    remaining(deadline).min(ATTEMPT_TIMEOUT)
+}
+
+async fn send(
+    address: SocketAddr,
+    body: RequestBody,
+    wait: Duration,
+) -> Result<ReplyBody, AttemptFailure> {
+    let deadline = Instant::now() + wait;
+    let mut client = within(wait, ControlClient::connect(address)).await?;
+    match client.request(body, remaining(deadline)).await? {
+        ReplyBody::Unavailable(why) => Err(AttemptFailure::Unavailable(why)),
+        reply => Ok(reply),
+    }
+}
+
+async fn within(
+    wait: Duration,
+    connecting: impl Future<Output = Result<ControlClient, ClientError>>,
+) -> Result<ControlClient, ClientError> {
+    timeout(wait, connecting)
+        .await
+        .unwrap_or_else(|_| Err(ClientError::Connect(io::ErrorKind::TimedOut.into())))
+}
--- a/crates/bramblewheel-protocol/src/control.rs
+++ b/crates/bramblewheel-protocol/src/control.rs
@@ -8,6 +8,7 @@
     ServiceName, ZoneName,
 };
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 
 /// A request to a control replica.
@@ -49,6 +50,16 @@
     Replace(ReplaceRequest),
 }
 
+impl RequestBody {
+    /// Whether carrying out the request changes the state of the group.
+    pub const fn changes_state(&self) -> bool {
+        match self {
+            Self::Operations(_) | Self::Publish(_) | Self::Bootstrap(_) | Self::Replace(_) => true,
+            Self::Poll(_) | Self::BundleStatus | Self::FleetStatus | Self::GroupStatus => false,
+        }
+    }
+}
+
 /// Answer of a control replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReplyBody {
@@ -87,6 +98,19 @@
     Undecided,
 }
 
+impl fmt::Display for Unavailable {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoQuorum => formatter.write_str("no quorum"),
+            Self::NotLeader(Some(leader)) => write!(formatter, "not leader, leader is {leader}"),
+            Self::NotLeader(None) => formatter.write_str("not leader, no leader known"),
+            Self::Uninitialized => formatter.write_str("not yet in a group"),
+            Self::Stopping => formatter.write_str("stopping"),
+            Self::Undecided => formatter.write_str("undecided"),
+        }
+    }
+}
+
 /// Position in the replicated log; ordered by index. Daemons refuse older than they have seen.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -305,7 +329,8 @@
 /// Starts a new group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BootstrapRequest {
-    /// Drawn at random; the same at every replica of the group.
+    /// Unique; the same at every replica of the group. The operator's tool derives it from the
+    /// voters' random identities and the bundle, so that a repeated bootstrap is the same one.
     pub group: u64,
     /// First voters; the replica asked must be among them.
     pub voters: Vec<ReplicaAddress>,
--- a/crates/bramblewheel-protocol/src/lib.rs
+++ b/crates/bramblewheel-protocol/src/lib.rs
@@ -1,7 +1,9 @@
 //! Messages between the project's own processes, their CBOR codec and framing.
 
+pub mod client;
 pub mod codec;
 pub mod control;
 pub mod headers;
 
+pub use client::{ClientError, ControlClient, RequestError, request_any};
 pub use codec::{CodecError, read_frame, write_frame};
