Add the operator's command line

bundle new|check|diff|sign|publish|status, keys new, fleet status and control status|bootstrap|replace, with typed exit statuses. An undecided change has a status of its own, so that a script doesn't take it for a failure. Signing never overwrites another bundle, and keeps the signatures already there.

--- a/crates/bramblewheel-protocol/src/codec.rs
+++ b/crates/bramblewheel-protocol/src/codec.rs
@@ -10,6 +10,8 @@
 pub const MAX_CONTROL_FRAME: usize = 4 * 1024 * 1024;
 /// Longest frame accepted between replicas, in bytes; holds a snapshot.
 pub const MAX_PEER_FRAME: usize = 256 * 1024 * 1024;
+/// Bytes of the length in front of each frame.
+pub const LENGTH_PREFIX: usize = 4;
 /// Memory reserved ahead for a frame that has not arrived yet, in bytes.
 const READ_CHUNK: usize = 64 * 1024;
 
@@ -37,15 +39,15 @@
 /// # Errors
 /// [`CodecError::TooLong`] when the value takes more than `limit` bytes.
 pub fn encode<T: Serialize>(value: &T, limit: usize) -> Result<Vec<u8>, CodecError> {
-    let mut frame = vec![0; 4];
+    let mut frame = vec![0; LENGTH_PREFIX];
     ciborium::into_writer(value, &mut frame)
         .map_err(|error| CodecError::Malformed(error.to_string()))?;
-    let length = frame.len() - 4;
+    let length = frame.len() - LENGTH_PREFIX;
     let announced = u32::try_from(length).map_err(|_| CodecError::TooLong { length, limit })?;
     if length > limit {
         return Err(CodecError::TooLong { length, limit });
     }
-    frame[..4].copy_from_slice(&announced.to_be_bytes());
+    frame[..LENGTH_PREFIX].copy_from_slice(&announced.to_be_bytes());
     Ok(frame)
 }
 
@@ -77,7 +79,7 @@
     T: DeserializeOwned,
     R: AsyncRead + Unpin,
 {
-    let mut prefix = [0; 4];
+    let mut prefix = [0; LENGTH_PREFIX];
     let first = reader.read(&mut prefix).await?;
     if first == 0 {
         return Ok(None);
--- /dev/null
+++ b/crates/bramblewheel/src/help.rs
@@ -0,0 +1,256 @@
+//! Help pages: usage, options, examples and exit statuses, for the program and each command.
+
+use crate::error::CommandError;
+use crate::options::{
+    Arguments, BootstrapGroup, BundleArguments, CheckBundle, ControlArguments, ControlQuery,
+    DiffBundles, FleetArguments, KeysArguments, NewBundle, NewKey, PublishBundle, ReplaceReplica,
+    SignBundle,
+};
+use crate::output;
+use gumdrop::Options;
+
+/// Follows every page.
+const EXIT_STATUS: &str = "\
+Exit status:
+  0  done
+  1  refused, or a check failed
+  2  the command line or an input file is wrong
+  3  no control replica could answer; nothing was changed
+  4  undecided: the change may have been made; give the same command again";
+
+/// One help page.
+struct Page {
+    /// Words of the command.
+    path: &'static [&'static str],
+    /// Arguments after the words.
+    arguments: &'static str,
+    /// What the command does.
+    about: &'static str,
+    /// Options, as gumdrop lists them.
+    options: fn() -> &'static str,
+    /// Commands below, as gumdrop lists them.
+    commands: fn() -> Option<&'static str>,
+    /// Examples, one a line.
+    examples: &'static [&'static str],
+}
+
+macro_rules! page {
+    ($options:ty, [$($word:literal),*], $arguments:literal, $about:literal, $examples:expr) => {
+        Page {
+            path: &[$($word),*],
+            arguments: $arguments,
+            about: $about,
+            options: <$options as Options>::usage,
+            commands: <$options as Options>::command_list,
+            examples: $examples,
+        }
+    };
+}
+
+const PAGES: &[Page] = &[
+    page!(
+        Arguments,
+        [],
+        "COMMAND",
+        "Operate bramblewheel: configuration bundles, daemons and the control group.",
+        &[
+            "bramblewheel bundle check torgnett.toml",
+            "bramblewheel help bundle publish"
+        ]
+    ),
+    page!(
+        BundleArguments,
+        ["bundle"],
+        "COMMAND",
+        "Write, check, sign and publish configuration bundles.",
+        &["bramblewheel bundle check torgnett.toml"]
+    ),
+    page!(
+        NewBundle,
+        ["bundle", "new"],
+        "--deployment NAME --service NAME --operator NAME=KEY [OPTIONS]",
+        "Write a bundle to begin with: version 1, the default of every value, no routes.",
+        &[
+            "bramblewheel bundle new --deployment torgnett --service kassa \\\n      \
+           --operator anna=13ca...f17b --out torgnett.toml"
+        ]
+    ),
+    page!(
+        CheckBundle,
+        ["bundle", "check"],
+        "FILE [OPTIONS]",
+        "Check a bundle. Prints every finding as FILE:LINE:COLUMN: KEY: PROBLEM, and with\n\
+         --against a warning for each dangerous change of meaning.",
+        &[
+            "bramblewheel bundle check torgnett.toml",
+            "bramblewheel bundle check new.toml --against old.signed --deny-warnings"
+        ]
+    ),
+    page!(
+        DiffBundles,
+        ["bundle", "diff"],
+        "BEFORE AFTER",
+        "Show what differs between two bundles, one key a line: + new, - gone, ~ changed.\n\
+         Warnings of dangerous changes of meaning follow.",
+        &["bramblewheel bundle diff old.signed new.toml"]
+    ),
+    page!(
+        SignBundle,
+        ["bundle", "sign"],
+        "FILE --key FILE --out FILE",
+        "Add an operator's signature to a bundle. Operators sign one after another, each adding\n\
+         to the same signed bundle; a signed bundle of other content is never overwritten.",
+        &[
+            "bramblewheel bundle sign torgnett.toml --key anna.key --out torgnett.signed",
+            "bramblewheel bundle sign torgnett.signed --key bjorn.key --out torgnett.signed"
+        ]
+    ),
+    page!(
+        PublishBundle,
+        ["bundle", "publish"],
+        "SIGNED --control ADDR[,ADDR] [OPTIONS]",
+        "Roll a signed bundle out. Replicas are tried in turn and the bundle is sent again when\n\
+         an answer is lost; a bundle that was already accepted is accepted again.",
+        &["bramblewheel bundle publish torgnett.signed --control 10.0.0.1:7100,10.0.0.2:7100"]
+    ),
+    page!(
+        ControlQuery,
+        ["bundle", "status"],
+        "--control ADDR[,ADDR] [OPTIONS]",
+        "Show the bundle in force and who signed it.",
+        &["bramblewheel bundle status --control 10.0.0.1:7100"]
+    ),
+    page!(
+        KeysArguments,
+        ["keys"],
+        "COMMAND",
+        "Make operator keys.",
+        &["bramblewheel keys new anna --out anna.key"]
+    ),
+    page!(
+        NewKey,
+        ["keys", "new"],
+        "NAME --out FILE",
+        "Draw a new Ed25519 key pair. The key file is readable by its owner alone; the public\n\
+         key is printed, for the bundle's [[operators.key]].",
+        &["bramblewheel keys new anna --out anna.key"]
+    ),
+    page!(
+        FleetArguments,
+        ["fleet"],
+        "COMMAND",
+        "Look at the daemons.",
+        &["bramblewheel fleet status --control 10.0.0.1:7100"]
+    ),
+    page!(
+        ControlQuery,
+        ["fleet", "status"],
+        "--control ADDR[,ADDR] [OPTIONS]",
+        "Show each registered daemon, the bundle it has in force and how long it was silent.",
+        &["bramblewheel fleet status --control 10.0.0.1:7100"]
+    ),
+    page!(
+        ControlArguments,
+        ["control"],
+        "COMMAND",
+        "Look at, start and repair the control group.",
+        &["bramblewheel control status --control 10.0.0.1:7100,10.0.0.2:7100"]
+    ),
+    page!(
+        ControlQuery,
+        ["control", "status"],
+        "--control ADDR[,ADDR] [OPTIONS]",
+        "Ask each replica listed for its view of the group, one line each.",
+        &["bramblewheel control status --control 10.0.0.1:7100,10.0.0.2:7100"]
+    ),
+    page!(
+        BootstrapGroup,
+        ["control", "bootstrap"],
+        "--replica ADDR --replica ADDR ... --bundle SIGNED [OPTIONS]",
+        "Start a control group from replicas with empty data folders. The first bundle fixes\n\
+         which operators may sign the next. Safe to give again after a failure; a replica that\n\
+         belongs to another group is refused.",
+        &[
+            "bramblewheel control bootstrap --replica 10.0.0.1:7100 --replica 10.0.0.2:7100 \\\n      \
+           --replica 10.0.0.3:7100 --bundle torgnett.signed"
+        ]
+    ),
+    page!(
+        ReplaceReplica,
+        ["control", "replace"],
+        "--control ADDR[,ADDR] --lost ID --with ADDR [OPTIONS]",
+        "Replace a lost replica by one with an empty data folder.",
+        &[
+            "bramblewheel control replace --control 10.0.0.1:7100,10.0.0.2:7100 \\\n      \
+           --lost 00c0ffee00c0ffee --with 10.0.0.4:7100"
+        ]
+    ),
+];
+
+impl Page {
+    fn text(&self) -> String {
+        let words = self.words();
+        let mut text = format!("{}\n\nUsage: {words} {}\n", self.about, self.arguments);
+        let options = (self.options)().trim_start();
+        let options = options.replace("Positional arguments:", "Arguments:");
+        let options = options.replace("Optional arguments:", "Options:");
+        text += &format!("\n{options}\n");
+        if let Some(commands) = (self.commands)() {
+            text += &format!("\nCommands:\n{commands}\n");
+            text += &format!("\nSee `{words} COMMAND --help` for one command.\n");
+        }
+        text += "\nExamples:\n";
+        for example in self.examples {
+            text += &format!("  {example}\n");
+        }
+        text + "\n" + EXIT_STATUS + "\n"
+    }
+
+    fn words(&self) -> String {
+        let program = ["bramblewheel"];
+        let words: Vec<&str> = program.iter().chain(self.path).copied().collect();
+        words.join(" ")
+    }
+}
+
+fn page(path: &[String]) -> Option<&'static Page> {
+    PAGES.iter().find(|page| page.path == path)
+}
+
+/// The command that `help` is asked for, as in `help bundle sign` or `bundle help sign`.
+pub fn path_asked_for(arguments: &[String]) -> Option<Vec<String>> {
+    let position = arguments.iter().position(|word| word == "help")?;
+    let (before, after) = (&arguments[..position], &arguments[position + 1..]);
+    let below_commands = page(before).is_some_and(|page| (page.commands)().is_some());
+    below_commands.then(|| [before, after].concat())
+}
+
+/// Words of the command that the command line begins with.
+pub fn path_of(arguments: &[String]) -> Vec<String> {
+    let lengths = (0..=arguments.len()).rev();
+    let mut paths = lengths.map(|length| &arguments[..length]);
+    let path = paths.find(|path| page(path).is_some());
+    path.unwrap_or_default().to_vec()
+}
+
+/// Prints the page of a command.
+///
+/// # Errors
+/// [`CommandError::BadInput`] when there is no such command.
+pub fn print(path: &[String]) -> Result<(), CommandError> {
+    let Some(page) = page(path) else {
+        let text = format!("bramblewheel: no command `{}`", path.join(" "));
+        return Err(CommandError::BadInput(text));
+    };
+    output::print(&page.text());
+    Ok(())
+}
+
+/// An error in the command line, with the usage of the command it concerns.
+pub fn usage_error(error: &str, arguments: &[String]) -> CommandError {
+    let page = page(&path_of(arguments)).unwrap_or(&PAGES[0]);
+    let (words, usage) = (page.words(), page.arguments);
+    CommandError::BadInput(format!(
+        "bramblewheel: {error}\nUsage: {words} {usage}\nSee `{words} --help`."
+    ))
+}
