Add the replicated log as a pure state machine

Contact with a quorum is proven by the start of answered rounds (leader) and by tokens sent back (follower), not by arrival times: messages that waited while a process was frozen must not count as fresh. Leases for reads were ruled out for the same reason.

--- a/crates/bramblewheel-replication/src/lib.rs
+++ b/crates/bramblewheel-replication/src/lib.rs
@@ -1,6 +1,32 @@
-//! Replicated log as a pure state machine: election, replication, membership change, snapshots,
-//! read leases.
+//! Replicated log as a pure state machine: election, replication, membership change, snapshots
+//! and linearizable reads, in the manner of Raft.
+//!
+//! [`Replica`] takes inputs with the current time and hands back [`Output`]s. It reads no clock,
+//! file, socket or global random source, so the control process and the simulator run the same
+//! code.
 
+mod candidate;
+pub mod config;
+pub mod error;
+mod follower;
+mod leader;
+mod leadership;
+mod log;
+mod membership;
+pub mod message;
+pub mod output;
+mod persistence;
+mod progress;
+mod quorum;
+mod read;
+mod replica;
+mod source;
 pub mod types;
 
+pub use config::ReplicaConfig;
+pub use error::{CompactError, MembershipError, NotLeader, TransferError};
+pub use membership::MembershipChange;
+pub use message::{AppendResult, Body, ContactToken, Message};
+pub use output::{Output, ProposalResult, ReadResult};
+pub use replica::{Replica, Role};
 pub use types::*;
--- /dev/null
+++ b/crates/bramblewheel-replication/src/log.rs
@@ -0,0 +1,168 @@
+//! The log in memory: the latest snapshot and the entries after it.
+
+use crate::types::{Entry, LogIndex, Membership, Payload, Snapshot, Term};
+use std::collections::VecDeque;
+
+/// Entries kept in memory below a snapshot of our own, so that a follower a little behind gets
+/// entries rather than the whole snapshot.
+const RETAINED_ENTRIES: u64 = 1024;
+
+/// The log in memory.
+///
+/// Invariants: `entries` has no gaps and starts just after `base_index`; `base_index` is at most
+/// the snapshot's index; `memberships` holds every membership at or after `base_index`, and the
+/// one in force at `base_index`.
+#[derive(Debug, Default)]
+pub(crate) struct Log {
+    snapshot: Option<Snapshot>,
+    base_index: LogIndex,
+    base_term: Term,
+    entries: VecDeque<Entry>,
+    memberships: Vec<(LogIndex, Membership)>,
+}
+
+impl Log {
+    pub(crate) fn new(snapshot: Option<Snapshot>, entries: Vec<Entry>) -> Self {
+        let mut log = Self::default();
+        if let Some(snapshot) = snapshot {
+            log.install(snapshot);
+        }
+        for entry in entries {
+            log.append(entry);
+        }
+        log
+    }
+
+    pub(crate) fn snapshot(&self) -> Option<&Snapshot> {
+        self.snapshot.as_ref()
+    }
+
+    pub(crate) fn snapshot_index(&self) -> LogIndex {
+        self.snapshot.as_ref().map_or(LogIndex(0), |s| s.index)
+    }
+
+    /// Entry before the first one held.
+    pub(crate) fn base_index(&self) -> LogIndex {
+        self.base_index
+    }
+
+    pub(crate) fn last_index(&self) -> LogIndex {
+        LogIndex(self.base_index.0 + self.entries.len() as u64)
+    }
+
+    pub(crate) fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.base_term, |e| e.term)
+    }
+
+    /// Term of an entry; `None` if it is compacted or not there.
+    pub(crate) fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        let offset = index.0.checked_sub(self.base_index.0 + 1)?;
+        self.entries.get(offset as usize).map(|entry| entry.term)
+    }
+
+    /// Entries in `from..=to` that are held, in order.
+    pub(crate) fn range(&self, from: LogIndex, to: LogIndex) -> impl Iterator<Item = &Entry> {
+        let skip = from.0.saturating_sub(self.base_index.0 + 1) as usize;
+        self.entries
+            .iter()
+            .skip(skip)
+            .take_while(move |entry| entry.index <= to)
+    }
+
+    /// Appends the next entry.
+    pub(crate) fn append(&mut self, entry: Entry) {
+        assert_eq!(entry.index.0, self.last_index().0 + 1, "log without gaps");
+        if let Payload::Membership(membership) = &entry.payload {
+            self.memberships.push((entry.index, membership.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Removes the entries from `index` on.
+    pub(crate) fn truncate_from(&mut self, index: LogIndex) {
+        let keep = index.0.saturating_sub(self.base_index.0 + 1);
+        self.entries.truncate(keep as usize);
+        self.memberships.retain(|(at, _)| *at < index);
+    }
+
+    /// Replaces everything by a snapshot.
+    pub(crate) fn install(&mut self, snapshot: Snapshot) {
+        self.base_index = snapshot.index;
+        self.base_term = snapshot.term;
+        self.entries.clear();
+        self.memberships = vec![(snapshot.index, snapshot.membership.clone())];
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Takes a snapshot of our own in place of the entries up to `index`, which must be held.
+    pub(crate) fn compact(&mut self, index: LogIndex, data: Vec<u8>) -> Snapshot {
+        let term = self.term_at(index).expect("entry to compact at is held");
+        let (_, membership) = self.membership_at(index);
+        let snapshot = Snapshot {
+            index,
+            term,
+            membership: membership.clone(),
+            data,
+        };
+        self.snapshot = Some(snapshot.clone());
+        self.drop_entries_to(LogIndex(index.0.saturating_sub(RETAINED_ENTRIES)));
+        snapshot
+    }
+
+    fn drop_entries_to(&mut self, index: LogIndex) {
+        if index <= self.base_index {
+            return;
+        }
+        let term = self.term_at(index).expect("entry to drop is held");
+        let (_, membership) = self.membership_at(index);
+        let membership = membership.clone();
+        let count = (index.0 - self.base_index.0) as usize;
+        self.entries.drain(..count);
+        self.memberships.retain(|(at, _)| *at > index);
+        self.memberships.insert(0, (index, membership));
+        self.base_index = index;
+        self.base_term = term;
+    }
+
+    /// Membership in force, which is the latest one appended, and its index.
+    pub(crate) fn membership(&self) -> (LogIndex, &Membership) {
+        self.membership_at(self.last_index())
+    }
+
+    fn membership_at(&self, index: LogIndex) -> (LogIndex, &Membership) {
+        static NOBODY: Membership = Membership {
+            voters: std::collections::BTreeSet::new(),
+            learners: std::collections::BTreeSet::new(),
+            descriptions: std::collections::BTreeMap::new(),
+        };
+        self.memberships
+            .iter()
+            .rev()
+            .find(|(at, _)| *at <= index)
+            .map_or((LogIndex(0), &NOBODY), |(at, membership)| (*at, membership))
+    }
+
+    /// Whether a log that ends in this entry holds at least all that this one may have committed.
+    pub(crate) fn is_covered_by(&self, last_index: LogIndex, last_term: Term) -> bool {
+        (last_term, last_index) >= (self.last_term(), self.last_index())
+    }
+
+    /// Highest entry at or below `index` whose term is at most `term`: above it, this log can't
+    /// agree with one that has `term` at `index`.
+    pub(crate) fn possible_match(&self, index: LogIndex, term: Term) -> (LogIndex, Term) {
+        let mut candidate = index.min(self.last_index());
+        while let Some(own) = self.term_at(candidate) {
+            if own <= term {
+                return (candidate, own);
+            }
+            if candidate.0 == 0 {
+                break;
+            }
+            candidate.0 -= 1;
+        }
+        (candidate, Term(0))
+    }
+}
