Add synced storage for one replica

One checksummed frame per group of changes, synced before the next begins, so only the last frame can be torn. A frame that is all there but wrong was synced once and stops the replica: cutting it could forget a vote. The last segment is written anew at each start, since after a failed sync the system may show bytes that never reached the disk.

--- /dev/null
+++ b/crates/bramblewheel-storage/src/atomic.rs
@@ -0,0 +1,24 @@
+//! Files that appear whole or not at all.
+
+use crate::error::{IoContext, StorageError};
+use crate::file_system::{AppendFile, FileSystem};
+use std::path::Path;
+
+/// Ending of names of files that are not whole yet.
+pub(crate) const TEMPORARY: &str = ".tmp";
+
+/// Writes a file under another name, syncs it, renames it and syncs the folder.
+pub(crate) fn write<F: FileSystem>(
+    files: &F,
+    folder: &Path,
+    name: &str,
+    bytes: &[u8],
+) -> Result<(), StorageError> {
+    let path = folder.join(name);
+    let temporary = folder.join(format!("{name}{TEMPORARY}"));
+    let mut file = files.create(&temporary).during("create", &temporary)?;
+    file.append(bytes).during("append to", &temporary)?;
+    file.sync().during("sync", &temporary)?;
+    files.rename(&temporary, &path).during("rename to", &path)?;
+    files.sync_folder(folder).during("sync", folder)
+}
--- /dev/null
+++ b/crates/bramblewheel-storage/src/file_system/disk.rs
@@ -0,0 +1,80 @@
+//! Files of the operating system.
+
+use super::{AppendFile, FileSystem};
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::Path;
+
+/// Files of the operating system.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DiskFileSystem;
+
+/// A file of the operating system.
+#[derive(Debug)]
+pub struct DiskFile(File);
+
+impl FileSystem for DiskFileSystem {
+    type File = DiskFile;
+
+    fn create(&self, path: &Path) -> io::Result<DiskFile> {
+        File::create(path).map(DiskFile)
+    }
+
+    fn open_append(&self, path: &Path) -> io::Result<DiskFile> {
+        OpenOptions::new().append(true).open(path).map(DiskFile)
+    }
+
+    fn read(&self, path: &Path) -> io::Result<Vec<u8>> {
+        fs::read(path)
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
+        fs::rename(from, to)
+    }
+
+    fn remove(&self, path: &Path) -> io::Result<()> {
+        fs::remove_file(path)
+    }
+
+    fn list(&self, folder: &Path) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(folder)? {
+            let entry = entry?;
+            if entry.file_type()?.is_file() {
+                names.push(entry.file_name().to_string_lossy().into_owned());
+            }
+        }
+        names.sort_unstable();
+        Ok(names)
+    }
+
+    fn create_folder(&self, folder: &Path) -> io::Result<()> {
+        if folder.as_os_str().is_empty() || folder.is_dir() {
+            return Ok(());
+        }
+        let parent = folder.parent().unwrap_or(Path::new(""));
+        self.create_folder(parent)?;
+        fs::create_dir(folder)?;
+        self.sync_folder(parent)
+    }
+
+    fn sync_folder(&self, folder: &Path) -> io::Result<()> {
+        let here = Path::new(".");
+        let folder = if folder.as_os_str().is_empty() {
+            here
+        } else {
+            folder
+        };
+        File::open(folder)?.sync_all()
+    }
+}
+
+impl AppendFile for DiskFile {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.0.write_all(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.0.sync_data()
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-storage/src/segment.rs
@@ -0,0 +1,162 @@
+//! Log segments, named by the sequence of their first record.
+
+use crate::atomic;
+use crate::error::{IoContext, StorageError};
+use crate::file_system::{AppendFile, FileSystem};
+use crate::frame::{self, FrameFault};
+use crate::records::{self, LogRecord};
+use bramblewheel_replication::LogIndex;
+use std::path::{Path, PathBuf};
+
+const PREFIX: &str = "log-";
+
+/// Name of the segment that starts with a sequence.
+pub(crate) fn name(start: u64) -> String {
+    format!("{PREFIX}{start:020}")
+}
+
+/// First sequence of a segment; `None` if the name is not that of a segment.
+pub(crate) fn start_of(name: &str) -> Option<u64> {
+    name.strip_prefix(PREFIX)?.parse().ok()
+}
+
+/// A segment that exists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Segment {
+    /// Sequence of its first record.
+    pub(crate) start: u64,
+    /// Highest index of an entry in it.
+    pub(crate) highest: LogIndex,
+}
+
+impl Segment {
+    pub(crate) fn empty(start: u64) -> Self {
+        Self {
+            start,
+            highest: LogIndex(0),
+        }
+    }
+
+    pub(crate) fn note(&mut self, record: &LogRecord) {
+        for entry in &record.entries {
+            self.highest = self.highest.max(entry.index);
+        }
+    }
+}
+
+/// What a segment holds.
+pub(crate) struct SegmentContent {
+    pub(crate) segment: Segment,
+    /// Records with their offsets.
+    pub(crate) records: Vec<(usize, LogRecord)>,
+    /// Bytes of whole frames.
+    pub(crate) bytes: Vec<u8>,
+}
+
+/// Reads a segment. Only the last one may end in a torn frame, which is left out.
+pub(crate) fn read<F: FileSystem>(
+    files: &F,
+    folder: &Path,
+    start: u64,
+    is_last: bool,
+) -> Result<SegmentContent, StorageError> {
+    let path = folder.join(name(start));
+    let mut bytes = files.read(&path).during("read", &path)?;
+    let mut segment = Segment::empty(start);
+    let mut records = Vec::new();
+    let mut offset = 0;
+    loop {
+        let frame = match frame::decode(&bytes, offset) {
+            Ok(Some(frame)) => frame,
+            Ok(None) => break,
+            Err(FrameFault::Torn) if is_last => break,
+            Err(FrameFault::Torn) => {
+                let reason = "cut off, and another segment follows";
+                return Err(StorageError::damaged(&path, offset, reason));
+            }
+            Err(FrameFault::Damaged(reason)) => {
+                return Err(StorageError::damaged(&path, offset, reason));
+            }
+        };
+        check_sequence(frame.sequence, start + records.len() as u64, &path, offset)?;
+        let record: LogRecord = records::decode(frame.payload, &path, offset)?;
+        segment.note(&record);
+        records.push((offset, record));
+        offset += frame.end;
+    }
+    bytes.truncate(offset);
+    Ok(SegmentContent {
+        segment,
+        records,
+        bytes,
+    })
+}
+
+fn check_sequence(
+    found: u64,
+    expected: u64,
+    path: &Path,
+    offset: usize,
+) -> Result<(), StorageError> {
+    if found == expected {
+        return Ok(());
+    }
+    let reason = format!("record {found} where {expected} belongs");
+    Err(StorageError::damaged(path, offset, reason))
+}
+
+/// The segment being written.
+#[derive(Debug)]
+pub(crate) struct SegmentWriter<A> {
+    file: A,
+    path: PathBuf,
+    /// Bytes in it.
+    pub(crate) size: u64,
+}
+
+impl<A: AppendFile> SegmentWriter<A> {
+    /// Starts an empty segment whose name lasts.
+    pub(crate) fn create<F: FileSystem<File = A>>(
+        files: &F,
+        folder: &Path,
+        start: u64,
+    ) -> Result<Self, StorageError> {
+        let path = folder.join(name(start));
+        let mut file = files.create(&path).during("create", &path)?;
+        file.sync().during("sync", &path)?;
+        files.sync_folder(folder).during("sync", folder)?;
+        Ok(Self {
+            file,
+            path,
+            size: 0,
+        })
+    }
+
+    /// Goes on with a segment that was read back.
+    ///
+    /// Its bytes are written anew: after a failed sync or a killed process, what was read may
+    /// be in the memory of the system only, and a sync would not write it again.
+    pub(crate) fn rewrite<F: FileSystem<File = A>>(
+        files: &F,
+        folder: &Path,
+        content: &SegmentContent,
+    ) -> Result<Self, StorageError> {
+        let name = name(content.segment.start);
+        atomic::write(files, folder, &name, &content.bytes)?;
+        let path = folder.join(name);
+        let file = files.open_append(&path).during("open", &path)?;
+        Ok(Self {
+            file,
+            path,
+            size: content.bytes.len() as u64,
+        })
+    }
+
+    /// Appends and syncs a frame.
+    pub(crate) fn write(&mut self, frame: &[u8]) -> Result<(), StorageError> {
+        self.file.append(frame).during("append to", &self.path)?;
+        self.file.sync().during("sync", &self.path)?;
+        self.size += frame.len() as u64;
+        Ok(())
+    }
+}
