Split the leader by concern and let a replica behind grant pre-votes

The answer to a pre-vote carries the term of its sender, which may be below the candidate's; such answers were dropped, so a candidate ahead of the others could never win. Replicas that know no membership now ignore votes wholly.

--- a/crates/bramblewheel-replication/src/candidate.rs
+++ b/crates/bramblewheel-replication/src/candidate.rs
@@ -114,6 +114,7 @@
             self.is_initialised() && vote_is_free && self.log.is_covered_by(last_index, last_term);
         if granted {
             self.hard_state.voted_for = Some(from);
+            self.role = RoleState::Follower;
             self.reset_election_timer();
         }
         self.send(from, Body::VoteResponse { granted });
--- a/crates/bramblewheel-replication/src/leadership.rs
+++ b/crates/bramblewheel-replication/src/leadership.rs
@@ -27,6 +27,8 @@
     pub(crate) replica: ReplicaId,
     /// Index of the membership without it.
     pub(crate) index: LogIndex,
+    /// When it is forgotten whether it has heard or not.
+    pub(crate) deadline: Timestamp,
 }
 
 /// State that a replica holds only while it leads.
--- a/crates/bramblewheel-replication/src/lib.rs
+++ b/crates/bramblewheel-replication/src/lib.rs
@@ -6,6 +6,7 @@
 //! code.
 
 mod candidate;
+mod commitment;
 pub mod config;
 pub mod error;
 mod follower;
@@ -19,8 +20,10 @@
 mod progress;
 mod quorum;
 mod read;
+mod reconfiguration;
 mod replica;
 mod source;
+mod transfer;
 pub mod types;
 
 pub use config::ReplicaConfig;
--- a/crates/bramblewheel-replication/src/replica.rs
+++ b/crates/bramblewheel-replication/src/replica.rs
@@ -151,7 +151,9 @@
         if message.term > self.hard_state.term && !self.accept_term(&message) {
             return;
         }
-        if message.term < self.hard_state.term {
+        // A replica behind our term may still grant a pre-vote for the next one.
+        let is_pre_vote = matches!(message.body, Body::PreVoteResponse { .. });
+        if message.term < self.hard_state.term && !is_pre_vote {
             self.refuse_old_term(from, message);
             return;
         }
@@ -202,6 +204,7 @@
         match &message.body {
             // Asks only; whoever loses a pre-vote must not raise our term.
             Body::PreVoteRequest { .. } => true,
+            Body::VoteRequest { .. } if !self.is_initialised() => false,
             Body::VoteRequest { transfer, .. } if !transfer && self.hears_leader() => false,
             _ => {
                 self.become_follower(message.term, None);
--- /dev/null
+++ b/crates/bramblewheel-replication/src/transfer.rs
@@ -0,0 +1,66 @@
+//! Hand-over of leadership before a planned stop.
+
+use crate::error::TransferError;
+use crate::leadership::Transfer;
+use crate::message::Body;
+use crate::progress::Progress;
+use crate::replica::Replica;
+use crate::types::ReplicaId;
+use bramblewheel_types::Timestamp;
+
+impl Replica {
+    /// Starts to hand leadership to the voter that has most of the log; returns that voter.
+    ///
+    /// Proposals are refused until it took over or an election timeout passed.
+    ///
+    /// # Errors
+    /// [`TransferError`] when this replica does not lead or no other voter answers.
+    pub fn transfer_leadership(&mut self, now: Timestamp) -> Result<ReplicaId, TransferError> {
+        self.advance_clock(now);
+        self.check_accepting()?;
+        let target = self.transfer_target().ok_or(TransferError::NoTarget)?;
+        let deadline = self.now + self.config.election_timeout;
+        let leadership = self.leadership_mut().expect("checked to be the leader");
+        leadership.transfer = Some(Transfer {
+            target,
+            deadline,
+            told: false,
+        });
+        Ok(target)
+    }
+
+    fn transfer_target(&self) -> Option<ReplicaId> {
+        let leadership = self.leadership()?;
+        let voters = &self.membership().voters;
+        let recent = |progress: &Progress| {
+            let contact = progress.last_contact?;
+            (contact + self.config.election_timeout >= self.now).then_some(progress.match_index)
+        };
+        let candidates = leadership
+            .peers
+            .iter()
+            .filter(|(id, _)| voters.contains(id));
+        candidates
+            .filter_map(|(id, progress)| Some((recent(progress)?, *id)))
+            .max()
+            .map(|(_, id)| id)
+    }
+
+    /// Tells the replica that takes over to campaign, once it has the whole log.
+    pub(crate) fn tell_transfer_target(&mut self) {
+        let last_index = self.log.last_index();
+        let Some(leadership) = self.leadership_mut() else {
+            return;
+        };
+        let Some(transfer) = &mut leadership.transfer else {
+            return;
+        };
+        let target = transfer.target;
+        let synced = leadership.peers.get(&target).map(|p| p.match_index);
+        if transfer.told || synced != Some(last_index) {
+            return;
+        }
+        transfer.told = true;
+        self.send(target, Body::TransferLeadership);
+    }
+}
