--- a/crates/bramblewheel-replication/src/commitment.rs
+++ b/crates/bramblewheel-replication/src/commitment.rs
@@ -5,6 +5,7 @@
 use crate::quorum::reached_by_quorum;
 use crate::replica::{Replica, RoleState};
 use crate::types::{LogIndex, ReplicaId};
+use bramblewheel_types::Timestamp;
 
 impl Replica {
     /// Last entry that another member is known to have synced; `None` unless this is the leader.
@@ -20,6 +21,7 @@
         result: AppendResult,
         token: ContactToken,
     ) {
+        let now = self.now;
         let RoleState::Leader(leadership) = &mut self.role else {
             return;
         };
@@ -28,7 +30,7 @@
             return;
         };
         if let Some(start) = start {
-            progress.answered(round, start, token);
+            progress.answered(round, start, token, now);
         }
         match result {
             AppendResult::Matched { index } if index <= self.log.last_index() => {
@@ -45,10 +47,33 @@
             }
         }
         self.release_departed();
+        self.prove_tokens();
         self.confirm_reads();
         self.advance_commit();
     }
 
+    fn prove_tokens(&mut self) {
+        let Some(contact) = self.leader_quorum_contact() else {
+            return;
+        };
+        if let Some(leadership) = self.leadership_mut() {
+            for progress in leadership.peers.values_mut() {
+                progress.prove_token(contact);
+            }
+        }
+    }
+
+    /// Start of the latest round that a quorum answered; `None` if this is no leader or no round
+    /// was answered.
+    pub(crate) fn leader_quorum_contact(&self) -> Option<Timestamp> {
+        let leadership = self.leadership()?;
+        let contact_with = |voter| match voter {
+            own if own == self.config.id => Some(Timestamp::NEVER),
+            other => leadership.peers.get(&other)?.last_contact,
+        };
+        reached_by_quorum(&self.membership().voters, contact_with).flatten()
+    }
+
     fn confirm_reads(&mut self) {
         let own = self.config.id;
         let voters = &self.log.membership().1.voters;
--- a/crates/bramblewheel-replication/src/config.rs
+++ b/crates/bramblewheel-replication/src/config.rs
@@ -15,8 +15,9 @@
     /// down.
     pub election_timeout: Duration,
     /// How recent the last proven contact with a quorum must be for
-    /// [`has_quorum`](crate::Replica::has_quorum). Must be above two heartbeat intervals and a
-    /// round trip, since a follower's proof travels with the heartbeat after its answer.
+    /// [`has_quorum`](crate::Replica::has_quorum). Must be above three heartbeat intervals and
+    /// two round trips: a follower's proof takes its own answer, a round of the quorum after it,
+    /// and the message after that.
     pub lease: Duration,
     /// Most entries in one message.
     pub max_entries_per_message: usize,
--- a/crates/bramblewheel-replication/src/leader.rs
+++ b/crates/bramblewheel-replication/src/leader.rs
@@ -155,7 +155,6 @@
         if leadership.reads.needs_round() && self.has_committed_own_term() {
             self.begin_round();
         }
-        let echoes = self.has_quorum(self.now);
         let term = self.hard_state.term;
         let RoleState::Leader(leadership) = &mut self.role else {
             return;
@@ -165,7 +164,6 @@
             commit: self.commit,
             round: leadership.round,
             max_entries: self.config.max_entries_per_message,
-            echoes,
         };
         for (&peer, progress) in &mut leadership.peers {
             let bodies = source.missing(progress);
--- a/crates/bramblewheel-replication/src/message.rs
+++ b/crates/bramblewheel-replication/src/message.rs
@@ -17,9 +17,9 @@
 
 /// A moment on the clock of the replica that made it, opaque to all others.
 ///
-/// A follower sends one with each answer and the leader sends it back, which proves to the
-/// follower that the leader was there after that moment, even if the follower was frozen with
-/// old messages waiting.
+/// A follower sends one with each answer. The leader sends it back once a quorum has answered a
+/// round begun after it came, which proves to the follower that there was a leader with a quorum
+/// after that moment, even if the follower was frozen with old messages waiting.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ContactToken {
     /// Drawn at each start of the replica; tokens of an earlier start prove nothing.
@@ -73,7 +73,7 @@
         commit: LogIndex,
         /// Round of the leader that this message belongs to.
         round: u64,
-        /// Last token of the receiver, sent back while the leader has a quorum.
+        /// A token of the receiver after which a quorum answered the leader.
         echo: Option<ContactToken>,
     },
     /// Replaces the log of a follower that needs entries the leader no longer has.
--- a/crates/bramblewheel-replication/src/progress.rs
+++ b/crates/bramblewheel-replication/src/progress.rs
@@ -51,8 +51,10 @@
     pub(crate) sent_round: u64,
     /// Commit index last sent to it.
     pub(crate) sent_commit: LogIndex,
-    /// Its last token.
-    pub(crate) token: Option<ContactToken>,
+    /// A token of it and when it came, until a quorum answered a round begun after that.
+    waiting_token: Option<(ContactToken, Timestamp)>,
+    /// Its last token after which a quorum answered; sent back to it.
+    pub(crate) proven_token: Option<ContactToken>,
     /// Last entry of the leader when the latest round began.
     pub(crate) catch_up_target: LogIndex,
 }
@@ -67,7 +69,8 @@
             last_contact: None,
             sent_round: 0,
             sent_commit: LogIndex(0),
-            token: None,
+            waiting_token: None,
+            proven_token: None,
             catch_up_target: last_index,
         }
     }
@@ -137,12 +140,26 @@
         self.next_index = LogIndex(next);
     }
 
-    /// The follower answered a round.
-    pub(crate) fn answered(&mut self, round: u64, began: Timestamp, token: ContactToken) {
-        self.token = Some(token);
+    /// The follower answered at `now` a round that began earlier.
+    pub(crate) fn answered(
+        &mut self,
+        round: u64,
+        began: Timestamp,
+        token: ContactToken,
+        now: Timestamp,
+    ) {
+        self.waiting_token.get_or_insert((token, now));
         if round > self.acked_round {
             self.acked_round = round;
             self.last_contact = Some(began);
         }
     }
+
+    /// A quorum answered a round that began at `contact`: what came before is proven.
+    pub(crate) fn prove_token(&mut self, contact: Timestamp) {
+        let proven = self.waiting_token.take_if(|(_, came)| *came <= contact);
+        if let Some((token, _)) = proven {
+            self.proven_token = Some(token);
+        }
+    }
 }
--- a/crates/bramblewheel-replication/src/replica.rs
+++ b/crates/bramblewheel-replication/src/replica.rs
@@ -7,7 +7,6 @@
 use crate::message::{Body, ContactToken, Message};
 use crate::output::{Output, ProposalResult, ReadResult};
 use crate::persistence::Persistence;
-use crate::quorum::reached_by_quorum;
 use crate::types::{
     HardState, LogIndex, Membership, ProposalId, ReadId, ReplicaId, RestoredState, Snapshot, Term,
 };
@@ -403,18 +402,12 @@
     /// Whether contact with a quorum is proven within the lease before `now`.
     ///
     /// A leader goes by the start of the rounds that a quorum answered, a follower by the tokens
-    /// that a leader with a quorum sent back. Messages that waited while this process was frozen
+    /// that the leader sent back after a quorum answered it. Messages that waited while this process was frozen
     /// prove nothing newer than the freeze.
     pub fn has_quorum(&self, now: Timestamp) -> bool {
         let now = now.max(self.now);
         let contact = match &self.role {
-            RoleState::Leader(leadership) => {
-                reached_by_quorum(&self.membership().voters, |voter| match voter {
-                    own if own == self.config.id => Some(now),
-                    other => leadership.peers.get(&other)?.last_contact,
-                })
-                .flatten()
-            }
+            RoleState::Leader(_) => self.leader_quorum_contact(),
             _ => self.quorum_contact,
         };
         contact.is_some_and(|contact| contact + self.config.lease >= now)
--- a/crates/bramblewheel-replication/src/source.rs
+++ b/crates/bramblewheel-replication/src/source.rs
@@ -14,8 +14,6 @@
     pub(crate) commit: LogIndex,
     pub(crate) round: u64,
     pub(crate) max_entries: usize,
-    /// Whether tokens are sent back: only while a quorum answers.
-    pub(crate) echoes: bool,
 }
 
 impl Source<'_> {
@@ -70,7 +68,7 @@
             entries,
             commit: self.commit,
             round: self.round,
-            echo: progress.token.filter(|_| self.echoes),
+            echo: progress.proven_token,
         }
     }
 
