Decide calls, attempts, claims and routes in the engine

First whole path through one daemon: an outbound call is routed and bounded by retry tokens, an inbound attempt is admitted, queued, claimed if it must not run twice, and dispatched.

The default admission level was the default class, Normal, so that a default Feedback told callers to shed everything below it; it now admits everything.

--- a/crates/bramblewheel-core/src/event.rs
+++ b/crates/bramblewheel-core/src/event.rs
@@ -101,8 +101,9 @@
 /// Admission threshold of an endpoint: what is below it would be shed there.
 ///
 /// Ordered: a larger level admits less. Requests of a class above `criticality` pass, those of
-/// a class below do not, and of the class itself the cohorts of at least `cohort` pass.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+/// a class below do not, and of the class itself those pass whose
+/// [`shedding_position`](crate::cohort::shedding_position) is at least `cohort`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct AdmissionLevel {
     /// Class that is admitted in part.
     pub criticality: Criticality,
@@ -110,6 +111,16 @@
     pub cohort: u8,
 }
 
+impl Default for AdmissionLevel {
+    /// The level that admits everything; the default class would not be the lowest.
+    fn default() -> Self {
+        Self {
+            criticality: Criticality::Sheddable,
+            cohort: 0,
+        }
+    }
+}
+
 /// How a dispatched attempt ended at the local endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DispatchResult {
--- /dev/null
+++ b/crates/bramblewheel-core/src/inbound/dispatch.rs
@@ -0,0 +1,217 @@
+//! Passes attempts to the local endpoint and judges how they ended there.
+
+use crate::action::Action;
+use crate::engine::Engine;
+use crate::event::{DispatchResult, StoredAnswer};
+use crate::inbound::attempt::{InboundAttempt, Stage};
+use crate::timers::Timer;
+use bramblewheel_types::{AttemptId, Millis, NotRunReason, Outcome, Timestamp};
+use std::time::Duration;
+
+/// How long the end of a run-once operation is waited for after its caller was answered.
+const DETACHED_GRACE: Duration = Duration::from_secs(30);
+/// Status stored for an operation that its endpoint refused after it had begun sub-calls.
+const REFUSED_AFTER_START: u16 = 500;
+
+impl Engine {
+    /// Fills free slots from the queue. What can't finish in time is dropped before it runs.
+    pub(crate) fn pump(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        while self.inbound.running < self.concurrency_limit() {
+            let order = self.service_order();
+            let Some((_, id)) = self.inbound.queue.take(order) else {
+                break;
+            };
+            let Some(attempt) = self.inbound.attempts.remove(&id) else {
+                continue;
+            };
+            self.start(now, attempt, actions);
+        }
+    }
+
+    fn start(&mut self, now: Timestamp, attempt: InboundAttempt, actions: &mut Vec<Action>) {
+        let waited = now.since(attempt.arrived);
+        self.inbound.level.record_delay(now, waited);
+        if !self.can_finish(now, attempt.context.deadline) {
+            self.inbound.level.record_shed();
+            return self.end_not_run(attempt, NotRunReason::DeadlineExceeded, actions);
+        }
+        self.inbound.running += 1;
+        if attempt.context.operation.is_some() {
+            self.begin_claim(now, attempt, actions);
+        } else {
+            self.dispatch(now, attempt, actions);
+        }
+    }
+
+    /// Whether an attempt begun now could end by `deadline`, going by the latency of the
+    /// endpoint when it is not overloaded: a cautious estimate, which only drops what is lost.
+    pub(crate) fn can_finish(&self, now: Timestamp, deadline: Timestamp) -> bool {
+        let needed = self.inbound.limit.shortest().unwrap_or_default();
+        now + needed < deadline
+    }
+
+    /// Passes an attempt that holds a slot to the endpoint.
+    pub(crate) fn dispatch(
+        &mut self,
+        now: Timestamp,
+        mut attempt: InboundAttempt,
+        actions: &mut Vec<Action>,
+    ) {
+        let id = attempt.context.attempt;
+        attempt.stage = Stage::Running { since: now };
+        self.inbound.attempts.insert(id, attempt);
+        self.metrics.dispatched += 1;
+        actions.push(Action::Dispatch { attempt: id });
+    }
+
+    pub(crate) fn free_slot(&mut self) {
+        self.inbound.running = self.inbound.running.saturating_sub(1);
+    }
+
+    pub(crate) fn dispatch_ended(
+        &mut self,
+        now: Timestamp,
+        id: AttemptId,
+        result: DispatchResult,
+        actions: &mut Vec<Action>,
+    ) {
+        let stage = self.inbound.attempts.get(&id).map(|attempt| attempt.stage);
+        let (since, is_awaited) = match stage {
+            Some(Stage::Running { since }) => (since, true),
+            Some(Stage::Detached { since, until }) => {
+                self.timers.clear(until, Timer::DetachedDispatch(id));
+                (since, false)
+            }
+            _ => {
+                self.metrics.late_events += 1;
+                return;
+            }
+        };
+        let Some(attempt) = self.inbound.attempts.remove(&id) else {
+            return;
+        };
+        self.record_latency(now, since, &result);
+        self.free_slot();
+        let end = self.judge_dispatch(&attempt, result, actions);
+        if is_awaited {
+            self.end_dispatched(attempt, end, actions);
+        }
+        self.pump(now, actions);
+    }
+
+    fn record_latency(&mut self, now: Timestamp, since: Timestamp, result: &DispatchResult) {
+        let running = self.inbound.running;
+        match result {
+            DispatchResult::Answered { .. } => {
+                self.inbound.limit.record(now, now.since(since), running);
+            }
+            DispatchResult::NotSent | DispatchResult::Lost => self.inbound.limit.record_failure(),
+            DispatchResult::Refused { reason, .. } => {
+                if *reason == NotRunReason::Overloaded {
+                    self.inbound.limit.record_failure();
+                }
+            }
+        }
+    }
+
+    /// What is proved by the end of a dispatch; also settles the claim of an operation.
+    fn judge_dispatch(
+        &mut self,
+        attempt: &InboundAttempt,
+        result: DispatchResult,
+        actions: &mut Vec<Action>,
+    ) -> DispatchEnd {
+        match result {
+            DispatchResult::Answered { failed, stored } => {
+                self.complete_claim(attempt, failed, stored, actions);
+                DispatchEnd::Answered { failed }
+            }
+            DispatchResult::Lost => DispatchEnd::Lost,
+            // Whatever the endpoint says, a request whose sub-calls were begun has run in part.
+            DispatchResult::NotSent | DispatchResult::Refused { .. } if attempt.has_sub_calls => {
+                let stored = StoredAnswer {
+                    status: REFUSED_AFTER_START,
+                    body: None,
+                };
+                self.complete_claim(attempt, true, stored, actions);
+                DispatchEnd::RanInPart
+            }
+            DispatchResult::NotSent => {
+                self.release_claim(attempt, actions);
+                DispatchEnd::NotRun {
+                    reason: NotRunReason::Unreachable,
+                    retry_after: None,
+                }
+            }
+            DispatchResult::Refused {
+                reason,
+                retry_after,
+            } => {
+                self.release_claim(attempt, actions);
+                DispatchEnd::NotRun {
+                    reason,
+                    retry_after: Some(retry_after),
+                }
+            }
+        }
+    }
+
+    /// Gives up an attempt that is running. What may be run again is stopped. A run-once
+    /// operation is left to end, so that its result can be recorded for resends.
+    pub(crate) fn abandon_dispatch(
+        &mut self,
+        now: Timestamp,
+        mut attempt: InboundAttempt,
+        since: Timestamp,
+        actions: &mut Vec<Action>,
+    ) {
+        let id = attempt.context.attempt;
+        if attempt.context.operation.is_none() {
+            self.inbound
+                .limit
+                .record(now, now.since(since), self.inbound.running);
+            self.free_slot();
+            actions.push(Action::CancelDispatch { attempt: id });
+            return self.end_bodiless(attempt, Outcome::Unknown, false, actions);
+        }
+        let until = now + DETACHED_GRACE;
+        self.timers.set(until, Timer::DetachedDispatch(id));
+        self.answer_detached(&mut attempt, actions);
+        attempt.stage = Stage::Detached { since, until };
+        self.inbound.attempts.insert(id, attempt);
+    }
+
+    /// A run-once operation did not end within its grace; its claim stays.
+    pub(crate) fn detached_timed_out(
+        &mut self,
+        now: Timestamp,
+        id: AttemptId,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.inbound.attempts.remove(&id).is_some() {
+            self.free_slot();
+            actions.push(Action::CancelDispatch { attempt: id });
+        }
+        self.pump(now, actions);
+    }
+}
+
+/// How a dispatch ended, as far as it is proved.
+pub(crate) enum DispatchEnd {
+    /// The endpoint answered.
+    Answered {
+        /// Whether it reported an error.
+        failed: bool,
+    },
+    /// The endpoint refused, but only after it had begun sub-calls.
+    RanInPart,
+    /// It may have run.
+    Lost,
+    /// The endpoint did not run it.
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+        /// The endpoint's own wish, if it stated one.
+        retry_after: Option<Millis>,
+    },
+}
--- /dev/null
+++ b/crates/bramblewheel-core/src/inbound/level.rs
@@ -0,0 +1,142 @@
+//! Admission level from queueing delay, told to callers so that they shed before sending.
+//!
+//! At the end of each window the level moves: up, so that about a twentieth less of what was
+//! offered passes, while the mean queueing delay is too long; down by a small step otherwise. A
+//! histogram of the offered requests over (class, cohort) says how far to move. Down is slower
+//! than up, and both are relative, so that callers do not swing between all and nothing.
+
+use crate::cohort::COHORT_COUNT;
+use crate::event::AdmissionLevel;
+use bramblewheel_types::{Criticality, Timestamp};
+use std::time::Duration;
+
+/// Length of a window.
+const WINDOW: Duration = Duration::from_millis(200);
+/// Mean queueing delay from which the endpoint counts as overloaded.
+const TARGET_DELAY: Duration = Duration::from_millis(20);
+/// Share of the admitted load that is taken off in an overloaded window.
+const DECREASE: f64 = 0.05;
+/// Share of the admitted load that is added in a window without overload.
+const INCREASE: f64 = 0.02;
+/// Positions over all classes.
+const POSITIONS: usize = Criticality::ALL.len() * COHORT_COUNT as usize;
+/// The level never passes this, so that some of the most important calls always come through.
+const MAX_POSITION: usize = POSITIONS - COHORT_COUNT as usize / 4;
+
+/// Moves the admission level of the local endpoint.
+#[derive(Debug)]
+pub struct LevelController {
+    position: usize,
+    offered: Box<[u32; POSITIONS]>,
+    window_end: Timestamp,
+    delay_sum: Duration,
+    delays: u32,
+    has_shed: bool,
+}
+
+impl LevelController {
+    /// A controller that admits everything.
+    pub fn new() -> Self {
+        Self {
+            position: 0,
+            offered: Box::new([0; POSITIONS]),
+            window_end: Timestamp::ZERO,
+            delay_sum: Duration::ZERO,
+            delays: 0,
+            has_shed: false,
+        }
+    }
+
+    /// The level in force.
+    pub fn level(&self) -> AdmissionLevel {
+        let cohorts = usize::from(COHORT_COUNT);
+        AdmissionLevel {
+            criticality: Criticality::ALL[self.position / cohorts],
+            cohort: (self.position % cohorts) as u8,
+        }
+    }
+
+    /// Whether the last window was overloaded, or the level still recovers.
+    pub fn is_overloaded(&self) -> bool {
+        self.position > 0
+    }
+
+    /// Counts a request that arrived.
+    pub fn record_offered(&mut self, now: Timestamp, place: AdmissionLevel) {
+        self.roll(now);
+        self.offered[position_of(place)] += 1;
+    }
+
+    /// Counts the time a request spent in the queue before it was taken out.
+    pub fn record_delay(&mut self, now: Timestamp, delay: Duration) {
+        self.roll(now);
+        self.delay_sum += delay;
+        self.delays += 1;
+    }
+
+    /// Notes that a request was shed for want of room or time.
+    pub fn record_shed(&mut self) {
+        self.has_shed = true;
+    }
+
+    /// Ends the window if its time is over. An idle controller falls by one step per call, so
+    /// callers' copies expire by age rather than by waiting for it.
+    pub fn roll(&mut self, now: Timestamp) {
+        if now < self.window_end {
+            return;
+        }
+        let mean = self.delay_sum.checked_div(self.delays).unwrap_or_default();
+        if mean > TARGET_DELAY || self.has_shed {
+            self.rise();
+        } else {
+            let windows = 1 + now.since(self.window_end).as_millis() / WINDOW.as_millis();
+            self.fall(windows);
+        }
+        self.offered.fill(0);
+        self.delay_sum = Duration::ZERO;
+        self.delays = 0;
+        self.has_shed = false;
+        self.window_end = now + WINDOW;
+    }
+
+    fn admitted(&self) -> u64 {
+        self.offered[self.position..]
+            .iter()
+            .map(|count| u64::from(*count))
+            .sum()
+    }
+
+    fn rise(&mut self) {
+        let excess = (self.admitted() as f64 * DECREASE).ceil() as u64;
+        let mut taken_off = 0;
+        while taken_off < excess && self.position < MAX_POSITION {
+            taken_off += u64::from(self.offered[self.position]);
+            self.position += 1;
+        }
+    }
+
+    /// Callers shed below the level before sending, so little of what lies below is counted
+    /// here; each step down is at most an eighth of a class per window.
+    fn fall(&mut self, windows: u128) {
+        let room = (self.admitted() as f64 * INCREASE).ceil() as u64;
+        let max_steps = u128::from(COHORT_COUNT / 8) * windows;
+        let mut steps = 0;
+        let mut added = 0;
+        while self.position > 0 && steps < max_steps && added <= room {
+            self.position -= 1;
+            added += u64::from(self.offered[self.position]);
+            steps += 1;
+        }
+    }
+}
+
+impl Default for LevelController {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn position_of(place: AdmissionLevel) -> usize {
+    let within_class = usize::from(place.cohort.min(COHORT_COUNT - 1));
+    place.criticality.rank() * usize::from(COHORT_COUNT) + within_class
+}
--- /dev/null
+++ b/crates/bramblewheel-core/src/inbound/mod.rs
@@ -0,0 +1,60 @@
+//! Attempts that other daemons hand to the local endpoint: admission, queue, claim, dispatch.
+
+mod accept;
+pub(crate) mod attempt;
+mod claim;
+mod dispatch;
+mod finish;
+pub mod level;
+pub mod limit;
+pub mod queue;
+
+use crate::event::EndpointReport;
+use crate::inbound::attempt::InboundAttempt;
+use crate::inbound::level::LevelController;
+use crate::inbound::limit::ConcurrencyLimit;
+use crate::inbound::queue::AdmissionQueue;
+use crate::table::{RecentMap, Table};
+use bramblewheel_types::{AttemptId, OperationKey, Timestamp};
+
+/// Run-once attempts that are remembered after their end, so that a repeated message neither
+/// runs one again nor leaves a late grant unreleased.
+const MAX_REMEMBERED_CLAIMS: usize = 8_192;
+
+/// Inbound attempts in progress and what limits them.
+#[derive(Debug)]
+pub(crate) struct Inbound {
+    pub(crate) attempts: Table<AttemptId, InboundAttempt>,
+    pub(crate) queue: AdmissionQueue,
+    pub(crate) limit: ConcurrencyLimit,
+    pub(crate) level: LevelController,
+    /// Attempts that hold a slot: claiming or running.
+    pub(crate) running: u32,
+    pub(crate) report: Option<(Timestamp, EndpointReport)>,
+    /// Run-once attempts of the recent past, whatever became of them.
+    pub(crate) claimed: RecentMap<AttemptId, ()>,
+    /// Those given up before the ledger answered, whose grant may still come.
+    pub(crate) abandoned: RecentMap<AttemptId, OperationKey>,
+}
+
+impl Inbound {
+    pub(crate) fn new() -> Self {
+        Self {
+            attempts: Table::default(),
+            queue: AdmissionQueue::default(),
+            limit: ConcurrencyLimit::new(1, 1),
+            level: LevelController::new(),
+            running: 0,
+            report: None,
+            claimed: RecentMap::new(MAX_REMEMBERED_CLAIMS),
+            abandoned: RecentMap::new(MAX_REMEMBERED_CLAIMS),
+        }
+    }
+
+    /// Calls running and queued, per 100 of the concurrency limit.
+    pub(crate) fn load_percent(&self, limit: u32) -> u32 {
+        let load = u64::from(self.running) + self.queue.len() as u64;
+        let percent = load * 100 / u64::from(limit.max(1));
+        u32::try_from(percent).unwrap_or(u32::MAX)
+    }
+}
--- a/crates/bramblewheel-core/src/lib.rs
+++ b/crates/bramblewheel-core/src/lib.rs
@@ -8,3 +8,12 @@
 pub mod context;
 pub mod engine;
 pub mod event;
+pub mod inbound;
+pub mod metrics;
+pub mod retry;
+
+mod feedback;
+mod outbound;
+mod route;
+mod table;
+mod timers;
--- /dev/null
+++ b/crates/bramblewheel-core/src/outbound/accept.rs
@@ -0,0 +1,203 @@
+//! Takes calls in: who asks, with which deadline, importance and tokens.
+
+use crate::action::Action;
+use crate::cohort::shedding_position;
+use crate::context::{CallOrigin, CallRequest};
+use crate::engine::Engine;
+use crate::outbound::MAX_CALLS;
+use crate::outbound::call::{Call, Evidence, TokenSource};
+use crate::retry::tokens::TokenPool;
+use crate::timers::Timer;
+use bramblewheel_bundle::Bundle;
+use bramblewheel_bundle::model::ResolvedRoute;
+use bramblewheel_types::{AttemptId, CallId, Criticality, NotRunReason, Timestamp};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Name under which the ratio of the local endpoint's own sub-calls is kept.
+const LOCAL_CALLER: &str = "local-endpoint";
+
+/// What a call inherits from where it comes from.
+struct Inherited {
+    criticality: Criticality,
+    in_session: bool,
+    deadline: Timestamp,
+    depth: u8,
+    tokens: TokenSource,
+    caller: String,
+    request: bramblewheel_types::RequestId,
+}
+
+impl Engine {
+    pub(crate) fn accept_call(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        request: CallRequest,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.outbound.calls.contains_key(&id) {
+            return;
+        }
+        match self.build_call(now, request) {
+            Ok(call) => self.begin_call(now, id, call, actions),
+            Err((reason, criticality)) => self.refuse_call(id, reason, criticality, actions),
+        }
+    }
+
+    fn begin_call(&mut self, now: Timestamp, id: CallId, call: Call, actions: &mut Vec<Action>) {
+        self.timers.set(call.deadline, Timer::CallDeadline(id));
+        if let Some(parent) = call.parent()
+            && let Some(running) = self.inbound.attempts.get_mut(&parent)
+        {
+            running.sub_calls.insert(id);
+        }
+        let ratio_percent = self.limits().retry_ratio_percent;
+        self.ratios
+            .record_first_try(&call.caller, &call.service, ratio_percent);
+        self.send_attempt(now, id, call, actions);
+    }
+
+    fn build_call(
+        &mut self,
+        now: Timestamp,
+        request: CallRequest,
+    ) -> Result<Call, (NotRunReason, Criticality)> {
+        let unknown_class = |reason| (reason, Criticality::default());
+        let bundle = self
+            .bundle
+            .clone()
+            .ok_or(unknown_class(NotRunReason::NotReady))?;
+        let route = bundle
+            .resolve(&request.service, &request.path)
+            .ok_or(unknown_class(NotRunReason::InvalidRequest))?;
+        let refused = |reason| (reason, route.criticality);
+        if self.outbound.calls.len() >= MAX_CALLS {
+            return Err(refused(NotRunReason::Overloaded));
+        }
+        if !route.repeatable && request.operation.is_none() {
+            return Err(refused(NotRunReason::InvalidRequest));
+        }
+        let inherited = self
+            .inherit(now, &bundle, &route, &request)
+            .map_err(refused)?;
+        if inherited.depth > bundle.limits.max_depth {
+            return Err(refused(NotRunReason::TooDeep));
+        }
+        let position = shedding_position(
+            inherited.criticality,
+            inherited.in_session,
+            inherited.request,
+        );
+        Ok(Call {
+            request: inherited.request,
+            service: request.service,
+            path: request.path,
+            criticality: inherited.criticality,
+            in_session: inherited.in_session,
+            position,
+            deadline: inherited.deadline,
+            depth: inherited.depth,
+            operation: request.operation,
+            tokens: inherited.tokens,
+            caller: inherited.caller,
+            tried: Vec::new(),
+            free_reroutes: 0,
+            evidence: Evidence::default(),
+            current: None,
+        })
+    }
+
+    fn inherit(
+        &mut self,
+        now: Timestamp,
+        bundle: &Arc<Bundle>,
+        route: &ResolvedRoute,
+        request: &CallRequest,
+    ) -> Result<Inherited, NotRunReason> {
+        match &request.origin {
+            CallOrigin::Root { .. } => self.inherit_root(now, bundle, route, request),
+            CallOrigin::SubCall { parent } => self.inherit_sub_call(now, *parent, route, request),
+        }
+    }
+
+    fn inherit_root(
+        &mut self,
+        now: Timestamp,
+        bundle: &Arc<Bundle>,
+        route: &ResolvedRoute,
+        call: &CallRequest,
+    ) -> Result<Inherited, NotRunReason> {
+        let CallOrigin::Root {
+            request,
+            resend,
+            caller,
+            criticality,
+            in_session,
+        } = &call.origin
+        else {
+            return Err(NotRunReason::InvalidRequest);
+        };
+        if self.is_draining {
+            return Err(NotRunReason::Draining);
+        }
+        let is_resend = self.recent_requests.is_resend(*request, *resend);
+        if is_resend {
+            self.metrics.resends += 1;
+            if !self.ratios.withdraw(caller, &call.service) {
+                self.metrics.retries_over_ratio += 1;
+                return Err(NotRunReason::RetryBudgetExhausted);
+            }
+        }
+        let tokens = if is_resend {
+            0
+        } else {
+            bundle.limits.retry_tokens
+        };
+        let stated = criticality.unwrap_or(route.criticality);
+        Ok(Inherited {
+            criticality: stated.min(route.criticality),
+            in_session: *in_session,
+            deadline: now + call.timeout.unwrap_or_else(|| route.deadline.into()),
+            depth: 1,
+            tokens: TokenSource::Own(TokenPool::new(tokens)),
+            caller: caller.clone(),
+            request: *request,
+        })
+    }
+
+    fn inherit_sub_call(
+        &mut self,
+        now: Timestamp,
+        parent: AttemptId,
+        route: &ResolvedRoute,
+        call: &CallRequest,
+    ) -> Result<Inherited, NotRunReason> {
+        // A call that names no running parent gets no fresh tokens by pretending to be a root.
+        let running = self
+            .inbound
+            .attempts
+            .get_mut(&parent)
+            .filter(|attempt| attempt.is_running())
+            .ok_or(NotRunReason::InvalidRequest)?;
+        running.has_sub_calls = true;
+        if !running.note_sub_call(&call.service, call.fingerprint) {
+            self.metrics.application_repeats += 1;
+            if !running.pool.spend() {
+                return Err(NotRunReason::RetryBudgetExhausted);
+            }
+            self.metrics.retry_tokens_spent += 1;
+        }
+        let timeout: Duration = call.timeout.unwrap_or_else(|| route.deadline.into());
+        let context = &running.context;
+        Ok(Inherited {
+            criticality: context.criticality,
+            in_session: context.in_session,
+            deadline: context.deadline.min(now + timeout),
+            depth: context.depth.saturating_add(1),
+            tokens: TokenSource::Parent(parent),
+            caller: LOCAL_CALLER.to_owned(),
+            request: context.request,
+        })
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-core/src/outbound/call.rs
@@ -0,0 +1,90 @@
+//! State of one outbound call.
+
+use crate::context::Operation;
+use crate::event::AdmissionLevel;
+use crate::retry::tokens::TokenPool;
+use bramblewheel_types::{
+    AttemptId, Criticality, EndpointId, Outcome, RequestId, ServiceName, Timestamp,
+};
+
+/// One call of a local application.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) request: RequestId,
+    pub(crate) service: ServiceName,
+    pub(crate) path: String,
+    pub(crate) criticality: Criticality,
+    pub(crate) in_session: bool,
+    pub(crate) position: AdmissionLevel,
+    pub(crate) deadline: Timestamp,
+    pub(crate) depth: u8,
+    /// Present exactly when the call must not run twice.
+    pub(crate) operation: Option<Operation>,
+    pub(crate) tokens: TokenSource,
+    /// Name under which the caller's retry ratio is kept.
+    pub(crate) caller: String,
+    pub(crate) tried: Vec<EndpointId>,
+    pub(crate) free_reroutes: u8,
+    pub(crate) evidence: Evidence,
+    pub(crate) current: Option<OutstandingAttempt>,
+}
+
+/// Whose tokens a call spends.
+#[derive(Debug)]
+pub(crate) enum TokenSource {
+    /// The call is a root and has its own pool.
+    Own(TokenPool),
+    /// The call is a sub-call of an attempt that the local endpoint is running.
+    Parent(AttemptId),
+}
+
+impl Call {
+    pub(crate) fn parent(&self) -> Option<AttemptId> {
+        match self.tokens {
+            TokenSource::Own(_) => None,
+            TokenSource::Parent(parent) => Some(parent),
+        }
+    }
+}
+
+/// An attempt whose answer is awaited.
+#[derive(Debug)]
+pub(crate) struct OutstandingAttempt {
+    pub(crate) attempt: AttemptId,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) sent: Timestamp,
+    /// Tokens that went with it.
+    pub(crate) lent: u32,
+}
+
+/// The most that is proved about the attempts of a call that ended without being the answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Evidence {
+    /// Each came back with a not-run proof, or was never sent.
+    #[default]
+    NotRun,
+    /// One ran and its endpoint reported an error.
+    Failed,
+    /// One may have run.
+    Unknown,
+}
+
+impl Evidence {
+    /// What the outcome of an ended attempt proves.
+    pub(crate) fn of(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::NotRun { .. } => Self::NotRun,
+            Outcome::Completed | Outcome::Failed => Self::Failed,
+            Outcome::Unknown => Self::Unknown,
+        }
+    }
+
+    /// Outcome of a call whose last attempt, if it was refused, was refused as `refusal` says.
+    pub(crate) fn outcome_or(self, refusal: Outcome) -> Outcome {
+        match self {
+            Self::NotRun => refusal,
+            Self::Failed => Outcome::Failed,
+            Self::Unknown => Outcome::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-core/src/route/choice.rs
@@ -0,0 +1,185 @@
+//! Choice of an endpoint: the cheaper of two random ones, own zone first.
+//!
+//! Two random choices bring nearly all of the gain of knowing every load, without the herd that
+//! goes to the one endpoint that looked idle a moment ago.
+
+use crate::event::AdmissionLevel;
+use crate::route::directory::{Directory, ServiceEndpoints};
+use crate::route::endpoint::{Endpoint, Target};
+use bramblewheel_bundle::model::RoutingPolicy;
+use bramblewheel_types::{EndpointId, ServiceName, Timestamp};
+use rand::{Rng, RngExt};
+use std::time::Duration;
+
+/// Random picks after which the list is searched from a random place.
+const MAX_PICKS: usize = 4;
+
+/// What is asked of an endpoint.
+pub(crate) struct Wanted<'a> {
+    pub(crate) now: Timestamp,
+    pub(crate) service: &'a ServiceName,
+    pub(crate) policy: &'a RoutingPolicy,
+    /// Place of the request in the order of shedding.
+    pub(crate) position: AdmissionLevel,
+    /// Endpoints that this call tried before.
+    pub(crate) tried: &'a [EndpointId],
+}
+
+/// Why there is no endpoint to send to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoChoice {
+    /// No endpoint takes new work.
+    NoEndpoint,
+    /// All of them would shed the request.
+    AllShed,
+}
+
+/// How choosy a search is; from strict to lax.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Strictness {
+    /// Not tried before, not ejected, and its level admits the request.
+    Healthy,
+    /// May be ejected: better a doubtful endpoint than none.
+    EvenEjected,
+    /// May have been tried before.
+    EvenTried,
+    /// May be above the request's level, if a probe is due.
+    Probe,
+}
+
+impl Directory {
+    /// Chooses an endpoint for an attempt.
+    pub(crate) fn choose(
+        &mut self,
+        wanted: &Wanted<'_>,
+        random: &mut impl Rng,
+    ) -> Result<Target, NoChoice> {
+        let service = self
+            .services
+            .get(wanted.service)
+            .ok_or(NoChoice::NoEndpoint)?;
+        for strictness in [
+            Strictness::Healthy,
+            Strictness::EvenEjected,
+            Strictness::EvenTried,
+            Strictness::Probe,
+        ] {
+            let Some(endpoint) = self.search(service, wanted, strictness, random) else {
+                continue;
+            };
+            let endpoint = endpoint.clone();
+            let state = self
+                .endpoints
+                .get_mut(&endpoint)
+                .expect("the lists of services name only known endpoints");
+            if strictness == Strictness::Probe {
+                state.record_probe(wanted.now);
+            }
+            let address = state.address;
+            return Ok(Target { endpoint, address });
+        }
+        Err(self.why_none(service, wanted.now))
+    }
+
+    fn why_none(&self, service: &ServiceEndpoints, now: Timestamp) -> NoChoice {
+        let takes_work = |endpoint| {
+            self.endpoints
+                .get(endpoint)
+                .is_some_and(|state: &Endpoint| state.takes_new_work(now))
+        };
+        let any = service.local.iter().chain(&service.remote).any(takes_work);
+        if any {
+            NoChoice::AllShed
+        } else {
+            NoChoice::NoEndpoint
+        }
+    }
+
+    fn search<'a>(
+        &self,
+        service: &'a ServiceEndpoints,
+        wanted: &Wanted<'_>,
+        strictness: Strictness,
+        random: &mut impl Rng,
+    ) -> Option<&'a EndpointId> {
+        let local = self.pick(&service.local, None, wanted, strictness, random);
+        let Some(first) = local else {
+            let first = self.pick(&service.remote, None, wanted, strictness, random)?;
+            let second = self.pick(&service.remote, Some(first), wanted, strictness, random);
+            return Some(self.cheaper(first, second, wanted));
+        };
+        // Once the own zone is loaded, the second choice comes from outside; the first stays
+        // local, so that the own zone goes on being measured.
+        let second = if is_spilling_over(service, wanted.policy) {
+            self.pick(&service.remote, None, wanted, strictness, random)
+        } else {
+            self.pick(&service.local, Some(first), wanted, strictness, random)
+        };
+        Some(self.cheaper(first, second, wanted))
+    }
+
+    fn pick<'a>(
+        &self,
+        list: &'a [EndpointId],
+        other_than: Option<&EndpointId>,
+        wanted: &Wanted<'_>,
+        strictness: Strictness,
+        random: &mut impl Rng,
+    ) -> Option<&'a EndpointId> {
+        if list.is_empty() {
+            return None;
+        }
+        let fits = |endpoint: &&EndpointId| {
+            Some(*endpoint) != other_than && self.fits(endpoint, wanted, strictness)
+        };
+        for _ in 0..MAX_PICKS {
+            let endpoint = &list[random.random_range(0..list.len())];
+            if fits(&endpoint) {
+                return Some(endpoint);
+            }
+        }
+        let start = random.random_range(0..list.len());
+        let (before, after) = list.split_at(start);
+        after.iter().chain(before).find(fits)
+    }
+
+    fn fits(&self, endpoint: &EndpointId, wanted: &Wanted<'_>, strictness: Strictness) -> bool {
+        let Some(state) = self.endpoints.get(endpoint) else {
+            return false;
+        };
+        if !state.takes_new_work(wanted.now) {
+            return false;
+        }
+        let is_tried = wanted.tried.contains(endpoint);
+        let admits = state.admits(wanted.now, wanted.position);
+        match strictness {
+            Strictness::Healthy => admits && !is_tried && !state.is_ejected(wanted.now),
+            Strictness::EvenEjected => admits && !is_tried,
+            Strictness::EvenTried => admits,
+            Strictness::Probe => !is_tried && state.may_probe(wanted.now),
+        }
+    }
+
+    fn cheaper<'a>(
+        &self,
+        first: &'a EndpointId,
+        second: Option<&'a EndpointId>,
+        wanted: &Wanted<'_>,
+    ) -> &'a EndpointId {
+        let slow_start = Duration::from(wanted.policy.slow_start);
+        let cost = |endpoint: &EndpointId| {
+            self.endpoints
+                .get(endpoint)
+                .map_or(f64::INFINITY, |state| state.cost(wanted.now, slow_start))
+        };
+        match second {
+            Some(second) if cost(second) < cost(first) => second,
+            _ => first,
+        }
+    }
+}
+
+fn is_spilling_over(service: &ServiceEndpoints, policy: &RoutingPolicy) -> bool {
+    let limit = u64::from(policy.spill_over_percent) * service.local.len() as u64;
+    service.local_load_sum > limit
+}
--- /dev/null
+++ b/crates/bramblewheel-core/src/route/directory.rs
@@ -0,0 +1,203 @@
+//! Live endpoints of the services this daemon calls.
+
+use crate::event::{DirectoryEndpoint, DirectoryUpdate, Feedback};
+use crate::route::endpoint::Endpoint;
+use crate::table::Table;
+use bramblewheel_types::{EndpointId, ServiceName, Timestamp, ZoneName};
+use std::collections::BTreeSet;
+
+/// Endpoints of one service, split by whether they are in the own zone.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceEndpoints {
+    pub(crate) local: Vec<EndpointId>,
+    pub(crate) remote: Vec<EndpointId>,
+    /// Sum of the reported loads of `local`, kept up to date with each answer.
+    pub(crate) local_load_sum: u64,
+    /// Ejected endpoints by the time they come back.
+    ejected: BTreeSet<(Timestamp, EndpointId)>,
+}
+
+impl ServiceEndpoints {
+    fn len(&self) -> usize {
+        self.local.len() + self.remote.len()
+    }
+
+    /// Forgets ejections that are over and counts the others.
+    fn ejected_count(&mut self, now: Timestamp) -> usize {
+        while self.ejected.first().is_some_and(|(until, _)| *until <= now) {
+            self.ejected.pop_first();
+        }
+        self.ejected.len()
+    }
+}
+
+/// All endpoints this daemon knows. Bounded by what the control plane names: the endpoints of
+/// the services it calls.
+#[derive(Debug)]
+pub(crate) struct Directory {
+    zone: ZoneName,
+    pub(crate) endpoints: Table<EndpointId, Endpoint>,
+    pub(crate) services: Table<ServiceName, ServiceEndpoints>,
+}
+
+impl Directory {
+    pub(crate) fn new(zone: ZoneName) -> Self {
+        Self {
+            zone,
+            endpoints: Table::default(),
+            services: Table::default(),
+        }
+    }
+
+    pub(crate) fn apply(&mut self, now: Timestamp, update: DirectoryUpdate) {
+        if update.is_complete {
+            self.remove_all_but(&update.live);
+        }
+        for endpoint in &update.removed {
+            self.remove(endpoint);
+        }
+        for entry in &update.live {
+            self.insert(now, entry);
+        }
+    }
+
+    fn remove_all_but(&mut self, live: &[DirectoryEndpoint]) {
+        let named: BTreeSet<&EndpointId> = live.iter().map(|entry| &entry.endpoint).collect();
+        let gone: Vec<EndpointId> = self
+            .endpoints
+            .keys()
+            .filter(|endpoint| !named.contains(endpoint))
+            .cloned()
+            .collect();
+        for endpoint in &gone {
+            self.remove(endpoint);
+        }
+    }
+
+    fn remove(&mut self, endpoint: &EndpointId) {
+        let Some(state) = self.endpoints.remove(endpoint) else {
+            return;
+        };
+        let Some(service) = self.services.get_mut(&state.service) else {
+            return;
+        };
+        if state.zone == self.zone {
+            service.local_load_sum -= u64::from(state.load_percent);
+        }
+        service.local.retain(|other| other != endpoint);
+        service.remote.retain(|other| other != endpoint);
+        service.ejected.retain(|(_, other)| other != endpoint);
+        if service.len() == 0 {
+            self.services.remove(&state.service);
+        }
+    }
+
+    fn insert(&mut self, now: Timestamp, entry: &DirectoryEndpoint) {
+        let moved = self
+            .endpoints
+            .get(&entry.endpoint)
+            .is_some_and(|known| known.service != entry.service || known.zone != entry.zone);
+        if moved {
+            self.remove(&entry.endpoint);
+        }
+        if let Some(known) = self.endpoints.get_mut(&entry.endpoint) {
+            known.update(now, entry);
+            return;
+        }
+        let service = self.services.entry(entry.service.clone()).or_default();
+        let list = if entry.zone == self.zone {
+            &mut service.local
+        } else {
+            &mut service.remote
+        };
+        list.push(entry.endpoint.clone());
+        self.endpoints
+            .insert(entry.endpoint.clone(), Endpoint::new(now, entry));
+    }
+
+    /// An attempt was sent.
+    pub(crate) fn record_sent(&mut self, endpoint: &EndpointId) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.outstanding += 1;
+        }
+    }
+
+    /// An attempt was ended without news of the endpoint.
+    pub(crate) fn record_given_up(&mut self, endpoint: &EndpointId) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.outstanding = state.outstanding.saturating_sub(1);
+        }
+    }
+
+    /// An attempt was answered.
+    pub(crate) fn record_answer(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        sent: Timestamp,
+        feedback: &Feedback,
+    ) {
+        self.record_given_up(endpoint);
+        let Some(state) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        let load_before = u64::from(state.load_percent);
+        state.record_answer(now, sent, feedback);
+        if state.zone == self.zone
+            && let Some(service) = self.services.get_mut(&state.service)
+        {
+            service.local_load_sum += u64::from(state.load_percent);
+            service.local_load_sum -= load_before;
+        }
+    }
+
+    /// An attempt failed to reach the endpoint or lost its answer. Returns whether the endpoint
+    /// was ejected for it; the ceiling keeps a general slowdown from emptying the service.
+    pub(crate) fn record_failure(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        max_ejected_percent: u32,
+    ) -> bool {
+        self.record_given_up(endpoint);
+        self.record_trouble(now, endpoint, max_ejected_percent)
+    }
+
+    /// An attempt ran out of time; it is given up separately. Returns as `record_failure`.
+    pub(crate) fn record_timeout(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        sent: Timestamp,
+        max_ejected_percent: u32,
+    ) -> bool {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.record_latency(now, sent);
+        }
+        self.record_trouble(now, endpoint, max_ejected_percent)
+    }
+
+    fn record_trouble(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        max_ejected_percent: u32,
+    ) -> bool {
+        let Some(state) = self.endpoints.get_mut(endpoint) else {
+            return false;
+        };
+        if !state.record_failure(now) {
+            return false;
+        }
+        let Some(service) = self.services.get_mut(&state.service) else {
+            return false;
+        };
+        let ceiling = service.len() * max_ejected_percent as usize / 100;
+        if service.ejected_count(now) >= ceiling {
+            return false;
+        }
+        let until = state.eject(now);
+        service.ejected.insert((until, endpoint.clone()));
+        true
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-core/src/route/endpoint.rs
@@ -0,0 +1,163 @@
+//! What this daemon knows of one endpoint from its own observation.
+
+use crate::event::{AdmissionLevel, DirectoryEndpoint, Feedback};
+use bramblewheel_types::{EndpointId, ServiceName, Timestamp, ZoneName};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Weight of a new latency sample in the moving average.
+const LATENCY_WEIGHT: f64 = 0.2;
+/// Latency assumed of an endpoint that has not answered yet, in microseconds.
+const INITIAL_LATENCY: f64 = 1_000.0;
+/// An admission level older than this is not acted on.
+const LEVEL_LIFETIME: Duration = Duration::from_millis(1_500);
+/// How often a call goes to an endpoint although its level would shed it, to learn the level.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// How long an endpoint's own word that it is leaving outweighs the directory.
+const DRAINING_LIFETIME: Duration = Duration::from_secs(5);
+/// Consecutive failures after which an endpoint is ejected.
+const FAILURES_TO_EJECT: u32 = 5;
+/// First ejection time; doubled with each ejection that follows without a success.
+const BASE_EJECTION: Duration = Duration::from_secs(1);
+/// Most doublings of the ejection time.
+const MAX_EJECTION_DOUBLINGS: u32 = 5;
+/// Share of the traffic that slow start begins with.
+const SLOW_START_FLOOR: f64 = 0.1;
+
+/// One endpoint as this daemon sees it.
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) service: ServiceName,
+    pub(crate) zone: ZoneName,
+    pub(crate) address: SocketAddr,
+    is_draining: bool,
+    draining_until: Timestamp,
+    pub(crate) outstanding: u32,
+    latency_micros: f64,
+    pub(crate) load_percent: u32,
+    level: AdmissionLevel,
+    level_at: Option<Timestamp>,
+    last_probe: Option<Timestamp>,
+    warm_since: Timestamp,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Timestamp,
+}
+
+impl Endpoint {
+    pub(crate) fn new(now: Timestamp, entry: &DirectoryEndpoint) -> Self {
+        Self {
+            service: entry.service.clone(),
+            zone: entry.zone.clone(),
+            address: entry.address,
+            is_draining: entry.draining,
+            draining_until: Timestamp::ZERO,
+            outstanding: 0,
+            latency_micros: INITIAL_LATENCY,
+            load_percent: 0,
+            level: AdmissionLevel::default(),
+            level_at: None,
+            last_probe: None,
+            warm_since: now,
+            failures: 0,
+            ejections: 0,
+            ejected_until: Timestamp::ZERO,
+        }
+    }
+
+    /// Takes over what the directory says; own observation stays.
+    pub(crate) fn update(&mut self, now: Timestamp, entry: &DirectoryEndpoint) {
+        if self.address != entry.address || (self.is_draining && !entry.draining) {
+            self.warm_since = now;
+            self.draining_until = Timestamp::ZERO;
+            self.failures = 0;
+            self.ejected_until = Timestamp::ZERO;
+        }
+        self.address = entry.address;
+        self.is_draining = entry.draining;
+    }
+
+    pub(crate) fn takes_new_work(&self, now: Timestamp) -> bool {
+        !self.is_draining && now >= self.draining_until
+    }
+
+    pub(crate) fn is_ejected(&self, now: Timestamp) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Whether a request at `position` may be sent, or would be shed on arrival.
+    pub(crate) fn admits(&self, now: Timestamp, position: AdmissionLevel) -> bool {
+        let is_fresh = self
+            .level_at
+            .is_some_and(|at| now.since(at) < LEVEL_LIFETIME);
+        !is_fresh || position >= self.level
+    }
+
+    /// Whether a call may be sent against the level, to learn whether it has fallen.
+    pub(crate) fn may_probe(&self, now: Timestamp) -> bool {
+        self.last_probe
+            .is_none_or(|at| now.since(at) >= PROBE_INTERVAL)
+    }
+
+    pub(crate) fn record_probe(&mut self, now: Timestamp) {
+        self.last_probe = Some(now);
+    }
+
+    /// Cost of sending one more request here; the smaller is chosen. Own observation first: the
+    /// reported load only scales it.
+    pub(crate) fn cost(&self, now: Timestamp, slow_start: Duration) -> f64 {
+        let queue = f64::from(self.outstanding + 1);
+        let load = 1.0 + f64::from(self.load_percent.min(1_000)) / 100.0;
+        queue * self.latency_micros * load / self.slow_start_share(now, slow_start)
+    }
+
+    /// Share of its full traffic that a cold endpoint gets, rising with time.
+    fn slow_start_share(&self, now: Timestamp, slow_start: Duration) -> f64 {
+        if slow_start.is_zero() {
+            return 1.0;
+        }
+        let warm_for = now.since(self.warm_since).as_secs_f64();
+        (warm_for / slow_start.as_secs_f64()).clamp(SLOW_START_FLOOR, 1.0)
+    }
+
+    /// Counts the time that an attempt has taken.
+    pub(crate) fn record_latency(&mut self, now: Timestamp, sent: Timestamp) {
+        let sample = now.since(sent).as_micros() as f64;
+        self.latency_micros += LATENCY_WEIGHT * (sample - self.latency_micros);
+    }
+
+    pub(crate) fn record_answer(&mut self, now: Timestamp, sent: Timestamp, feedback: &Feedback) {
+        self.record_latency(now, sent);
+        self.load_percent = feedback.load_percent;
+        self.level = feedback.admission_level;
+        self.level_at = Some(now);
+        self.failures = 0;
+        self.ejections = 0;
+        if feedback.draining {
+            self.draining_until = now + DRAINING_LIFETIME;
+        }
+    }
+
+    /// Counts a failure; returns whether the endpoint should be ejected.
+    pub(crate) fn record_failure(&mut self, now: Timestamp) -> bool {
+        self.failures += 1;
+        self.failures >= FAILURES_TO_EJECT && !self.is_ejected(now)
+    }
+
+    /// Ejects the endpoint; it comes back with slow start.
+    pub(crate) fn eject(&mut self, now: Timestamp) -> Timestamp {
+        let doublings = self.ejections.min(MAX_EJECTION_DOUBLINGS);
+        self.ejected_until = now + BASE_EJECTION * 2_u32.pow(doublings);
+        self.ejections += 1;
+        self.warm_since = self.ejected_until;
+        self.failures = 0;
+        self.ejected_until
+    }
+}
+
+/// An endpoint and where it is.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) address: SocketAddr,
+}
--- /dev/null
+++ b/crates/bramblewheel-core/src/route/mod.rs
@@ -0,0 +1,5 @@
+//! Which endpoint an attempt goes to.
+
+pub(crate) mod choice;
+pub(crate) mod directory;
+pub(crate) mod endpoint;
