Parse headers strictly and sign session tokens

Header names move to the types crate, since core can't depend on protocol, which brings tokio along; protocol re-exports them under the old path. A token is a keyed MAC held by the caller: a table of sessions at daemons was ruled out because a restart would lose it.

--- /dev/null
+++ b/crates/bramblewheel-core/src/headers/context.rs
@@ -0,0 +1,81 @@
+//! The context of an attempt, from the calling daemon to the called one.
+
+use crate::context::{CallContext, Operation};
+use crate::headers::fields::Fields;
+use crate::headers::{HeaderError, HeaderList};
+use bramblewheel_types::{BundleVersion, OperationKey, Timestamp, headers as names};
+use std::time::Duration;
+
+/// Longest remaining time accepted from another daemon, in milliseconds: one hour.
+const MAX_TIMEOUT_MS: u64 = 3_600_000;
+
+/// Headers of an attempt. The deadline becomes the time that remains at `now`, rounded down, so
+/// that no hop believes to have more time than its caller; the path goes in the request line.
+pub fn encode(now: Timestamp, context: &CallContext) -> HeaderList {
+    let remaining = context.deadline.since(now).as_millis();
+    let mut list = vec![
+        (names::REQUEST_ID, context.request.to_string()),
+        (names::CALL_ID, context.call.to_string()),
+        (names::ATTEMPT, context.attempt.to_string()),
+        (names::SERVICE, context.service.to_string()),
+        (names::CRITICALITY, context.criticality.to_string()),
+        (names::TIMEOUT_MS, remaining.to_string()),
+        (names::RETRY_TOKENS, context.retry_tokens.to_string()),
+        (names::DEPTH, context.depth.to_string()),
+        (names::BUNDLE_VERSION, context.bundle_version.to_string()),
+    ];
+    if context.in_session {
+        list.push((names::IN_SESSION, "1".to_owned()));
+    }
+    if let Some(operation) = &context.operation {
+        let minted = operation.minted_at_unix_millis.to_string();
+        list.push((names::OPERATION_KEY, operation.key.to_string()));
+        list.push((names::OPERATION_MINTED, minted));
+    }
+    list
+}
+
+/// Context of an attempt that arrived at `now` for `path`.
+///
+/// # Errors
+/// [`HeaderError`] when a header is missing or not acceptable.
+pub fn parse(now: Timestamp, path: &str, fields: &Fields<'_>) -> Result<CallContext, HeaderError> {
+    let remaining = fields
+        .required_number::<u64>(names::TIMEOUT_MS)?
+        .min(MAX_TIMEOUT_MS);
+    Ok(CallContext {
+        request: fields.required(names::REQUEST_ID)?,
+        call: fields.required(names::CALL_ID)?,
+        attempt: fields.required(names::ATTEMPT)?,
+        service: fields.required(names::SERVICE)?,
+        path: path.to_owned(),
+        criticality: fields.required(names::CRITICALITY)?,
+        deadline: now + Duration::from_millis(remaining),
+        retry_tokens: fields.required_number(names::RETRY_TOKENS)?,
+        depth: fields.required_number(names::DEPTH)?,
+        in_session: fields.flag(names::IN_SESSION)?,
+        operation: parse_operation(fields)?,
+        bundle_version: BundleVersion(fields.required_number(names::BUNDLE_VERSION)?),
+    })
+}
+
+/// Key and mint time of an operation; both or neither must be there.
+///
+/// # Errors
+/// [`HeaderError`] when only one is there or one can't be understood.
+pub fn parse_operation(fields: &Fields<'_>) -> Result<Option<Operation>, HeaderError> {
+    let minted = fields.optional_number(names::OPERATION_MINTED)?;
+    let Some(text) = fields.text(names::OPERATION_KEY) else {
+        return match minted {
+            None => Ok(None),
+            Some(_) => Err(HeaderError::Missing(names::OPERATION_KEY)),
+        };
+    };
+    let malformed = || HeaderError::Malformed(names::OPERATION_KEY.to_owned());
+    let key = OperationKey::new(text).map_err(|_| malformed())?;
+    let minted_at_unix_millis = minted.ok_or(HeaderError::Missing(names::OPERATION_MINTED))?;
+    Ok(Some(Operation {
+        key,
+        minted_at_unix_millis,
+    }))
+}
--- /dev/null
+++ b/crates/bramblewheel-core/src/headers/mod.rs
@@ -0,0 +1,73 @@
+//! A call's context and its answer as HTTP headers: one strict parser for all hops.
+//!
+//! Known headers must be well formed, appear once and keep the length limit; unknown ones of the
+//! project's prefix are left alone, so that daemons of neighbouring releases understand each
+//! other. A gateway drops what outsiders may not set with [`may_come_from_outside`].
+
+pub mod answer;
+pub mod context;
+pub mod fields;
+pub mod request;
+
+use bramblewheel_types::headers as names;
+use thiserror::Error;
+
+/// Longest value of any of the project's headers, in bytes.
+pub const MAX_VALUE_LENGTH: usize = 320;
+/// Most headers of the project's prefix on one message.
+pub const MAX_HEADERS: usize = 32;
+
+/// Headers to be put on a message.
+pub type HeaderList = Vec<(&'static str, String)>;
+
+/// A header is missing or not acceptable.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum HeaderError {
+    /// A required header is missing.
+    #[error("header `{0}` is missing")]
+    Missing(&'static str),
+    /// The value can't be understood.
+    #[error("header `{0}` has a malformed value")]
+    Malformed(String),
+    /// The header appears more than once.
+    #[error("header `{0}` appears more than once")]
+    Repeated(String),
+    /// The value is longer than [`MAX_VALUE_LENGTH`].
+    #[error("header `{name}` has {length} bytes, at most {MAX_VALUE_LENGTH} are allowed")]
+    TooLong {
+        /// Header.
+        name: String,
+        /// Length found, in bytes.
+        length: usize,
+    },
+    /// The message has more than [`MAX_HEADERS`] headers of the project's prefix.
+    #[error("more than {MAX_HEADERS} headers")]
+    TooMany,
+}
+
+/// Headers that a caller outside the call graph may set.
+const FROM_OUTSIDE: [&str; 8] = [
+    names::SERVICE,
+    names::REQUEST_ID,
+    names::RESEND,
+    names::CRITICALITY,
+    names::TIMEOUT_MS,
+    names::SESSION,
+    names::OPERATION_KEY,
+    names::OPERATION_MINTED,
+];
+
+/// Whether a header of this name may come from a caller outside; a gateway drops the others of
+/// the project's prefix. Names are compared without regard to case.
+pub fn may_come_from_outside(name: &str) -> bool {
+    !has_prefix(name)
+        || FROM_OUTSIDE
+            .iter()
+            .any(|known| known.eq_ignore_ascii_case(name))
+}
+
+/// Whether a name carries the project's prefix.
+pub fn has_prefix(name: &str) -> bool {
+    name.get(..names::PREFIX.len())
+        .is_some_and(|start| start.eq_ignore_ascii_case(names::PREFIX))
+}
--- a/crates/bramblewheel-core/src/lib.rs
+++ b/crates/bramblewheel-core/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod context;
 pub mod engine;
 pub mod event;
+pub mod headers;
 pub mod inbound;
 pub mod metrics;
 pub mod retry;
+pub mod session;
 
 mod feedback;
 mod outbound;
--- a/crates/bramblewheel-protocol/src/lib.rs
+++ b/crates/bramblewheel-protocol/src/lib.rs
@@ -2,6 +2,6 @@
 
 pub mod codec;
 pub mod control;
-pub mod headers;
+pub use bramblewheel_types::headers;
 
 pub use codec::{CodecError, read_frame, write_frame};
--- a/crates/bramblewheel-types/src/lib.rs
+++ b/crates/bramblewheel-types/src/lib.rs
@@ -4,6 +4,7 @@
 //! decision crates depend on this one and must stay free of side effects.
 
 pub mod criticality;
+pub mod headers;
 pub mod ids;
 pub mod outcome;
 pub mod time;
