--- a/crates/bramblewheel-protocol/src/lib.rs
+++ b/crates/bramblewheel-protocol/src/lib.rs
@@ -3,7 +3,7 @@
 pub mod client;
 pub mod codec;
 pub mod control;
-pub mod headers;
+pub use bramblewheel_types::headers;
 
 pub use client::{ClientError, ControlClient, RequestError, request_any};
 pub use codec::{CodecError, read_frame, write_frame};
