--- a/crates/bramblewheel-bundle/src/signature.rs
+++ b/crates/bramblewheel-bundle/src/signature.rs
@@ -1,7 +1,7 @@
 //! Ed25519 signatures over a bundle's digest, and the rule of N different operators out of M.
 
 use crate::model::{OperatorPolicy, OperatorPublicKey};
-use bramblewheel_types::BundleDigest;
+use bramblewheel_types::{BundleDigest, ServiceName};
 use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
 use std::collections::BTreeSet;
 use thiserror::Error;
@@ -77,7 +77,7 @@
             return Err(SignatureError::TooMany);
         }
         match policy.keys.get(operator) {
-            None => unknown.insert(operator.to_owned()),
+            None => unknown.insert(printable(operator)),
             Some(key) if holds(key, &message, signature) => valid.insert(key),
             Some(_) => wrong.insert(operator.to_owned()),
         };
@@ -96,6 +96,14 @@
     Ok(())
 }
 
+/// A name nobody checked yet, fit for logs.
+fn printable(name: &str) -> String {
+    match ServiceName::new(name) {
+        Ok(name) => name.to_string(),
+        Err(_) => "(invalid name)".to_owned(),
+    }
+}
+
 fn holds(key: &OperatorPublicKey, message: &[u8], signature: &[u8]) -> bool {
     let Ok(key) = VerifyingKey::from_bytes(&key.0) else {
         return false;
--- a/crates/bramblewheel-bundle/tests/canonical.rs
+++ b/crates/bramblewheel-bundle/tests/canonical.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use arbtest::arbtest;
-use bramblewheel_bundle::{Bundle, DecodeError, canonical, digest, parse, to_toml};
+use bramblewheel_bundle::{Bundle, DecodeError, RoutePolicy, canonical, digest, parse, to_toml};
 use bramblewheel_types::{BundleDigest, BundleVersion};
-use support::{arbitrary_bundle, torgnett};
+use support::{arbitrary_bundle, service, torgnett};
 
 #[test]
 fn bundles_survive_text_and_bytes() {
@@ -107,3 +107,25 @@
         Err(DecodeError::TooLong(long.len()))
     );
 }
+
+#[test]
+fn a_bundle_of_the_size_to_come_fits_with_room() {
+    const SERVICES: usize = 460;
+    const ROUTES: usize = 8;
+    let mut bundle = torgnett();
+    let mut policy = bundle.services[&service("kassa")].clone();
+    let route = policy.routes[0].clone();
+    let route = |index| RoutePolicy {
+        prefix: format!("/a-path-of-usual-length-{index}/"),
+        ..route.clone()
+    };
+    policy.routes = (0..ROUTES).map(route).collect();
+    let name = |index| service(&format!("service-of-usual-name-{index}"));
+    bundle.services = (0..SERVICES)
+        .map(|index| (name(index), policy.clone()))
+        .collect();
+    let bytes = canonical::encode(&bundle);
+    println!("{} bytes", bytes.len());
+    assert!(bytes.len() < canonical::MAX_BUNDLE_LENGTH / 2);
+    assert_eq!(canonical::decode(&bytes).as_ref(), Ok(&bundle));
+}
--- a/crates/bramblewheel-bundle/tests/signature.rs
+++ b/crates/bramblewheel-bundle/tests/signature.rs
@@ -55,6 +55,13 @@
     };
     assert_eq!(check(2, &keys[..2], &by), Err(expected));
     assert_eq!(check(1, &keys[..2], &by), Ok(()));
+    let unprintable = [("a\nresult=accepted".to_owned(), keys[0].sign(DIGEST))];
+    let error = check(1, &keys, &unprintable).expect_err("unknown");
+    assert!(
+        error
+            .to_string()
+            .ends_with("unknown operator (invalid name)")
+    );
 }
 
 #[test]
