--- /dev/null
+++ b/crates/bramblewheel-core/tests/admission.rs
@@ -0,0 +1,198 @@
+//! Order and bounds of the admission queue, the concurrency limit and the level.
+
+mod support;
+
+use bramblewheel_core::action::Action;
+use bramblewheel_core::cohort::shedding_position;
+use bramblewheel_core::event::{AdmissionLevel, AttemptResult, EndpointReport, Event, Feedback};
+use bramblewheel_core::inbound::level::LevelController;
+use bramblewheel_core::inbound::limit::ConcurrencyLimit;
+use bramblewheel_core::inbound::queue::{AdmissionQueue, Importance, Offer, ServiceOrder};
+use bramblewheel_types::{AttemptId, Criticality, NotRunReason, Outcome, RequestId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use support::{
+    Daemon, admission, at, attempt_answer, bundle, call_answer, dispatches, for_seeds, inbound,
+    reason, root_call, sent, succeeded,
+};
+
+#[test]
+fn the_queue_never_sheds_while_it_keeps_less_important() {
+    for_seeds(200, 2_000, |u| {
+        let capacity: usize = u.int_in_range(0..=8)?;
+        let mut queue = AdmissionQueue::default();
+        let mut waiting: BTreeMap<AttemptId, Importance> = BTreeMap::new();
+        for id in 0..u.int_in_range(1..=200)? {
+            let order = *u.choose(&[ServiceOrder::OldestFirst, ServiceOrder::NewestFirst])?;
+            if u.ratio(1, 3)? {
+                let taken = queue.take(order).map(|(_, attempt)| attempt);
+                assert_eq!(taken.is_some(), !waiting.is_empty());
+                taken.map(|attempt| waiting.remove(&attempt));
+            }
+            let importance = Importance {
+                criticality: *u.choose(&Criticality::ALL)?,
+                in_session: u.arbitrary()?,
+            };
+            let attempt = AttemptId(id);
+            let shed = match queue.offer(attempt, importance, capacity, order) {
+                Offer::Queued(_) => None,
+                Offer::Refused => Some(importance),
+                Offer::QueuedInsteadOf(_, evicted) => waiting.remove(&evicted),
+            };
+            let is_refused = shed.is_some() && waiting.len() == capacity;
+            if !is_refused {
+                waiting.insert(attempt, importance);
+            }
+            if let Some(shed) = shed {
+                assert!(waiting.values().all(|kept| *kept >= shed));
+            }
+            assert_eq!(queue.len(), waiting.len());
+            assert!(queue.len() <= capacity);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn the_most_important_goes_first_but_the_middle_class_gets_its_turns() {
+    let mut queue = AdmissionQueue::default();
+    let mut offer = |id, criticality| {
+        let importance = Importance {
+            criticality,
+            in_session: false,
+        };
+        queue.offer(AttemptId(id), importance, 100, ServiceOrder::OldestFirst);
+    };
+    offer(1, Criticality::Sheddable);
+    offer(2, Criticality::Normal);
+    (10..40).for_each(|id| offer(id, Criticality::Critical));
+    let taken: Vec<u64> = std::iter::from_fn(|| queue.take(ServiceOrder::OldestFirst))
+        .map(|(_, attempt)| attempt.0)
+        .collect();
+    assert_eq!(taken[..7], [10, 11, 12, 13, 14, 15, 16]);
+    assert_eq!(taken[7], 2, "the middle class has its turn");
+    assert_eq!(taken.last(), Some(&1), "the bottom has none");
+}
+
+fn busy_daemon(queue_length: u32) -> Daemon {
+    let bundle = bundle(&["a"], 8, admission(queue_length, 1));
+    let mut daemon = Daemon::new("a-0", Some("a"), 1, bundle);
+    daemon.step(at(1), inbound(1, Criticality::Normal, None));
+    daemon
+}
+
+#[test]
+fn a_full_queue_evicts_the_less_important_and_answers_at_once() {
+    let mut daemon = busy_daemon(1);
+    daemon.step(at(1), inbound(2, Criticality::Low, None));
+    let actions = daemon.step(at(2), inbound(3, Criticality::Critical, None));
+    let (answer, feedback) = attempt_answer(&actions, 2).expect("the low one is evicted");
+    assert_eq!(reason(answer.outcome), Some(NotRunReason::Overloaded));
+    assert!(feedback.is_final);
+    let actions = daemon.step(at(3), inbound(4, Criticality::Low, None));
+    let (answer, _) = attempt_answer(&actions, 4).expect("the low one is refused");
+    let Outcome::NotRun { retry_after, .. } = answer.outcome else {
+        panic!("expected a refusal");
+    };
+    assert!(retry_after.0 > 0);
+    let attempt = AttemptId(1);
+    let result = succeeded();
+    let actions = daemon.step(at(4), Event::DispatchEnded { attempt, result });
+    assert!(dispatches(&actions, 3));
+}
+
+#[test]
+fn the_endpoints_report_lowers_the_limit_but_never_raises_it() {
+    let limit = ConcurrencyLimit::new(2, 10);
+    assert_eq!(limit.with_reported_slots(None), 10);
+    assert_eq!(limit.with_reported_slots(Some(4)), 4);
+    assert_eq!(limit.with_reported_slots(Some(500)), 10);
+    assert_eq!(limit.with_reported_slots(Some(1)), 2);
+
+    let mut daemon = busy_daemon(4);
+    let report = EndpointReport {
+        slots: 100,
+        busy: 0,
+        draining: false,
+    };
+    daemon.step(at(2), Event::LocalReport(report));
+    let actions = daemon.step(at(3), inbound(2, Criticality::Critical, None));
+    assert!(!dispatches(&actions, 2));
+}
+
+#[test]
+fn the_limit_falls_when_latency_rises_and_recovers() {
+    let mut limit = ConcurrencyLimit::new(2, 10);
+    let mut now = at(0);
+    let mut feed = |limit: &mut ConcurrencyLimit, millis, samples| {
+        for _ in 0..samples {
+            now += Duration::from_millis(2);
+            let running = limit.observed();
+            limit.record(now, Duration::from_millis(millis), running);
+        }
+    };
+    feed(&mut limit, 5, 100);
+    assert_eq!(limit.observed(), 10);
+    feed(&mut limit, 50, 320);
+    let fallen = limit.observed();
+    assert!(fallen < 6, "limit is {fallen}");
+    feed(&mut limit, 5, 640);
+    assert_eq!(limit.observed(), 10);
+}
+
+#[test]
+fn the_level_rises_with_queueing_delay_and_falls_again() {
+    let mut level = LevelController::new();
+    let mut now = at(0);
+    let mut run = |level: &mut LevelController, delay, windows: u32| {
+        for index in 0..windows * 100 {
+            now += Duration::from_millis(2);
+            let id = RequestId(u128::from(index));
+            let class = Criticality::ALL[index as usize % 4];
+            let place = shedding_position(class, index % 8 < 4, id);
+            level.record_offered(now, place);
+            level.record_delay(now, Duration::from_millis(delay));
+        }
+    };
+    run(&mut level, 1, 2);
+    assert_eq!(level.level(), AdmissionLevel::default());
+    run(&mut level, 100, 10);
+    let risen = level.level();
+    assert!(risen.criticality >= Criticality::Low, "level is {risen:?}");
+    run(&mut level, 100, 400);
+    let highest = level.level();
+    assert!(highest.cohort < 128 && highest.criticality == Criticality::Critical);
+    run(&mut level, 1, 200);
+    assert_eq!(level.level(), AdmissionLevel::default());
+}
+
+#[test]
+fn a_call_below_the_level_is_shed_before_it_is_sent_until_the_level_is_stale() {
+    let bundle = bundle(&["a"], 8, admission(4, 1));
+    let mut gateway = Daemon::new("gateway", None, 1, bundle);
+    gateway.know(&["a-0"], "a");
+    let actions = gateway.step(at(1), root_call(1, "a", "/", None));
+    let (attempt, _) = sent(&actions).expect("it is sent");
+    let feedback = Feedback {
+        admission_level: AdmissionLevel {
+            criticality: Criticality::Critical,
+            cohort: 127,
+        },
+        ..Default::default()
+    };
+    let outcome = Outcome::Completed;
+    let result = AttemptResult::Answered { outcome, feedback };
+    gateway.step(at(2), Event::AttemptEnded { attempt, result });
+    let probe = gateway.step(at(3), root_call(2, "a", "/", None));
+    assert!(sent(&probe).is_some(), "one call probes the level");
+    let actions = gateway.step(at(4), root_call(3, "a", "/", None));
+    assert!(
+        !actions
+            .iter()
+            .any(|a| matches!(a, Action::SendAttempt { .. }))
+    );
+    let outcome = call_answer(&actions).expect("it is shed at once").outcome;
+    assert_eq!(reason(outcome), Some(NotRunReason::Overloaded));
+    let actions = gateway.step(at(2_000), root_call(4, "a", "/", None));
+    assert!(sent(&actions).is_some(), "a stale level is not acted on");
+}
--- /dev/null
+++ b/crates/bramblewheel-core/tests/headers.rs
@@ -0,0 +1,190 @@
+//! Headers and session tokens: what is written is read back, all else is refused.
+
+mod support;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use bramblewheel_core::context::CallContext;
+use bramblewheel_core::event::{AdmissionLevel, Feedback};
+use bramblewheel_core::headers::answer::{self, AnswerHeaders};
+use bramblewheel_core::headers::fields::Fields;
+use bramblewheel_core::headers::{
+    HeaderError, MAX_HEADERS, MAX_VALUE_LENGTH, context, may_come_from_outside, request,
+};
+use bramblewheel_core::session::{Session, SessionError, SessionKey, mint, verify};
+use bramblewheel_types::{
+    AttemptId, BundleVersion, CallId, Criticality, Millis, NotRunReason, Outcome, RequestId,
+    headers as names,
+};
+use std::time::Duration;
+use support::{at, for_seeds, operation, service, zone};
+
+fn fields<'a>(list: &'a [(&'static str, String)]) -> std::result::Result<Fields<'a>, HeaderError> {
+    Fields::collect(list.iter().map(|(name, value)| (*name, value.as_bytes())))
+}
+
+fn random_context(u: &mut Unstructured<'_>) -> Result<CallContext> {
+    let has_key: bool = u.arbitrary()?;
+    Ok(CallContext {
+        request: RequestId(u.arbitrary()?),
+        call: CallId(u.arbitrary()?),
+        attempt: AttemptId(u.arbitrary()?),
+        service: service(u.choose(&["a", "kassa", "a.b_c-9"])?),
+        path: "/pay".to_owned(),
+        criticality: *u.choose(&Criticality::ALL)?,
+        deadline: at(5) + Duration::from_millis(u.int_in_range(0..=100_000)?),
+        retry_tokens: u.arbitrary()?,
+        depth: u.arbitrary()?,
+        in_session: u.arbitrary()?,
+        operation: has_key.then(|| operation("K-1:2/3")),
+        bundle_version: BundleVersion(u.arbitrary()?),
+    })
+}
+
+#[test]
+fn contexts_and_answers_are_read_back_as_written() {
+    for_seeds(300, 300, |u| {
+        let written = random_context(u)?;
+        let list = context::encode(at(5), &written);
+        let read = fields(&list).and_then(|fields| context::parse(at(5), "/pay", &fields));
+        assert_eq!(read, Ok(written));
+
+        let reason = *u.choose(&NotRunReason::ALL)?;
+        let retry_after = Millis(u.arbitrary()?);
+        let refused = Outcome::NotRun {
+            reason,
+            retry_after,
+        };
+        let outcomes = [
+            Outcome::Completed,
+            Outcome::Failed,
+            Outcome::Unknown,
+            refused,
+        ];
+        let written = AnswerHeaders {
+            attempt: AttemptId(u.arbitrary()?),
+            outcome: *u.choose(&outcomes)?,
+            feedback: Feedback {
+                retry_tokens_spent: u.arbitrary()?,
+                is_final: u.arbitrary()?,
+                draining: u.arbitrary()?,
+                load_percent: u.arbitrary()?,
+                admission_level: AdmissionLevel {
+                    criticality: *u.choose(&Criticality::ALL)?,
+                    cohort: u.int_in_range(0..=127)?,
+                },
+            },
+        };
+        let list = answer::encode(&written);
+        assert_eq!(
+            fields(&list).and_then(|fields| answer::parse(&fields)),
+            Ok(written)
+        );
+        Ok(())
+    });
+}
+
+#[test]
+fn arbitrary_values_are_refused_or_understood_but_never_panic() {
+    for_seeds(300, 600, |u| {
+        let mut list = context::encode(at(5), &random_context(u)?);
+        let index = u.choose_index(list.len())?;
+        list[index].1 = u.arbitrary::<String>()?;
+        if let Ok(fields) = fields(&list) {
+            let _ = context::parse(at(5), "/", &fields);
+            let _ = request::parse(&fields);
+            let _ = answer::parse(&fields);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn malformed_repeated_long_and_missing_headers_are_refused() {
+    let parse = |list: &[(&'static str, String)]| fields(list).and_then(|f| request::parse(&f));
+    let with = |name, value: &str| vec![(names::SERVICE, "a".to_owned()), (name, value.to_owned())];
+    let malformed = |name: &str| Err(HeaderError::Malformed(name.to_owned()));
+    assert!(parse(&with(names::RESEND, "3")).is_ok_and(|headers| headers.resend == 3));
+    for (name, value) in [
+        (names::RESEND, "+3"),
+        (names::RESEND, "99999999999"),
+        (names::TIMEOUT_MS, "-1"),
+        (names::REQUEST_ID, "12"),
+        (names::CRITICALITY, "urgent"),
+        (names::PARENT, "zzzzzzzzzzzzzzzz"),
+        (names::OPERATION_KEY, "with space"),
+    ] {
+        assert_eq!(
+            parse(&with(name, value)),
+            malformed(name),
+            "{name}: {value}"
+        );
+    }
+    let key_only = with(names::OPERATION_KEY, "key");
+    let missing = HeaderError::Missing(names::OPERATION_MINTED);
+    assert_eq!(parse(&key_only), Err(missing));
+    assert_eq!(parse(&[]), Err(HeaderError::Missing(names::SERVICE)));
+    let twice = with(names::SERVICE, "a");
+    let repeated = HeaderError::Repeated(names::SERVICE.to_owned());
+    assert_eq!(parse(&twice), Err(repeated));
+    let long = "x".repeat(MAX_VALUE_LENGTH + 1);
+    let too_long = parse(&with(names::SESSION, &long));
+    assert!(matches!(too_long, Err(HeaderError::TooLong { .. })));
+    let many: Vec<(String, String)> = (0..=MAX_HEADERS)
+        .map(|index| (format!("bw-other-{index}"), "1".to_owned()))
+        .collect();
+    let collected = Fields::collect(many.iter().map(|(n, v)| (n.as_str(), v.as_bytes())));
+    assert_eq!(collected.err(), Some(HeaderError::TooMany));
+}
+
+#[test]
+fn outsiders_may_not_set_what_daemons_tell_each_other() {
+    for name in [
+        names::RETRY_TOKENS,
+        names::DEPTH,
+        names::IN_SESSION,
+        names::ATTEMPT,
+        "BW-Parent",
+    ] {
+        assert!(!may_come_from_outside(name), "{name}");
+    }
+    for name in [names::SERVICE, names::OPERATION_KEY, "BW-Session", "accept"] {
+        assert!(may_come_from_outside(name), "{name}");
+    }
+}
+
+#[test]
+fn sessions_survive_key_rotation_and_forgeries_do_not_pass() {
+    let key = |id, byte| SessionKey::new(id, vec![byte; 32]).expect("the key is long enough");
+    let session = Session {
+        opened_at_unix_millis: 1_790_000_000_000,
+        home_zone: zone("bergen-hall"),
+        criticality: Criticality::Critical,
+        random: 42,
+    };
+    let (old, new) = (key(1, 1), key(2, 2));
+    let token = mint(&old, &session);
+    assert_eq!(verify(&[new.clone(), old.clone()], &token), Ok(session));
+    assert_eq!(
+        verify(std::slice::from_ref(&new), &token),
+        Err(SessionError::UnknownKey)
+    );
+    let forged = token.replace("bergen", "molden");
+    assert_eq!(
+        verify(&[old.clone()], &forged),
+        Err(SessionError::BadSignature)
+    );
+    let other_secret = key(1, 9);
+    assert_eq!(
+        verify(&[other_secret], &token),
+        Err(SessionError::BadSignature)
+    );
+    let truncated = &token[..token.len() - 2];
+    assert_eq!(
+        verify(&[old.clone()], truncated),
+        Err(SessionError::BadSignature)
+    );
+    assert_eq!(verify(&[old.clone()], ""), Err(SessionError::Malformed));
+    let long = "1:".repeat(200);
+    assert_eq!(verify(&[old], &long), Err(SessionError::TooLong));
+    assert!(SessionKey::new(3, vec![0; 31]).is_err());
+}
--- /dev/null
+++ b/crates/bramblewheel-core/tests/outcome_truth.rs
@@ -0,0 +1,254 @@
+//! What a caller is told follows from what is proved about the attempts.
+
+mod support;
+
+use bramblewheel_core::action::{Action, AnswerBody};
+use bramblewheel_core::event::{AttemptResult, DispatchResult, Event, Feedback};
+use bramblewheel_types::{AttemptId, CallId, Criticality, Millis, NotRunReason, Outcome};
+use support::{
+    Daemon, admission, answered, at, attempt_answer, bundle, call_answer, dispatches, inbound,
+    operation, reason, refused, root_call, sent, sub_call, succeeded,
+};
+
+const NOT_RUN: Option<NotRunReason> = Some(NotRunReason::Unreachable);
+
+fn gateway(retry_tokens: u32) -> Daemon {
+    let bundle = bundle(&["a"], retry_tokens, admission(9, 9));
+    let mut daemon = Daemon::new("gateway", None, 1, bundle);
+    daemon.know(&["a-0", "a-1", "a-2", "a-3"], "a");
+    daemon
+}
+
+/// Ends the attempts of one call with the results in turn; returns the outcome and how many
+/// attempts were made.
+fn call_with(path: &str, results: &[AttemptResult]) -> (Outcome, usize) {
+    let mut daemon = gateway(8);
+    let key = (path == support::RUN_ONCE_PATH).then(|| operation("key"));
+    let mut actions = daemon.step(at(1), root_call(1, "a", path, key));
+    for (made, result) in results.iter().enumerate() {
+        let Some((attempt, _)) = sent(&actions) else {
+            let answer = call_answer(&actions).expect("a call without attempt is answered");
+            return (answer.outcome, made);
+        };
+        let result = result.clone();
+        actions = daemon.step(at(2), Event::AttemptEnded { attempt, result });
+    }
+    let answer = call_answer(&actions).expect("the results end the call");
+    (answer.outcome, results.len())
+}
+
+fn draining() -> AttemptResult {
+    answered(refused(NotRunReason::Draining))
+}
+
+#[test]
+fn outcome_follows_from_all_attempts() {
+    use AttemptResult::{Lost, NotSent};
+    let completed = || answered(Outcome::Completed);
+    let invalid = || answered(refused(NotRunReason::InvalidRequest));
+    let table = [
+        ("/", vec![completed()], Outcome::Completed),
+        ("/", vec![Lost, completed()], Outcome::Completed),
+        ("/", vec![Lost, invalid()], Outcome::Unknown),
+        ("/", vec![NotSent, Lost, invalid()], Outcome::Unknown),
+        (
+            "/",
+            vec![answered(Outcome::Failed), invalid()],
+            Outcome::Failed,
+        ),
+        (
+            "/",
+            vec![Lost, answered(Outcome::Failed), invalid()],
+            Outcome::Unknown,
+        ),
+        ("/", vec![draining(), completed()], Outcome::Completed),
+        (support::RUN_ONCE_PATH, vec![Lost], Outcome::Unknown),
+        (
+            support::RUN_ONCE_PATH,
+            vec![answered(Outcome::Failed)],
+            Outcome::Failed,
+        ),
+        (
+            support::RUN_ONCE_PATH,
+            vec![draining(), NotSent, Lost],
+            Outcome::Unknown,
+        ),
+    ];
+    for (path, results, expected) in table {
+        let (outcome, made) = call_with(path, &results);
+        assert_eq!(outcome, expected, "{path} {results:?}");
+        assert_eq!(made, results.len(), "{path} {results:?}");
+    }
+    let (outcome, _) = call_with("/", &[NotSent, draining(), invalid()]);
+    assert_eq!(reason(outcome), Some(NotRunReason::InvalidRequest));
+}
+
+#[test]
+fn free_reroutes_are_limited_and_then_cost_tokens() {
+    let mut daemon = gateway(0);
+    let mut actions = daemon.step(at(1), root_call(1, "a", "/", None));
+    let mut tried = Vec::new();
+    while let Some((attempt, endpoint)) = sent(&actions) {
+        assert!(!tried.contains(&endpoint), "an endpoint was chosen twice");
+        tried.push(endpoint);
+        let result = AttemptResult::NotSent;
+        actions = daemon.step(at(2), Event::AttemptEnded { attempt, result });
+    }
+    assert_eq!(tried.len(), 3);
+    let outcome = call_answer(&actions).expect("it ends").outcome;
+    assert_eq!(reason(outcome), NOT_RUN);
+}
+
+#[test]
+fn a_final_refusal_is_not_tried_again() {
+    let mut daemon = gateway(8);
+    let actions = daemon.step(at(1), root_call(1, "a", "/", None));
+    let (attempt, _) = sent(&actions).expect("it is sent");
+    let feedback = Feedback {
+        is_final: true,
+        ..Default::default()
+    };
+    let outcome = refused(NotRunReason::Overloaded);
+    let result = AttemptResult::Answered { outcome, feedback };
+    let actions = daemon.step(at(2), Event::AttemptEnded { attempt, result });
+    let answer = call_answer(&actions).expect("it ends at once");
+    assert_eq!(answer.outcome, outcome);
+}
+
+#[test]
+fn a_deadline_with_an_attempt_out_is_unknown_and_late_answers_are_dropped() {
+    let mut daemon = gateway(8);
+    let actions = daemon.step(at(1), root_call(1, "a", "/", None));
+    let (attempt, _) = sent(&actions).expect("it is sent");
+    let due = daemon.engine.next_wakeup().expect("a deadline is set");
+    let actions = daemon.step(due, Event::Tick);
+    assert!(actions.contains(&Action::CancelAttempt { attempt }));
+    let answer = call_answer(&actions).expect("it ends at its deadline");
+    assert_eq!(answer.outcome, Outcome::Unknown);
+    let result = answered(Outcome::Completed);
+    let late = daemon.step(due, Event::AttemptEnded { attempt, result });
+    assert_eq!(late, Vec::new());
+}
+
+#[test]
+fn resends_get_no_fresh_tokens() {
+    let mut daemon = gateway(8);
+    daemon.step(at(1), root_call(1, "a", "/", None));
+    let Event::OutboundCall { request, .. } = root_call(1, "a", "/", None) else {
+        unreachable!("root_call makes outbound calls");
+    };
+    let call = CallId(2);
+    let actions = daemon.step(at(2), Event::OutboundCall { call, request });
+    let tokens = actions.iter().find_map(|action| match action {
+        Action::SendAttempt { context, .. } => Some(context.retry_tokens),
+        _ => None,
+    });
+    assert_eq!(tokens, Some(0));
+}
+
+fn beside_endpoint() -> Daemon {
+    let bundle = bundle(&["a", "b"], 8, admission(4, 1));
+    let mut daemon = Daemon::new("a-0", Some("a"), 1, bundle);
+    daemon.know(&["b-0"], "b");
+    daemon
+}
+
+fn ended(result: DispatchResult) -> Event {
+    let attempt = AttemptId(1);
+    Event::DispatchEnded { attempt, result }
+}
+
+fn endpoint_refusal() -> DispatchResult {
+    DispatchResult::Refused {
+        reason: NotRunReason::Overloaded,
+        retry_after: Millis(5),
+    }
+}
+
+#[test]
+fn an_endpoint_that_refuses_after_sub_calls_has_run() {
+    for (has_sub_call, expected) in [(false, true), (true, false)] {
+        let mut daemon = beside_endpoint();
+        let actions = daemon.step(at(1), inbound(1, Criticality::Normal, None));
+        assert!(dispatches(&actions, 1));
+        if has_sub_call {
+            daemon.step(at(2), sub_call(5, "b", AttemptId(1), 1));
+        }
+        let actions = daemon.step(at(3), ended(endpoint_refusal()));
+        let (answer, _) = attempt_answer(&actions, 1).expect("it is answered");
+        assert_eq!(answer.outcome.is_not_run(), expected);
+        if has_sub_call {
+            assert_eq!(answer.outcome, Outcome::Failed);
+        }
+    }
+}
+
+#[test]
+fn the_ends_of_a_dispatch_are_told_as_they_are() {
+    let attempt = AttemptId(1);
+    let failed = DispatchResult::Answered {
+        failed: true,
+        stored: Default::default(),
+    };
+    let table = [
+        (
+            succeeded(),
+            Outcome::Completed,
+            AnswerBody::FromAttempt(attempt),
+        ),
+        (failed, Outcome::Failed, AnswerBody::FromAttempt(attempt)),
+        (DispatchResult::Lost, Outcome::Unknown, AnswerBody::None),
+    ];
+    for (result, outcome, body) in table {
+        let mut daemon = beside_endpoint();
+        daemon.step(at(1), inbound(1, Criticality::Normal, None));
+        let actions = daemon.step(at(2), ended(result));
+        let (answer, _) = attempt_answer(&actions, 1).expect("it is answered");
+        assert_eq!((answer.outcome, &answer.body), (outcome, &body));
+    }
+    let mut daemon = beside_endpoint();
+    daemon.step(at(1), inbound(1, Criticality::Normal, None));
+    let actions = daemon.step(at(2), ended(DispatchResult::NotSent));
+    let (answer, _) = attempt_answer(&actions, 1).expect("it is answered");
+    assert_eq!(reason(answer.outcome), NOT_RUN);
+}
+
+#[test]
+fn cancelled_while_queued_is_not_run_and_never_dispatched() {
+    let mut daemon = beside_endpoint();
+    daemon.step(at(1), inbound(1, Criticality::Normal, None));
+    let queued = daemon.step(at(1), inbound(2, Criticality::Normal, None));
+    assert_eq!(queued, Vec::new());
+    let attempt = AttemptId(2);
+    let actions = daemon.step(at(2), Event::InboundCancelled { attempt });
+    let (answer, _) = attempt_answer(&actions, 2).expect("it is answered");
+    assert_eq!(reason(answer.outcome), Some(NotRunReason::Cancelled));
+    let actions = daemon.step(at(3), ended(succeeded()));
+    assert!(!dispatches(&actions, 2));
+}
+
+#[test]
+fn cancelling_a_running_attempt_stops_it_and_its_sub_calls() {
+    let mut daemon = beside_endpoint();
+    let attempt = AttemptId(1);
+    daemon.step(at(1), inbound(1, Criticality::Normal, None));
+    let actions = daemon.step(at(2), sub_call(5, "b", attempt, 1));
+    let (below, _) = sent(&actions).expect("the sub-call is sent");
+    let actions = daemon.step(at(3), Event::InboundCancelled { attempt });
+    assert!(actions.contains(&Action::CancelDispatch { attempt }));
+    assert!(actions.contains(&Action::CancelAttempt { attempt: below }));
+    let (answer, _) = attempt_answer(&actions, 1).expect("it is answered");
+    assert_eq!(answer.outcome, Outcome::Unknown);
+}
+
+#[test]
+fn an_attempt_that_waited_past_its_deadline_is_not_run() {
+    let mut daemon = beside_endpoint();
+    daemon.step(at(1), inbound(1, Criticality::Normal, None));
+    daemon.step(at(1), inbound(2, Criticality::Normal, None));
+    // The process was paused: the first end is seen long after the second's deadline.
+    let actions = daemon.step(at(5_000), ended(succeeded()));
+    assert!(!dispatches(&actions, 2));
+    let (answer, _) = attempt_answer(&actions, 2).expect("it is answered");
+    assert_eq!(reason(answer.outcome), Some(NotRunReason::DeadlineExceeded));
+}
