--- /dev/null
+++ b/crates/bramblewheel-replication/tests/scenarios.rs
@@ -0,0 +1,298 @@
+//! Faults that replicas must survive, one at a time.
+
+mod cluster;
+
+use bramblewheel_replication::{
+    Body, ContactToken, LogIndex, MembershipChange, MembershipError, Message, ProposalId,
+    ProposalResult, ReadResult, Replica, ReplicaConfig, ReplicaId, RestoredState, Role, Term,
+    TransferError,
+};
+use bramblewheel_types::Timestamp;
+use cluster::{Cluster, ELECTION, HEARTBEAT, LEASE, id, membership};
+use std::time::Duration;
+
+fn config(own: u64) -> ReplicaConfig {
+    ReplicaConfig {
+        id: id(own),
+        heartbeat_interval: HEARTBEAT,
+        election_timeout: ELECTION,
+        lease: LEASE,
+        max_entries_per_message: 8,
+        seed: own,
+        bootstrap: None,
+    }
+}
+
+fn change(cluster: &mut Cluster, change: MembershipChange) -> Result<ProposalId, MembershipError> {
+    let leader = cluster.settle();
+    let proposal = ProposalId(1 << 40 | cluster.now.0);
+    let propose = |replica: &mut Replica, now| replica.propose_membership(now, proposal, change);
+    cluster.with(leader, propose).expect("leader runs")?;
+    cluster.run(Duration::from_millis(500));
+    let result = cluster.proposal_results.get(&proposal);
+    assert!(matches!(result, Some(ProposalResult::Committed { .. })));
+    Ok(proposal)
+}
+
+fn add_learner(replica: ReplicaId) -> MembershipChange {
+    let description = b"10.0.0.9:7000".to_vec();
+    MembershipChange::AddLearner {
+        replica,
+        description,
+    }
+}
+
+fn followers(cluster: &Cluster, leader: ReplicaId) -> Vec<ReplicaId> {
+    let others = cluster.nodes.keys().copied();
+    others.filter(|other| *other != leader).collect()
+}
+
+#[test]
+fn a_single_voter_commits_only_what_is_synced() {
+    let bootstrap = Some(membership([1]));
+    let config = ReplicaConfig {
+        bootstrap,
+        ..config(1)
+    };
+    let mut replica = Replica::new(config, RestoredState::default(), Timestamp::ZERO);
+    replica.tick(replica.next_wakeup());
+    assert_eq!(replica.role(), Role::Leader);
+    let output = replica.take_output();
+    assert!(output.write.snapshot.is_some());
+    assert_eq!(replica.commit_index(), LogIndex(1));
+    replica.persisted();
+    assert_eq!(replica.commit_index(), LogIndex(2));
+}
+
+#[test]
+fn a_frozen_leader_answers_no_read_from_its_old_state() {
+    let mut cluster = Cluster::new(3, 1);
+    let old = cluster.settle();
+    cluster.freeze(old);
+    cluster.run(Duration::from_secs(60));
+    let new = cluster.settle();
+    assert_ne!(old, new);
+    cluster.propose(new).expect("leader takes it");
+    cluster.run(Duration::from_millis(100));
+    // The read comes before any tick or message, as a request waiting in a socket does.
+    let node = cluster.nodes.get_mut(&old).expect("node exists");
+    node.frozen = false;
+    assert!(cluster.read(old).is_none());
+    assert!(!cluster.replica(old).has_quorum(cluster.now));
+    cluster.heal_and_check();
+}
+
+#[test]
+fn messages_that_waited_for_a_frozen_follower_prove_no_quorum() {
+    let mut cluster = Cluster::new(3, 2);
+    let leader = cluster.settle();
+    cluster.run(Duration::from_secs(1));
+    let follower = followers(&cluster, leader)[0];
+    assert!(cluster.replica(follower).has_quorum(cluster.now));
+    cluster.freeze(follower);
+    cluster.run(Duration::from_secs(5));
+    cluster.isolate(follower);
+    cluster.thaw(follower);
+    assert!(!cluster.replica(follower).has_quorum(cluster.now));
+}
+
+#[test]
+fn a_leader_cut_off_steps_down_and_its_follower_knows() {
+    let mut cluster = Cluster::new(5, 3);
+    let leader = cluster.settle();
+    let minority = followers(&cluster, leader)[0];
+    cluster.isolate(leader);
+    cluster.isolate(minority);
+    cluster.cut.remove(&(leader, minority));
+    cluster.cut.remove(&(minority, leader));
+    cluster.run(LEASE + HEARTBEAT);
+    assert_ne!(cluster.replica(leader).role(), Role::Leader);
+    assert!(!cluster.replica(leader).has_quorum(cluster.now));
+    assert!(!cluster.replica(minority).has_quorum(cluster.now));
+    cluster.heal_and_check();
+}
+
+#[test]
+fn a_read_of_a_leader_cut_off_is_given_up() {
+    let mut cluster = Cluster::new(3, 4);
+    let leader = cluster.settle();
+    cluster.isolate(leader);
+    let read = cluster.read(leader).expect("it still leads");
+    cluster.run(Duration::from_secs(1));
+    let result = cluster.read_results.get(&read);
+    assert_eq!(result, Some(&ReadResult::LeadershipLost));
+}
+
+#[test]
+fn a_replica_that_returns_does_not_depose_the_leader() {
+    let mut cluster = Cluster::new(3, 5);
+    let leader = cluster.settle();
+    let term = cluster.replica(leader).term();
+    let follower = followers(&cluster, leader)[0];
+    cluster.isolate(follower);
+    cluster.run(Duration::from_secs(10));
+    cluster.cut.clear();
+    cluster.run(Duration::from_secs(2));
+    assert_eq!(cluster.leader(), Some(leader));
+    assert_eq!(cluster.replica(leader).term(), term);
+    assert_eq!(cluster.replica(follower).term(), term);
+}
+
+#[test]
+fn a_cut_in_one_direction_does_not_depose_the_leader() {
+    let mut cluster = Cluster::new(3, 6);
+    let leader = cluster.settle();
+    let term = cluster.replica(leader).term();
+    let follower = followers(&cluster, leader)[0];
+    cluster.cut.insert((leader, follower));
+    cluster.run(Duration::from_secs(10));
+    assert_eq!(cluster.replica(leader).term(), term);
+    cluster.heal_and_check();
+}
+
+#[test]
+fn a_replica_without_a_membership_neither_campaigns_nor_votes() {
+    let mut replica = Replica::new(config(9), RestoredState::default(), Timestamp::ZERO);
+    assert!(!replica.is_initialised());
+    assert_eq!(replica.next_wakeup(), Timestamp::NEVER);
+    let later = Timestamp::from_millis(60_000);
+    replica.tick(later);
+    let body = Body::VoteRequest {
+        last_index: LogIndex(9),
+        last_term: Term(9),
+        transfer: true,
+    };
+    let term = Term(10);
+    replica.receive(later, id(1), Message { term, body });
+    assert!(replica.take_output().is_empty());
+}
+
+#[test]
+fn a_lost_replica_is_replaced_under_a_new_identity() {
+    let mut cluster = Cluster::new(3, 7);
+    let leader = cluster.settle();
+    let lost = followers(&cluster, leader)[0];
+    let other = followers(&cluster, leader)[1];
+    for _ in 0..40 {
+        cluster.propose(leader);
+    }
+    cluster.run(Duration::from_millis(500));
+    cluster.compact(leader);
+    cluster.nodes.remove(&lost);
+    cluster.add(id(4), RestoredState::default());
+    let learner = add_learner(id(4));
+    change(&mut cluster, learner).expect("no other change");
+    change(&mut cluster, MembershipChange::PromoteLearner(id(4))).expect("caught up");
+    change(&mut cluster, MembershipChange::Remove(lost)).expect("one at a time");
+    let leader = cluster.settle();
+    let last = cluster.replica(leader).last_index();
+    assert_eq!(cluster.replica(leader).match_index(id(4)), Some(last));
+    // A second loss right after the repair: the new voter has what was acknowledged.
+    cluster.crash(other);
+    cluster.run(Duration::from_secs(2));
+    let leader = cluster.settle();
+    cluster.propose(leader).expect("two of three are a quorum");
+    cluster.heal_and_check();
+}
+
+#[test]
+fn a_learner_behind_is_not_promoted() {
+    let mut cluster = Cluster::new(3, 8);
+    cluster.settle();
+    change(&mut cluster, add_learner(id(4))).expect("no other change");
+    let promotion = change(&mut cluster, MembershipChange::PromoteLearner(id(4)));
+    assert!(matches!(
+        promotion,
+        Err(MembershipError::NotCaughtUp { .. })
+    ));
+    cluster.add(id(4), RestoredState::default());
+    cluster.run(Duration::from_secs(1));
+    change(&mut cluster, MembershipChange::PromoteLearner(id(4))).expect("caught up");
+    cluster.heal_and_check();
+}
+
+#[test]
+fn one_membership_change_at_a_time() {
+    let mut cluster = Cluster::new(3, 9);
+    let leader = cluster.settle();
+    let results = cluster.with(leader, |replica, now| {
+        let first = replica.propose_membership(now, ProposalId(1 << 41), add_learner(id(4)));
+        let second = replica.propose_membership(now, ProposalId(2 << 41), add_learner(id(5)));
+        (first, second)
+    });
+    assert_eq!(
+        results,
+        Some((Ok(()), Err(MembershipError::ChangeInProgress)))
+    );
+}
+
+#[test]
+fn a_removed_leader_steps_down_once_that_is_committed() {
+    let mut cluster = Cluster::new(3, 10);
+    let leader = cluster.settle();
+    change(&mut cluster, MembershipChange::Remove(leader)).expect("two voters stay");
+    assert_eq!(cluster.replica(leader).role(), Role::Follower);
+    cluster.run(Duration::from_secs(2));
+    let next = cluster.settle();
+    assert_ne!(next, leader);
+    let term = cluster.replica(next).term();
+    cluster.run(Duration::from_secs(5));
+    assert_eq!(cluster.replica(next).term(), term, "it stays quiet");
+}
+
+#[test]
+fn leadership_is_handed_over_without_waiting_for_a_timeout() {
+    let mut cluster = Cluster::new(3, 11);
+    let leader = cluster.settle();
+    cluster.run(Duration::from_millis(200));
+    let transfer = |replica: &mut Replica, now| replica.transfer_leadership(now);
+    let target = cluster.with(leader, transfer).expect("leader runs");
+    let target = target.expect("both followers answer");
+    assert!(cluster.propose(leader).is_none());
+    cluster.run(ELECTION / 3);
+    assert_eq!(cluster.leader(), Some(target));
+    let refused = cluster.with(leader, transfer).expect("it runs");
+    assert!(matches!(refused, Err(TransferError::NotLeader(_))));
+    cluster.heal_and_check();
+}
+
+#[test]
+fn a_follower_far_behind_gets_the_snapshot() {
+    let mut cluster = Cluster::new(3, 12);
+    let leader = cluster.settle();
+    let follower = followers(&cluster, leader)[0];
+    cluster.crash(follower);
+    for _ in 0..1500 {
+        cluster.propose(leader);
+    }
+    cluster.run(Duration::from_secs(1));
+    cluster.compact(leader);
+    cluster.start(follower);
+    cluster.run(Duration::from_secs(2));
+    let snapshot = cluster.replica(leader).snapshot_index();
+    assert_eq!(cluster.replica(follower).snapshot_index(), snapshot);
+    cluster.heal_and_check();
+}
+
+#[test]
+fn a_token_of_an_earlier_start_proves_nothing() {
+    let restored = RestoredState::bootstrap(membership([1, 2, 3]));
+    let mut replica = Replica::new(config(1), restored, Timestamp::ZERO);
+    let now = Timestamp::from_millis(10);
+    let echo = Some(ContactToken {
+        session: 0,
+        at: now,
+    });
+    let body = Body::Append {
+        previous_index: LogIndex(1),
+        previous_term: Term(1),
+        entries: Vec::new(),
+        commit: LogIndex(1),
+        round: 1,
+        echo,
+    };
+    let term = Term(2);
+    replica.receive(now, id(2), Message { term, body });
+    assert_eq!(replica.leader(), Some(id(2)));
+    assert!(!replica.has_quorum(now));
+}
