Put the wrong values of the parse test into a table

Each case now states the line of its finding; two were left out of that check before. The rule on retention has a test of its own at the edge.

--- a/crates/bramblewheel-bundle/tests/parse.rs
+++ b/crates/bramblewheel-bundle/tests/parse.rs
@@ -23,98 +23,59 @@
     findings.map(|located| &*located.finding.key).collect()
 }
 
+/// What stands in the example, what is put for it, the key of the finding, and its line counted
+/// from the altered one: a rule over two keys is reported at one, a second use at the later line.
+const WRONG_VALUES: &str = r#"
+version = 1                  => version = 0                  @ version @ 0
+version = 1                  => version = -1                 @ version @ 0
+version = 1                  => version = "1"                @ version @ 0
+deployment = "torgnett"      => deployment = "Torg"          @ deployment @ 0
+max_depth = 16               => max_depth = 0                @ limits.max_depth @ 0
+max_depth = 16               => max_depth = 256              @ limits.max_depth @ 0
+retry_tokens = 3             => retry_tokens = 3.5           @ limits.retry_tokens @ 0
+retry_ratio_percent = 10     => retry_ratio_percent = 101    @ limits.retry_ratio_percent @ 0
+required_signatures = 2      => required_signatures = 3      @ operators.required_signatures @ 0
+required_signatures = 2      => required_signatures = 0      @ operators.required_signatures @ 0
+name = "trial-bjorn"         => name = "trial-anna"          @ operators.key[1].name @ 0
+max_concurrency = 6          => max_concurrency = 1          @ service.oppgjor.admission.min_concurrency @ -1
+name = "kassa"               => name = "oppgjor"             @ service[2].name @ 25
+name = "kassa"               => name = "Kassa"               @ service[1].name @ 0
+prefix = "/pay"              => prefix = "pay"               @ service.kassa.route[0].prefix @ 0
+prefix = "/pay"              => prefix = "/pay?x"            @ service.kassa.route[0].prefix @ 0
+prefix = "/pay"              => prefix = 1                   @ service.kassa.route[0].prefix @ 0
+deadline_ms = 8000           => deadline_ms = 0              @ service.kassa.route[0].deadline_ms @ 0
+deadline_ms = 8000           => deadline = 8000              @ service.kassa.route[0].deadline @ 0
+repeatable = false           => repeatable = "no"            @ service.kassa.route[0].repeatable @ 0
+criticality = "sheddable"    => criticality = "high"         @ service.prisskilt.route[0].criticality @ 0
+"#;
+
 #[test]
 fn one_wrong_value_is_found_at_its_line_and_key() {
-    let pay = "prefix = \"/pay\"";
-    let cases = [
-        ("version = 1", "version = 0", "version"),
-        ("version = 1", "version = -1", "version"),
-        ("version = 1", "version = \"1\"", "version"),
-        (
-            "deployment = \"torgnett\"",
-            "deployment = \"Torg\"",
-            "deployment",
-        ),
-        ("max_depth = 16", "max_depth = 0", "limits.max_depth"),
-        ("max_depth = 16", "max_depth = 256", "limits.max_depth"),
-        (
-            "retry_tokens = 3",
-            "retry_tokens = 3.5",
-            "limits.retry_tokens",
-        ),
-        (
-            "retry_ratio_percent = 10",
-            "retry_ratio_percent = 101",
-            "limits.retry_ratio_percent",
-        ),
-        (
-            "operation_retention_ms = 86400000",
-            "operation_retention_ms = 100",
-            "limits.operation_retention_ms",
-        ),
-        (
-            "required_signatures = 2",
-            "required_signatures = 3",
-            "operators.required_signatures",
-        ),
-        (
-            "required_signatures = 2",
-            "required_signatures = 0",
-            "operators.required_signatures",
-        ),
-        (
-            "name = \"trial-bjorn\"",
-            "name = \"trial-anna\"",
-            "operators.key[1].name",
-        ),
-        (
-            "max_concurrency = 6",
-            "max_concurrency = 1\n",
-            "service.oppgjor.admission.min_concurrency",
-        ),
-        ("name = \"kassa\"", "name = \"oppgjor\"", "service[2].name"),
-        ("name = \"kassa\"", "name = \"Kassa\"", "service[1].name"),
-        (pay, "prefix = \"pay\"", "service.kassa.route[0].prefix"),
-        (pay, "prefix = \"/pay?x\"", "service.kassa.route[0].prefix"),
-        (pay, "prefix = 1", "service.kassa.route[0].prefix"),
-        (
-            "deadline_ms = 8000",
-            "deadline_ms = 0",
-            "service.kassa.route[0].deadline_ms",
-        ),
-        (
-            "deadline_ms = 8000",
-            "deadline = 8000",
-            "service.kassa.route[0].deadline",
-        ),
-        (
-            "repeatable = false",
-            "repeatable = \"no\"",
-            "service.kassa.route[0].repeatable",
-        ),
-        (
-            "criticality = \"sheddable\"",
-            "criticality = \"high\"",
-            "service.prisskilt.route[0].criticality",
-        ),
-    ];
-    for (from, to, key) in cases {
-        let (text, line) = altered(from, to);
+    for case in WRONG_VALUES.trim().lines() {
+        let parts: Vec<&str> = case.split(['@', '>']).map(str::trim).collect();
+        let [from, to, key, offset] = parts[..] else {
+            panic!("{case}");
+        };
+        let (text, line) = altered(from.trim_end_matches([' ', '=']), to);
         let error = refused(&text);
-        assert_eq!(keys(&error), [key], "{from} -> {to}: {error}");
-        let found = error.findings[0].location.line;
-        // A rule over two keys is reported at one; a name's second use at the later line.
-        if ![
-            "service.oppgjor.admission.min_concurrency",
-            "service[2].name",
-        ]
-        .contains(&key)
-        {
-            assert_eq!(found, line, "{from} -> {to}: {error}");
-        }
+        assert_eq!(keys(&error), [key], "{case}: {error}");
+        let expected = line.checked_add_signed(offset.parse().expect("a number"));
+        assert_eq!(
+            Some(error.findings[0].location.line),
+            expected,
+            "{case}: {error}"
+        );
     }
 }
 
+#[test]
+fn a_retention_below_a_deadline_that_must_run_once_is_refused() {
+    let (text, line) = altered("retention_ms = 86400000", "retention_ms = 7999");
+    let error = refused(&text);
+    assert_eq!(keys(&error), ["limits.operation_retention_ms"]);
+    assert_eq!(error.findings[0].location.line, line);
+}
+
 #[test]
 fn all_findings_are_reported_in_order_with_their_places() {
     let text = "version = 1\ndeployment = \"x\"\n[operators]\nsigners = 1\n[[service]]\n\
