--- /dev/null
+++ b/crates/bramblewheel-daemon/src/http/answer.rs
@@ -0,0 +1,96 @@
+//! Answers as callers and daemons see them.
+
+use crate::http::body::AnswerBody;
+use crate::http::context::write_outcome;
+use crate::http::exchange::WholeAnswer;
+use crate::http::fields::{end_to_end, set};
+use bramblewheel_core::event::StoredAnswer;
+use bramblewheel_types::{Millis, NotRunReason, Outcome};
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{HeaderMap, Response, StatusCode};
+
+/// Answer of a listener.
+pub type HttpAnswer = Response<AnswerBody>;
+
+/// When a caller with a malformed request may come back: at once, with a better one.
+const NOW: Millis = Millis(0);
+
+/// The answer of an endpoint, passed on with its outcome.
+pub fn passed_on(answer: &WholeAnswer, outcome: Outcome) -> HttpAnswer {
+    let body = AnswerBody::whole(answer.body.clone());
+    with_head(answer.status, end_to_end(&answer.headers), outcome, body)
+}
+
+/// A head and body with an outcome.
+pub fn with_head(
+    status: StatusCode,
+    mut headers: HeaderMap,
+    outcome: Outcome,
+    body: AnswerBody,
+) -> HttpAnswer {
+    write_outcome(&mut headers, outcome);
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// The stored answer of a run-once operation.
+pub fn stored(answer: StoredAnswer, outcome: Outcome) -> HttpAnswer {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let body = AnswerBody::whole(answer.body.unwrap_or_default().into());
+    with_head(status, HeaderMap::new(), outcome, body)
+}
+
+/// An answer that only states the outcome.
+pub fn explained(outcome: Outcome) -> HttpAnswer {
+    let text = match outcome {
+        Outcome::NotRun { reason, .. } => format!("not run: {reason}\n"),
+        other => format!("{}\n", other.as_str()),
+    };
+    explained_as(outcome, text)
+}
+
+/// A request that can't be accepted, with the cause in words.
+pub fn invalid_request(cause: &str) -> HttpAnswer {
+    let outcome = not_run(NotRunReason::InvalidRequest);
+    explained_as(outcome, format!("not run: {cause}\n"))
+}
+
+/// A not-run outcome without a wait.
+pub fn not_run(reason: NotRunReason) -> Outcome {
+    Outcome::NotRun {
+        reason,
+        retry_after: NOW,
+    }
+}
+
+fn explained_as(outcome: Outcome, text: String) -> HttpAnswer {
+    let mut headers = HeaderMap::new();
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    headers.insert(CONTENT_TYPE, plain);
+    if let Outcome::NotRun { retry_after, .. } = outcome {
+        let seconds = retry_after.0.div_ceil(1000);
+        set(&mut headers, RETRY_AFTER_NAME, seconds);
+    }
+    let body = AnswerBody::whole(Bytes::from(text));
+    with_head(status_of(outcome), headers, outcome, body)
+}
+
+const RETRY_AFTER_NAME: &str = "retry-after";
+
+/// Status of an answer that comes from no endpoint.
+pub fn status_of(outcome: Outcome) -> StatusCode {
+    match outcome {
+        Outcome::Completed => StatusCode::OK,
+        Outcome::Failed => StatusCode::INTERNAL_SERVER_ERROR,
+        Outcome::Unknown => StatusCode::BAD_GATEWAY,
+        Outcome::NotRun { reason, .. } => match reason {
+            NotRunReason::RetryBudgetExhausted => StatusCode::TOO_MANY_REQUESTS,
+            NotRunReason::InvalidRequest => StatusCode::BAD_REQUEST,
+            NotRunReason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        },
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/http/mod.rs
@@ -0,0 +1,10 @@
+//! HTTP pieces shared by the listeners: bodies, headers, connections.
+
+pub mod answer;
+pub mod body;
+pub mod context;
+pub mod exchange;
+pub mod fields;
+pub mod pool;
+pub mod root;
+pub mod server;
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/http/pool.rs
@@ -0,0 +1,240 @@
+//! Connections to one address, kept for reuse.
+//!
+//! A connection goes back to the pool only after its answer was read to the end. One that is
+//! dropped before that is closed, which also tells the peer that its answer isn't wanted.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// Time for a connection to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Idle connections older than this are closed; below the peers' own limit, so that a request
+/// rarely meets a connection that the peer is just closing.
+const MAX_IDLE: Duration = Duration::from_secs(5);
+
+/// Body of a request to a daemon or endpoint.
+pub type RequestBody = Full<Bytes>;
+
+/// No connection could be opened; nothing was sent.
+#[derive(Debug)]
+pub struct ConnectFailed;
+
+/// Pools by address.
+#[derive(Debug, Default)]
+pub struct Pools {
+    by_address: Mutex<HashMap<SocketAddr, Arc<Pool>>>,
+}
+
+impl Pools {
+    /// The pool of an address.
+    pub fn get(&self, address: SocketAddr) -> Arc<Pool> {
+        let mut pools = self
+            .by_address
+            .lock()
+            .expect("a panic under the lock ends the process, so the lock is never poisoned");
+        let pool = pools
+            .entry(address)
+            .or_insert_with(|| Arc::new(Pool::new(address)));
+        Arc::clone(pool)
+    }
+
+    /// Forgets addresses to which no connection is open.
+    pub fn retain_used(&self) {
+        let mut pools = self
+            .by_address
+            .lock()
+            .expect("a panic under the lock ends the process, so the lock is never poisoned");
+        pools.retain(|_, pool| pool.is_used());
+    }
+}
+
+/// Connections to one address.
+#[derive(Debug)]
+pub struct Pool {
+    address: SocketAddr,
+    idle: Mutex<Vec<IdleConnection>>,
+    open: Arc<OpenCount>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    since: Instant,
+    connection: Connection,
+}
+
+/// Connections open to one address, idle or in use.
+#[derive(Debug, Default)]
+struct OpenCount {
+    count: AtomicUsize,
+    freed: Notify,
+}
+
+/// One connection's place in the count.
+#[derive(Debug)]
+struct OpenSlot(Arc<OpenCount>);
+
+impl Drop for OpenSlot {
+    fn drop(&mut self) {
+        self.0.count.fetch_sub(1, Ordering::Relaxed);
+        self.0.freed.notify_one();
+    }
+}
+
+/// An open connection; closed when dropped.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<RequestBody>,
+    task: AbortHandle,
+    _slot: OpenSlot,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A connection in use; closed when dropped, unless it is given back.
+#[derive(Debug)]
+pub struct Lease {
+    pool: Arc<Pool>,
+    connection: Connection,
+    reused: bool,
+}
+
+enum Reservation {
+    Idle(Connection),
+    MayOpen(OpenSlot),
+    Full,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: Mutex::default(),
+            open: Arc::default(),
+        }
+    }
+
+    /// The address connected to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes an idle connection or opens one; waits while `limit` connections are in use.
+    ///
+    /// # Errors
+    /// [`ConnectFailed`] when no connection could be opened.
+    pub async fn acquire(self: &Arc<Self>, limit: usize) -> Result<Lease, ConnectFailed> {
+        loop {
+            let freed = self.open.freed.notified();
+            match self.reserve(limit) {
+                Reservation::Idle(connection) => return Ok(self.lease(connection, true)),
+                Reservation::MayOpen(slot) => {
+                    let connection = connect(self.address, slot).await?;
+                    return Ok(self.lease(connection, false));
+                }
+                Reservation::Full => freed.await,
+            }
+        }
+    }
+
+    fn reserve(&self, limit: usize) -> Reservation {
+        let mut idle = self.lock();
+        close_stale(&mut idle);
+        let ready = idle.iter().rposition(|i| i.connection.sender.is_ready());
+        if let Some(ready) = ready {
+            return Reservation::Idle(idle.swap_remove(ready).connection);
+        }
+        // Idle connections that aren't ready must not keep a new one out: the oldest makes room.
+        let is_full = self.open.count.load(Ordering::Relaxed) >= limit.max(1);
+        if is_full && idle.is_empty() {
+            return Reservation::Full;
+        }
+        if is_full {
+            idle.swap_remove(0);
+        }
+        self.open.count.fetch_add(1, Ordering::Relaxed);
+        Reservation::MayOpen(OpenSlot(Arc::clone(&self.open)))
+    }
+
+    fn lease(self: &Arc<Self>, connection: Connection, reused: bool) -> Lease {
+        Lease {
+            pool: Arc::clone(self),
+            connection,
+            reused,
+        }
+    }
+
+    fn give_back(&self, connection: Connection) {
+        let since = Instant::now();
+        self.lock().push(IdleConnection { since, connection });
+        self.open.freed.notify_one();
+    }
+
+    fn is_used(&self) -> bool {
+        close_stale(&mut self.lock());
+        self.open.count.load(Ordering::Relaxed) > 0
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
+        self.idle
+            .lock()
+            .expect("a panic under the lock ends the process, so the lock is never poisoned")
+    }
+}
+
+fn close_stale(idle: &mut Vec<IdleConnection>) {
+    let now = Instant::now();
+    idle.retain(|i| !i.connection.sender.is_closed() && now - i.since < MAX_IDLE);
+}
+
+impl Lease {
+    /// Whether the connection carried a request before, so that the peer may just have closed it.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// The connection's request sender.
+    pub fn sender(&mut self) -> &mut SendRequest<RequestBody> {
+        &mut self.connection.sender
+    }
+
+    /// Keeps the connection for reuse; only allowed after the answer was read to its end.
+    pub fn give_back(self) {
+        self.pool.give_back(self.connection);
+    }
+}
+
+async fn connect(address: SocketAddr, slot: OpenSlot) -> Result<Connection, ConnectFailed> {
+    let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = opened
+        .map_err(|_| ConnectFailed)?
+        .map_err(|_| ConnectFailed)?;
+    stream.set_nodelay(true).map_err(|_| ConnectFailed)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|_| ConnectFailed)?;
+    let task = tokio::spawn(async move {
+        // How the connection ended is seen by whoever waits for its answer.
+        let _ = connection.await;
+    });
+    Ok(Connection {
+        sender,
+        task: task.abort_handle(),
+        _slot: slot,
+    })
+}
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/http/server.rs
@@ -0,0 +1,125 @@
+//! Listeners: accept connections up to a cap, serve HTTP/1.1 on them, stop without breaking any.
+
+use crate::http::answer::HttpAnswer;
+use crate::settings::LimitSettings;
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::Logger;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::task::JoinSet;
+
+/// What a connection above the cap is told.
+const TOO_MANY_CONNECTIONS: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+    connection: close\r\n\
+    retry-after: 1\r\n\
+    bw-outcome: not-run\r\n\
+    bw-reason: overloaded\r\n\
+    bw-retry-after-ms: 1000\r\n\
+    content-length: 0\r\n\r\n";
+/// Time given to a refused connection to take its refusal.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Wait after a failed accept, such as when no file descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A handler of requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request from `peer`. Dropped when the peer goes away.
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> impl Future<Output = HttpAnswer> + Send;
+}
+
+/// What a listener needs besides its handler.
+#[derive(Clone, Debug)]
+pub struct ServerConfig {
+    /// Limits on what peers may send.
+    pub limits: LimitSettings,
+    /// Becomes true when connections are to be closed after the request in progress.
+    pub stop: watch::Receiver<bool>,
+    /// Log.
+    pub log: Logger,
+}
+
+/// Serves a listener until `stop`; returns once every connection has ended.
+pub async fn serve<H: Handler>(listener: TcpListener, handler: Arc<H>, config: ServerConfig) {
+    let permits = Arc::new(Semaphore::new(config.limits.connections));
+    let mut stop = config.stop.clone();
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+            Some(_) = connections.join_next() => continue,
+        };
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                slog::warn!(config.log, "accept failed"; "error" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            connections.spawn(refuse(stream));
+            continue;
+        };
+        let handler = Arc::clone(&handler);
+        let config = config.clone();
+        connections.spawn(async move {
+            serve_connection(stream, peer, handler, config).await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn refuse(mut stream: TcpStream) {
+    let refusal = async {
+        let _ = stream.write_all(TOO_MANY_CONNECTIONS).await;
+        let _ = stream.shutdown().await;
+    };
+    let _ = tokio::time::timeout(REFUSAL_TIMEOUT, refusal).await;
+}
+
+async fn serve_connection<H: Handler>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: Arc<H>,
+    mut config: ServerConfig,
+) {
+    // Without it a short answer may wait for the peer's delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let service = hyper::service::service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler.handle(request, peer).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(config.limits.header_timeout())
+        .max_headers(config.limits.header_count)
+        .max_header_size(config.limits.header_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = config.stop.wait_for(|stop| *stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        slog::debug!(config.log, "connection ended"; "peer" => %peer, "error" => %error);
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/inbound.rs
@@ -0,0 +1,89 @@
+//! The inbound listener: attempts that other daemons hand to the local endpoint.
+
+mod attempt;
+mod dispatch;
+
+use crate::http::answer::{self, HttpAnswer, not_run};
+use crate::http::context;
+use crate::http::fields::{optional, set};
+use crate::http::server::Handler;
+use crate::shared::Shared;
+use bramblewheel_core::context::CallContext;
+use bramblewheel_core::event::Feedback;
+use bramblewheel_protocol::headers;
+use bramblewheel_types::{AttemptId, NotRunReason};
+use bytes::Bytes;
+use http::Request;
+use http::request::Parts;
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Serves the inbound listener.
+pub(crate) struct Inbound {
+    shared: Arc<Shared>,
+    endpoint: SocketAddr,
+}
+
+/// An attempt as it arrived, whole.
+pub(crate) struct InboundRequest {
+    pub(crate) context: CallContext,
+    pub(crate) head: Parts,
+    pub(crate) body: Bytes,
+}
+
+impl Inbound {
+    pub(crate) fn new(shared: Arc<Shared>, endpoint: SocketAddr) -> Self {
+        Self { shared, endpoint }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> HttpAnswer {
+        let now = self.shared.driver.clock().now();
+        let (head, mut body) = request.into_parts();
+        let echoed = optional::<AttemptId>(&head.headers, headers::ATTEMPT)
+            .ok()
+            .flatten();
+        let context = match context::read(&head.headers, head.uri.path(), now) {
+            Ok(context) => context,
+            Err(error) => return refused(answer::invalid_request(&error.to_string()), echoed),
+        };
+        let body = match self.shared.read_body(&mut body).await {
+            Ok(body) => body,
+            Err(refusal) => return refused(*refusal, echoed),
+        };
+        let request = InboundRequest {
+            context,
+            head,
+            body,
+        };
+        attempt::run(Arc::clone(&self.shared), self.endpoint, request).await
+    }
+}
+
+impl Handler for Inbound {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>, _peer: SocketAddr) -> HttpAnswer {
+        self.answer(request).await
+    }
+}
+
+/// An answer between daemons names its attempt and carries feedback.
+fn between_daemons(mut answer: HttpAnswer, attempt: AttemptId, feedback: &Feedback) -> HttpAnswer {
+    let fields = answer.headers_mut();
+    set(fields, headers::ATTEMPT, attempt);
+    context::write_feedback(fields, feedback);
+    answer
+}
+
+/// A refusal given before the engine was asked; without a readable attempt id it can't be echoed.
+fn refused(answer: HttpAnswer, attempt: Option<AttemptId>) -> HttpAnswer {
+    match attempt {
+        Some(attempt) => between_daemons(answer, attempt, &Feedback::default()),
+        None => answer,
+    }
+}
+
+/// Another attempt of this id is in progress, so this one can't be told apart from it.
+fn duplicate(attempt: AttemptId) -> HttpAnswer {
+    let outcome = not_run(NotRunReason::InvalidRequest);
+    refused(answer::explained(outcome), Some(attempt))
+}
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/inbound/attempt.rs
@@ -0,0 +1,258 @@
+//! One attempt at the local endpoint, from its arrival to its answer.
+
+use crate::driver::{Driver, InboundCommand};
+use crate::http::answer::{self, HttpAnswer};
+use crate::http::body::{AnswerBody, StreamOwner, StreamedBody};
+use crate::http::exchange::WholeAnswer;
+use crate::http::fields::end_to_end;
+use crate::http::pool::Lease;
+use crate::inbound::dispatch::{self, Dispatched, StreamedDispatch};
+use crate::inbound::{InboundRequest, between_daemons, duplicate};
+use crate::shared::Shared;
+use bramblewheel_core::action::{Answer, AnswerBody as Source};
+use bramblewheel_core::event::{DispatchResult, Event, Feedback};
+use bramblewheel_types::{AttemptId, Outcome};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// Runs an attempt until the engine has an answer for it.
+///
+/// An attempt of a run-once operation goes on in a task of its own, because its answer must be
+/// recorded even if the caller goes away. Others end with their caller.
+pub(super) async fn run(
+    shared: Arc<Shared>,
+    endpoint: SocketAddr,
+    request: InboundRequest,
+) -> HttpAnswer {
+    let attempt = request.context.attempt;
+    let outlives_caller = request.context.operation.is_some();
+    let Ok(commands) = shared.driver.begin_inbound(request.context.clone()) else {
+        return duplicate(attempt);
+    };
+    let registration = Registration {
+        driver: Arc::clone(&shared.driver),
+        attempt,
+        ends_with_caller: !outlives_caller,
+    };
+    let driver = Arc::clone(&shared.driver);
+    let running = RunningAttempt {
+        shared,
+        endpoint,
+        request: Arc::new(request),
+        commands,
+        registration,
+        dispatch: None,
+        answer: None,
+    };
+    if !outlives_caller {
+        return running.finish().await;
+    }
+    let mut guard = CallerGuard {
+        driver,
+        attempt,
+        is_over: false,
+    };
+    let task = tokio::spawn(running.finish());
+    let answer = task.await.unwrap_or_else(|_| unanswered(attempt));
+    guard.is_over = true;
+    answer
+}
+
+/// Only reached when the runtime is going down.
+fn unanswered(attempt: AttemptId) -> HttpAnswer {
+    let answer = answer::explained(Outcome::Unknown);
+    between_daemons(answer, attempt, &Feedback::default())
+}
+
+type Dispatching = Pin<Box<dyn Future<Output = Dispatched> + Send>>;
+
+struct RunningAttempt {
+    shared: Arc<Shared>,
+    endpoint: SocketAddr,
+    request: Arc<InboundRequest>,
+    commands: UnboundedReceiver<InboundCommand>,
+    registration: Registration,
+    dispatch: Option<Dispatching>,
+    answer: Option<WholeAnswer>,
+}
+
+enum Step {
+    Command(Option<InboundCommand>),
+    Ended(Dispatched),
+}
+
+impl RunningAttempt {
+    async fn finish(mut self) -> HttpAnswer {
+        let attempt = self.registration.attempt;
+        loop {
+            let step = tokio::select! {
+                biased;
+                command = self.commands.recv() => Step::Command(command),
+                ended = ended(&mut self.dispatch) => Step::Ended(ended),
+            };
+            match step {
+                Step::Command(Some(InboundCommand::Dispatch)) => self.dispatch(),
+                Step::Command(Some(InboundCommand::Cancel)) => self.dispatch = None,
+                Step::Command(Some(InboundCommand::Answer(answer, feedback))) => {
+                    self.registration.ends_with_caller = false;
+                    let rendered = self.render(&answer);
+                    if self.dispatch.is_some() && self.request.context.operation.is_some() {
+                        tokio::spawn(self.outlast());
+                    }
+                    return between_daemons(rendered, attempt, &feedback);
+                }
+                // The driver forgets an attempt only when this task has ended.
+                Step::Command(None) => return unanswered(attempt),
+                Step::Ended(Dispatched::Result(result, whole)) => {
+                    self.dispatch = None;
+                    self.answer = whole;
+                    self.registration.end(result);
+                }
+                Step::Ended(Dispatched::Streamed(streamed)) => return self.pass_on(*streamed),
+            }
+        }
+    }
+
+    /// Waits for the end of a run-once operation whose caller has been answered, so that the
+    /// end can be recorded.
+    async fn outlast(mut self) {
+        let dispatched = tokio::select! {
+            biased;
+            _ = self.commands.recv() => return,
+            dispatched = ended(&mut self.dispatch) => dispatched,
+        };
+        let result = match dispatched {
+            Dispatched::Result(result, _) => result,
+            Dispatched::Streamed(streamed) => streamed.drain().await,
+        };
+        self.registration.end(result);
+    }
+
+    fn dispatch(&mut self) {
+        let shared = Arc::clone(&self.shared);
+        let request = Arc::clone(&self.request);
+        let dispatch = dispatch::send(shared, request, self.endpoint);
+        self.dispatch = Some(Box::pin(dispatch));
+    }
+
+    fn render(&mut self, answer: &Answer) -> HttpAnswer {
+        match &answer.body {
+            Source::FromAttempt(_) => match self.answer.take() {
+                Some(whole) => answer::passed_on(&whole, answer.outcome),
+                None => answer::explained(answer.outcome),
+            },
+            Source::Stored(stored) => answer::stored(stored.clone(), answer.outcome),
+            Source::None => answer::explained(answer.outcome),
+        }
+    }
+
+    /// Passes a long answer on as it comes; the attempt holds its slot until the last byte.
+    fn pass_on(mut self, streamed: StreamedDispatch) -> HttpAnswer {
+        let attempt = self.registration.attempt;
+        // What the subtree spent is known only at the end, when the head is long gone.
+        let feedback = Feedback {
+            retry_tokens_spent: self.request.context.retry_tokens,
+            ..Feedback::default()
+        };
+        self.registration.ends_with_caller = true;
+        let headers = end_to_end(&streamed.headers);
+        let outcome = streamed.outcome;
+        let owner = StreamedAttempt {
+            commands: self.commands,
+            registration: self.registration,
+            result: streamed.result,
+            _lease: streamed.lease,
+        };
+        let body = StreamedBody::new(streamed.begun, streamed.source, Box::new(owner));
+        let body = AnswerBody::Streamed(body);
+        let answer = answer::with_head(streamed.status, headers, outcome, body);
+        between_daemons(answer, attempt, &feedback)
+    }
+}
+
+/// Waits for the dispatch to end; for ever if there is none.
+async fn ended(dispatch: &mut Option<Dispatching>) -> Dispatched {
+    match dispatch {
+        Some(dispatch) => dispatch.await,
+        None => std::future::pending().await,
+    }
+}
+
+/// The driver's entry for an attempt; removed when the attempt's work has ended.
+struct Registration {
+    driver: Arc<Driver>,
+    attempt: AttemptId,
+    /// Whether being dropped means that the calling daemon went away before its answer.
+    ends_with_caller: bool,
+}
+
+impl Registration {
+    fn end(&self, result: DispatchResult) {
+        let attempt = self.attempt;
+        self.driver.submit(Event::DispatchEnded { attempt, result });
+    }
+}
+
+impl Drop for Registration {
+    fn drop(&mut self) {
+        if self.ends_with_caller {
+            self.driver.cancel_inbound(self.attempt);
+        }
+        self.driver.end_inbound(self.attempt);
+    }
+}
+
+/// Tells the engine that the calling daemon went away while the attempt's work goes on in a task
+/// of its own, unless the answer is there.
+struct CallerGuard {
+    driver: Arc<Driver>,
+    attempt: AttemptId,
+    is_over: bool,
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.driver.cancel_inbound(self.attempt);
+        }
+    }
+}
+
+/// Owner of a long answer on its way to the calling daemon.
+struct StreamedAttempt {
+    commands: UnboundedReceiver<InboundCommand>,
+    registration: Registration,
+    result: DispatchResult,
+    _lease: Lease,
+}
+
+impl StreamedAttempt {
+    fn end(&mut self, result: DispatchResult) {
+        self.registration.ends_with_caller = false;
+        self.registration.end(result);
+    }
+}
+
+impl StreamOwner for StreamedAttempt {
+    fn poll_cancelled(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        self.commands.poll_recv(cx).map(|_| ())
+    }
+
+    fn finished(&mut self) {
+        let result = self.result.clone();
+        self.end(result);
+    }
+
+    fn broken(&mut self) {
+        self.end(DispatchResult::Lost);
+    }
+
+    fn abandoned(&mut self) {
+        self.registration.driver.cancel_inbound(self.registration.attempt);
+        self.end(DispatchResult::Lost);
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/inbound/dispatch.rs
@@ -0,0 +1,166 @@
+//! Passing an admitted attempt to the local endpoint.
+
+use crate::http::context;
+use crate::http::exchange::{ExchangeLimits, Exchanged, LongAnswer, WholeAnswer, exchange};
+use crate::http::fields::{end_to_end, optional};
+use crate::http::pool::Lease;
+use crate::inbound::InboundRequest;
+use crate::shared::Shared;
+use bramblewheel_core::event::{DispatchResult, StoredAnswer};
+use bramblewheel_protocol::headers;
+use bramblewheel_types::{Millis, NotRunReason, Outcome, Timestamp};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http::header::HOST;
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Connections to the local endpoint; below the about 120 that endpoints take, since their load
+/// and health are asked over others. The engine's concurrency limit is what normally bounds them.
+const ENDPOINT_CONNECTIONS: usize = 100;
+/// Longest body kept in the ledger for resends of a run-once operation, in bytes.
+const MAX_STORED_BODY: usize = 4096;
+/// When callers may come back after a refusal in which the endpoint names no time.
+const DEFAULT_RETRY_AFTER: Millis = Millis(100);
+
+/// How a dispatch ended.
+pub(super) enum Dispatched {
+    /// With a result, and the answer if a whole one came.
+    Result(DispatchResult, Option<WholeAnswer>),
+    /// The answer is long and has begun.
+    Streamed(Box<StreamedDispatch>),
+}
+
+/// A long answer that has begun.
+pub(super) struct StreamedDispatch {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) outcome: Outcome,
+    /// What the engine is told once the last byte is through.
+    pub(super) result: DispatchResult,
+    pub(super) begun: Bytes,
+    pub(super) source: Incoming,
+    pub(super) lease: Lease,
+}
+
+impl StreamedDispatch {
+    /// Reads the answer to its end for nobody, and says how it ended.
+    pub(super) async fn drain(mut self) -> DispatchResult {
+        while let Some(frame) = self.source.frame().await {
+            if frame.is_err() {
+                return DispatchResult::Lost;
+            }
+        }
+        self.result
+    }
+}
+
+/// Sends an attempt to the endpoint and reads its answer.
+///
+/// The deadline is looked at once more just before the request is written: a daemon that was
+/// frozen since the engine decided must not begin work for a caller that has long given up.
+pub(super) async fn send(
+    shared: Arc<Shared>,
+    request: Arc<InboundRequest>,
+    endpoint: SocketAddr,
+) -> Dispatched {
+    let pool = shared.pools.get(endpoint);
+    let limits = ExchangeLimits {
+        connections: ENDPOINT_CONNECTIONS,
+        body_bytes: shared.limits.body_bytes,
+    };
+    let clock = shared.driver.clock();
+    let head = || {
+        let now = clock.now();
+        (now < request.context.deadline).then(|| request_head(&request, endpoint, now))
+    };
+    let exchanged = exchange(&pool, limits, request.body.clone(), head, |_| true).await;
+    let is_operation = request.context.operation.is_some();
+    match exchanged {
+        Exchanged::NotSent => Dispatched::Result(DispatchResult::NotSent, None),
+        Exchanged::Lost => Dispatched::Result(DispatchResult::Lost, None),
+        Exchanged::Whole(whole) => ended(whole, is_operation),
+        Exchanged::Long(long) => streamed(long),
+    }
+}
+
+fn request_head(
+    request: &InboundRequest,
+    endpoint: SocketAddr,
+    now: Timestamp,
+) -> http::request::Builder {
+    let head = &request.head;
+    let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    let mut builder = Request::builder().method(head.method.clone()).uri(target);
+    if let Some(fields) = builder.headers_mut() {
+        *fields = end_to_end(&head.headers);
+        if !fields.contains_key(HOST) {
+            let host = HeaderValue::try_from(endpoint.to_string())
+                .expect("an address consists of visible ASCII");
+            fields.insert(HOST, host);
+        }
+        context::write_for_endpoint(fields, &request.context, now);
+    }
+    builder
+}
+
+fn ended(whole: WholeAnswer, is_operation: bool) -> Dispatched {
+    if let Some(refusal) = refusal(whole.status, &whole.headers) {
+        return Dispatched::Result(refusal, Some(whole));
+    }
+    let keeps_body = is_operation && whole.body.len() <= MAX_STORED_BODY;
+    let result = DispatchResult::Answered {
+        failed: is_failed(whole.status),
+        stored: StoredAnswer {
+            status: whole.status.as_u16(),
+            body: keeps_body.then(|| whole.body.to_vec()),
+        },
+    };
+    Dispatched::Result(result, Some(whole))
+}
+
+fn streamed(long: LongAnswer) -> Dispatched {
+    if let Some(refusal) = refusal(long.status, &long.headers) {
+        return Dispatched::Result(refusal, None);
+    }
+    let failed = is_failed(long.status);
+    let stored = StoredAnswer {
+        status: long.status.as_u16(),
+        body: None,
+    };
+    Dispatched::Streamed(Box::new(StreamedDispatch {
+        status: long.status,
+        headers: long.headers,
+        outcome: if failed {
+            Outcome::Failed
+        } else {
+            Outcome::Completed
+        },
+        result: DispatchResult::Answered { failed, stored },
+        begun: long.begun,
+        source: long.source,
+        lease: long.lease,
+    }))
+}
+
+fn is_failed(status: StatusCode) -> bool {
+    status.is_server_error()
+}
+
+/// The endpoint's own proof that it ran nothing: status 503 and the outcome `not-run`. A plain
+/// 503 proves nothing.
+fn refusal(status: StatusCode, map: &HeaderMap) -> Option<DispatchResult> {
+    let outcome = map.get(headers::OUTCOME)?;
+    if status != StatusCode::SERVICE_UNAVAILABLE || outcome != "not-run" {
+        return None;
+    }
+    let reason = map.get(headers::REASON).and_then(|r| r.to_str().ok());
+    let reason = reason.and_then(|text| text.parse().ok());
+    let retry_after = optional(map, headers::RETRY_AFTER_MS).ok().flatten();
+    Some(DispatchResult::Refused {
+        reason: reason.unwrap_or(NotRunReason::Overloaded),
+        retry_after: retry_after.map_or(DEFAULT_RETRY_AFTER, Millis),
+    })
+}
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/logging.rs
@@ -0,0 +1,27 @@
+//! Logs: one line of key=value pairs for each event, on standard error.
+
+use slog::{Drain, Level, Logger, o};
+use slog_async::Async;
+use slog_logfmt::Logfmt;
+use std::io;
+
+/// Builds the process's logger; lines below `level` are dropped.
+///
+/// The logger writes in the background; when its queue is full it drops lines and says how many,
+/// because a slow reader of the log must not slow down calls.
+pub fn logger(level: Level) -> Logger {
+    let drain = Logfmt::new(io::stderr())
+        .no_prefix()
+        .print_level(true)
+        .print_msg(true)
+        .build()
+        .fuse();
+    let drain = Async::new(drain).build().fuse();
+    let drain = drain.filter_level(level).fuse();
+    Logger::root(drain, o!())
+}
+
+/// A logger that drops everything.
+pub fn silent() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
--- a/crates/bramblewheel-daemon/src/main.rs
+++ b/crates/bramblewheel-daemon/src/main.rs
@@ -1,3 +1,94 @@
-//! Entry point.
+//! Entry point: reads flags and settings, runs the daemon until it is told to stop.
 
-fn main() {}
+use bramblewheel_daemon::settings::Overrides;
+use bramblewheel_daemon::{Settings, daemon, logging};
+use gumdrop::Options;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Exit code for settings that can't be used.
+const BAD_SETTINGS: u8 = 2;
+
+#[derive(Debug, Options)]
+struct Flags {
+    /// print this help
+    help: bool,
+    /// settings file
+    #[options(no_short, required, meta = "FILE")]
+    settings: PathBuf,
+    /// folder for the bundle in force, in place of the file's
+    #[options(no_short, meta = "FOLDER")]
+    data_folder: Option<PathBuf>,
+    /// address for calls from other daemons, in place of the file's
+    #[options(no_short, meta = "ADDRESS")]
+    listen_inbound: Option<SocketAddr>,
+    /// address for calls from applications, in place of the file's
+    #[options(no_short, meta = "ADDRESS")]
+    listen_outbound: Option<SocketAddr>,
+    /// address for health and metrics, in place of the file's
+    #[options(no_short, meta = "ADDRESS")]
+    listen_admin: Option<SocketAddr>,
+    /// check the settings and end
+    #[options(no_short)]
+    check_settings: bool,
+}
+
+fn main() -> ExitCode {
+    let flags = Flags::parse_args_default_or_exit();
+    let overrides = Overrides {
+        data_folder: flags.data_folder,
+        listen_inbound: flags.listen_inbound,
+        listen_outbound: flags.listen_outbound,
+        listen_admin: flags.listen_admin,
+    };
+    let settings = match Settings::load(&flags.settings, overrides) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("bramblewheel-daemon: {error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if flags.check_settings {
+        return ExitCode::SUCCESS;
+    }
+    stop_on_broken_invariants();
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("bramblewheel-daemon: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// A panic is a broken invariant: the process ends rather than go on with state it can't trust.
+fn stop_on_broken_invariants() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::abort();
+    }));
+}
+
+#[tokio::main(worker_threads = 2)]
+async fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+    let log = logging::logger(settings.log.level.into());
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut handle = daemon::run(settings, log.clone()).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    slog::info!(log, "stopping"; "reason" => "signal");
+    handle.drain();
+    loop {
+        tokio::select! {
+            () = handle.stopped() => return Ok(()),
+            _ = terminate.recv() => {
+                slog::warn!(log, "still draining"; "reason" => "calls are in progress");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/shared.rs
@@ -0,0 +1,92 @@
+//! What the listeners share.
+
+use crate::driver::Driver;
+use crate::http::answer::{self, HttpAnswer};
+use crate::http::body::{Collected, collect};
+use crate::http::pool::Pools;
+use crate::metrics::Metrics;
+use crate::sessions::SessionKeys;
+use crate::settings::LimitSettings;
+use arc_swap::ArcSwapOption;
+use bramblewheel_bundle::Bundle;
+use bramblewheel_types::{CallId, RequestId, ServiceName};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Connections to one daemon where the bundle doesn't know its service.
+const DEFAULT_CONNECTIONS: usize = 16;
+
+/// What the listeners share.
+pub(crate) struct Shared {
+    pub(crate) driver: Arc<Driver>,
+    pub(crate) pools: Pools,
+    pub(crate) limits: LimitSettings,
+    pub(crate) sessions: SessionKeys,
+    pub(crate) bundle: Arc<ArcSwapOption<Bundle>>,
+    pub(crate) endpoint: Option<SocketAddr>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) ids: IdSource,
+}
+
+impl Shared {
+    /// Connections that may be open to one daemon of a service.
+    pub(crate) fn connections_to(&self, service: &ServiceName) -> usize {
+        let bundle = self.bundle.load();
+        let policy = bundle.as_ref().and_then(|bundle| bundle.service(service));
+        policy.map_or(DEFAULT_CONNECTIONS, |policy| {
+            policy.routing.max_connections as usize
+        })
+    }
+
+    /// Reads a request's body whole, or says how to refuse it.
+    pub(crate) async fn read_body(&self, body: &mut Incoming) -> Result<Bytes, Box<HttpAnswer>> {
+        let limit = self.limits.body_bytes;
+        let reading = collect(body, limit);
+        match tokio::time::timeout(self.limits.body_timeout(), reading).await {
+            Ok(Ok(Collected::Whole(bytes))) => Ok(bytes),
+            Ok(Ok(Collected::OverLimit(_))) => {
+                let cause = format!("the body is longer than {limit} bytes");
+                let mut refusal = answer::invalid_request(&cause);
+                *refusal.status_mut() = http::StatusCode::PAYLOAD_TOO_LARGE;
+                Err(Box::new(refusal))
+            }
+            Ok(Err(_)) => Err(Box::new(answer::invalid_request("the body broke"))),
+            Err(_) => Err(Box::new(answer::invalid_request("the body took too long"))),
+        }
+    }
+}
+
+/// Draws ids that are unique in this process and unlikely to meet those of another.
+#[derive(Debug)]
+pub(crate) struct IdSource {
+    start: u64,
+    next: AtomicU64,
+}
+
+impl IdSource {
+    pub(crate) fn new(start: u64) -> Self {
+        Self {
+            start,
+            next: AtomicU64::new(0),
+        }
+    }
+
+    pub(crate) fn call(&self) -> CallId {
+        CallId(self.start.wrapping_add(self.next()))
+    }
+
+    /// A request id: half random per process, half counted and mixed.
+    pub(crate) fn request(&self) -> RequestId {
+        /// Odd, so that the product of a counter with it never repeats.
+        const MIX: u64 = 0x9E37_79B9_7F4A_7C15;
+        let low = self.next().wrapping_mul(MIX);
+        RequestId((u128::from(self.start) << 64) | u128::from(low))
+    }
+
+    fn next(&self) -> u64 {
+        self.next.fetch_add(1, Ordering::Relaxed)
+    }
+}
