--- a/crates/bramblewheel-daemon/src/admin.rs
+++ b/crates/bramblewheel-daemon/src/admin.rs
@@ -86,7 +86,10 @@
     Path(key): Path<String>,
 ) -> (StatusCode, Json<Value>) {
     let Ok(key) = OperationKey::new(&key) else {
-        return (StatusCode::BAD_REQUEST, Json(json!({"state": "invalid-key"})));
+        return (
+            StatusCode::BAD_REQUEST,
+            Json(json!({"state": "invalid-key"})),
+        );
     };
     let (answer, answered) = oneshot::channel();
     // When the ledger task has ended, the answer's sender is dropped, which is seen below.
--- a/crates/bramblewheel-daemon/src/admin/exposition.rs
+++ b/crates/bramblewheel-daemon/src/admin/exposition.rs
@@ -80,16 +80,48 @@
     let counters = [
         ("attempts_sent", "Attempts sent", engine.attempts_sent),
         ("dispatched", "Attempts dispatched", engine.dispatched),
-        ("retries", "Attempts that cost a token", engine.retry_tokens_spent),
-        ("free_reroutes", "Attempts rerouted for free", engine.free_reroutes),
-        ("retries_without_token", "Retries without a token left", engine.retries_without_token),
-        ("retries_over_ratio", "Retries over a ratio budget", engine.retries_over_ratio),
+        (
+            "retries",
+            "Attempts that cost a token",
+            engine.retry_tokens_spent,
+        ),
+        (
+            "free_reroutes",
+            "Attempts rerouted for free",
+            engine.free_reroutes,
+        ),
+        (
+            "retries_without_token",
+            "Retries without a token left",
+            engine.retries_without_token,
+        ),
+        (
+            "retries_over_ratio",
+            "Retries over a ratio budget",
+            engine.retries_over_ratio,
+        ),
         ("resends", "Root calls that were resends", engine.resends),
-        ("application_repeats", "Sub-calls repeated by an application", engine.application_repeats),
-        ("late_events", "Events for calls that had ended", engine.late_events),
+        (
+            "application_repeats",
+            "Sub-calls repeated by an application",
+            engine.application_repeats,
+        ),
+        (
+            "late_events",
+            "Events for calls that had ended",
+            engine.late_events,
+        ),
         ("ejections", "Endpoints ejected", engine.ejections),
-        ("claims_released", "Claims given back", engine.claims_released),
-        ("late_grants", "Grants after the attempt was given up", engine.late_grants),
+        (
+            "claims_released",
+            "Claims given back",
+            engine.claims_released,
+        ),
+        (
+            "late_grants",
+            "Grants after the attempt was given up",
+            engine.late_grants,
+        ),
     ];
     for (name, help, value) in counters {
         let counter: Counter = Counter::default();
@@ -100,11 +132,23 @@
 
 fn register_gauges(registry: &mut Registry, engine: &EngineMetrics, bundle_version: u64) {
     let gauges = [
-        ("bundle_version", "Bundle version in force, 0 if none", bundle_version),
+        (
+            "bundle_version",
+            "Bundle version in force, 0 if none",
+            bundle_version,
+        ),
         ("queue_length", "Attempts waiting", engine.queue_length),
         ("running", "Attempts running or claiming", engine.running),
-        ("concurrency_limit", "Concurrency limit", engine.concurrency_limit),
-        ("calls_in_progress", "Outbound calls in progress", engine.calls_in_progress),
+        (
+            "concurrency_limit",
+            "Concurrency limit",
+            engine.concurrency_limit,
+        ),
+        (
+            "calls_in_progress",
+            "Outbound calls in progress",
+            engine.calls_in_progress,
+        ),
     ];
     for (name, help, value) in gauges {
         let gauge: Gauge = Gauge::default();
--- a/crates/bramblewheel-daemon/src/control/link.rs
+++ b/crates/bramblewheel-daemon/src/control/link.rs
@@ -105,7 +105,7 @@
     /// longer each time, with jitter so that daemons don't come back together.
     pub(super) async fn back_off(&mut self) {
         self.failures += 1;
-        if self.failures % self.replicas.len().max(1) != 0 {
+        if !self.failures.is_multiple_of(self.replicas.len().max(1)) {
             return;
         }
         let pause = self.backoff / 2 + self.backoff.mul_f64(self.random_fraction() / 2.0);
--- a/crates/bramblewheel-daemon/src/control/poll.rs
+++ b/crates/bramblewheel-daemon/src/control/poll.rs
@@ -149,7 +149,10 @@
     /// Checks, writes and only then uses a bundle.
     async fn take_bundle(&self, offered: SignedBundle) -> Result<(), String> {
         let in_force = self.bundle.load_full();
-        if in_force.as_ref().is_some_and(|b| b.version == offered.version) {
+        if in_force
+            .as_ref()
+            .is_some_and(|b| b.version == offered.version)
+        {
             return confirm_same(&offered, in_force.as_deref());
         }
         let bundle = check_offer(&offered, in_force.as_deref()).map_err(|e| e.to_string())?;
--- a/crates/bramblewheel-daemon/src/driver.rs
+++ b/crates/bramblewheel-daemon/src/driver.rs
@@ -75,11 +75,7 @@
 
 impl Driver {
     /// Takes over an engine; ledger requests go to `ledger`.
-    pub fn new(
-        engine: Engine,
-        clock: Clock,
-        ledger: mpsc::UnboundedSender<LedgerJob>,
-    ) -> Self {
+    pub fn new(engine: Engine, clock: Clock, ledger: mpsc::UnboundedSender<LedgerJob>) -> Self {
         Self {
             clock,
             state: Mutex::new(State {
@@ -93,7 +89,6 @@
             sooner: Notify::new(),
             drained: watch::Sender::new(false),
             ledger,
-
         }
     }
 
@@ -145,11 +140,7 @@
     }
 
     /// Tells the engine how an attempt ended, unless it was cancelled meanwhile.
-    pub fn end_attempt(
-        &self,
-        attempt: AttemptId,
-        result: AttemptResult,
-    ) {
+    pub fn end_attempt(&self, attempt: AttemptId, result: AttemptResult) {
         let mut state = self.lock();
         if state.attempts.remove(&attempt).is_some() {
             self.apply(&mut state, Event::AttemptEnded { attempt, result });
--- a/crates/bramblewheel-daemon/src/http/exchange.rs
+++ b/crates/bramblewheel-daemon/src/http/exchange.rs
@@ -125,7 +125,11 @@
 /// Whether the answer should be passed on from its first byte.
 fn is_streamed(headers: &HeaderMap, limit: usize) -> bool {
     const EVENT_STREAM: &str = "text/event-stream";
-    let text = |name| headers.get(name).and_then(|v: &http::HeaderValue| v.to_str().ok());
+    let text = |name| {
+        headers
+            .get(name)
+            .and_then(|v: &http::HeaderValue| v.to_str().ok())
+    };
     let length = text(CONTENT_LENGTH).and_then(|length| length.parse::<usize>().ok());
     let is_event_stream = text(CONTENT_TYPE).is_some_and(|t| t.starts_with(EVENT_STREAM));
     is_event_stream || length.is_some_and(|length| length > limit)
--- a/crates/bramblewheel-daemon/src/http/server.rs
+++ b/crates/bramblewheel-daemon/src/http/server.rs
@@ -59,7 +59,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
+            () = told_to_stop(&mut stop) => break,
             Some(_) = connections.join_next() => continue,
         };
         let (stream, peer) = match accepted {
@@ -85,6 +85,11 @@
     while connections.join_next().await.is_some() {}
 }
 
+async fn told_to_stop(stop: &mut watch::Receiver<bool>) {
+    // The sender lives as long as the listeners; when it is gone, so is the daemon.
+    let _ = stop.wait_for(|stop| *stop).await;
+}
+
 async fn refuse(mut stream: TcpStream) {
     let refusal = async {
         let _ = stream.write_all(TOO_MANY_CONNECTIONS).await;
@@ -114,7 +119,7 @@
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = config.stop.wait_for(|stop| *stop) => {
+        () = told_to_stop(&mut config.stop) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/bramblewheel-daemon/src/inbound/attempt.rs
+++ b/crates/bramblewheel-daemon/src/inbound/attempt.rs
@@ -252,7 +252,9 @@
     }
 
     fn abandoned(&mut self) {
-        self.registration.driver.cancel_inbound(self.registration.attempt);
+        self.registration
+            .driver
+            .cancel_inbound(self.registration.attempt);
         self.end(DispatchResult::Lost);
     }
 }
--- a/crates/bramblewheel-daemon/src/settings.rs
+++ b/crates/bramblewheel-daemon/src/settings.rs
@@ -308,7 +308,8 @@
 }
 
 fn clashes(one: SocketAddr, other: SocketAddr) -> bool {
-    let same_host = one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified();
+    let same_host =
+        one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified();
     one.port() != 0 && one.port() == other.port() && same_host
 }
 
