Match routes on an unambiguous path and cut stated timeouts

A request for /%70ay or //pay would have missed the route /pay and its mark as not repeatable, while the endpoint runs it. Such paths are unescaped, or refused where that isn't enough.

--- a/crates/bramblewheel-daemon/src/daemon.rs
+++ b/crates/bramblewheel-daemon/src/daemon.rs
@@ -345,7 +345,7 @@
     fn start<H: Handler>(&mut self, name: &'static str, listener: TcpListener, handler: H) {
         if let Ok(address) = listener.local_addr() {
             let address = address.to_string();
-            slog::info!(self.config.log, "listening"; "listener" => name, "address" => address);
+            slog::info!(self.config.log, "listening"; "address" => address, "listener" => name);
         }
         let config = self.config.clone();
         self.tasks.spawn(serve(listener, Arc::new(handler), config));
--- a/crates/bramblewheel-daemon/src/http/context.rs
+++ b/crates/bramblewheel-daemon/src/http/context.rs
@@ -1,17 +1,18 @@
 //! A call's context as header fields between daemons.
 
 use crate::http::fields::{self, FieldError, optional, required, set};
+use crate::http::route_path::route_path;
 use bramblewheel_core::context::{CallContext, Operation};
 use bramblewheel_core::event::{AdmissionLevel, Feedback};
 use bramblewheel_protocol::headers;
 use bramblewheel_types::{
     BundleVersion, Criticality, Millis, NotRunReason, OperationKey, Outcome, Timestamp,
 };
-use http::HeaderMap;
+use http::{HeaderMap, Uri};
 use std::time::Duration;
 
 /// Longest remaining time believed, in milliseconds; a longer one is cut.
-const MAX_TIMEOUT_MS: u64 = 86_400_000;
+pub const MAX_TIMEOUT_MS: u64 = 86_400_000;
 
 /// Writes the context of an attempt; the deadline crosses as remaining time.
 pub fn write(map: &mut HeaderMap, context: &CallContext, now: Timestamp) {
@@ -57,7 +58,7 @@
 ///
 /// # Errors
 /// [`FieldError`] for the first field that is missing, repeated or malformed.
-pub fn read(map: &HeaderMap, path: &str, now: Timestamp) -> Result<CallContext, FieldError> {
+pub fn read(map: &HeaderMap, uri: &Uri, now: Timestamp) -> Result<CallContext, FieldError> {
     let timeout: u64 = required(map, headers::TIMEOUT_MS)?;
     let timeout = Duration::from_millis(timeout.min(MAX_TIMEOUT_MS));
     Ok(CallContext {
@@ -65,7 +66,7 @@
         call: required(map, headers::CALL_ID)?,
         attempt: required(map, headers::ATTEMPT)?,
         service: required(map, headers::SERVICE)?,
-        path: path.to_owned(),
+        path: route_path(uri)?,
         criticality: required(map, headers::CRITICALITY)?,
         deadline: now + timeout,
         retry_tokens: required(map, headers::RETRY_TOKENS)?,
--- a/crates/bramblewheel-daemon/src/http/fields.rs
+++ b/crates/bramblewheel-daemon/src/http/fields.rs
@@ -1,11 +1,12 @@
 //! Reading and filtering header fields.
 
+use crate::http::route_path::AmbiguousPath;
 use bramblewheel_protocol::headers;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use std::str::FromStr;
 use thiserror::Error;
 
-/// A header of the project is missing, given twice or malformed.
+/// A header of the project is missing, given twice or malformed, or the path is ambiguous.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum FieldError {
     /// The header is missing.
@@ -22,6 +23,15 @@
         /// What is wrong.
         reason: String,
     },
+    /// The path can't be matched safely.
+    #[error(transparent)]
+    Path(AmbiguousPath),
+}
+
+impl From<AmbiguousPath> for FieldError {
+    fn from(error: AmbiguousPath) -> Self {
+        Self::Path(error)
+    }
 }
 
 /// Reads a header that may be absent.
--- a/crates/bramblewheel-daemon/src/http/mod.rs
+++ b/crates/bramblewheel-daemon/src/http/mod.rs
@@ -7,4 +7,5 @@
 pub mod fields;
 pub mod pool;
 pub mod root;
+pub mod route_path;
 pub mod server;
--- a/crates/bramblewheel-daemon/src/http/root.rs
+++ b/crates/bramblewheel-daemon/src/http/root.rs
@@ -1,7 +1,8 @@
 //! A call as an application or outside caller states it in header fields.
 
-use crate::http::context::read_operation;
+use crate::http::context::{MAX_TIMEOUT_MS, read_operation};
 use crate::http::fields::{FieldError, optional, required};
+use crate::http::route_path::route_path;
 use bramblewheel_core::context::{CallOrigin, CallRequest};
 use bramblewheel_protocol::headers;
 use bramblewheel_types::RequestId;
@@ -54,14 +55,18 @@
     let map = &parts.headers;
     Ok(CallRequest {
         service: required(map, headers::SERVICE)?,
-        path: parts.uri.path().to_owned(),
+        path: route_path(&parts.uri)?,
         origin,
-        timeout: optional(map, headers::TIMEOUT_MS)?.map(Duration::from_millis),
+        timeout: optional(map, headers::TIMEOUT_MS)?.map(timeout),
         operation: read_operation(map)?,
         fingerprint: fingerprint(parts, body),
     })
 }
 
+fn timeout(millis: u64) -> Duration {
+    Duration::from_millis(millis.min(MAX_TIMEOUT_MS))
+}
+
 /// The stated name, behind the address so that no caller can use up another's budget.
 fn caller_name(parts: &Parts, peer: IpAddr) -> Result<String, FieldError> {
     let name: Option<String> = optional(&parts.headers, headers::CALLER)?;
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/http/route_path.rs
@@ -0,0 +1,51 @@
+//! The path by which a bundle's routes are matched.
+
+use http::Uri;
+use thiserror::Error;
+
+/// A path that endpoints may read differently from how routes are matched.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("the path holds an empty or dot segment, or a broken percent escape")]
+pub struct AmbiguousPath;
+
+/// Undoes percent escapes of letters, digits and `-._~`, and refuses empty and dot segments.
+///
+/// Otherwise a request for `/%70ay` or `//pay` would miss the route `/pay` and with it its mark
+/// as not repeatable, while the endpoint runs it all the same.
+///
+/// # Errors
+/// [`AmbiguousPath`] when the path can't be matched safely.
+pub fn route_path(uri: &Uri) -> Result<String, AmbiguousPath> {
+    let path = unescape(uri.path())?;
+    let (_, rest) = path.split_at_checked(1).ok_or(AmbiguousPath)?;
+    let mut segments = rest.split('/').peekable();
+    while let Some(segment) = segments.next() {
+        let is_last = segments.peek().is_none();
+        if matches!(segment, "." | "..") || (segment.is_empty() && !is_last) {
+            return Err(AmbiguousPath);
+        }
+    }
+    Ok(path)
+}
+
+fn unescape(path: &str) -> Result<String, AmbiguousPath> {
+    let mut plain = String::with_capacity(path.len());
+    let mut rest = path;
+    while let Some((before, escaped)) = rest.split_once('%') {
+        plain.push_str(before);
+        let (digits, after) = escaped.split_at_checked(2).ok_or(AmbiguousPath)?;
+        if !digits.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(AmbiguousPath);
+        }
+        let byte = u8::from_str_radix(digits, 16).map_err(|_| AmbiguousPath)?;
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            plain.push(char::from(byte));
+        } else {
+            plain.push('%');
+            plain.push_str(&digits.to_ascii_uppercase());
+        }
+        rest = after;
+    }
+    plain.push_str(rest);
+    Ok(plain)
+}
--- a/crates/bramblewheel-daemon/src/inbound.rs
+++ b/crates/bramblewheel-daemon/src/inbound.rs
@@ -43,7 +43,7 @@
         let echoed = optional::<AttemptId>(&head.headers, headers::ATTEMPT)
             .ok()
             .flatten();
-        let context = match context::read(&head.headers, head.uri.path(), now) {
+        let context = match context::read(&head.headers, &head.uri, now) {
             Ok(context) => context,
             Err(error) => return refused(answer::invalid_request(&error.to_string()), echoed),
         };
--- a/crates/bramblewheel-daemon/src/logging.rs
+++ b/crates/bramblewheel-daemon/src/logging.rs
@@ -3,14 +3,15 @@
 use slog::{Drain, Level, Logger, o};
 use slog_async::Async;
 use slog_logfmt::Logfmt;
-use std::io;
+use std::io::{self, LineWriter};
 
 /// Builds the process's logger; lines below `level` are dropped.
 ///
 /// The logger writes in the background; when its queue is full it drops lines and says how many,
 /// because a slow reader of the log must not slow down calls.
 pub fn logger(level: Level) -> Logger {
-    let drain = Logfmt::new(io::stderr())
+    // Without the buffer each key and value would be a system call of its own.
+    let drain = Logfmt::new(LineWriter::new(io::stderr()))
         .no_prefix()
         .print_level(true)
         .print_msg(true)
--- a/crates/bramblewheel-daemon/src/settings.rs
+++ b/crates/bramblewheel-daemon/src/settings.rs
@@ -325,7 +325,11 @@
         let line = 1 + self.text[..at].matches('\n').count();
         let content = self.text.lines().nth(line - 1).unwrap_or_default();
         let key = content.split('=').next().unwrap_or_default().trim();
-        self.invalid(line, key, error.message())
+        // A missing key stands on no line; the message names it.
+        let message = error.message();
+        let missing = message.strip_prefix("missing field `");
+        let key = missing.map_or(key, |rest| rest.trim_end_matches('`'));
+        self.invalid(line, key, message)
     }
 
     fn fault(&self, key: &str, reason: String) -> SettingsError {
