--- /dev/null
+++ b/crates/bramblewheel-daemon/tests/bundles.rs
@@ -0,0 +1,106 @@
+//! A bundle in force never goes back, whatever the replicas say and however often we restart.
+
+mod support;
+
+use bramblewheel_types::BundleVersion;
+use support::client::admin;
+use support::control::FakeControl;
+use support::{signed, start};
+use tempfile::TempDir;
+
+async fn shown_version(daemon: &bramblewheel_daemon::DaemonHandle) -> String {
+    let metrics = admin(daemon.addresses().admin, "/metrics").await.text();
+    let line = metrics
+        .lines()
+        .find(|line| line.starts_with("bramblewheel_bundle_version "));
+    line.expect("the metric is there").to_owned()
+}
+
+#[tokio::test]
+async fn without_a_bundle_a_daemon_is_not_ready() {
+    let folder = TempDir::new().expect("a temporary folder");
+    let nobody = "127.0.0.1:1".parse().expect("an address");
+    let daemon = start(nobody, None, folder.path()).await;
+    let address = daemon.addresses().admin;
+    assert_eq!(admin(address, "/readyz").await.status(), 503);
+    assert_eq!(admin(address, "/healthz").await.status(), 200);
+}
+
+#[tokio::test]
+async fn a_restarted_daemon_holds_its_bundle_against_an_older_one() {
+    let folder = TempDir::new().expect("a temporary folder");
+    let mut control = FakeControl::start(signed(1)).await;
+    let daemon = start(control.address(), None, folder.path()).await;
+    control.until_known("gateway-1").await;
+    control.set_bundle(signed(5));
+    control.until_known("gateway-1").await;
+    drop(daemon);
+    let mut stale = FakeControl::start(signed(2)).await;
+    let daemon = start(stale.address(), None, folder.path()).await;
+    let has_five = |version| version == BundleVersion(5);
+    stale
+        .until_poll("gateway-1", |poll| has_five(poll.bundle_version))
+        .await;
+    // The second poll shows what became of the first one's answer.
+    stale.forget_polls();
+    stale
+        .until_poll("gateway-1", |poll| has_five(poll.bundle_version))
+        .await;
+    assert_eq!(
+        shown_version(&daemon).await,
+        "bramblewheel_bundle_version 5"
+    );
+    assert_eq!(
+        admin(daemon.addresses().admin, "/readyz").await.status(),
+        200
+    );
+}
+
+#[tokio::test]
+async fn a_bundle_without_valid_signatures_is_not_used() {
+    let folder = TempDir::new().expect("a temporary folder");
+    let mut control = FakeControl::start(signed(1)).await;
+    let daemon = start(control.address(), None, folder.path()).await;
+    control.until_known("gateway-1").await;
+    let mut unsigned = signed(2);
+    unsigned.signatures.clear();
+    let mut forged = signed(3);
+    forged.signatures[0].signature = vec![0; 64];
+    let mut damaged = signed(4);
+    damaged.bytes[20] ^= 1;
+    for bad in [unsigned, forged, damaged] {
+        control.set_bundle(bad);
+        control.forget_polls();
+        for _ in 0..2 {
+            control.until_poll("gateway-1", |_| true).await;
+            control.forget_polls();
+        }
+        assert_eq!(
+            shown_version(&daemon).await,
+            "bramblewheel_bundle_version 1"
+        );
+    }
+    control.set_bundle(signed(9));
+    control.until_known("gateway-1").await;
+    assert_eq!(
+        shown_version(&daemon).await,
+        "bramblewheel_bundle_version 9"
+    );
+}
+
+#[tokio::test]
+async fn a_damaged_bundle_file_stops_the_start() {
+    let folder = TempDir::new().expect("a temporary folder");
+    let mut control = FakeControl::start(signed(1)).await;
+    let daemon = start(control.address(), None, folder.path()).await;
+    control.until_known("gateway-1").await;
+    drop(daemon);
+    let file = folder.path().join("bundle.cbor");
+    let mut bytes = std::fs::read(&file).expect("the bundle was written");
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 1;
+    std::fs::write(&file, &bytes).expect("a writable folder");
+    let error = support::try_start(control.address(), folder.path()).await;
+    let error = error.expect_err("a damaged file must not be passed over");
+    assert!(error.to_string().contains("is damaged"), "{error}");
+}
