Never tell a resend NotRun while an earlier send may have run

A refusal proves only that this send was not run. A caller that had lost the answer to its first send and was then shed was told NotRun, and could charge again under a new key. Sends of one request are now counted at the gateway, and the mark travels down the tree, so that such a refusal is told as Unknown.

A claim that another attempt holds is asked for again twice within 45 ms: the holder may just have been refused, with its release on the way. A missing quorum is not tried at another daemon any more, since all ask one ledger.

--- a/crates/bramblewheel-core/src/context.rs
+++ b/crates/bramblewheel-core/src/context.rs
@@ -32,6 +32,9 @@
     pub in_session: bool,
     /// Set when the request must not run twice.
     pub operation: Option<Operation>,
+    /// An earlier try of the same request, or of a call above, may have run: a refusal of this
+    /// try proves nothing about the request.
+    pub may_have_run: bool,
     /// Bundle version under which the caller's daemon decided.
     pub bundle_version: BundleVersion,
 }
--- a/crates/bramblewheel-core/src/engine.rs
+++ b/crates/bramblewheel-core/src/engine.rs
@@ -157,6 +157,7 @@
                 Timer::CallDeadline(call) => self.expire_call(now, call, actions),
                 Timer::AttemptDeadline(attempt) => self.expire_attempt(now, attempt, actions),
                 Timer::ClaimTimeout(attempt) => self.claim_timed_out(now, attempt, actions),
+                Timer::ClaimAgain(attempt) => self.claim_again(now, attempt, actions),
                 Timer::DetachedDispatch(attempt) => self.detached_timed_out(now, attempt, actions),
             }
         }
--- a/crates/bramblewheel-core/src/headers/context.rs
+++ b/crates/bramblewheel-core/src/headers/context.rs
@@ -24,6 +24,9 @@
         (names::DEPTH, context.depth.to_string()),
         (names::BUNDLE_VERSION, context.bundle_version.to_string()),
     ];
+    if context.may_have_run {
+        list.push((names::MAY_HAVE_RUN, "1".to_owned()));
+    }
     if context.in_session {
         list.push((names::IN_SESSION, "1".to_owned()));
     }
@@ -55,6 +58,7 @@
         depth: fields.required_number(names::DEPTH)?,
         in_session: fields.flag(names::IN_SESSION)?,
         operation: parse_operation(fields)?,
+        may_have_run: fields.flag(names::MAY_HAVE_RUN)?,
         bundle_version: BundleVersion(fields.required_number(names::BUNDLE_VERSION)?),
     })
 }
--- a/crates/bramblewheel-core/src/inbound/attempt.rs
+++ b/crates/bramblewheel-core/src/inbound/attempt.rs
@@ -16,6 +16,8 @@
     pub(crate) context: CallContext,
     pub(crate) stage: Stage,
     pub(crate) arrived: Timestamp,
+    /// Times that the ledger said another attempt holds the claim.
+    pub(crate) times_held: u32,
     /// Tokens lent by the caller; sub-calls spend from it.
     pub(crate) pool: TokenPool,
     /// Sub-calls in progress.
@@ -57,6 +59,7 @@
         Self {
             pool: TokenPool::new(context.retry_tokens),
             context,
+            times_held: 0,
             stage: Stage::Queued(place),
             arrived: now,
             sub_calls: BTreeSet::new(),
--- a/crates/bramblewheel-core/src/inbound/claim.rs
+++ b/crates/bramblewheel-core/src/inbound/claim.rs
@@ -9,6 +9,12 @@
 use crate::inbound::attempt::{InboundAttempt, Stage};
 use crate::timers::Timer;
 use bramblewheel_types::{AttemptId, NotRunReason, OperationKey, Outcome, Timestamp};
+use std::time::Duration;
+
+/// How often the ledger is asked again while another attempt holds the claim.
+const MAX_CLAIMS_AGAIN: u32 = 2;
+/// Time before the ledger is asked again, times the number of refusals so far.
+const CLAIM_AGAIN_AFTER: Duration = Duration::from_millis(15);
 
 impl Engine {
     /// Asks for the claim of an attempt that holds a slot.
@@ -49,6 +55,7 @@
             return self.claim_answered_late(id, stage, answer, actions);
         };
         self.timers.clear(until, Timer::ClaimTimeout(id));
+        self.timers.clear(until, Timer::ClaimAgain(id));
         let Some(attempt) = self.inbound.attempts.remove(&id) else {
             return;
         };
@@ -58,10 +65,7 @@
                 self.free_slot();
                 self.end_stored(attempt, failed, answer, actions);
             }
-            ClaimAnswer::HeldElsewhere => {
-                self.free_slot();
-                self.end_bodiless(attempt, Outcome::Unknown, true, actions);
-            }
+            ClaimAnswer::HeldElsewhere => self.claim_held(now, attempt, actions),
             ClaimAnswer::Expired => {
                 self.free_slot();
                 self.end_not_run(attempt, NotRunReason::OperationExpired, actions);
@@ -73,6 +77,34 @@
         self.pump(now, actions);
     }
 
+    /// Another attempt holds the claim. Its release or its result may be on the way, when the
+    /// caller was refused there a moment ago or sent twice; so the ledger is asked again, a few
+    /// times within milliseconds, before the caller is told that nothing is known.
+    fn claim_held(
+        &mut self,
+        now: Timestamp,
+        mut attempt: InboundAttempt,
+        actions: &mut Vec<Action>,
+    ) {
+        attempt.times_held += 1;
+        if attempt.times_held > MAX_CLAIMS_AGAIN {
+            self.free_slot();
+            return self.end_bodiless(attempt, Outcome::Unknown, true, actions);
+        }
+        let id = attempt.context.attempt;
+        let at = now + CLAIM_AGAIN_AFTER * attempt.times_held;
+        self.timers.set(at, Timer::ClaimAgain(id));
+        attempt.stage = Stage::Claiming { until: at };
+        self.inbound.attempts.insert(id, attempt);
+    }
+
+    pub(crate) fn claim_again(&mut self, now: Timestamp, id: AttemptId, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.inbound.attempts.remove(&id) else {
+            return;
+        };
+        self.begin_claim(now, attempt, actions);
+    }
+
     /// An answer for an attempt that was given up: a grant is returned, never used.
     fn claim_answered_late(
         &mut self,
@@ -113,6 +145,10 @@
     ) {
         self.free_slot();
         self.release_claim(&attempt, actions);
+        if attempt.times_held > 0 {
+            // The holder may have run the operation.
+            return self.end_bodiless(attempt, Outcome::Unknown, true, actions);
+        }
         self.end_not_run(attempt, reason, actions);
     }
 
@@ -127,6 +163,7 @@
     ) {
         let id = attempt.context.attempt;
         self.timers.clear(until, Timer::ClaimTimeout(id));
+        self.timers.clear(until, Timer::ClaimAgain(id));
         if let Some(operation) = &attempt.context.operation {
             self.inbound.abandoned.insert(id, operation.key.clone());
         }
--- a/crates/bramblewheel-core/src/inbound/finish.rs
+++ b/crates/bramblewheel-core/src/inbound/finish.rs
@@ -205,13 +205,13 @@
         | NotRunReason::DeadlineExceeded
         | NotRunReason::Cancelled
         | NotRunReason::RetryBudgetExhausted
+        | NotRunReason::LedgerUnavailable
         | NotRunReason::OperationExpired
         | NotRunReason::TooDeep
         | NotRunReason::InvalidRequest => true,
         NotRunReason::Draining
         | NotRunReason::NoEndpoint
         | NotRunReason::Unreachable
-        | NotRunReason::LedgerUnavailable
         | NotRunReason::NotReady => false,
     }
 }
--- a/crates/bramblewheel-core/src/outbound/accept.rs
+++ b/crates/bramblewheel-core/src/outbound/accept.rs
@@ -6,17 +6,23 @@
 use crate::engine::Engine;
 use crate::outbound::MAX_CALLS;
 use crate::outbound::call::{Call, Evidence, TokenSource};
+use crate::retry::resend::Arrival;
 use crate::retry::tokens::TokenPool;
 use crate::timers::Timer;
 use bramblewheel_bundle::Bundle;
 use bramblewheel_bundle::model::ResolvedRoute;
-use bramblewheel_types::{AttemptId, CallId, Criticality, NotRunReason, Timestamp};
+use bramblewheel_types::{AttemptId, CallId, Criticality, NotRunReason, RequestId, Timestamp};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Name under which the ratio of the local endpoint's own sub-calls is kept.
 const LOCAL_CALLER: &str = "local-endpoint";
 
+/// Longest part of a caller's name that is told apart, in characters.
+const MAX_CALLER_LENGTH: usize = 64;
+/// Longest time that a caller may ask to wait.
+const MAX_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// What a call inherits from where it comes from.
 struct Inherited {
     criticality: Criticality,
@@ -25,7 +31,21 @@
     depth: u8,
     tokens: TokenSource,
     caller: String,
-    request: bramblewheel_types::RequestId,
+    request: RequestId,
+    may_have_run: bool,
+}
+
+/// A root call among the sends of its request.
+#[derive(Clone, Copy)]
+pub(crate) struct RootArrival {
+    pub(crate) request: RequestId,
+    pub(crate) arrival: Arrival,
+}
+
+/// A call that is not taken in.
+pub(crate) struct Refusal {
+    pub(crate) reason: NotRunReason,
+    pub(crate) criticality: Criticality,
 }
 
 impl Engine {
@@ -39,12 +59,27 @@
         if self.outbound.calls.contains_key(&id) {
             return;
         }
-        match self.build_call(now, request) {
+        let arrival = self.record_root(&request.origin);
+        match self.build_call(now, request, arrival) {
             Ok(call) => self.begin_call(now, id, call, actions),
-            Err((reason, criticality)) => self.refuse_call(id, reason, criticality, actions),
+            Err(refusal) => self.refuse_call(id, refusal, arrival, actions),
         }
     }
 
+    /// Counts a root call among the sends of its request.
+    fn record_root(&mut self, origin: &CallOrigin) -> Option<RootArrival> {
+        let CallOrigin::Root {
+            request, resend, ..
+        } = origin
+        else {
+            return None;
+        };
+        Some(RootArrival {
+            request: *request,
+            arrival: self.recent_requests.record_arrival(*request, *resend),
+        })
+    }
+
     fn begin_call(&mut self, now: Timestamp, id: CallId, call: Call, actions: &mut Vec<Action>) {
         self.timers.set(call.deadline, Timer::CallDeadline(id));
         if let Some(parent) = call.parent()
@@ -62,8 +97,12 @@
         &mut self,
         now: Timestamp,
         request: CallRequest,
-    ) -> Result<Call, (NotRunReason, Criticality)> {
-        let unknown_class = |reason| (reason, Criticality::default());
+        root: Option<RootArrival>,
+    ) -> Result<Call, Refusal> {
+        let unknown_class = |reason| Refusal {
+            reason,
+            criticality: Criticality::default(),
+        };
         let bundle = self
             .bundle
             .clone()
@@ -71,7 +110,10 @@
         let route = bundle
             .resolve(&request.service, &request.path)
             .ok_or(unknown_class(NotRunReason::InvalidRequest))?;
-        let refused = |reason| (reason, route.criticality);
+        let refused = |reason| Refusal {
+            reason,
+            criticality: route.criticality,
+        };
         if self.outbound.calls.len() >= MAX_CALLS {
             return Err(refused(NotRunReason::Overloaded));
         }
@@ -79,7 +121,7 @@
             return Err(refused(NotRunReason::InvalidRequest));
         }
         let inherited = self
-            .inherit(now, &bundle, &route, &request)
+            .inherit(now, &bundle, &route, &request, root)
             .map_err(refused)?;
         if inherited.depth > bundle.limits.max_depth {
             return Err(refused(NotRunReason::TooDeep));
@@ -103,7 +145,11 @@
             caller: inherited.caller,
             tried: Vec::new(),
             free_reroutes: 0,
-            evidence: Evidence::default(),
+            evidence: if inherited.may_have_run {
+                Evidence::Unknown
+            } else {
+                Evidence::NotRun
+            },
             current: None,
         })
     }
@@ -114,9 +160,10 @@
         bundle: &Arc<Bundle>,
         route: &ResolvedRoute,
         request: &CallRequest,
+        root: Option<RootArrival>,
     ) -> Result<Inherited, NotRunReason> {
         match &request.origin {
-            CallOrigin::Root { .. } => self.inherit_root(now, bundle, route, request),
+            CallOrigin::Root { .. } => self.inherit_root(now, bundle, route, request, root),
             CallOrigin::SubCall { parent } => self.inherit_sub_call(now, *parent, route, request),
         }
     }
@@ -127,13 +174,14 @@
         bundle: &Arc<Bundle>,
         route: &ResolvedRoute,
         call: &CallRequest,
+        root: Option<RootArrival>,
     ) -> Result<Inherited, NotRunReason> {
         let CallOrigin::Root {
             request,
-            resend,
             caller,
             criticality,
             in_session,
+            ..
         } = &call.origin
         else {
             return Err(NotRunReason::InvalidRequest);
@@ -141,10 +189,11 @@
         if self.is_draining {
             return Err(NotRunReason::Draining);
         }
-        let is_resend = self.recent_requests.is_resend(*request, *resend);
+        let is_resend = root.is_some_and(|root| root.arrival.is_resend);
+        let caller = caller.chars().take(MAX_CALLER_LENGTH).collect();
         if is_resend {
             self.metrics.resends += 1;
-            if !self.ratios.withdraw(caller, &call.service) {
+            if !self.ratios.withdraw(&caller, &call.service) {
                 self.metrics.retries_over_ratio += 1;
                 return Err(NotRunReason::RetryBudgetExhausted);
             }
@@ -158,11 +207,12 @@
         Ok(Inherited {
             criticality: stated.min(route.criticality),
             in_session: *in_session,
-            deadline: now + call.timeout.unwrap_or_else(|| route.deadline.into()),
+            deadline: now + timeout_of(call, route),
             depth: 1,
             tokens: TokenSource::Own(TokenPool::new(tokens)),
-            caller: caller.clone(),
+            caller,
             request: *request,
+            may_have_run: root.is_some_and(|root| root.arrival.may_have_run),
         })
     }
 
@@ -181,23 +231,30 @@
             .filter(|attempt| attempt.is_running())
             .ok_or(NotRunReason::InvalidRequest)?;
         running.has_sub_calls = true;
-        if !running.note_sub_call(&call.service, call.fingerprint) {
+        let is_repeat = !running.note_sub_call(&call.service, call.fingerprint);
+        if is_repeat {
             self.metrics.application_repeats += 1;
             if !running.pool.spend() {
                 return Err(NotRunReason::RetryBudgetExhausted);
             }
             self.metrics.retry_tokens_spent += 1;
         }
-        let timeout: Duration = call.timeout.unwrap_or_else(|| route.deadline.into());
         let context = &running.context;
         Ok(Inherited {
             criticality: context.criticality,
             in_session: context.in_session,
-            deadline: context.deadline.min(now + timeout),
+            deadline: context.deadline.min(now + timeout_of(call, route)),
             depth: context.depth.saturating_add(1),
             tokens: TokenSource::Parent(parent),
             caller: LOCAL_CALLER.to_owned(),
             request: context.request,
+            may_have_run: is_repeat || context.may_have_run,
         })
     }
 }
+
+/// Time that the caller of a call is ready to wait.
+fn timeout_of(call: &CallRequest, route: &ResolvedRoute) -> Duration {
+    let timeout = call.timeout.unwrap_or_else(|| route.deadline.into());
+    timeout.min(MAX_TIMEOUT)
+}
--- a/crates/bramblewheel-core/src/outbound/attempt.rs
+++ b/crates/bramblewheel-core/src/outbound/attempt.rs
@@ -202,17 +202,20 @@
 }
 
 /// What another attempt costs after a refusal with a not-run proof.
+///
+/// All daemons ask one ledger, and the claim of the refused attempt may take a moment to be given
+/// back, so that trying elsewhere at once would only turn a clear refusal into `Unknown`.
 fn cost_after_refusal(reason: NotRunReason) -> Retry {
     match reason {
         NotRunReason::Draining => Retry::Free,
-        NotRunReason::Unreachable
-        | NotRunReason::NotReady
-        | NotRunReason::LedgerUnavailable
-        | NotRunReason::Overloaded => Retry::Token,
+        NotRunReason::Unreachable | NotRunReason::NotReady | NotRunReason::Overloaded => {
+            Retry::Token
+        }
         NotRunReason::DeadlineExceeded
         | NotRunReason::Cancelled
         | NotRunReason::NoEndpoint
         | NotRunReason::RetryBudgetExhausted
+        | NotRunReason::LedgerUnavailable
         | NotRunReason::OperationExpired
         | NotRunReason::TooDeep
         | NotRunReason::InvalidRequest => Retry::Never,
--- a/crates/bramblewheel-core/src/outbound/send.rs
+++ b/crates/bramblewheel-core/src/outbound/send.rs
@@ -4,12 +4,13 @@
 use crate::context::CallContext;
 use crate::engine::Engine;
 use crate::feedback::not_run;
-use crate::outbound::call::{Call, OutstandingAttempt, TokenSource};
+use crate::outbound::accept::{Refusal, RootArrival};
+use crate::outbound::call::{Call, Evidence, OutstandingAttempt, TokenSource};
 use crate::retry::tokens::TokenPool;
 use crate::route::choice::{NoChoice, Wanted};
 use crate::route::endpoint::Target;
 use crate::timers::Timer;
-use bramblewheel_types::{AttemptId, CallId, Criticality, NotRunReason, Outcome, Timestamp};
+use bramblewheel_types::{AttemptId, CallId, NotRunReason, Outcome, Timestamp};
 use rand::Rng;
 use std::time::Duration;
 
@@ -114,6 +115,7 @@
             depth: call.depth,
             in_session: call.in_session,
             operation: call.operation.clone(),
+            may_have_run: call.evidence != Evidence::NotRun,
             bundle_version: self.bundle_version(),
         }
     }
@@ -134,12 +136,18 @@
     pub(crate) fn refuse_call(
         &mut self,
         call: CallId,
-        reason: NotRunReason,
-        criticality: Criticality,
+        refusal: Refusal,
+        root: Option<RootArrival>,
         actions: &mut Vec<Action>,
     ) {
-        let outcome = not_run(reason, 100, &mut self.random);
-        self.metrics.outbound.record(outcome, criticality);
+        let mut outcome = not_run(refusal.reason, 100, &mut self.random);
+        if let Some(root) = root {
+            self.recent_requests.record_end(root.request, true);
+            if root.arrival.may_have_run {
+                outcome = Outcome::Unknown;
+            }
+        }
+        self.metrics.outbound.record(outcome, refusal.criticality);
         let body = AnswerBody::None;
         actions.push(Action::AnswerCall {
             call,
@@ -163,6 +171,10 @@
             running.sub_calls.remove(&id);
             running.has_failed_sub_call |= outcome != Outcome::Completed;
         }
+        if call.parent().is_none() {
+            self.recent_requests
+                .record_end(call.request, outcome.is_not_run());
+        }
         self.metrics.outbound.record(outcome, call.criticality);
         actions.push(Action::AnswerCall {
             call: id,
--- a/crates/bramblewheel-core/src/timers.rs
+++ b/crates/bramblewheel-core/src/timers.rs
@@ -12,6 +12,8 @@
     AttemptDeadline(AttemptId),
     /// The wait for a ledger's answer is over.
     ClaimTimeout(AttemptId),
+    /// A claim that another attempt held is to be asked for again.
+    ClaimAgain(AttemptId),
     /// A run-once dispatch that nobody waits for has had its grace.
     DetachedDispatch(AttemptId),
 }
--- a/crates/bramblewheel-core/tests/outcome_truth.rs
+++ b/crates/bramblewheel-core/tests/outcome_truth.rs
@@ -3,8 +3,11 @@
 mod support;
 
 use bramblewheel_core::action::{Action, AnswerBody};
+use bramblewheel_core::context::CallOrigin;
 use bramblewheel_core::event::{AttemptResult, DispatchResult, Event, Feedback};
-use bramblewheel_types::{AttemptId, CallId, Criticality, Millis, NotRunReason, Outcome};
+use bramblewheel_types::{
+    AttemptId, CallId, Criticality, Millis, NotRunReason, Outcome, RequestId,
+};
 use support::{
     Daemon, admission, answered, at, attempt_answer, bundle, call_answer, dispatches, inbound,
     operation, reason, refused, root_call, sent, sub_call, succeeded,
@@ -146,6 +149,58 @@
     assert_eq!(tokens, Some(0));
 }
 
+/// Sends request 7 for the `resend`-th time as call `id`.
+fn send(daemon: &mut Daemon, id: u64, resend: u32) -> Vec<Action> {
+    let Event::OutboundCall { call, mut request } = root_call(id, "a", "/", None) else {
+        unreachable!("root_call makes outbound calls");
+    };
+    request.origin = CallOrigin::Root {
+        request: RequestId(7),
+        resend,
+        caller: "caller".to_owned(),
+        criticality: None,
+        in_session: false,
+    };
+    daemon.step(at(3), Event::OutboundCall { call, request })
+}
+
+fn end(daemon: &mut Daemon, actions: &[Action], outcome: Outcome) -> Outcome {
+    let (attempt, _) = sent(actions).expect("it is sent");
+    let result = answered(outcome);
+    let actions = daemon.step(at(4), Event::AttemptEnded { attempt, result });
+    call_answer(&actions).expect("it ends").outcome
+}
+
+#[test]
+fn a_refused_resend_is_not_run_only_if_no_earlier_send_may_have_run() {
+    let refusal = refused(NotRunReason::OperationExpired);
+    // All earlier sends were refused here.
+    let mut daemon = gateway(8);
+    for resend in 0..3 {
+        let actions = send(&mut daemon, 10 + u64::from(resend), resend);
+        assert_eq!(end(&mut daemon, &actions, refusal), refusal);
+    }
+    // An earlier send failed.
+    let actions = send(&mut daemon, 20, 3);
+    assert_eq!(end(&mut daemon, &actions, Outcome::Failed), Outcome::Failed);
+    let actions = send(&mut daemon, 21, 4);
+    assert_eq!(end(&mut daemon, &actions, refusal), Outcome::Unknown);
+    // An earlier send went through another gateway.
+    let mut daemon = gateway(8);
+    let actions = send(&mut daemon, 30, 1);
+    assert_eq!(end(&mut daemon, &actions, refusal), Outcome::Unknown);
+    // An earlier send is still on its way.
+    let mut daemon = gateway(8);
+    send(&mut daemon, 40, 0);
+    let actions = send(&mut daemon, 41, 1);
+    assert_eq!(end(&mut daemon, &actions, refusal), Outcome::Unknown);
+    // The gateway refuses the resend itself.
+    daemon.step(at(5), Event::DrainRequested);
+    let actions = send(&mut daemon, 42, 2);
+    let outcome = call_answer(&actions).expect("it is refused").outcome;
+    assert_eq!(outcome, Outcome::Unknown);
+}
+
 fn beside_endpoint() -> Daemon {
     let bundle = bundle(&["a", "b"], 8, admission(4, 1));
     let mut daemon = Daemon::new("a-0", Some("a"), 1, bundle);
--- a/crates/bramblewheel-core/tests/support/mod.rs
+++ b/crates/bramblewheel-core/tests/support/mod.rs
@@ -233,6 +233,7 @@
         depth: 1,
         in_session: false,
         operation,
+        may_have_run: false,
         bundle_version: BundleVersion(1),
     }
 }
--- a/crates/bramblewheel-types/src/headers.rs
+++ b/crates/bramblewheel-types/src/headers.rs
@@ -29,6 +29,8 @@
 pub const SESSION_OPEN: &str = "open";
 /// Set to `1` between daemons when a valid session token came with the root request.
 pub const IN_SESSION: &str = "bw-in-session";
+/// Set to `1` between daemons when an earlier try of the same request may have run.
+pub const MAY_HAVE_RUN: &str = "bw-may-have-run";
 /// Key of an operation that must not run twice.
 pub const OPERATION_KEY: &str = "bw-operation-key";
 /// When the key was minted, in milliseconds since the Unix epoch.
