Drop by the route's own service time, and measure idle endpoints again

The estimate of half the mean refused quick requests of a service that also answers slow ones; it is now kept by route, less twice the deviation, and forgotten after 500 ms without an answer. The first routing test found that an endpoint not measured yet, or slow once, was never chosen while another was quicker than its assumed latency; latency now fades with age and begins at the floor.

--- a/crates/bramblewheel-core/src/engine.rs
+++ b/crates/bramblewheel-core/src/engine.rs
@@ -169,6 +169,7 @@
             return;
         }
         self.bundle = Some(bundle);
+        self.inbound.service_times.clear();
         let bounds = self
             .admission_policy()
             .map(|policy| (policy.min_concurrency, policy.max_concurrency));
--- a/crates/bramblewheel-core/src/inbound/accept.rs
+++ b/crates/bramblewheel-core/src/inbound/accept.rs
@@ -17,8 +17,8 @@
         actions: &mut Vec<Action>,
     ) {
         // A repeated message: the first one has been or will be answered.
-        let id = context.attempt;
-        if self.inbound.attempts.contains_key(&id) || self.inbound.claimed.contains(&id) {
+        let is_new = self.inbound.recent.insert(context.attempt, ());
+        if !is_new || self.inbound.attempts.contains_key(&context.attempt) {
             self.metrics.late_events += 1;
             return;
         }
@@ -44,7 +44,7 @@
         actions: &mut Vec<Action>,
     ) -> Result<QueuePlace, NotRunReason> {
         self.check_acceptable(context)?;
-        if !self.can_finish(now, context.deadline) {
+        if !self.can_finish(now, context) {
             return Err(NotRunReason::DeadlineExceeded);
         }
         let shedding = shedding_position(context.criticality, context.in_session, context.request);
--- a/crates/bramblewheel-core/src/inbound/claim.rs
+++ b/crates/bramblewheel-core/src/inbound/claim.rs
@@ -28,7 +28,6 @@
         let Some(operation) = attempt.context.operation.clone() else {
             return;
         };
-        self.inbound.claimed.insert(id, ());
         let until = now + self.config.claim_timeout;
         self.timers.set(until, Timer::ClaimTimeout(id));
         attempt.stage = Stage::Claiming { until };
@@ -130,7 +129,7 @@
     /// although its timer has not been looked at yet. A drain that began meanwhile does not
     /// stop the operation: it was accepted before, and a planned stop interrupts nothing.
     fn use_grant(&mut self, now: Timestamp, attempt: InboundAttempt, actions: &mut Vec<Action>) {
-        if self.can_finish(now, attempt.context.deadline) {
+        if self.can_finish(now, &attempt.context) {
             return self.dispatch(now, attempt, actions);
         }
         self.end_unclaimed(attempt, NotRunReason::DeadlineExceeded, actions);
--- a/crates/bramblewheel-core/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-core/src/inbound/dispatch.rs
@@ -1,9 +1,11 @@
 //! Passes attempts to the local endpoint and judges how they ended there.
 
 use crate::action::Action;
+use crate::context::CallContext;
 use crate::engine::Engine;
 use crate::event::{DispatchResult, StoredAnswer};
 use crate::inbound::attempt::{InboundAttempt, Stage};
+use crate::inbound::service_time::route_number;
 use crate::timers::Timer;
 use bramblewheel_types::{AttemptId, Millis, NotRunReason, Outcome, Timestamp};
 use std::time::Duration;
@@ -31,7 +33,7 @@
     fn start(&mut self, now: Timestamp, attempt: InboundAttempt, actions: &mut Vec<Action>) {
         let waited = now.since(attempt.arrived);
         self.inbound.level.record_delay(now, waited);
-        if !self.can_finish(now, attempt.context.deadline) {
+        if !self.can_finish(now, &attempt.context) {
             self.inbound.level.record_shed();
             return self.end_not_run(attempt, NotRunReason::DeadlineExceeded, actions);
         }
@@ -43,11 +45,16 @@
         }
     }
 
-    /// Whether an attempt begun now could end by `deadline`, going by the latency of the
-    /// endpoint when it is not overloaded: a cautious estimate, which only drops what is lost.
-    pub(crate) fn can_finish(&self, now: Timestamp, deadline: Timestamp) -> bool {
-        let needed = self.inbound.limit.shortest().unwrap_or_default();
-        now + needed < deadline
+    /// Whether an attempt begun now could end by its deadline.
+    pub(crate) fn can_finish(&self, now: Timestamp, context: &CallContext) -> bool {
+        let route = self.route_number(context);
+        now + self.inbound.service_times.shortest(now, route) < context.deadline
+    }
+
+    fn route_number(&self, context: &CallContext) -> usize {
+        self.bundle.as_ref().map_or(0, |bundle| {
+            route_number(bundle, &context.service, &context.path)
+        })
     }
 
     /// Passes an attempt that holds a slot to the endpoint.
@@ -90,7 +97,7 @@
         let Some(attempt) = self.inbound.attempts.remove(&id) else {
             return;
         };
-        self.record_latency(now, since, &result);
+        self.record_latency(now, since, &attempt.context, &result);
         self.free_slot();
         let end = self.judge_dispatch(&attempt, result, actions);
         if is_awaited {
@@ -99,11 +106,20 @@
         self.pump(now, actions);
     }
 
-    fn record_latency(&mut self, now: Timestamp, since: Timestamp, result: &DispatchResult) {
+    fn record_latency(
+        &mut self,
+        now: Timestamp,
+        since: Timestamp,
+        context: &CallContext,
+        result: &DispatchResult,
+    ) {
         let running = self.inbound.running;
+        let duration = now.since(since);
         match result {
             DispatchResult::Answered { .. } => {
-                self.inbound.limit.record(now, now.since(since), running);
+                let route = self.route_number(context);
+                self.inbound.service_times.record(now, route, duration);
+                self.inbound.limit.record(now, duration, running);
             }
             DispatchResult::NotSent | DispatchResult::Lost => self.inbound.limit.record_failure(),
             DispatchResult::Refused { reason, .. } => {
--- a/crates/bramblewheel-core/src/inbound/limit.rs
+++ b/crates/bramblewheel-core/src/inbound/limit.rs
@@ -20,8 +20,6 @@
 const DECREASE: f64 = 0.9;
 /// Share by which the baseline follows the mean upwards in a window.
 const BASELINE_DRIFT: f64 = 0.01;
-/// Share of the baseline that a quick request takes.
-const SHORTEST_SHARE: f64 = 0.5;
 /// Share of the limit that must be in use for it to rise.
 const USE_TO_RISE: f64 = 0.8;
 
@@ -81,13 +79,6 @@
         observed.min(reported).max(self.min as u32)
     }
 
-    /// Latency of the quickest recent answers; none before the first window. Half of the
-    /// baseline, since requests of one service differ.
-    pub fn shortest(&self) -> Option<Duration> {
-        self.baseline_micros
-            .map(|micros| Duration::from_micros((micros * SHORTEST_SHARE) as u64))
-    }
-
     /// Records the latency of an attempt that ended while `running` ran, itself included.
     pub fn record(&mut self, now: Timestamp, latency: Duration, running: u32) {
         if self.samples == 0 {
--- a/crates/bramblewheel-core/src/inbound/mod.rs
+++ b/crates/bramblewheel-core/src/inbound/mod.rs
@@ -8,18 +8,20 @@
 pub mod level;
 pub mod limit;
 pub mod queue;
+pub mod service_time;
 
 use crate::event::EndpointReport;
 use crate::inbound::attempt::InboundAttempt;
 use crate::inbound::level::LevelController;
 use crate::inbound::limit::ConcurrencyLimit;
 use crate::inbound::queue::AdmissionQueue;
+use crate::inbound::service_time::ServiceTimes;
 use crate::table::{RecentMap, Table};
 use bramblewheel_types::{AttemptId, OperationKey, Timestamp};
 
-/// Run-once attempts that are remembered after their end, so that a repeated message neither
-/// runs one again nor leaves a late grant unreleased.
-const MAX_REMEMBERED_CLAIMS: usize = 8_192;
+/// Attempts that are remembered after their end, so that a repeated message neither runs one
+/// that was refused or has run, nor a late grant is left unreleased.
+const MAX_REMEMBERED_ATTEMPTS: usize = 8_192;
 
 /// Inbound attempts in progress and what limits them.
 #[derive(Debug)]
@@ -28,12 +30,13 @@
     pub(crate) queue: AdmissionQueue,
     pub(crate) limit: ConcurrencyLimit,
     pub(crate) level: LevelController,
+    pub(crate) service_times: ServiceTimes,
     /// Attempts that hold a slot: claiming or running.
     pub(crate) running: u32,
     pub(crate) report: Option<(Timestamp, EndpointReport)>,
-    /// Run-once attempts of the recent past, whatever became of them.
-    pub(crate) claimed: RecentMap<AttemptId, ()>,
-    /// Those given up before the ledger answered, whose grant may still come.
+    /// Attempts of the recent past, whatever became of them.
+    pub(crate) recent: RecentMap<AttemptId, ()>,
+    /// Run-once attempts given up before the ledger answered, whose grant may still come.
     pub(crate) abandoned: RecentMap<AttemptId, OperationKey>,
 }
 
@@ -44,10 +47,11 @@
             queue: AdmissionQueue::default(),
             limit: ConcurrencyLimit::new(1, 1),
             level: LevelController::new(),
+            service_times: ServiceTimes::default(),
             running: 0,
             report: None,
-            claimed: RecentMap::new(MAX_REMEMBERED_CLAIMS),
-            abandoned: RecentMap::new(MAX_REMEMBERED_CLAIMS),
+            recent: RecentMap::new(MAX_REMEMBERED_ATTEMPTS),
+            abandoned: RecentMap::new(MAX_REMEMBERED_ATTEMPTS),
         }
     }
 
--- a/crates/bramblewheel-core/src/route/endpoint.rs
+++ b/crates/bramblewheel-core/src/route/endpoint.rs
@@ -7,8 +7,12 @@
 
 /// Weight of a new latency sample in the moving average.
 const LATENCY_WEIGHT: f64 = 0.2;
-/// Latency assumed of an endpoint that has not answered yet, in microseconds.
-const INITIAL_LATENCY: f64 = 1_000.0;
+/// Smallest latency that counts, in microseconds; also that of an endpoint not measured yet, so
+/// that it is measured soon. Differences below it say nothing about load.
+const MIN_LATENCY: f64 = 100.0;
+/// Time in which a latency that is not measured again counts half: an endpoint that was slow
+/// once would otherwise never be tried again.
+const LATENCY_HALF_LIFE: f64 = 1.0;
 /// An admission level older than this is not acted on.
 const LEVEL_LIFETIME: Duration = Duration::from_millis(1_500);
 /// How often a call goes to an endpoint although its level would shed it, to learn the level.
@@ -34,6 +38,7 @@
     draining_until: Timestamp,
     pub(crate) outstanding: u32,
     latency_micros: f64,
+    measured_at: Timestamp,
     pub(crate) load_percent: u32,
     level: AdmissionLevel,
     level_at: Option<Timestamp>,
@@ -53,7 +58,8 @@
             is_draining: entry.draining,
             draining_until: Timestamp::ZERO,
             outstanding: 0,
-            latency_micros: INITIAL_LATENCY,
+            latency_micros: 0.0,
+            measured_at: now,
             load_percent: 0,
             level: AdmissionLevel::default(),
             level_at: None,
@@ -108,7 +114,14 @@
     pub(crate) fn cost(&self, now: Timestamp, slow_start: Duration) -> f64 {
         let queue = f64::from(self.outstanding + 1);
         let load = 1.0 + f64::from(self.load_percent.min(1_000)) / 100.0;
-        queue * self.latency_micros * load / self.slow_start_share(now, slow_start)
+        queue * self.latency(now) * load / self.slow_start_share(now, slow_start)
+    }
+
+    /// Observed latency in microseconds, fading with its age.
+    fn latency(&self, now: Timestamp) -> f64 {
+        let half_lives = now.since(self.measured_at).as_secs_f64() / LATENCY_HALF_LIFE;
+        let faded = self.latency_micros * (-half_lives).exp2();
+        faded.max(MIN_LATENCY)
     }
 
     /// Share of its full traffic that a cold endpoint gets, rising with time.
@@ -123,7 +136,9 @@
     /// Counts the time that an attempt has taken.
     pub(crate) fn record_latency(&mut self, now: Timestamp, sent: Timestamp) {
         let sample = now.since(sent).as_micros() as f64;
-        self.latency_micros += LATENCY_WEIGHT * (sample - self.latency_micros);
+        let before = self.latency(now);
+        self.latency_micros = before + LATENCY_WEIGHT * (sample - before);
+        self.measured_at = now;
     }
 
     pub(crate) fn record_answer(&mut self, now: Timestamp, sent: Timestamp, feedback: &Feedback) {
--- a/crates/bramblewheel-core/src/table.rs
+++ b/crates/bramblewheel-core/src/table.rs
@@ -49,10 +49,6 @@
         !was_old && !was_young
     }
 
-    pub(crate) fn contains(&self, key: &K) -> bool {
-        self.young.contains_key(key) || self.old.contains_key(key)
-    }
-
     pub(crate) fn remove(&mut self, key: &K) -> Option<V> {
         let young = self.young.remove(key);
         let old = self.old.remove(key);
--- a/crates/bramblewheel-core/tests/admission.rs
+++ b/crates/bramblewheel-core/tests/admission.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use support::{
     Daemon, admission, at, attempt_answer, bundle, call_answer, dispatches, for_seeds, inbound,
-    reason, root_call, sent, succeeded,
+    operation, reason, root_call, sent, succeeded,
 };
 
 #[test]
@@ -196,3 +196,36 @@
     let actions = gateway.step(at(2_000), root_call(4, "a", "/", None));
     assert!(sent(&actions).is_some(), "a stale level is not acted on");
 }
+
+#[test]
+fn what_can_not_end_in_time_is_dropped_by_its_own_route_only() {
+    let bundle = bundle(&["a"], 8, admission(100, 100));
+    let mut daemon = Daemon::new("a-0", Some("a"), 1, bundle);
+    for id in 1..=40 {
+        let now = at(id * 50);
+        let mut context = support::context(id, Criticality::Normal, None);
+        context.deadline = now + Duration::from_millis(500);
+        daemon.step(now, Event::InboundCall { context });
+        let attempt = AttemptId(id);
+        let result = succeeded();
+        let later = now + Duration::from_millis(40);
+        daemon.step(later, Event::DispatchEnded { attempt, result });
+    }
+    let short = |id: u64, path: &str| {
+        let mut context = support::context(id, Criticality::Normal, Some(operation("key")));
+        context.operation = context.operation.filter(|_| path != "/");
+        context.path = path.to_owned();
+        context.deadline = at(2_100) + Duration::from_millis(20);
+        Event::InboundCall { context }
+    };
+    let actions = daemon.step(at(2_100), short(100, "/"));
+    let (answer, _) = attempt_answer(&actions, 100).expect("it is refused at once");
+    assert_eq!(reason(answer.outcome), Some(NotRunReason::DeadlineExceeded));
+    let actions = daemon.step(at(2_100), short(101, support::RUN_ONCE_PATH));
+    assert_eq!(attempt_answer(&actions, 101), None);
+    // Without news the estimate is forgotten, so that the route is measured again.
+    let mut context = support::context(102, Criticality::Normal, None);
+    context.deadline = at(3_020);
+    let actions = daemon.step(at(3_000), Event::InboundCall { context });
+    assert!(dispatches(&actions, 102));
+}
--- /dev/null
+++ b/crates/bramblewheel-core/tests/routing.rs
@@ -0,0 +1,180 @@
+//! Choice of endpoints, ejection, and ratio budgets.
+
+mod support;
+
+use bramblewheel_core::action::Action;
+use bramblewheel_core::event::{
+    AttemptResult, DirectoryEndpoint, DirectoryUpdate, Event, Feedback,
+};
+use bramblewheel_types::{AttemptId, EndpointId, NotRunReason, Outcome, Timestamp};
+use std::collections::BTreeMap;
+use support::{
+    Daemon, admission, answered, at, bundle, call_answer, endpoint, reason, root_call, sent,
+    service, zone,
+};
+
+fn entry(name: &str, in_zone: &str, draining: bool) -> DirectoryEndpoint {
+    DirectoryEndpoint {
+        endpoint: endpoint(name),
+        service: service("a"),
+        zone: zone(in_zone),
+        address: ([127, 0, 0, 1], 1_000).into(),
+        draining,
+    }
+}
+
+fn gateway(retry_tokens: u32, live: Vec<DirectoryEndpoint>) -> Daemon {
+    let bundle = bundle(&["a"], retry_tokens, admission(9, 9));
+    let mut daemon = Daemon::new("gateway", None, 1, bundle);
+    daemon.step(at(0), update(live));
+    daemon
+}
+
+fn update(live: Vec<DirectoryEndpoint>) -> Event {
+    Event::DirectoryUpdated(DirectoryUpdate {
+        is_complete: true,
+        live,
+        removed: Vec::new(),
+    })
+}
+
+fn call(daemon: &mut Daemon, now: Timestamp, id: u64) -> Option<(AttemptId, EndpointId)> {
+    sent(&daemon.step(now, root_call(id, "a", "/", None)))
+}
+
+fn end(daemon: &mut Daemon, now: Timestamp, attempt: AttemptId, result: AttemptResult) {
+    daemon.step(now, Event::AttemptEnded { attempt, result });
+}
+
+fn completed(load_percent: u32) -> AttemptResult {
+    AttemptResult::Answered {
+        outcome: Outcome::Completed,
+        feedback: Feedback {
+            load_percent,
+            ..Default::default()
+        },
+    }
+}
+
+/// Share of calls by endpoint; each call is answered at once, by the near ones with the load.
+fn shares(daemon: &mut Daemon, calls: u64, load: u32) -> BTreeMap<String, u64> {
+    let mut shares = BTreeMap::new();
+    for id in 0..calls {
+        let now = at(10 + id);
+        let (attempt, endpoint) = call(daemon, now, 1_000 + id).expect("it is sent");
+        *shares.entry(endpoint.to_string()).or_default() += 1;
+        let is_near = endpoint.as_str().starts_with("near");
+        end(
+            daemon,
+            now,
+            attempt,
+            completed(if is_near { load } else { 0 }),
+        );
+    }
+    shares
+}
+
+#[test]
+fn the_own_zone_comes_first_until_it_is_loaded() {
+    let live = vec![
+        entry("near-0", "zone-a", false),
+        entry("near-1", "zone-a", false),
+        entry("far-0", "zone-b", false),
+    ];
+    let idle = shares(&mut gateway(0, live.clone()), 200, 10);
+    assert_eq!(idle.get("far-0"), None);
+    assert_eq!(idle.len(), 2);
+    let loaded = shares(&mut gateway(0, live), 200, 300);
+    assert!(loaded["far-0"] > 50, "{loaded:?}");
+    assert!(loaded["near-0"] + loaded["near-1"] > 0, "{loaded:?}");
+}
+
+#[test]
+fn a_slow_endpoint_gets_less() {
+    let live = vec![
+        entry("fast", "zone-a", false),
+        entry("slow", "zone-a", false),
+    ];
+    let mut daemon = gateway(0, live);
+    let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+    for id in 0..100 {
+        let now = at(10 + id * 20);
+        let (attempt, endpoint) = call(&mut daemon, now, id).expect("it is sent");
+        let took = if endpoint.as_str() == "slow" { 15 } else { 1 };
+        *counts.entry(endpoint.to_string()).or_default() += 1;
+        end(&mut daemon, at(10 + id * 20 + took), attempt, completed(0));
+    }
+    assert!(counts["fast"] > 90, "{counts:?}");
+}
+
+#[test]
+fn failing_endpoints_are_ejected_up_to_the_ceiling_and_come_back() {
+    let names = ["a-0", "a-1", "a-2", "a-3"];
+    let live = names.map(|name| entry(name, "zone-a", false)).to_vec();
+    let mut daemon = gateway(0, live);
+    for id in 0..200 {
+        let Some((attempt, _)) = call(&mut daemon, at(10), id) else {
+            panic!("a general failure never empties the service");
+        };
+        end(&mut daemon, at(10), attempt, AttemptResult::Lost);
+    }
+    assert_eq!(
+        daemon.engine.metrics().ejections,
+        2,
+        "half of the endpoints"
+    );
+    let during: Vec<_> = (300..340)
+        .filter_map(|id| call(&mut daemon, at(20), id))
+        .collect();
+    for (attempt, _) in &during {
+        end(&mut daemon, at(21), *attempt, completed(0));
+    }
+    let during: Vec<_> = during.into_iter().map(|(_, endpoint)| endpoint).collect();
+    let distinct = |list: &[EndpointId]| {
+        let set: std::collections::BTreeSet<_> = list.iter().collect();
+        set.len()
+    };
+    assert_eq!(distinct(&during), 2);
+    let after: Vec<_> = (400..480)
+        .filter_map(|id| call(&mut daemon, at(1_500), id))
+        .map(|(_, endpoint)| endpoint)
+        .collect();
+    assert_eq!(distinct(&after), 4);
+}
+
+#[test]
+fn draining_or_removed_endpoints_get_no_new_work() {
+    let mut daemon = gateway(0, vec![entry("a-0", "zone-a", false)]);
+    daemon.step(at(1), update(vec![entry("a-0", "zone-a", true)]));
+    let actions = daemon.step(at(2), root_call(1, "a", "/", None));
+    let outcome = call_answer(&actions).expect("it is refused").outcome;
+    assert_eq!(reason(outcome), Some(NotRunReason::NoEndpoint));
+    daemon.step(at(3), update(vec![entry("a-1", "zone-a", false)]));
+    let (_, endpoint) = call(&mut daemon, at(4), 2).expect("the new one takes it");
+    assert_eq!(endpoint.as_str(), "a-1");
+}
+
+#[test]
+fn a_storm_of_failures_is_retried_within_the_ratio() {
+    let names = ["a-0", "a-1", "a-2", "a-3"];
+    let live = names.map(|name| entry(name, "zone-a", false)).to_vec();
+    let mut limits = bundle(&["a"], 100, admission(9, 9));
+    limits.limits.retry_ratio_percent = 10;
+    let mut daemon = Daemon::new("gateway", None, 1, limits);
+    daemon.step(at(0), update(live));
+    const CALLS: u64 = 500;
+    for id in 0..CALLS {
+        let mut actions = daemon.step(at(1), root_call(id, "a", "/", None));
+        while let Some((attempt, _)) = sent(&actions) {
+            let result = answered(Outcome::Failed);
+            actions = daemon.step(at(1), Event::AttemptEnded { attempt, result });
+        }
+        assert!(matches!(actions[..], [Action::AnswerCall { .. }]));
+    }
+    let retries = daemon.engine.metrics().attempts_sent - CALLS;
+    let allowed = CALLS / 10 + 10;
+    assert!(
+        retries <= allowed && retries > CALLS / 20,
+        "{retries} retries"
+    );
+}
