--- a/crates/bramblewheel-core/src/engine.rs
+++ b/crates/bramblewheel-core/src/engine.rs
@@ -157,6 +157,7 @@
                 Timer::CallDeadline(call) => self.expire_call(now, call, actions),
                 Timer::AttemptDeadline(attempt) => self.expire_attempt(now, attempt, actions),
                 Timer::ClaimTimeout(attempt) => self.claim_timed_out(now, attempt, actions),
+                Timer::ClaimAgain(attempt) => self.claim_again(now, attempt, actions),
                 Timer::DetachedDispatch(attempt) => self.detached_timed_out(now, attempt, actions),
             }
         }
@@ -168,6 +169,7 @@
             return;
         }
         self.bundle = Some(bundle);
+        self.inbound.service_times.clear();
         let bounds = self
             .admission_policy()
             .map(|policy| (policy.min_concurrency, policy.max_concurrency));
--- a/crates/bramblewheel-core/src/inbound/claim.rs
+++ b/crates/bramblewheel-core/src/inbound/claim.rs
@@ -9,6 +9,12 @@
 use crate::inbound::attempt::{InboundAttempt, Stage};
 use crate::timers::Timer;
 use bramblewheel_types::{AttemptId, NotRunReason, OperationKey, Outcome, Timestamp};
+use std::time::Duration;
+
+/// How often the ledger is asked again while another attempt holds the claim.
+const MAX_CLAIMS_AGAIN: u32 = 2;
+/// Time before the ledger is asked again, times the number of refusals so far.
+const CLAIM_AGAIN_AFTER: Duration = Duration::from_millis(15);
 
 impl Engine {
     /// Asks for the claim of an attempt that holds a slot.
@@ -22,7 +28,6 @@
         let Some(operation) = attempt.context.operation.clone() else {
             return;
         };
-        self.inbound.claimed.insert(id, ());
         let until = now + self.config.claim_timeout;
         self.timers.set(until, Timer::ClaimTimeout(id));
         attempt.stage = Stage::Claiming { until };
@@ -49,6 +54,7 @@
             return self.claim_answered_late(id, stage, answer, actions);
         };
         self.timers.clear(until, Timer::ClaimTimeout(id));
+        self.timers.clear(until, Timer::ClaimAgain(id));
         let Some(attempt) = self.inbound.attempts.remove(&id) else {
             return;
         };
@@ -58,10 +64,7 @@
                 self.free_slot();
                 self.end_stored(attempt, failed, answer, actions);
             }
-            ClaimAnswer::HeldElsewhere => {
-                self.free_slot();
-                self.end_bodiless(attempt, Outcome::Unknown, true, actions);
-            }
+            ClaimAnswer::HeldElsewhere => self.claim_held(now, attempt, actions),
             ClaimAnswer::Expired => {
                 self.free_slot();
                 self.end_not_run(attempt, NotRunReason::OperationExpired, actions);
@@ -73,6 +76,34 @@
         self.pump(now, actions);
     }
 
+    /// Another attempt holds the claim. Its release or its result may be on the way, when the
+    /// caller was refused there a moment ago or sent twice; so the ledger is asked again, a few
+    /// times within milliseconds, before the caller is told that nothing is known.
+    fn claim_held(
+        &mut self,
+        now: Timestamp,
+        mut attempt: InboundAttempt,
+        actions: &mut Vec<Action>,
+    ) {
+        attempt.times_held += 1;
+        if attempt.times_held > MAX_CLAIMS_AGAIN {
+            self.free_slot();
+            return self.end_bodiless(attempt, Outcome::Unknown, true, actions);
+        }
+        let id = attempt.context.attempt;
+        let at = now + CLAIM_AGAIN_AFTER * attempt.times_held;
+        self.timers.set(at, Timer::ClaimAgain(id));
+        attempt.stage = Stage::Claiming { until: at };
+        self.inbound.attempts.insert(id, attempt);
+    }
+
+    pub(crate) fn claim_again(&mut self, now: Timestamp, id: AttemptId, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.inbound.attempts.remove(&id) else {
+            return;
+        };
+        self.begin_claim(now, attempt, actions);
+    }
+
     /// An answer for an attempt that was given up: a grant is returned, never used.
     fn claim_answered_late(
         &mut self,
@@ -98,7 +129,7 @@
     /// although its timer has not been looked at yet. A drain that began meanwhile does not
     /// stop the operation: it was accepted before, and a planned stop interrupts nothing.
     fn use_grant(&mut self, now: Timestamp, attempt: InboundAttempt, actions: &mut Vec<Action>) {
-        if self.can_finish(now, attempt.context.deadline) {
+        if self.can_finish(now, &attempt.context) {
             return self.dispatch(now, attempt, actions);
         }
         self.end_unclaimed(attempt, NotRunReason::DeadlineExceeded, actions);
@@ -113,6 +144,10 @@
     ) {
         self.free_slot();
         self.release_claim(&attempt, actions);
+        if attempt.times_held > 0 {
+            // The holder may have run the operation.
+            return self.end_bodiless(attempt, Outcome::Unknown, true, actions);
+        }
         self.end_not_run(attempt, reason, actions);
     }
 
@@ -127,6 +162,7 @@
     ) {
         let id = attempt.context.attempt;
         self.timers.clear(until, Timer::ClaimTimeout(id));
+        self.timers.clear(until, Timer::ClaimAgain(id));
         if let Some(operation) = &attempt.context.operation {
             self.inbound.abandoned.insert(id, operation.key.clone());
         }
--- a/crates/bramblewheel-core/tests/headers.rs
+++ b/crates/bramblewheel-core/tests/headers.rs
@@ -36,6 +36,7 @@
         depth: u.arbitrary()?,
         in_session: u.arbitrary()?,
         operation: has_key.then(|| operation("K-1:2/3")),
+        may_have_run: u.arbitrary()?,
         bundle_version: BundleVersion(u.arbitrary()?),
     })
 }
--- a/crates/bramblewheel-types/src/headers.rs
+++ b/crates/bramblewheel-types/src/headers.rs
@@ -31,6 +31,8 @@
 pub const IN_SESSION: &str = "bw-in-session";
 /// Name an outside caller gives itself; its retry ratio is kept under address and name.
 pub const CALLER: &str = "bw-caller";
+/// Set to `1` between daemons when an earlier try of the same request may have run.
+pub const MAY_HAVE_RUN: &str = "bw-may-have-run";
 /// Key of an operation that must not run twice.
 pub const OPERATION_KEY: &str = "bw-operation-key";
 /// When the key was minted, in milliseconds since the Unix epoch.
