--- a/crates/bramblewheel-core/src/inbound/accept.rs
+++ b/crates/bramblewheel-core/src/inbound/accept.rs
@@ -49,6 +49,8 @@
         }
         let shedding = shedding_position(context.criticality, context.in_session, context.request);
         self.inbound.level.record_offered(now, shedding);
+        let limit = self.concurrency_limit();
+        self.inbound.level.record_use(self.inbound.running, limit);
         let importance = Importance {
             criticality: context.criticality,
             in_session: context.in_session,
--- a/crates/bramblewheel-core/src/inbound/level.rs
+++ b/crates/bramblewheel-core/src/inbound/level.rs
@@ -3,7 +3,8 @@
 //! At the end of each window the level moves: up, so that about a twentieth less of what was
 //! offered passes, while the mean queueing delay is too long; down by a small step otherwise. A
 //! histogram of the offered requests over (class, cohort) says how far to move. Down is slower
-//! than up, and both are relative, so that callers do not swing between all and nothing.
+//! than up, and both are relative, so that callers do not swing between all and nothing; only
+//! when slots are clearly free does the level fall fast.
 
 use crate::cohort::COHORT_COUNT;
 use crate::event::AdmissionLevel;
@@ -20,6 +21,12 @@
 const INCREASE: f64 = 0.02;
 /// Positions over all classes.
 const POSITIONS: usize = Criticality::ALL.len() * COHORT_COUNT as usize;
+/// Mean share of the slots in use below which there is clearly room.
+const IDLE_USE: f64 = 0.75;
+/// Steps down per window while there is no overload.
+const FALL_STEPS: u128 = COHORT_COUNT as u128 / 8;
+/// Steps down per window while there is clearly room, so that refusals end soon after a surge.
+const IDLE_FALL_STEPS: u128 = COHORT_COUNT as u128 / 2;
 /// The level never passes this, so that some of the most important calls always come through.
 const MAX_POSITION: usize = POSITIONS - COHORT_COUNT as usize / 4;
 
@@ -32,6 +39,8 @@
     delay_sum: Duration,
     delays: u32,
     has_shed: bool,
+    use_sum: f64,
+    uses: u32,
 }
 
 impl LevelController {
@@ -44,6 +53,8 @@
             delay_sum: Duration::ZERO,
             delays: 0,
             has_shed: false,
+            use_sum: 0.0,
+            uses: 0,
         }
     }
 
@@ -74,6 +85,12 @@
         self.delays += 1;
     }
 
+    /// Notes how many of the slots were in use when a request arrived.
+    pub fn record_use(&mut self, running: u32, limit: u32) {
+        self.use_sum += f64::from(running) / f64::from(limit.max(1));
+        self.uses += 1;
+    }
+
     /// Notes that a request was shed for want of room or time.
     pub fn record_shed(&mut self) {
         self.has_shed = true;
@@ -96,6 +113,8 @@
         self.delay_sum = Duration::ZERO;
         self.delays = 0;
         self.has_shed = false;
+        self.use_sum = 0.0;
+        self.uses = 0;
         self.window_end = now + WINDOW;
     }
 
@@ -115,11 +134,17 @@
         }
     }
 
-    /// Callers shed below the level before sending, so little of what lies below is counted
-    /// here; each step down is at most an eighth of a class per window.
+    /// Callers shed below the level before sending, so that little of what lies below is counted
+    /// here; hence the steps down are bounded per window as well. With clearly free slots the
+    /// count is not needed.
     fn fall(&mut self, windows: u128) {
+        if self.has_room() {
+            let steps = usize::try_from(IDLE_FALL_STEPS * windows).unwrap_or(POSITIONS);
+            self.position = self.position.saturating_sub(steps);
+            return;
+        }
         let room = (self.admitted() as f64 * INCREASE).ceil() as u64;
-        let max_steps = u128::from(COHORT_COUNT / 8) * windows;
+        let max_steps = FALL_STEPS * windows;
         let mut steps = 0;
         let mut added = 0;
         while self.position > 0 && steps < max_steps && added <= room {
@@ -128,6 +153,10 @@
             steps += 1;
         }
     }
+
+    fn has_room(&self) -> bool {
+        self.uses > 0 && self.use_sum / f64::from(self.uses) < IDLE_USE
+    }
 }
 
 impl Default for LevelController {
--- a/crates/bramblewheel-core/tests/retry_bound.rs
+++ b/crates/bramblewheel-core/tests/retry_bound.rs
@@ -19,6 +19,7 @@
             failed: true,
             stored: StoredAnswer::default(),
         },
+        takes: Duration::from_micros(500),
         loses_answer,
     }
 }
@@ -80,6 +81,7 @@
     Ok(Plan {
         sub_calls,
         end,
+        takes: Duration::from_micros(500),
         loses_answer: source.ratio(1, 4)?,
     })
 }
--- a/crates/bramblewheel-core/tests/support/network.rs
+++ b/crates/bramblewheel-core/tests/support/network.rs
@@ -22,6 +22,8 @@
     pub sub_calls: Vec<(ServiceName, u64)>,
     /// How the endpoint ends.
     pub end: DispatchResult,
+    /// Time that the endpoint takes after its sub-calls.
+    pub takes: Duration,
     /// Whether the network loses the answer to the calling daemon.
     pub loses_answer: bool,
 }
@@ -30,6 +32,7 @@
     node: usize,
     waiting: usize,
     end: DispatchResult,
+    takes: Duration,
 }
 
 /// What is counted about one run.
@@ -207,6 +210,7 @@
             node,
             waiting: plan.sub_calls.len(),
             end: plan.end,
+            takes: plan.takes,
         };
         self.runs.insert(attempt, run);
         for (to, fingerprint) in plan.sub_calls {
@@ -245,6 +249,10 @@
         }
         let run = self.runs.remove(&attempt).expect("the run was just found");
         let result = run.end;
-        self.send(HOP, run.node, Event::DispatchEnded { attempt, result });
+        self.send(
+            run.takes,
+            run.node,
+            Event::DispatchEnded { attempt, result },
+        );
     }
 }
