--- a/crates/bramblewheel-core/tests/support/network.rs
+++ b/crates/bramblewheel-core/tests/support/network.rs
@@ -8,7 +8,7 @@
     AttemptResult, DirectoryEndpoint, DirectoryUpdate, DispatchResult, Event,
 };
 use bramblewheel_types::{AttemptId, CallId, Outcome, ServiceName, Timestamp};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -22,6 +22,8 @@
     pub sub_calls: Vec<(ServiceName, u64)>,
     /// How the endpoint ends.
     pub end: DispatchResult,
+    /// Time that the endpoint takes after its sub-calls.
+    pub takes: Duration,
     /// Whether the network loses the answer to the calling daemon.
     pub loses_answer: bool,
 }
@@ -30,6 +32,7 @@
     node: usize,
     waiting: usize,
     end: DispatchResult,
+    takes: Duration,
 }
 
 /// What is counted about one run.
@@ -41,6 +44,8 @@
     pub sub_calls: u64,
     /// Attempts passed to endpoints.
     pub dispatched: u64,
+    /// Calls of which an endpoint ran any part.
+    pub ran: BTreeSet<CallId>,
     /// Answers of all calls.
     pub answers: BTreeMap<CallId, Outcome>,
 }
@@ -202,11 +207,16 @@
     fn begin(&mut self, node: usize, attempt: AttemptId) {
         self.counts.dispatched += 1;
         let plan = (self.behaviour)(&self.contexts[&attempt]);
+        let is_proved_not_run = plan.sub_calls.is_empty() && plan.end == DispatchResult::NotSent;
+        if !is_proved_not_run {
+            self.counts.ran.insert(self.contexts[&attempt].call);
+        }
         self.lost.insert(attempt, plan.loses_answer);
         let run = Run {
             node,
             waiting: plan.sub_calls.len(),
             end: plan.end,
+            takes: plan.takes,
         };
         self.runs.insert(attempt, run);
         for (to, fingerprint) in plan.sub_calls {
@@ -245,6 +255,10 @@
         }
         let run = self.runs.remove(&attempt).expect("the run was just found");
         let result = run.end;
-        self.send(HOP, run.node, Event::DispatchEnded { attempt, result });
+        self.send(
+            run.takes,
+            run.node,
+            Event::DispatchEnded { attempt, result },
+        );
     }
 }
