Carry the mark of an earlier try between daemons

A daemon's HTTP reader of the context headers did not know the mark that core now sends for an attempt whose operation may have run at an earlier send; the workspace did not build. The header is read and written like the others. Workspace tests pass.

--- a/crates/bramblewheel-daemon/src/http/context.rs
+++ b/crates/bramblewheel-daemon/src/http/context.rs
@@ -28,6 +28,9 @@
     if context.in_session {
         set(map, headers::IN_SESSION, 1);
     }
+    if context.may_have_run {
+        set(map, headers::MAY_HAVE_RUN, 1);
+    }
     if let Some(operation) = &context.operation {
         set(map, headers::OPERATION_KEY, &operation.key);
         let minted = operation.minted_at_unix_millis;
@@ -72,6 +75,7 @@
         retry_tokens: required(map, headers::RETRY_TOKENS)?,
         depth: required(map, headers::DEPTH)?,
         in_session: fields::is_set(map, headers::IN_SESSION),
+        may_have_run: fields::is_set(map, headers::MAY_HAVE_RUN),
         operation: read_operation(map)?,
         bundle_version: BundleVersion(required(map, headers::BUNDLE_VERSION)?),
     })
