--- /dev/null
+++ b/crates/bramblewheel-lab/src/bench/mod.rs
@@ -0,0 +1,5 @@
+//! Benches, one folder each.
+
+pub mod latency;
+pub mod overload;
+pub mod scale;
--- a/crates/bramblewheel-lab/src/lib.rs
+++ b/crates/bramblewheel-lab/src/lib.rs
@@ -1,1 +1,9 @@
-//! Stand-in endpoints and callers, fleet runner, benches and reports.
+//! The test tool: stand-in endpoints and callers, a runner of whole fleets on loopback, benches.
+//!
+//! The only program of the project that starts processes. It runs its own executable with hidden
+//! commands for the daemons and control replicas, so that nothing else has to be built or found.
+
+pub mod bench;
+pub mod commands;
+pub mod error;
+pub mod options;
--- /dev/null
+++ b/crates/bramblewheel-lab/src/options.rs
@@ -0,0 +1,86 @@
+//! The command line's arguments. Each command's own options stand in its module.
+
+use crate::bench::latency::LatencyOptions;
+use crate::bench::overload::OverloadOptions;
+use crate::bench::scale::ScaleOptions;
+use crate::commands::caller::CallerOptions;
+use crate::commands::endpoint::EndpointOptions;
+use crate::commands::fleet::FleetOptions;
+use crate::commands::hidden::SettingsOptions;
+use crate::commands::sim::SimOptions;
+use gumdrop::Options;
+
+/// Follows every help text.
+const EXIT_STATUS: &str = "\
+Exit status:
+  0  done, and every check passed
+  1  a check failed, or the run itself broke
+  2  the command line or an input file is wrong, or the command is not there yet";
+
+/// Arguments of the program.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    /// print help
+    pub help: bool,
+    /// what to do
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+/// The commands.
+#[derive(Debug, Options)]
+pub enum Command {
+    /// run stand-in endpoints of a deployment
+    Endpoint(EndpointOptions),
+    /// send a deployment's load to its gateways
+    Caller(CallerOptions),
+    /// start a whole deployment on loopback, load it, check it, stop it
+    Fleet(FleetOptions),
+    /// run the deterministic simulator
+    Sim(SimOptions),
+    /// measure overload, latency and scale
+    Bench(BenchOptions),
+    /// (used by the lab itself) run one daemon
+    RunDaemon(SettingsOptions),
+    /// (used by the lab itself) run one control replica
+    RunControl(SettingsOptions),
+}
+
+/// Arguments of `bench`.
+#[derive(Debug, Options)]
+pub struct BenchOptions {
+    /// print help
+    pub help: bool,
+    /// what to measure
+    #[options(command)]
+    pub command: Option<BenchCommand>,
+}
+
+/// The benches.
+#[derive(Debug, Options)]
+pub enum BenchCommand {
+    /// goodput and recovery under a surge
+    Overload(OverloadOptions),
+    /// latency that the daemons add to a call
+    Latency(LatencyOptions),
+    /// work of daemons and replicas at the size to come
+    Scale(ScaleOptions),
+}
+
+impl Arguments {
+    /// Help for the command given, or for the program.
+    pub fn help_text(&self) -> String {
+        let mut words = vec!["bramblewheel-lab"];
+        let mut innermost: &dyn Options = self;
+        while let Some(command) = innermost.command() {
+            words.extend(command.command_name());
+            innermost = command;
+        }
+        let usage = innermost.self_usage();
+        let mut text = format!("Usage: {} [OPTIONS]\n\n{usage}\n", words.join(" "));
+        if let Some(commands) = innermost.self_command_list() {
+            text += &format!("\nCommands:\n{commands}\n");
+        }
+        text + "\n" + EXIT_STATUS
+    }
+}
