--- /dev/null
+++ b/crates/bramblewheel-lab/src/check/planned_stop.rs
@@ -0,0 +1,95 @@
+//! A planned stop interrupts no request in progress, and ends with status 0.
+
+use super::Finding;
+use super::history::{History, ProcessEventKind, Send};
+use crate::journal::{Failure, FaultKind, Told};
+
+/// No run was broken off at a stopping endpoint before its deadline, and no caller lost an answer
+/// at a stopping gateway.
+pub(super) fn check_requests(history: &History<'_>) -> Finding {
+    let mut finding = Finding::new("planned-stop");
+    for arrival in history.arrivals.values() {
+        let stops = stops_around(history, arrival.endpoint);
+        let is_in_progress = |&(from, to): &(u64, u64)| {
+            let began = arrival.ran_us.is_some_and(|at| at <= to);
+            began && arrival.ended_us.is_none_or(|at| at >= from)
+        };
+        let Some(&(_, to)) = stops.iter().find(|stop| is_in_progress(stop)) else {
+            continue;
+        };
+        let deadline = arrival.received_us + arrival.context.timeout_ms * 1000;
+        let is_past_deadline = arrival.ended_us.unwrap_or(to) >= deadline;
+        let is_ended = arrival.ended_us.is_some() && !arrival.was_cancelled;
+        finding.case(is_ended || is_past_deadline, || {
+            let (request, endpoint) = (arrival.context.request, arrival.endpoint);
+            format!("request {request} was interrupted at {endpoint} by a planned stop")
+        });
+    }
+    for send in history.sends.values() {
+        check_send(history, send, &mut finding);
+    }
+    finding
+}
+
+fn check_send(history: &History<'_>, send: &Send<'_>, finding: &mut Finding) {
+    let Some((told_us, reply)) = send.told else {
+        return;
+    };
+    let stops = history.planned_stops(&send.sent.gateway);
+    let is_in_progress = |&(from, to): &(u64, Option<u64>)| {
+        send.sent_us <= from
+            && to.is_none_or(|to| told_us <= to + EXIT_NOTICE_US)
+            && told_us >= from
+    };
+    if !stops.iter().any(is_in_progress) {
+        return;
+    }
+    let lost = matches!(
+        reply.told,
+        Told::Nothing {
+            failure: Failure::Broken | Failure::NoOutcome
+        }
+    );
+    finding.case(!lost, || {
+        let (request, gateway) = (send.sent.request, &send.sent.gateway);
+        format!("request {request} lost its answer in a planned stop of {gateway}")
+    });
+}
+
+/// Time after the end of a process within which a broken connection is put down to that end.
+const EXIT_NOTICE_US: u64 = 1_000_000;
+
+/// Stops of an endpoint or of the daemon beside it, which carries the endpoint's answers.
+fn stops_around(history: &History<'_>, endpoint: &str) -> Vec<(u64, u64)> {
+    let daemon = format!("daemon-{endpoint}");
+    let processes = [endpoint, daemon.as_str()];
+    let stops = processes.into_iter().flat_map(|p| history.planned_stops(p));
+    stops
+        .map(|(from, to)| (from, to.unwrap_or(u64::MAX)))
+        .collect()
+}
+
+/// Every process that was asked to stop ended by itself, with status 0.
+pub(super) fn check_exits(history: &History<'_>) -> Finding {
+    let mut finding = Finding::new("clean-exit");
+    for (process, events) in &history.processes {
+        let mut stops_planned = false;
+        for event in events {
+            match event.kind {
+                ProcessEventKind::Fault(FaultKind::PlannedStop) => stops_planned = true,
+                ProcessEventKind::Fault(FaultKind::Started) => stops_planned = false,
+                ProcessEventKind::Exited(status) if stops_planned => {
+                    finding.case(status == Some(0), || {
+                        format!("{process} ended a planned stop with {status:?}")
+                    });
+                }
+                _ => {}
+            }
+        }
+        if let Some(last) = events.last() {
+            let is_over = matches!(last.kind, ProcessEventKind::Exited(_));
+            finding.case(is_over, || format!("{process} did not end"));
+        }
+    }
+    finding
+}
--- /dev/null
+++ b/crates/bramblewheel-lab/src/check/retry_bound.rs
@@ -0,0 +1,30 @@
+//! The retries of one request stay within the bound, however deep the tree.
+//!
+//! The bound of `docs/design/03-retry-bound.md` is, for `R` retry tokens,
+//! `sum over calls c of (attempts(c) - 1 - free(c)) + repeats <= R`. Attempts that cost nothing
+//! ran nothing, and the lab's endpoints repeat no sub-call, so that over the attempts that ran
+//! `sum over calls c of (ran(c) - 1) <= R`. Each send of the caller is a call of its own, with no
+//! tokens unless it is the first: the sum over all sends of a request is bounded by the same `R`.
+
+use super::Finding;
+use super::history::History;
+use bramblewheel_types::RequestId;
+use std::collections::{BTreeMap, HashMap};
+
+pub(super) fn check(history: &History<'_>, retry_tokens: u32) -> Finding {
+    let mut finding = Finding::new("retry-bound");
+    let mut runs: BTreeMap<RequestId, HashMap<u64, u64>> = BTreeMap::new();
+    for arrival in history.arrivals.values() {
+        if arrival.ran_us.is_some() {
+            let calls = runs.entry(arrival.context.request).or_default();
+            *calls.entry(arrival.context.call).or_default() += 1;
+        }
+    }
+    for (request, calls) in runs {
+        let extra: u64 = calls.values().map(|runs| runs - 1).sum();
+        finding.case(extra <= u64::from(retry_tokens), || {
+            format!("request {request} caused {extra} extra runs, allowed are {retry_tokens}")
+        });
+    }
+    finding
+}
--- /dev/null
+++ b/crates/bramblewheel-lab/src/journal/read.rs
@@ -0,0 +1,69 @@
+//! Reading of journals.
+
+use super::Record;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// A journal can't be read.
+#[derive(Debug, Error)]
+pub enum JournalError {
+    /// The file can't be read.
+    #[error("{}: {error}", file.display())]
+    Unreadable {
+        /// The file or folder.
+        file: PathBuf,
+        /// What the operating system says.
+        error: io::Error,
+    },
+    /// A line is not a record.
+    #[error("{}:{line}: {error}", file.display())]
+    Malformed {
+        /// The file.
+        file: PathBuf,
+        /// Line, from 1.
+        line: usize,
+        /// What is wrong.
+        error: serde_json::Error,
+    },
+}
+
+/// Reads all journals of a folder, in the order of time.
+///
+/// # Errors
+/// [`JournalError`] for the first file or line that can't be read.
+pub fn read_folder(folder: &Path) -> Result<Vec<Record>, JournalError> {
+    let unreadable = |error| JournalError::Unreadable {
+        file: folder.to_owned(),
+        error,
+    };
+    let mut records = Vec::new();
+    for entry in fs::read_dir(folder).map_err(unreadable)? {
+        let path = entry.map_err(unreadable)?.path();
+        if path
+            .extension()
+            .is_some_and(|extension| extension == "jsonl")
+        {
+            read_file(&path, &mut records)?;
+        }
+    }
+    records.sort_by_key(|record| record.at_us);
+    Ok(records)
+}
+
+fn read_file(file: &Path, records: &mut Vec<Record>) -> Result<(), JournalError> {
+    let text = fs::read_to_string(file).map_err(|error| JournalError::Unreadable {
+        file: file.to_owned(),
+        error,
+    })?;
+    for (index, line) in text.lines().enumerate() {
+        let record = serde_json::from_str(line).map_err(|error| JournalError::Malformed {
+            file: file.to_owned(),
+            line: index + 1,
+            error,
+        })?;
+        records.push(record);
+    }
+    Ok(())
+}
