Add stand-in endpoints and open-loop callers

Endpoints and callers read the deployment model and write journals that the checkers read. An answer follows from the request alone, so that a caller can tell its own whole answer from any other, also when the ledger stores it.

--- /dev/null
+++ b/crates/bramblewheel-lab/src/client.rs
@@ -0,0 +1,171 @@
+//! Calls to a daemon's outbound listener, by endpoints and by outside callers.
+
+use crate::answer;
+use crate::journal::{Failure, ReplyFromDaemon, Told};
+use bramblewheel_protocol::headers;
+use bramblewheel_types::{NotRunReason, RequestId};
+use bytes::Bytes;
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Client, Error};
+use hyper_util::rt::TokioExecutor;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Wait beyond the deadline before a caller holds a daemon for silent.
+const SILENCE_GRACE: Duration = Duration::from_secs(2);
+/// Idle connections older than this are closed; well below the daemons' own limit, so that a
+/// request does not meet a connection that is just being closed.
+const MAX_IDLE: Duration = Duration::from_secs(5);
+
+/// A client that keeps connections, as applications do.
+#[derive(Clone, Debug)]
+pub struct CallClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// A call to make.
+#[derive(Clone, Debug)]
+pub struct OutgoingCall {
+    /// Outbound listener of a daemon.
+    pub daemon: SocketAddr,
+    /// Path.
+    pub path: String,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Original request, to check the answer.
+    pub request: RequestId,
+    /// Time until the deadline.
+    pub timeout: Duration,
+}
+
+/// What came back.
+#[derive(Clone, Debug)]
+pub struct CallReply {
+    /// What the caller is told.
+    pub reply: ReplyFromDaemon,
+    /// When it may come back.
+    pub retry_after: Option<Duration>,
+    /// Token of a session that was opened.
+    pub session: Option<String>,
+}
+
+impl Default for CallClient {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_secs(1)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(MAX_IDLE)
+            .build(connector);
+        Self { client }
+    }
+}
+
+impl CallClient {
+    /// Makes a call and checks every byte of a completed answer.
+    pub async fn call(&self, call: &OutgoingCall) -> CallReply {
+        let patience = call.timeout + SILENCE_GRACE;
+        match tokio::time::timeout(patience, self.exchange(call)).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(failure)) => nothing(failure),
+            Err(_) => nothing(Failure::Silent),
+        }
+    }
+
+    async fn exchange(&self, call: &OutgoingCall) -> Result<CallReply, Failure> {
+        let uri = format!("http://{}{}", call.daemon, call.path);
+        let mut request = Request::post(uri)
+            .body(Full::new(call.body.clone()))
+            .expect("an address and a path make a valid URI");
+        *request.headers_mut() = call.headers.clone();
+        let response = self
+            .client
+            .request(request)
+            .await
+            .map_err(|e| failure(&e))?;
+        read_reply(call, response).await
+    }
+}
+
+fn failure(error: &Error) -> Failure {
+    if error.is_connect() {
+        Failure::NotConnected
+    } else {
+        Failure::Broken
+    }
+}
+
+fn nothing(failure: Failure) -> CallReply {
+    CallReply {
+        reply: ReplyFromDaemon {
+            told: Told::Nothing { failure },
+            status: None,
+            own_whole: None,
+        },
+        retry_after: None,
+        session: None,
+    }
+}
+
+async fn read_reply(
+    call: &OutgoingCall,
+    response: Response<Incoming>,
+) -> Result<CallReply, Failure> {
+    let (head, body) = response.into_parts();
+    let body = body
+        .collect()
+        .await
+        .map_err(|_| Failure::Broken)?
+        .to_bytes();
+    let told = told(&head.headers).unwrap_or(Told::Nothing {
+        failure: Failure::NoOutcome,
+    });
+    let expected = || answer::body(call.request, &call.path, &call.body);
+    let own_whole = (told == Told::Completed).then(|| body == expected());
+    let retry_after = text(&head.headers, headers::RETRY_AFTER_MS);
+    Ok(CallReply {
+        reply: ReplyFromDaemon {
+            told,
+            status: Some(head.status.as_u16()),
+            own_whole,
+        },
+        retry_after: retry_after
+            .and_then(|ms| ms.parse().ok())
+            .map(Duration::from_millis),
+        session: text(&head.headers, headers::SESSION).map(str::to_owned),
+    })
+}
+
+fn told(map: &HeaderMap) -> Option<Told> {
+    match text(map, headers::OUTCOME)? {
+        "completed" => Some(Told::Completed),
+        "failed" => Some(Told::Failed),
+        "unknown" => Some(Told::Unknown),
+        "not-run" => {
+            let reason: NotRunReason = text(map, headers::REASON)?.parse().ok()?;
+            Some(Told::NotRun { reason })
+        }
+        _ => None,
+    }
+}
+
+/// The text of a header field.
+pub fn text<'a>(map: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    map.get(name)?.to_str().ok()
+}
+
+/// Sets a header field to a value of visible ASCII characters.
+///
+/// # Panics
+/// When the value has other characters.
+pub fn set(map: &mut HeaderMap, name: &'static str, value: impl ToString) {
+    let value = HeaderValue::try_from(value.to_string())
+        .expect("ids, numbers and names consist of visible ASCII");
+    map.insert(HeaderName::from_static(name), value);
+}
--- /dev/null
+++ b/crates/bramblewheel-lab/src/endpoint/sub_calls.rs
@@ -0,0 +1,127 @@
+//! Calls that an endpoint makes through its own daemon while it runs a request.
+
+use super::state::State;
+use crate::client::{CallReply, OutgoingCall, set};
+use crate::journal::{CallContext, Event, Failure, ReplyFromDaemon, SubCallEnd, Told};
+use crate::lab_headers;
+use bramblewheel_protocol::headers;
+use bramblewheel_sim::deployment::{RouteModel, SubCallModel};
+use bytes::Bytes;
+use http::HeaderMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// A sub-call did not bring what the request needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct SubCallFailed;
+
+/// The request that sub-calls are made for.
+#[derive(Clone, Debug)]
+pub(super) struct Running {
+    pub(super) arrival: u64,
+    pub(super) context: Arc<CallContext>,
+    pub(super) deadline: Instant,
+}
+
+/// Makes all sub-calls of a route; the first that fails ends the others.
+pub(super) async fn make(
+    state: &Arc<State>,
+    running: &Running,
+    route: &RouteModel,
+) -> Result<(), SubCallFailed> {
+    let calls = route.calls.iter().enumerate();
+    let calls = calls.flat_map(|(index, call)| (0..call.count).map(move |n| (index, n, call)));
+    if !route.parallel {
+        for (index, number, call) in calls {
+            let body = content(running, index, number);
+            make_one(Arc::clone(state), running.clone(), call.clone(), body).await?;
+        }
+        return Ok(());
+    }
+    // Dropping the set, as when the request is cancelled, ends the calls in it.
+    let mut together = JoinSet::new();
+    for (index, number, call) in calls {
+        let body = content(running, index, number);
+        together.spawn(make_one(
+            Arc::clone(state),
+            running.clone(),
+            call.clone(),
+            body,
+        ));
+    }
+    while let Some(ended) = together.join_next().await {
+        ended.map_err(|_| SubCallFailed)??;
+    }
+    Ok(())
+}
+
+/// Each sub-call of a request has other content, or it would count as a repeat.
+fn content(running: &Running, index: usize, number: u32) -> Bytes {
+    Bytes::from(format!("{}/{index}/{number}", running.context.path))
+}
+
+async fn make_one(
+    state: Arc<State>,
+    running: Running,
+    model: SubCallModel,
+    body: Bytes,
+) -> Result<(), SubCallFailed> {
+    let call = state.next_number();
+    let reply = match outgoing(&state, &running, &model, call, body) {
+        Some(outgoing) => state.client.call(&outgoing).await.reply,
+        None => not_connected().reply,
+    };
+    state.journal.write(Event::SubCall(SubCallEnd {
+        arrival: running.arrival,
+        call,
+        service: model.service,
+        criticality: running.context.criticality,
+        told: reply,
+    }));
+    match reply.told {
+        Told::Completed => Ok(()),
+        _ => Err(SubCallFailed),
+    }
+}
+
+fn outgoing(
+    state: &State,
+    running: &Running,
+    model: &SubCallModel,
+    call: u64,
+    body: Bytes,
+) -> Option<OutgoingCall> {
+    let context = &running.context;
+    let timeout = running.deadline.saturating_duration_since(Instant::now());
+    let mut map = HeaderMap::new();
+    set(&mut map, headers::SERVICE, &model.service);
+    set(&mut map, headers::PARENT, context.attempt);
+    set(&mut map, headers::TIMEOUT_MS, timeout.as_millis());
+    set(&mut map, lab_headers::SEND, context.send);
+    set(&mut map, lab_headers::CALL, call);
+    set(&mut map, lab_headers::DEPTH, context.depth + 1);
+    Some(OutgoingCall {
+        daemon: state.daemon()?,
+        path: model.path.clone(),
+        headers: map,
+        body,
+        request: context.request,
+        timeout,
+    })
+}
+
+/// Before the daemon's address is known, there is nothing to connect to.
+fn not_connected() -> CallReply {
+    let failure = Failure::NotConnected;
+    CallReply {
+        reply: ReplyFromDaemon {
+            told: Told::Nothing { failure },
+            status: None,
+            own_whole: None,
+        },
+        retry_after: Some(Duration::ZERO),
+        session: None,
+    }
+}
--- a/crates/bramblewheel-lab/src/lib.rs
+++ b/crates/bramblewheel-lab/src/lib.rs
@@ -5,8 +5,16 @@
 
 pub mod answer;
 pub mod bench;
+pub mod caller;
 pub mod check;
+pub mod client;
 pub mod commands;
+pub mod deployments;
+pub mod endpoint;
 pub mod error;
 pub mod journal;
+pub mod lab_headers;
 pub mod options;
+pub mod runtime;
+pub mod signals;
+pub mod stdin_commands;
--- /dev/null
+++ b/crates/bramblewheel-lab/src/signals.rs
@@ -0,0 +1,32 @@
+//! Signals that ask a process to stop.
+
+use std::io;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// SIGTERM and SIGINT.
+#[derive(Debug)]
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+/// Begins to listen for the signals.
+///
+/// # Errors
+/// What the operating system says.
+pub fn stop() -> io::Result<StopSignals> {
+    Ok(StopSignals {
+        terminate: signal(SignalKind::terminate())?,
+        interrupt: signal(SignalKind::interrupt())?,
+    })
+}
+
+impl StopSignals {
+    /// Waits for one of the signals.
+    pub async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
