--- a/crates/bramblewheel-lab/src/lib.rs
+++ b/crates/bramblewheel-lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod journal;
 pub mod lab_headers;
 pub mod options;
+pub mod process;
 pub mod runtime;
 pub mod signals;
 pub mod stdin_commands;
--- /dev/null
+++ b/crates/bramblewheel-lab/src/process/child.rs
@@ -0,0 +1,212 @@
+//! One child process: start, log, commands, signals, end.
+
+use super::log_lines::{self, LogEvent};
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::path::PathBuf;
+use std::process::{ExitStatus, Stdio};
+use thiserror::Error;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::process::{ChildStderr, ChildStdin, Command};
+use tokio::sync::{mpsc, watch};
+
+/// A child process can't be started or told something.
+#[derive(Debug, Error)]
+pub enum ProcessError {
+    /// It can't be started.
+    #[error("{name}: can't start: {error}")]
+    Start {
+        /// Its name.
+        name: String,
+        /// What the operating system says.
+        error: io::Error,
+    },
+    /// It is not there any more.
+    #[error("{name}: not running")]
+    NotRunning {
+        /// Its name.
+        name: String,
+    },
+    /// A signal can't be sent.
+    #[error("{name}: can't send a signal: {error}")]
+    Signal {
+        /// Its name.
+        name: String,
+        /// What the operating system says.
+        error: io::Error,
+    },
+}
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Spawn {
+    /// Name of the process.
+    pub name: String,
+    /// Arguments of the lab's own executable.
+    pub arguments: Vec<String>,
+    /// File that its standard error is added to.
+    pub log: PathBuf,
+}
+
+/// News of a child.
+#[derive(Clone, Debug)]
+pub enum ChildEvent {
+    /// It logged something to act upon.
+    Log(LogEvent),
+    /// It ended; the status is none when a signal ended it.
+    Exited(Option<i32>),
+}
+
+/// A running child. Dropping it kills the process.
+#[derive(Debug)]
+pub struct Child {
+    name: String,
+    pid: Pid,
+    input: Option<ChildStdin>,
+    ended: watch::Receiver<Option<ExitStatus>>,
+    kill: mpsc::UnboundedSender<()>,
+}
+
+impl Child {
+    /// Starts a process; its news goes to `events` under its name.
+    ///
+    /// # Errors
+    /// [`ProcessError::Start`].
+    pub fn start(
+        spawn: Spawn,
+        events: mpsc::UnboundedSender<(String, ChildEvent)>,
+    ) -> Result<Self, ProcessError> {
+        let name = spawn.name.clone();
+        let start_error = |error| ProcessError::Start {
+            name: spawn.name.clone(),
+            error,
+        };
+        let executable = std::env::current_exe().map_err(start_error)?;
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&spawn.log);
+        let log = log.map_err(start_error)?;
+        let mut process = Command::new(executable)
+            .args(&spawn.arguments)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(start_error)?;
+        let pid = process
+            .id()
+            .and_then(|pid| Pid::from_raw(pid.cast_signed()));
+        let pid = pid.ok_or_else(|| start_error(io::ErrorKind::NotFound.into()))?;
+        let input = process.stdin.take();
+        let error_output = process.stderr.take();
+        let (ended_sender, ended) = watch::channel(None);
+        let (kill, mut kill_asked) = mpsc::unbounded_channel();
+        let event_name = name.clone();
+        tokio::spawn(async move {
+            let reading = async {
+                if let Some(output) = error_output {
+                    read_log(output, log, &event_name, &events).await;
+                }
+            };
+            let waiting = async {
+                let status = tokio::select! {
+                    status = process.wait() => status,
+                    _ = kill_asked.recv() => {
+                        // The process may have just ended by itself.
+                        let _ = process.start_kill();
+                        process.wait().await
+                    }
+                };
+                // From here on the process id may belong to another process.
+                let status = status.unwrap_or_default();
+                ended_sender.send_replace(Some(status));
+                status
+            };
+            // All that was logged comes before the end.
+            let ((), status) = tokio::join!(reading, waiting);
+            let _ = events.send((event_name, ChildEvent::Exited(status.code())));
+        });
+        Ok(Self {
+            name,
+            pid,
+            input,
+            ended,
+            kill,
+        })
+    }
+
+    /// Tells the process something on its standard input.
+    ///
+    /// # Errors
+    /// [`ProcessError::NotRunning`].
+    pub async fn tell(&mut self, command: &impl ToString) -> Result<(), ProcessError> {
+        let not_running = || ProcessError::NotRunning {
+            name: self.name.clone(),
+        };
+        let input = self.input.as_mut().ok_or_else(not_running)?;
+        let line = format!("{}\n", command.to_string());
+        let written = input.write_all(line.as_bytes()).await;
+        written.map_err(|_| ProcessError::NotRunning {
+            name: self.name.clone(),
+        })
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// [`ProcessError::NotRunning`] or [`ProcessError::Signal`].
+    pub fn signal(&self, signal: Signal) -> Result<(), ProcessError> {
+        let name = self.name.clone();
+        if self.has_ended() {
+            return Err(ProcessError::NotRunning { name });
+        }
+        kill_process(self.pid, signal).map_err(|error| ProcessError::Signal {
+            name,
+            error: error.into(),
+        })
+    }
+
+    /// Whether its end was seen. Until then its process id belongs to it.
+    pub fn has_ended(&self) -> bool {
+        self.ended.borrow().is_some()
+    }
+
+    /// Waits for its end.
+    pub async fn ended(&self) {
+        let mut ended = self.ended.clone();
+        // The sender is dropped only after the end, or when the runtime goes down.
+        let _ = ended.wait_for(Option::is_some).await;
+    }
+
+    /// Kills the process and waits for its end.
+    pub async fn kill(&self) {
+        // With the receiver gone, the process has ended.
+        let _ = self.kill.send(());
+        self.ended().await;
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        let _ = self.kill.send(());
+    }
+}
+
+async fn read_log(
+    output: ChildStderr,
+    mut log: File,
+    name: &str,
+    events: &mpsc::UnboundedSender<(String, ChildEvent)>,
+) {
+    let mut lines = BufReader::new(output).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        if let Some(event) = log_lines::parse(&line) {
+            let _ = events.send((name.to_owned(), ChildEvent::Log(event)));
+        }
+        // A log that can't be kept is no reason to end the run.
+        let _ = writeln!(log, "{line}");
+    }
+}
