Add the control group's replicated state

Bundles, ledger and directory as a pure state machine over the committed entries, timed by the log's own time.

--- /dev/null
+++ b/crates/bramblewheel-control/src/state/command.rs
@@ -0,0 +1,65 @@
+//! Commands in the log.
+
+use super::MalformedState;
+use bramblewheel_protocol::control::{
+    OperationRequest, Registration, ReplicaAddress, SignedBundle,
+};
+use bramblewheel_types::DaemonId;
+use serde::{Deserialize, Serialize};
+
+/// A command with the time at which a leader proposed it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoggedCommand {
+    /// The leader's clock, in milliseconds since the Unix epoch.
+    pub proposed_at_unix_millis: u64,
+    /// The command.
+    pub command: Command,
+}
+
+/// A change of the replicated state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Publishes a bundle.
+    Publish(SignedBundle),
+    /// Run-once operations of any number of daemons.
+    Operations(Vec<OperationRequest>),
+    /// Changes of daemons. Renewals of leases are not among them.
+    Directory {
+        /// Daemons that are new or say something new of themselves.
+        registered: Vec<Registration>,
+        /// Daemons whose lease is over.
+        expired: Vec<ExpiredDaemon>,
+    },
+    /// A replica is reached at other addresses than before.
+    Address(ReplicaAddress),
+}
+
+/// A daemon whose lease is over.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ExpiredDaemon {
+    /// The daemon.
+    pub daemon: DaemonId,
+    /// The incarnation that fell silent; a later one is left alone.
+    pub incarnation: u64,
+}
+
+impl LoggedCommand {
+    /// Bytes for an entry of the log.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(self, &mut bytes)
+            .expect("a vector takes every write and commands have only types that CBOR has");
+        bytes
+    }
+
+    /// Reads back the bytes of an entry.
+    ///
+    /// # Errors
+    /// [`MalformedState`] when they are no command of this program.
+    pub fn decode(bytes: &[u8]) -> Result<Self, MalformedState> {
+        ciborium::from_reader(bytes).map_err(|error| MalformedState {
+            what: "command",
+            reason: error.to_string(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-control/src/state/mod.rs
@@ -0,0 +1,211 @@
+//! The replicated state machine: what every replica makes of the committed entries.
+//!
+//! It reads no clock: time is that of the log, which is the latest proposal time of any entry, so
+//! that all replicas decide alike.
+
+pub mod bundles;
+pub mod command;
+pub mod directory;
+pub mod ledger;
+
+pub use bundles::Bundles;
+pub use command::{Command, ExpiredDaemon, LoggedCommand};
+pub use directory::{Directory, DirectoryDelta};
+pub use ledger::Ledger;
+
+use bramblewheel_protocol::control::{
+    LogPosition, OperationReply, PublishReply, ReplicaAddress, SignedBundle,
+};
+use bramblewheel_types::ServiceName;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use thiserror::Error;
+
+/// Bytes are not a state or command of this program; nothing can be decided from them.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("not a valid {what}: {reason}")]
+pub struct MalformedState {
+    /// What the bytes should be.
+    pub what: &'static str,
+    /// What is wrong.
+    pub reason: String,
+}
+
+/// What one command came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answer to a publish.
+    Publish(PublishReply),
+    /// Answers to operations, in the same order.
+    Operations(Vec<OperationReply>),
+    /// The command has no answer.
+    Nothing,
+}
+
+/// What one command changed for the daemons.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Another bundle is in force.
+    pub bundle: bool,
+    /// Services whose endpoints changed.
+    pub services: BTreeSet<ServiceName>,
+}
+
+/// State of the control group at one position of its log.
+///
+/// Invariants: equal at every replica at the same position; log time, horizon, directory revision
+/// and bundle version never go back.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlState {
+    group: Option<u64>,
+    position: LogPosition,
+    log_time_unix_millis: u64,
+    bundles: Bundles,
+    ledger: Ledger,
+    directory: Directory,
+    addresses: BTreeMap<u64, ReplicaAddress>,
+}
+
+impl ControlState {
+    /// First state of a group: its first bundle, which its own operators signed.
+    ///
+    /// # Errors
+    /// The refusal of the bundle.
+    pub fn bootstrap(
+        group: u64,
+        bundle: SignedBundle,
+        position: LogPosition,
+    ) -> Result<Self, PublishReply> {
+        let mut state = Self {
+            group: Some(group),
+            position,
+            ..Self::default()
+        };
+        match state.bundles.publish(bundle, position) {
+            PublishReply::Accepted { .. } => Ok(state),
+            refusal => Err(refusal),
+        }
+    }
+
+    /// Carries out the command of the entry at `position`.
+    ///
+    /// # Errors
+    /// [`MalformedState`] when the bytes are no command.
+    pub fn apply(
+        &mut self,
+        position: LogPosition,
+        command: &[u8],
+    ) -> Result<(Outcome, Changes), MalformedState> {
+        let LoggedCommand {
+            proposed_at_unix_millis,
+            command,
+        } = LoggedCommand::decode(command)?;
+        self.position = position;
+        self.advance_time(proposed_at_unix_millis);
+        let mut changes = Changes::default();
+        let outcome = match command {
+            Command::Publish(signed) => {
+                let version = self.bundles.version();
+                let reply = self.bundles.publish(signed, position);
+                changes.bundle = self.bundles.version() != version;
+                Outcome::Publish(reply)
+            }
+            Command::Operations(requests) => {
+                let now = self.log_time_unix_millis;
+                let requests = requests.into_iter();
+                let replies = requests.map(|request| self.ledger.apply(now, request));
+                Outcome::Operations(replies.collect())
+            }
+            Command::Directory {
+                registered,
+                expired,
+            } => {
+                changes.services = self.directory.apply(registered, &expired);
+                Outcome::Nothing
+            }
+            Command::Address(address) => {
+                self.addresses.insert(address.replica, address);
+                Outcome::Nothing
+            }
+        };
+        Ok((outcome, changes))
+    }
+
+    /// Notes an entry without a command.
+    pub fn skip(&mut self, position: LogPosition) {
+        self.position = position;
+    }
+
+    /// Log time never goes back, whatever the clock of a new leader says.
+    fn advance_time(&mut self, proposed_at: u64) {
+        self.log_time_unix_millis = self.log_time_unix_millis.max(proposed_at);
+        if let Some(bundle) = self.bundles.in_force() {
+            let retention = bundle.limits.operation_retention.0;
+            self.ledger
+                .forget_before(self.log_time_unix_millis.saturating_sub(retention));
+        }
+    }
+
+    /// Deterministic bytes of the whole state.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(self, &mut bytes)
+            .expect("a vector takes every write and the state has only types that CBOR has");
+        bytes
+    }
+
+    /// Reads back a state; no bytes are the state before the first entry.
+    ///
+    /// # Errors
+    /// [`MalformedState`] when the bytes are no state.
+    pub fn decode(bytes: &[u8]) -> Result<Self, MalformedState> {
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        let malformed = |reason: String| MalformedState {
+            what: "control state",
+            reason,
+        };
+        let mut state: Self =
+            ciborium::from_reader(bytes).map_err(|error| malformed(error.to_string()))?;
+        state.bundles.restore().map_err(malformed)?;
+        state.ledger.restore();
+        state.directory.restore();
+        Ok(state)
+    }
+
+    /// Group the state belongs to, none before bootstrap.
+    pub fn group(&self) -> Option<u64> {
+        self.group
+    }
+
+    /// Position of the last entry applied.
+    pub fn position(&self) -> LogPosition {
+        self.position
+    }
+
+    /// Latest proposal time of any entry, in milliseconds since the Unix epoch.
+    pub fn log_time_unix_millis(&self) -> u64 {
+        self.log_time_unix_millis
+    }
+
+    /// Bundles accepted.
+    pub fn bundles(&self) -> &Bundles {
+        &self.bundles
+    }
+
+    /// Run-once operations.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Daemons and endpoints.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Where a replica said it can be reached, if that differs from its admission.
+    pub fn address(&self, replica: u64) -> Option<&ReplicaAddress> {
+        self.addresses.get(&replica)
+    }
+}
