Add the control node: replicated log, state, polls and requests as one pure machine

A replica answers polls only with a quorum proven within the lease at that moment; renewals stay out of the log; operations, registrations and expiries queued together share one entry.

--- a/crates/bramblewheel-control/src/lib.rs
+++ b/crates/bramblewheel-control/src/lib.rs
@@ -3,4 +3,5 @@
 //!
 //! [`state`] is the replicated state machine and [`node`] the replica that holds it; both are pure.
 
+pub mod node;
 pub mod state;
--- /dev/null
+++ b/crates/bramblewheel-control/src/node/applying.rs
@@ -0,0 +1,124 @@
+//! Committed entries, snapshots and the fates of proposals.
+
+use super::ControlNode;
+use super::output::ClientRequestId;
+use super::proposals::Purpose;
+use crate::state::{Changes, ControlState, Outcome};
+use bramblewheel_protocol::control::{LogPosition, OperationReply, ReplyBody, Unavailable};
+use bramblewheel_replication::{Entry, LogIndex, Payload, ProposalId, ProposalResult, Snapshot};
+
+impl ControlNode {
+    /// Replaces the state by the leader's snapshot.
+    pub(super) fn install(&mut self, snapshot: Option<Snapshot>) {
+        let Some(snapshot) = snapshot else {
+            return;
+        };
+        self.state = ControlState::decode(&snapshot.data)
+            .expect("a snapshot of the group holds a state of this version of the program");
+        // Whatever changed on the way is news to all.
+        for id in self.polls.all() {
+            self.answer_held(id);
+        }
+    }
+
+    /// Applies entries in order; returns what they changed for daemons.
+    pub(super) fn apply(&mut self, entries: Vec<Entry>) -> Changes {
+        let mut all = Changes::default();
+        for entry in entries {
+            let position = LogPosition {
+                index: entry.index.0,
+                term: entry.term.0,
+            };
+            let Payload::Command(command) = entry.payload else {
+                self.state.skip(position);
+                continue;
+            };
+            let (outcome, changes) = self
+                .state
+                .apply(position, &command)
+                .expect("a committed entry holds a command of this version of the program");
+            all.bundle |= changes.bundle;
+            all.services.extend(changes.services);
+            if !self.proposals.is_empty() {
+                self.outcomes.insert(position.index, outcome);
+            }
+        }
+        all
+    }
+
+    /// Answers the clients whose proposals are decided.
+    pub(super) fn settle(&mut self, results: Vec<(ProposalId, ProposalResult)>) {
+        for (id, result) in results {
+            let Some(purpose) = self.proposals.decided(id) else {
+                continue;
+            };
+            match result {
+                ProposalResult::Committed { index, .. } => self.committed(purpose, index),
+                ProposalResult::Undecided => self.undecided(purpose),
+            }
+        }
+        // Entries and the fates of their proposals come in one output.
+        self.outcomes.clear();
+    }
+
+    fn committed(&mut self, purpose: Purpose, index: LogIndex) {
+        match (purpose, self.outcomes.remove(&index.0)) {
+            (Purpose::Publish(id), Some(Outcome::Publish(reply))) => {
+                self.reply(id, ReplyBody::Publish(reply));
+            }
+            (Purpose::Operations(parts), Some(Outcome::Operations(replies))) => {
+                self.counters.operations_decided += replies.len() as u64;
+                let mut replies = replies.into_iter();
+                for (id, count) in parts {
+                    let own = replies.by_ref().take(count).collect();
+                    self.reply(id, ReplyBody::Operations(own));
+                }
+            }
+            (Purpose::Publish(_) | Purpose::Operations(_), outcome) => {
+                unreachable!("entry {} came to {outcome:?}", index.0)
+            }
+            (Purpose::Directory | Purpose::Address(_) | Purpose::Membership, _) => {}
+        }
+    }
+
+    fn undecided(&mut self, purpose: Purpose) {
+        match purpose {
+            Purpose::Publish(id) => self.unavailable(id, Unavailable::Undecided),
+            Purpose::Operations(parts) => {
+                for (id, count) in parts {
+                    self.all_undecided(id, count);
+                }
+            }
+            Purpose::Directory | Purpose::Address(_) | Purpose::Membership => {}
+        }
+    }
+
+    pub(super) fn all_undecided(&mut self, id: ClientRequestId, count: usize) {
+        let replies = vec![OperationReply::Undecided; count];
+        self.reply(id, ReplyBody::Operations(replies));
+    }
+
+    /// Cuts the log by a snapshot when enough entries have come.
+    pub(super) fn compact_if_due(&mut self) {
+        let applied = LogIndex(self.state.position().index);
+        let last = self.replica.snapshot_index().0;
+        if applied.0 < last + self.config.snapshot_interval || self.own_snapshot.is_some() {
+            return;
+        }
+        let data = self.state.encode();
+        // Refused while the entry is not synced here: tried again after the next sync.
+        if let Ok(snapshot) = self.replica.compact(self.now.monotonic, applied, data) {
+            self.own_snapshot = Some(snapshot);
+        }
+    }
+
+    /// The group, if it is not noted in the identity yet.
+    pub(super) fn newly_joined(&mut self) -> Option<u64> {
+        let group = self.state.group();
+        if group == self.noted_group {
+            return None;
+        }
+        self.noted_group = group;
+        group
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-control/src/node/bootstrap.rs
@@ -0,0 +1,83 @@
+//! The first state of a new group.
+
+use super::output::ClientRequestId;
+use super::{ControlNode, replica_config};
+use crate::state::ControlState;
+use bramblewheel_protocol::control::{BootstrapRequest, LogPosition, ReplicaAddress, ReplyBody};
+use bramblewheel_replication::{HardState, Membership, Replica, ReplicaId, RestoredState, Write};
+use serde_bytes::ByteBuf;
+use std::collections::BTreeSet;
+
+impl ControlNode {
+    pub(super) fn on_bootstrap(&mut self, id: ClientRequestId, request: BootstrapRequest) {
+        let reply = match self.bootstrap(request) {
+            Ok(()) => ReplyBody::Done,
+            Err(reason) => ReplyBody::Rejected(reason),
+        };
+        self.reply(id, reply);
+    }
+
+    /// Makes the first state. It depends on the request alone, so that all first voters begin alike.
+    fn bootstrap(&mut self, request: BootstrapRequest) -> Result<(), String> {
+        if let Some(group) = self.state.group() {
+            if group == request.group {
+                return Ok(());
+            }
+            return Err(format!("belongs to group {group:016x} already"));
+        }
+        self.check_voters(&request.voters)?;
+        let membership = first_membership(&request.voters);
+        let mut restored = RestoredState::bootstrap(membership);
+        let snapshot = restored
+            .snapshot
+            .as_mut()
+            .expect("a bootstrap state has a snapshot");
+        let position = LogPosition {
+            index: snapshot.index.0,
+            term: snapshot.term.0,
+        };
+        let state = ControlState::bootstrap(request.group, request.bundle, position)
+            .map_err(|refusal| format!("the first bundle is refused: {refusal:?}"))?;
+        snapshot.data = state.encode();
+        // Messages of a group that is ahead may have raised the term already; a replica without a
+        // group never votes, so there is no vote to keep.
+        restored.hard_state = HardState {
+            term: restored.hard_state.term.max(self.replica.term()),
+            voted_for: None,
+        };
+        self.bootstrap_write = Some(Write {
+            snapshot: restored.snapshot.clone(),
+            hard_state: Some(restored.hard_state),
+            ..Write::default()
+        });
+        let mut config = replica_config(&self.config);
+        config.seed = config.seed.wrapping_add(1);
+        self.replica = Replica::new(config, restored, self.now.monotonic);
+        self.state = state;
+        Ok(())
+    }
+
+    fn check_voters(&self, voters: &[ReplicaAddress]) -> Result<(), String> {
+        let own = self.config.address.replica;
+        if !voters.iter().any(|voter| voter.replica == own) {
+            return Err(format!("replica {own:016x} is not among the voters"));
+        }
+        let ids: BTreeSet<u64> = voters.iter().map(|voter| voter.replica).collect();
+        if ids.len() < voters.len() {
+            return Err("a replica stands twice among the voters".to_owned());
+        }
+        Ok(())
+    }
+}
+
+fn first_membership(voters: &[ReplicaAddress]) -> Membership {
+    let described = voters.iter().map(|voter| {
+        let description = ByteBuf::from(super::group::describe(voter));
+        (ReplicaId(voter.replica), description)
+    });
+    Membership {
+        voters: voters.iter().map(|v| ReplicaId(v.replica)).collect(),
+        learners: BTreeSet::new(),
+        descriptions: described.collect(),
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-control/src/node/daemons.rs
@@ -0,0 +1,119 @@
+//! Polls of daemons: leases, registrations, news.
+
+use super::ControlNode;
+use super::message::{PeerMessage, Renewal};
+use super::output::ClientRequestId;
+use super::reads::Reader;
+use crate::state::Changes;
+use bramblewheel_protocol::control::{
+    PollReply, PollRequest, Registration, ReplyBody, Unavailable,
+};
+use bramblewheel_types::BundleVersion;
+use std::time::Duration;
+
+/// Services in one poll.
+const MAX_SERVICES: usize = 4096;
+
+impl ControlNode {
+    pub(super) fn on_poll(&mut self, id: ClientRequestId, poll: PollRequest) {
+        if poll.services.len() > MAX_SERVICES {
+            let reason = format!("more than {MAX_SERVICES} services in one poll");
+            return self.reply(id, ReplyBody::Rejected(reason));
+        }
+        if !self.may_answer(&poll) {
+            return self.no_quorum(id);
+        }
+        let renewal = Renewal {
+            daemon: poll.registration.daemon.clone(),
+            incarnation: poll.registration.incarnation,
+            bundle_version: poll.bundle_version,
+        };
+        self.leases.renew(self.now.monotonic, renewal);
+        self.note_registration(&poll.registration);
+        if poll.bundle_version == BundleVersion::default() {
+            // It holds nothing that would show an old answer to be old.
+            return self.start_read(Reader::Poll(id, Box::new(poll)));
+        }
+        self.answer_or_hold(id, poll);
+    }
+
+    /// Whether this replica's state may be shown to the daemon: it is not cut off, and not behind
+    /// what the daemon has seen.
+    fn may_answer(&self, poll: &PollRequest) -> bool {
+        self.has_quorum() && self.state.position().index >= poll.position.index
+    }
+
+    /// Brings what a daemon says of itself to the log if it is not there.
+    pub(super) fn note_registration(&mut self, registration: &Registration) {
+        let known = self.state.directory().daemon(&registration.daemon);
+        if known == Some(registration) || self.proposals.is_registering(registration) {
+            return;
+        }
+        if self.is_leader() {
+            self.queue.register(registration.clone());
+        } else if let Some(leader) = self.replica.leader() {
+            let message = PeerMessage::Registrations(vec![registration.clone()]);
+            self.messages.push((leader, message));
+        }
+    }
+
+    pub(super) fn answer_or_hold(&mut self, id: ClientRequestId, poll: PollRequest) {
+        if self.is_stopping {
+            return self.unavailable(id, Unavailable::Stopping);
+        }
+        if !self.may_answer(&poll) {
+            return self.no_quorum(id);
+        }
+        if self.has_news(&poll) {
+            return self.answer_poll(id, &poll);
+        }
+        // At least two polls per lease, whatever the daemon asks for.
+        let wait = Duration::from(poll.wait).min(self.config.daemon_lease / 2);
+        self.polls.hold(id, poll, self.now.monotonic + wait);
+    }
+
+    fn has_news(&self, poll: &PollRequest) -> bool {
+        let directory = self.state.directory();
+        let bundle = self.state.bundles().next_for(poll.bundle_version);
+        bundle.is_some() || directory.has_news(&poll.services, poll.directory_revision)
+    }
+
+    /// Answers the held polls that a change concerns.
+    pub(super) fn answer_polls(&mut self, changes: &Changes) {
+        let concerned = if changes.bundle {
+            self.polls.all()
+        } else {
+            self.polls.waiting_for(&changes.services)
+        };
+        for id in concerned {
+            self.answer_held(id);
+        }
+    }
+
+    pub(super) fn answer_held(&mut self, id: ClientRequestId) {
+        if let Some(poll) = self.polls.remove(id) {
+            self.answer_poll(id, &poll);
+        }
+    }
+
+    /// Answers with what there is. Whether the replica may is checked at this moment: it may have
+    /// been cut off or frozen while the poll was held.
+    fn answer_poll(&mut self, id: ClientRequestId, poll: &PollRequest) {
+        if !self.may_answer(poll) {
+            return self.no_quorum(id);
+        }
+        let directory = self.state.directory();
+        let delta = directory.delta(&poll.services, poll.directory_revision);
+        let bundle = self.state.bundles().next_for(poll.bundle_version);
+        let reply = PollReply {
+            position: self.state.position(),
+            bundle: bundle.cloned(),
+            directory_revision: directory.revision(),
+            directory_is_complete: delta.is_complete,
+            live: delta.live,
+            removed: delta.removed,
+        };
+        self.counters.polls_answered += 1;
+        self.reply(id, ReplyBody::Poll(Box::new(reply)));
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-control/src/node/housekeeping.rs
@@ -0,0 +1,95 @@
+//! What is done as time passes.
+
+use super::message::PeerMessage;
+use super::{ControlNode, Now};
+use bramblewheel_replication::ReplicaId;
+use bramblewheel_types::Timestamp;
+use std::time::Duration;
+
+/// How often renewals are passed on to the leader and leases are looked at.
+const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
+/// Leases after which the last poll of a daemon is forgotten.
+const REMEMBERED_LEASES: u32 = 3;
+
+impl ControlNode {
+    /// Lets time pass; call at [`next_wakeup`](Self::next_wakeup) or more often.
+    pub fn tick(&mut self, now: Now) {
+        self.now = now;
+        // First, so that a leader that was frozen steps down before it judges anyone.
+        self.replica.tick(now.monotonic);
+        let term = self.is_leader().then(|| self.replica.term());
+        self.leases.note_leadership(now.monotonic, term);
+        if self.housekeeping_due <= now.monotonic {
+            self.housekeeping_due = now.monotonic + self.config.heartbeat;
+            self.keep_house();
+        }
+        if self.exchange_due <= now.monotonic {
+            self.exchange_due = now.monotonic + EXCHANGE_INTERVAL;
+            self.exchange();
+        }
+    }
+
+    /// When [`tick`](Self::tick) is due at the latest.
+    pub fn next_wakeup(&self) -> Timestamp {
+        let own = self.housekeeping_due.min(self.exchange_due);
+        self.replica.next_wakeup().min(own)
+    }
+
+    fn keep_house(&mut self) {
+        let due = if self.has_quorum() {
+            self.polls.due(self.now.monotonic)
+        } else {
+            // They are told so at once.
+            self.polls.all()
+        };
+        for id in due {
+            self.answer_held(id);
+        }
+        self.fail_late_reads();
+        self.advance_replacement();
+    }
+
+    fn exchange(&mut self) {
+        if self.is_leader() {
+            self.expire_daemons();
+            self.record_addresses();
+        } else if let Some(leader) = self.replica.leader() {
+            let renewals = self.leases.take_untold();
+            if !renewals.is_empty() {
+                let message = PeerMessage::Renewals(renewals);
+                self.messages.push((leader, message));
+            }
+        }
+        let remembered = self.config.daemon_lease * REMEMBERED_LEASES;
+        let age = self.now.monotonic.since(Timestamp::ZERO);
+        let oldest = Timestamp::ZERO + age.saturating_sub(remembered);
+        self.leases.forget_before(oldest);
+    }
+
+    fn expire_daemons(&mut self) {
+        if !self.has_quorum() {
+            return;
+        }
+        let daemons = self.state.directory().daemons();
+        let lease = self.config.daemon_lease;
+        for gone in self.leases.expired(self.now.monotonic, lease, daemons) {
+            if !self.proposals.is_expiring(&gone) {
+                self.queue.expire(gone);
+            }
+        }
+    }
+
+    /// Brings addresses that members stated to the log, where they differ.
+    fn record_addresses(&mut self) {
+        let members: Vec<ReplicaId> = self.replica.membership().members().collect();
+        for member in members {
+            let Some(stated) = self.member_address(member) else {
+                continue;
+            };
+            let is_known = self.recorded_address(member).as_ref() == Some(&stated);
+            if !is_known && !self.proposals.is_moving(member.0) {
+                self.queue.move_replica(stated);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-control/src/node/proposals.rs
@@ -0,0 +1,183 @@
+//! What a leader is about to propose, and what it has proposed.
+
+use super::output::ClientRequestId;
+use crate::state::{Command, ExpiredDaemon};
+use bramblewheel_protocol::control::{
+    OperationRequest, Registration, ReplicaAddress, SignedBundle,
+};
+use bramblewheel_replication::ProposalId;
+use bramblewheel_types::DaemonId;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Operations in one entry, unless a single request has more.
+const MAX_OPERATIONS_PER_ENTRY: usize = 1024;
+/// Operations that may wait to be committed.
+const MAX_OPERATIONS_WAITING: usize = 65_536;
+
+/// What a proposal is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Purpose {
+    /// A client's publish.
+    Publish(ClientRequestId),
+    /// Clients' operations: how many of each, in order.
+    Operations(Vec<(ClientRequestId, usize)>),
+    /// Changes of daemons.
+    Directory,
+    /// Another address of a replica.
+    Address(u64),
+    /// A change of the membership.
+    Membership,
+}
+
+/// What is to be proposed with the next output, so that one sync serves it all.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    publishes: Vec<(ClientRequestId, SignedBundle)>,
+    operations: Vec<(ClientRequestId, Vec<OperationRequest>)>,
+    registrations: BTreeMap<DaemonId, Registration>,
+    expired: BTreeSet<ExpiredDaemon>,
+    addresses: BTreeMap<u64, ReplicaAddress>,
+}
+
+impl Queue {
+    pub(super) fn publish(&mut self, id: ClientRequestId, signed: SignedBundle) {
+        self.publishes.push((id, signed));
+    }
+
+    pub(super) fn operate(&mut self, id: ClientRequestId, requests: Vec<OperationRequest>) {
+        self.operations.push((id, requests));
+    }
+
+    pub(super) fn register(&mut self, registration: Registration) {
+        let daemon = registration.daemon.clone();
+        self.registrations.insert(daemon, registration);
+    }
+
+    pub(super) fn expire(&mut self, expired: ExpiredDaemon) {
+        self.expired.insert(expired);
+    }
+
+    pub(super) fn move_replica(&mut self, address: ReplicaAddress) {
+        self.addresses.insert(address.replica, address);
+    }
+
+    /// All that waits, as commands.
+    pub(super) fn take(&mut self) -> Vec<(Purpose, Command)> {
+        let queue = std::mem::take(self);
+        let mut commands = batches(queue.operations);
+        for (id, signed) in queue.publishes {
+            commands.push((Purpose::Publish(id), Command::Publish(signed)));
+        }
+        if !queue.registrations.is_empty() || !queue.expired.is_empty() {
+            let command = Command::Directory {
+                registered: queue.registrations.into_values().collect(),
+                expired: queue.expired.into_iter().collect(),
+            };
+            commands.push((Purpose::Directory, command));
+        }
+        for (replica, address) in queue.addresses {
+            commands.push((Purpose::Address(replica), Command::Address(address)));
+        }
+        commands
+    }
+}
+
+fn batches(waiting: Vec<(ClientRequestId, Vec<OperationRequest>)>) -> Vec<(Purpose, Command)> {
+    let mut commands = Vec::new();
+    let mut parts = Vec::new();
+    let mut batch = Vec::new();
+    for (id, requests) in waiting {
+        if !batch.is_empty() && batch.len() + requests.len() > MAX_OPERATIONS_PER_ENTRY {
+            let parts = Purpose::Operations(std::mem::take(&mut parts));
+            commands.push((parts, Command::Operations(std::mem::take(&mut batch))));
+        }
+        parts.push((id, requests.len()));
+        batch.extend(requests);
+    }
+    if !parts.is_empty() {
+        commands.push((Purpose::Operations(parts), Command::Operations(batch)));
+    }
+    commands
+}
+
+/// What was proposed and is not decided.
+#[derive(Debug, Default)]
+pub(super) struct Proposals {
+    open: BTreeMap<ProposalId, Purpose>,
+    /// Registrations and expiries in `open`, so that they are not proposed again meanwhile.
+    registrations: BTreeMap<DaemonId, (ProposalId, Registration)>,
+    expired: BTreeMap<ExpiredDaemon, ProposalId>,
+    operations: usize,
+}
+
+impl Proposals {
+    pub(super) fn opened(&mut self, id: ProposalId, purpose: Purpose, command: &Command) {
+        match command {
+            Command::Operations(requests) => self.operations += requests.len(),
+            Command::Directory {
+                registered,
+                expired,
+            } => {
+                for registration in registered {
+                    let value = (id, registration.clone());
+                    self.registrations
+                        .insert(registration.daemon.clone(), value);
+                }
+                self.expired
+                    .extend(expired.iter().map(|gone| (gone.clone(), id)));
+            }
+            Command::Publish(_) | Command::Address(_) => {}
+        }
+        self.open.insert(id, purpose);
+    }
+
+    pub(super) fn opened_membership(&mut self, id: ProposalId) {
+        self.open.insert(id, Purpose::Membership);
+    }
+
+    pub(super) fn decided(&mut self, id: ProposalId) -> Option<Purpose> {
+        let purpose = self.open.remove(&id)?;
+        match &purpose {
+            Purpose::Operations(parts) => {
+                let count: usize = parts.iter().map(|(_, count)| count).sum();
+                self.operations -= count;
+            }
+            Purpose::Directory => {
+                self.registrations
+                    .retain(|_, (proposal, _)| *proposal != id);
+                self.expired.retain(|_, proposal| *proposal != id);
+            }
+            Purpose::Publish(_) | Purpose::Address(_) | Purpose::Membership => {}
+        }
+        Some(purpose)
+    }
+
+    pub(super) fn is_registering(&self, registration: &Registration) -> bool {
+        let open = self.registrations.get(&registration.daemon);
+        open.is_some_and(|(_, open)| open == registration)
+    }
+
+    pub(super) fn is_expiring(&self, expired: &ExpiredDaemon) -> bool {
+        self.expired.contains_key(expired)
+    }
+
+    pub(super) fn is_moving(&self, replica: u64) -> bool {
+        self.open
+            .values()
+            .any(|purpose| *purpose == Purpose::Address(replica))
+    }
+
+    pub(super) fn has_membership(&self) -> bool {
+        self.open
+            .values()
+            .any(|purpose| *purpose == Purpose::Membership)
+    }
+
+    pub(super) fn has_room(&self, operations: usize) -> bool {
+        self.operations + operations <= MAX_OPERATIONS_WAITING
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-control/src/node/reading.rs
@@ -0,0 +1,99 @@
+//! Quorum-checked reads: asked of the leader, answered from the own state.
+
+use super::ControlNode;
+use super::message::PeerMessage;
+use super::output::ClientRequestId;
+use super::reads::Reader;
+use bramblewheel_protocol::control::{ReplyBody, Unavailable};
+use bramblewheel_replication::{ReadId, ReadResult, ReplicaId};
+use std::time::Duration;
+
+/// How long a follower waits for the leader.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl ControlNode {
+    /// Starts a read that is answered once a quorum has confirmed the leader after this moment.
+    pub(super) fn start_read(&mut self, reader: Reader) {
+        let id = self.fresh_id();
+        if self.replica.read(self.now.monotonic, ReadId(id)).is_ok() {
+            return self.reads.start(ReadId(id), reader);
+        }
+        match self.replica.leader() {
+            Some(leader) => {
+                self.messages
+                    .push((leader, PeerMessage::ReadRequest { id }));
+                let until = self.now.monotonic + READ_TIMEOUT;
+                self.reads.forward(id, reader, until);
+            }
+            None => self.fail_read(reader),
+        }
+    }
+
+    /// Another replica asks this one as the leader; one that does not lead stays silent.
+    pub(super) fn read_for(&mut self, from: ReplicaId, id: u64) {
+        let read = ReadId(self.fresh_id());
+        if self.replica.read(self.now.monotonic, read).is_ok() {
+            self.reads.start(read, Reader::Replica { from, id });
+        }
+    }
+
+    pub(super) fn finish_reads(&mut self, results: Vec<(ReadId, ReadResult)>) {
+        for (id, result) in results {
+            let Some(reader) = self.reads.finish(id) else {
+                continue;
+            };
+            match result {
+                ReadResult::Ready { .. } => self.finish_read(reader),
+                ReadResult::LeadershipLost => self.fail_read(reader),
+            }
+        }
+        self.finish_forwarded_reads();
+    }
+
+    pub(super) fn finish_forwarded_reads(&mut self) {
+        for reader in self.reads.take_ready(self.state.position().index) {
+            self.finish_read(reader);
+        }
+    }
+
+    pub(super) fn fail_late_reads(&mut self) {
+        for reader in self.reads.take_late(self.now.monotonic) {
+            self.fail_read(reader);
+        }
+    }
+
+    fn finish_read(&mut self, reader: Reader) {
+        match reader {
+            Reader::Poll(id, poll) => self.answer_or_hold(id, *poll),
+            Reader::BundleStatus(id) => {
+                let current = self.state.bundles().current().cloned();
+                self.reply(id, ReplyBody::BundleStatus(current));
+            }
+            Reader::Operations(id, requests) => {
+                let ledger = self.state.ledger();
+                let states = requests.iter().map(|request| ledger.status(&request.key));
+                let states = states.collect();
+                self.reply(id, ReplyBody::Operations(states));
+            }
+            Reader::Replica { from, id } => {
+                let index = self.state.position().index;
+                let reply = PeerMessage::ReadReply { id, index };
+                self.messages.push((from, reply));
+            }
+        }
+    }
+
+    fn fail_read(&mut self, reader: Reader) {
+        match reader {
+            Reader::Poll(id, _) | Reader::BundleStatus(id) | Reader::Operations(id, _) => {
+                self.no_quorum(id);
+            }
+            // The other replica gives up by itself.
+            Reader::Replica { .. } => {}
+        }
+    }
+
+    pub(super) fn no_quorum(&mut self, id: ClientRequestId) {
+        self.unavailable(id, Unavailable::NoQuorum);
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-control/src/node/requests.rs
@@ -0,0 +1,109 @@
+//! Requests of daemons and operators.
+
+use super::output::ClientRequestId;
+use super::reads::Reader;
+use super::{ControlNode, Now};
+use bramblewheel_bundle::Bundle;
+use bramblewheel_protocol::control::{
+    DaemonStatus, OperationAction, OperationRequest, PublishReply, ReplyBody, RequestBody,
+    SignedBundle, Unavailable,
+};
+use bramblewheel_types::Millis;
+
+/// Operations in one request.
+const MAX_OPERATIONS: usize = 4096;
+
+impl ControlNode {
+    /// Takes in a client's request; a later output holds the reply.
+    pub fn request(&mut self, now: Now, id: ClientRequestId, body: RequestBody) {
+        self.now = now;
+        match body {
+            RequestBody::GroupStatus => {
+                let status = self.group_status(now);
+                self.reply(id, ReplyBody::GroupStatus(status));
+            }
+            _ if self.is_stopping => self.unavailable(id, Unavailable::Stopping),
+            RequestBody::Bootstrap(request) => self.on_bootstrap(id, request),
+            _ if self.state.group().is_none() => {
+                self.unavailable(id, Unavailable::Uninitialized);
+            }
+            RequestBody::Poll(poll) => self.on_poll(id, *poll),
+            RequestBody::Operations(requests) => self.on_operations(id, requests),
+            RequestBody::Publish(signed) => self.on_publish(id, signed),
+            RequestBody::BundleStatus => self.start_read(Reader::BundleStatus(id)),
+            RequestBody::FleetStatus => self.on_fleet_status(id),
+            RequestBody::Replace(request) => self.on_replace(id, request),
+        }
+    }
+
+    /// Whether this replica leads; otherwise tells the client whom to ask.
+    pub(super) fn leads_or_refuses(&mut self, id: ClientRequestId) -> bool {
+        if self.is_leader() {
+            return true;
+        }
+        if self.has_quorum() {
+            self.not_leader(id);
+        } else {
+            self.unavailable(id, Unavailable::NoQuorum);
+        }
+        false
+    }
+
+    fn on_publish(&mut self, id: ClientRequestId, signed: SignedBundle) {
+        if !self.leads_or_refuses(id) {
+            return;
+        }
+        // What can never become another answer needs no entry.
+        if let Some(reply) = self.state.bundles().settled(&signed) {
+            return self.reply(id, ReplyBody::Publish(reply));
+        }
+        let decoded = Bundle::from_signed_bytes(&signed.bytes, signed.digest, signed.version);
+        match decoded {
+            Ok(_) => self.queue.publish(id, signed),
+            Err(error) => {
+                let reply = PublishReply::Invalid(error.to_string());
+                self.reply(id, ReplyBody::Publish(reply));
+            }
+        }
+    }
+
+    fn on_operations(&mut self, id: ClientRequestId, requests: Vec<OperationRequest>) {
+        if requests.len() > MAX_OPERATIONS {
+            let reason = format!("more than {MAX_OPERATIONS} operations in one request");
+            return self.reply(id, ReplyBody::Rejected(reason));
+        }
+        if !self.leads_or_refuses(id) {
+            return;
+        }
+        let only_asks = |request: &OperationRequest| request.action == OperationAction::Status;
+        if requests.iter().all(only_asks) {
+            self.start_read(Reader::Operations(id, requests));
+        } else if self.proposals.has_room(requests.len()) {
+            self.queue.operate(id, requests);
+        } else {
+            self.all_undecided(id, requests.len());
+        }
+    }
+
+    /// Only the leader knows of every daemon's last poll.
+    fn on_fleet_status(&mut self, id: ClientRequestId) {
+        if !self.leads_or_refuses(id) {
+            return;
+        }
+        if !self.has_quorum() {
+            return self.unavailable(id, Unavailable::NoQuorum);
+        }
+        let now = self.now.monotonic;
+        let daemons = self.state.directory().daemons();
+        let statuses = daemons.map(|registration| {
+            let (bundle_version, silent) = self.leases.status(now, registration);
+            DaemonStatus {
+                registration: registration.clone(),
+                bundle_version,
+                silent_for: Millis(u64::try_from(silent.as_millis()).unwrap_or(u64::MAX)),
+            }
+        });
+        let statuses = statuses.collect();
+        self.reply(id, ReplyBody::FleetStatus(statuses));
+    }
+}
