Add the control process: listeners, peer links, node thread, settings

One thread drives the node and syncs once for all inputs that came meanwhile; tokio tasks own the sockets. A planned stop hands leadership over and sends held polls elsewhere.

--- a/crates/bramblewheel-control/src/lib.rs
+++ b/crates/bramblewheel-control/src/lib.rs
@@ -2,6 +2,14 @@
 //! operations.
 //!
 //! [`state`] is the replicated state machine and [`node`] the replica that holds it; both are pure.
+//! [`server`] is the shell that owns the sockets, the clock and the disk.
 
+pub mod clock;
+pub mod logging;
 pub mod node;
+pub mod server;
+pub mod settings;
 pub mod state;
+
+pub use server::{BoundAddresses, ControlHandle, RunError, StartError, run, start};
+pub use settings::{Settings, SettingsError};
--- a/crates/bramblewheel-control/src/main.rs
+++ b/crates/bramblewheel-control/src/main.rs
@@ -1,3 +1,71 @@
-//! Entry point.
+//! Entry point: reads flags and settings, runs the replica until it is told to stop.
 
-fn main() {}
+use bramblewheel_control::Settings;
+use bramblewheel_control::settings::Overrides;
+use gumdrop::Options;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Exit code for settings that can't be used.
+const BAD_SETTINGS: u8 = 2;
+
+#[derive(Debug, Options)]
+struct Flags {
+    /// print this help
+    help: bool,
+    /// settings file
+    #[options(no_short, required, meta = "FILE")]
+    settings: PathBuf,
+    /// folder for log, snapshots and identity, in place of the file's
+    #[options(no_short, meta = "FOLDER")]
+    data_folder: Option<PathBuf>,
+    /// address for the other replicas, in place of the file's
+    #[options(no_short, meta = "ADDRESS")]
+    listen_peer: Option<SocketAddr>,
+    /// address for daemons and operators, in place of the file's
+    #[options(no_short, meta = "ADDRESS")]
+    listen_service: Option<SocketAddr>,
+    /// address for health and metrics, in place of the file's
+    #[options(no_short, meta = "ADDRESS")]
+    listen_admin: Option<SocketAddr>,
+    /// check the settings and end
+    #[options(no_short)]
+    check_settings: bool,
+}
+
+fn main() -> ExitCode {
+    let flags = Flags::parse_args_default_or_exit();
+    let overrides = Overrides {
+        data_folder: flags.data_folder,
+        listen_peer: flags.listen_peer,
+        listen_service: flags.listen_service,
+        listen_admin: flags.listen_admin,
+    };
+    let settings = match Settings::load(&flags.settings, overrides) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("bramblewheel-control: {error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if flags.check_settings {
+        return ExitCode::SUCCESS;
+    }
+    stop_on_broken_invariants();
+    run(settings)
+}
+
+/// A panic is a broken invariant: the process ends rather than go on with state it can't trust.
+fn stop_on_broken_invariants() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::abort();
+    }));
+}
+
+#[tokio::main(worker_threads = 2)]
+async fn run(settings: Settings) -> ExitCode {
+    bramblewheel_control::run(settings).await
+}
--- /dev/null
+++ b/crates/bramblewheel-control/src/server/exposition.rs
@@ -0,0 +1,77 @@
+//! Metrics as text, in the format of OpenMetrics.
+
+use crate::node::NodeMetrics;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Writes the node's counts and sizes.
+pub(super) fn write(metrics: &NodeMetrics) -> String {
+    let mut registry = Registry::with_prefix("bramblewheel_control");
+    register_gauges(&mut registry, metrics);
+    register_counters(&mut registry, metrics);
+    let mut text = String::new();
+    encode(&mut text, &registry).expect("a string takes every write");
+    text
+}
+
+fn register_gauges(registry: &mut Registry, metrics: &NodeMetrics) {
+    let gauges = [
+        (
+            "leader",
+            "1 if this replica leads",
+            u64::from(metrics.is_leader),
+        ),
+        (
+            "quorum",
+            "1 if contact with a quorum is proven within the lease",
+            u64::from(metrics.has_quorum),
+        ),
+        ("term", "Current term", metrics.term),
+        ("applied_index", "Last entry applied", metrics.applied_index),
+        (
+            "snapshot_index",
+            "Entry of the latest snapshot",
+            metrics.snapshot_index,
+        ),
+        (
+            "bundle_version",
+            "Bundle version in force, 0 if none",
+            metrics.bundle_version,
+        ),
+        ("daemons", "Daemons registered", metrics.daemons),
+        ("polls_held", "Polls waiting for news", metrics.polls_held),
+        (
+            "operations_kept",
+            "Run-once operations not forgotten",
+            metrics.operations_kept,
+        ),
+    ];
+    for (name, help, value) in gauges {
+        let gauge: Gauge = Gauge::default();
+        gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        registry.register(name, help, gauge);
+    }
+}
+
+fn register_counters(registry: &mut Registry, metrics: &NodeMetrics) {
+    let counters = [
+        ("proposals", "Entries proposed here", metrics.proposals),
+        (
+            "polls_answered",
+            "Polls answered here",
+            metrics.polls_answered,
+        ),
+        (
+            "operations_decided",
+            "Run-once requests decided by entries proposed here",
+            metrics.operations_decided,
+        ),
+    ];
+    for (name, help, value) in counters {
+        let counter: Counter = Counter::default();
+        counter.inc_by(value);
+        registry.register(name, help, counter);
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-control/src/server/peer_in.rs
@@ -0,0 +1,70 @@
+//! Connections from other replicas.
+
+use super::input::{Input, Inputs};
+use super::listener::{CAP_LOG_NOTE, Limits};
+use crate::node::{Hello, PeerMessage};
+use bramblewheel_protocol::codec::{self, CodecError, MAX_CONTROL_FRAME, MAX_PEER_FRAME};
+use bramblewheel_replication::ReplicaId;
+use slog::Logger;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::BufReader;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// Connections open at one time; the group has a handful of replicas.
+pub(super) const LIMITS: Limits = Limits {
+    connections: 64,
+    note: CAP_LOG_NOTE,
+};
+/// Time for the first frame to arrive.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Reads one connection until it ends.
+pub(super) async fn serve(stream: TcpStream, peer: SocketAddr, inputs: Inputs, log: Logger) {
+    let mut reader = BufReader::new(stream);
+    let from = match admit(&mut reader, &inputs).await {
+        Ok(Some(from)) => from,
+        Ok(None) => return,
+        Err(error) => {
+            slog::warn!(log, "peer connection refused"; "peer" => peer.to_string(),
+                "error" => %error);
+            return;
+        }
+    };
+    loop {
+        let message: PeerMessage = match codec::read_frame(&mut reader, MAX_PEER_FRAME).await {
+            Ok(Some(message)) => message,
+            Ok(None) => return,
+            Err(error) => {
+                slog::debug!(log, "peer connection ended"; "peer" => peer.to_string(),
+                    "error" => %error);
+                return;
+            }
+        };
+        if inputs.send(Input::Peer(from, message)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads the first frame; `None` when the node refuses the replica.
+async fn admit(
+    reader: &mut BufReader<TcpStream>,
+    inputs: &Inputs,
+) -> Result<Option<ReplicaId>, CodecError> {
+    let hello = timeout(HELLO_TIMEOUT, codec::read_frame(reader, MAX_CONTROL_FRAME))
+        .await
+        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    let Some::<Hello>(hello) = hello else {
+        return Ok(None);
+    };
+    let from = ReplicaId(hello.from.replica);
+    let (answer, answered) = oneshot::channel();
+    if inputs.send(Input::Hello(Box::new(hello), answer)).is_err() {
+        return Ok(None);
+    }
+    let is_admitted = answered.await.unwrap_or(false);
+    Ok(is_admitted.then_some(from))
+}
--- /dev/null
+++ b/crates/bramblewheel-control/src/server/peer_out.rs
@@ -0,0 +1,164 @@
+//! Connections to other replicas: one to each, opened when there is something to send.
+
+use crate::node::{Hello, PeerMessage};
+use bramblewheel_protocol::codec::{self, CodecError, MAX_CONTROL_FRAME, MAX_PEER_FRAME};
+use bramblewheel_protocol::control::ReplicaAddress;
+use bramblewheel_replication::ReplicaId;
+use slog::Logger;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, timeout};
+
+/// Messages that wait for one replica; beyond it they are lost, which replication makes up for.
+const MAX_WAITING: usize = 1024;
+/// Time for a connection to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for a message to be taken; a frozen replica takes none.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// First pause after a connection failed; doubled each time.
+const MIN_BACKOFF: Duration = Duration::from_millis(50);
+/// Longest pause.
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Senders to all replicas that were ever sent something.
+pub(super) struct PeerSenders {
+    own: ReplicaAddress,
+    group: watch::Sender<Option<u64>>,
+    senders: HashMap<ReplicaId, (SocketAddr, mpsc::Sender<PeerMessage>)>,
+    runtime: Handle,
+    log: Logger,
+}
+
+impl PeerSenders {
+    pub(super) fn new(own: ReplicaAddress, runtime: Handle, log: Logger) -> Self {
+        Self {
+            own,
+            group: watch::Sender::new(None),
+            senders: HashMap::new(),
+            runtime,
+            log,
+        }
+    }
+
+    /// Notes the group to be named to others.
+    pub(super) fn set_group(&self, group: u64) {
+        self.group.send_replace(Some(group));
+    }
+
+    /// Sends a message, or loses it.
+    pub(super) fn send(&mut self, to: ReplicaId, address: SocketAddr, message: PeerMessage) {
+        let known = self.senders.get(&to);
+        let sender = match known.filter(|(known, _)| *known == address) {
+            Some((_, sender)) => sender.clone(),
+            None => self.open(to, address),
+        };
+        let _ = sender.try_send(message);
+    }
+
+    fn open(&mut self, to: ReplicaId, address: SocketAddr) -> mpsc::Sender<PeerMessage> {
+        let (sender, messages) = mpsc::channel(MAX_WAITING);
+        let link = PeerLink {
+            own: self.own.clone(),
+            to,
+            address,
+            group: self.group.subscribe(),
+            messages,
+            stream: None,
+            backoff: MIN_BACKOFF,
+            retry_at: Instant::now(),
+            log: self.log.clone(),
+        };
+        self.runtime.spawn(link.run());
+        self.senders.insert(to, (address, sender.clone()));
+        sender
+    }
+}
+
+/// The connection to one replica.
+struct PeerLink {
+    own: ReplicaAddress,
+    to: ReplicaId,
+    address: SocketAddr,
+    group: watch::Receiver<Option<u64>>,
+    messages: mpsc::Receiver<PeerMessage>,
+    stream: Option<TcpStream>,
+    backoff: Duration,
+    retry_at: Instant,
+    log: Logger,
+}
+
+impl PeerLink {
+    /// Sends what comes until the node's thread has ended.
+    async fn run(mut self) {
+        while let Some(message) = self.messages.recv().await {
+            if self.stream.is_none() && Instant::now() < self.retry_at {
+                continue;
+            }
+            match self.deliver(message).await {
+                Ok(()) => self.backoff = MIN_BACKOFF,
+                Err(error) => self.pause(&error),
+            }
+        }
+    }
+
+    async fn deliver(&mut self, message: PeerMessage) -> Result<(), CodecError> {
+        let mut stream = match self.stream.take() {
+            Some(stream) if is_open(&stream) => stream,
+            _ => self.connect().await?,
+        };
+        let mut frames = codec::encode(&message, MAX_PEER_FRAME)?;
+        while frames.len() < MAX_CONTROL_FRAME {
+            let Ok(next) = self.messages.try_recv() else {
+                break;
+            };
+            frames.extend(codec::encode(&next, MAX_PEER_FRAME)?);
+        }
+        write(&mut stream, &frames).await?;
+        self.stream = Some(stream);
+        Ok(())
+    }
+
+    async fn connect(&self) -> Result<TcpStream, CodecError> {
+        let connecting = TcpStream::connect(self.address);
+        let mut stream = timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        let hello = Hello {
+            group: *self.group.borrow(),
+            from: self.own.clone(),
+            to: self.to.0,
+        };
+        let frame = codec::encode(&hello, MAX_CONTROL_FRAME)?;
+        write(&mut stream, &frame).await?;
+        Ok(stream)
+    }
+
+    /// What waits is out of date once the replica can be reached again.
+    fn pause(&mut self, error: &CodecError) {
+        slog::debug!(self.log, "replica not reached"; "address" => self.address.to_string(),
+            "error" => %error);
+        while self.messages.try_recv().is_ok() {}
+        self.retry_at = Instant::now() + self.backoff;
+        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+    }
+}
+
+async fn write(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+    timeout(WRITE_TIMEOUT, stream.write_all(bytes))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
+/// The other side sends nothing on this connection, so anything to read is its end.
+fn is_open(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    let read = stream.try_read(&mut byte);
+    matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+}
--- /dev/null
+++ b/crates/bramblewheel-control/src/server/service.rs
@@ -0,0 +1,143 @@
+//! Connections of daemons and operators.
+
+use super::input::{ConnectionId, Input, Inputs};
+use super::listener::{CAP_LOG_NOTE, Limits};
+use bramblewheel_protocol::codec::{self, CodecError, MAX_CONTROL_FRAME};
+use bramblewheel_protocol::control::{ControlReply, ControlRequest, ReplyBody};
+use slog::Logger;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::time::timeout;
+
+/// Connections open at one time: two for each of 1,200 daemons, three times over, so that a
+/// replica can stand in for two others.
+pub(super) const LIMITS: Limits = Limits {
+    connections: 8192,
+    note: CAP_LOG_NOTE,
+};
+/// Requests of one connection that wait for their replies; further ones are not read.
+const MAX_WAITING: usize = 64;
+/// Time for a frame to arrive once it has begun.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for a reply to be taken.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for the last replies to be taken when the connection is being closed.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// One connection.
+pub(super) struct Connection {
+    pub(super) id: ConnectionId,
+    pub(super) peer: SocketAddr,
+    pub(super) inputs: Inputs,
+    pub(super) stop: watch::Receiver<bool>,
+    pub(super) log: Logger,
+}
+
+impl Connection {
+    /// Serves the connection until either side ends it.
+    pub(super) async fn serve(self, stream: TcpStream) {
+        let (reader, writer) = stream.into_split();
+        let (replies, to_write) = mpsc::unbounded_channel();
+        let room = Arc::new(Semaphore::new(MAX_WAITING));
+        let writing = write_replies(writer, to_write, Arc::clone(&room));
+        let mut writing = std::pin::pin!(writing);
+        let reading = self.read_requests(reader, replies.clone(), room);
+        let ended = tokio::select! {
+            ended = reading => ended,
+            () = writing.as_mut() => Ok(()),
+        };
+        // Drops the node's senders for this connection, so that the writing ends.
+        let _ = self.inputs.send(Input::Closed(self.id));
+        if let Err(error) = ended {
+            slog::warn!(self.log, "request refused"; "peer" => self.peer.to_string(),
+                "error" => %error);
+            let _ = replies.send(refusal(&error));
+        }
+        drop(replies);
+        let _ = timeout(CLOSE_TIMEOUT, writing).await;
+    }
+
+    /// Reads until the client closes, breaks the protocol, or the replica stops.
+    async fn read_requests(
+        &self,
+        mut reader: OwnedReadHalf,
+        replies: mpsc::UnboundedSender<ControlReply>,
+        room: Arc<Semaphore>,
+    ) -> Result<(), CodecError> {
+        let mut stop = self.stop.clone();
+        loop {
+            let request = tokio::select! {
+                request = next_request(&mut reader, &room) => request?,
+                _ = stop.wait_for(|stop| *stop) => return Ok(()),
+            };
+            let Some(request) = request else {
+                return Ok(());
+            };
+            let input = Input::Request {
+                connection: self.id,
+                request: Box::new(request),
+                replies: replies.clone(),
+            };
+            if self.inputs.send(input).is_err() {
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// The next request, once there is room for it.
+async fn next_request(
+    reader: &mut OwnedReadHalf,
+    room: &Semaphore,
+) -> Result<Option<ControlRequest>, CodecError> {
+    if let Ok(permit) = room.acquire().await {
+        // Given back when the reply is written.
+        permit.forget();
+    }
+    // A connection may be idle for long, but a frame that has begun must arrive.
+    if reader.peek(&mut [0]).await? == 0 {
+        return Ok(None);
+    }
+    timeout(FRAME_TIMEOUT, codec::read_frame(reader, MAX_CONTROL_FRAME))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
+/// A request that can't be read has no id that could be named.
+fn refusal(error: &CodecError) -> ControlReply {
+    ControlReply {
+        id: 0,
+        body: ReplyBody::Rejected(error.to_string()),
+    }
+}
+
+async fn write_replies(
+    mut writer: OwnedWriteHalf,
+    mut replies: mpsc::UnboundedReceiver<ControlReply>,
+    room: Arc<Semaphore>,
+) {
+    while let Some(reply) = replies.recv().await {
+        let Ok(frame) = encode(&reply) else {
+            return;
+        };
+        match timeout(WRITE_TIMEOUT, writer.write_all(&frame)).await {
+            Ok(Ok(())) => room.add_permits(1),
+            Ok(Err(_)) | Err(_) => return,
+        }
+    }
+}
+
+/// Encodes a reply; one that is too long is replaced by a refusal that says so.
+fn encode(reply: &ControlReply) -> Result<Vec<u8>, CodecError> {
+    codec::encode(reply, MAX_CONTROL_FRAME).or_else(|error| {
+        let body = ReplyBody::Rejected(format!("the answer can't be sent: {error}"));
+        let refusal = ControlReply { id: reply.id, body };
+        codec::encode(&refusal, MAX_CONTROL_FRAME)
+    })
+}
