--- /dev/null
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -0,0 +1,335 @@
+//! Control nodes on a seeded network, each on a file layer in memory that loses what was not
+//! synced.
+
+use super::signed;
+use bramblewheel_control::node::{
+    ClientRequestId, ControlNode, Durable, NodeConfig, NodeOutput, Now, PeerMessage,
+};
+use bramblewheel_protocol::control::{
+    BootstrapRequest, ReplicaAddress, ReplyBody, RequestBody, Unavailable,
+};
+use bramblewheel_replication::ReplicaId;
+use bramblewheel_storage::{MemoryFileSystem, StorageConfig};
+use bramblewheel_types::Timestamp;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+pub const LEASE: Duration = Duration::from_secs(4);
+pub const GROUP: u64 = 77;
+/// Wall clock at the start of the run, in milliseconds since the Unix epoch.
+pub const EPOCH: u64 = 1_800_000_000_000;
+
+struct Machine {
+    id: ReplicaId,
+    files: MemoryFileSystem,
+    running: Option<(ControlNode, Durable<MemoryFileSystem>)>,
+    is_frozen: bool,
+    waiting: Vec<(ReplicaId, PeerMessage)>,
+}
+
+/// Machines by number, from 0.
+pub struct Cluster {
+    pub now: Timestamp,
+    machines: Vec<Machine>,
+    network: BTreeMap<(Timestamp, u64), (ReplicaId, ReplicaId, PeerMessage)>,
+    cut: BTreeSet<usize>,
+    random: Pcg64Mcg,
+    sequence: u64,
+    fresh_ids: u64,
+    replies: BTreeMap<ClientRequestId, ReplyBody>,
+    snapshot_interval: u64,
+    /// Whether replies are lost from now on.
+    pub loses_replies: bool,
+}
+
+impl Cluster {
+    /// Starts `count` machines with empty folders.
+    pub fn new(count: usize, seed: u64, snapshot_interval: u64) -> Self {
+        let mut cluster = Self {
+            now: Timestamp::from_millis(1),
+            machines: Vec::new(),
+            network: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            random: Pcg64Mcg::seed_from_u64(seed),
+            sequence: 0,
+            fresh_ids: seed << 16,
+            replies: BTreeMap::new(),
+            snapshot_interval,
+            loses_replies: false,
+        };
+        for machine in 0..count {
+            cluster.machines.push(Machine {
+                id: ReplicaId(0),
+                files: MemoryFileSystem::new(),
+                running: None,
+                is_frozen: false,
+                waiting: Vec::new(),
+            });
+            cluster.start(machine);
+        }
+        cluster
+    }
+
+    /// Three machines in one group with bundle version 1, and a leader.
+    pub fn bootstrapped(seed: u64, snapshot_interval: u64) -> Self {
+        let mut cluster = Self::new(3, seed, snapshot_interval);
+        let request = cluster.bootstrap_request(3);
+        for machine in 0..3 {
+            let body = RequestBody::Bootstrap(request.clone());
+            assert_eq!(cluster.ask(machine, body), ReplyBody::Done);
+        }
+        cluster.settle();
+        cluster
+    }
+
+    pub fn bootstrap_request(&self, voters: usize) -> BootstrapRequest {
+        BootstrapRequest {
+            group: GROUP,
+            voters: (0..voters).map(|machine| self.address(machine)).collect(),
+            bundle: signed(1, 1),
+        }
+    }
+
+    pub fn address(&self, machine: usize) -> ReplicaAddress {
+        let port = 7000 + 2 * u16::try_from(machine).expect("few machines");
+        ReplicaAddress {
+            replica: self.machines[machine].id.0,
+            name: format!("control-{machine}"),
+            peer: ([127, 0, 0, 1], port).into(),
+            service: ([127, 0, 0, 1], port + 1).into(),
+        }
+    }
+
+    pub fn start(&mut self, machine: usize) {
+        self.fresh_ids += 1;
+        let fresh = ReplicaId(self.fresh_ids);
+        let files = self.machines[machine].files.clone();
+        let config = StorageConfig::new("/data");
+        let (durable, restored) =
+            Durable::open(files, config, "control", fresh).expect("the folder can be used");
+        self.machines[machine].id = durable.identity().replica;
+        let config = NodeConfig {
+            address: self.address(machine),
+            heartbeat: Duration::from_millis(50),
+            election: Duration::from_millis(300),
+            daemon_lease: LEASE,
+            snapshot_interval: self.snapshot_interval,
+            seed: self.fresh_ids,
+        };
+        let node = ControlNode::new(config, restored, self.clocks()).expect("a state of ours");
+        self.machines[machine].running = Some((node, durable));
+        self.drive(machine);
+    }
+
+    /// Cuts power: what was not synced is lost.
+    pub fn crash(&mut self, machine: usize) {
+        self.machines[machine].running = None;
+        self.machines[machine].is_frozen = false;
+        self.machines[machine].waiting.clear();
+        self.machines[machine].files.crash(self.sequence);
+    }
+
+    pub fn restart(&mut self, machine: usize) {
+        self.crash(machine);
+        self.start(machine);
+    }
+
+    /// Starts with an empty folder.
+    pub fn restart_wiped(&mut self, machine: usize) {
+        self.crash(machine);
+        self.machines[machine].files.wipe();
+        self.start(machine);
+    }
+
+    pub fn cut_off(&mut self, machine: usize) {
+        self.cut.insert(machine);
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    pub fn freeze(&mut self, machine: usize) {
+        self.machines[machine].is_frozen = true;
+    }
+
+    pub fn thaw(&mut self, machine: usize) {
+        self.machines[machine].is_frozen = false;
+        for (from, message) in std::mem::take(&mut self.machines[machine].waiting) {
+            let now = self.clocks();
+            self.node_mut(machine).receive(now, from, message);
+        }
+        self.drive(machine);
+    }
+
+    pub fn node(&self, machine: usize) -> &ControlNode {
+        &self.machines[machine].running.as_ref().expect("runs").0
+    }
+
+    fn node_mut(&mut self, machine: usize) -> &mut ControlNode {
+        &mut self.machines[machine].running.as_mut().expect("runs").0
+    }
+
+    pub fn stop(&mut self, machine: usize) {
+        let now = self.clocks();
+        self.node_mut(machine).stop(now);
+        self.drive(machine);
+    }
+
+    /// A leader with a quorum whose own term is committed, within ten seconds.
+    pub fn settle(&mut self) -> usize {
+        for _ in 0..1000 {
+            self.run(Duration::from_millis(10));
+            if let Some(leader) = self.leader() {
+                return leader;
+            }
+        }
+        panic!("no leader with a quorum after ten seconds");
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let now = self.clocks();
+        (0..self.machines.len()).find(|machine| {
+            let running = self.machines[*machine].running.as_ref();
+            let metrics = running.map(|(node, _)| node.metrics(now));
+            metrics.is_some_and(|m| m.is_leader && m.has_quorum && m.applied_index > 1)
+        })
+    }
+
+    /// Sends a request; the reply can be taken later.
+    pub fn send(&mut self, machine: usize, body: RequestBody) -> ClientRequestId {
+        self.sequence += 1;
+        let id = ClientRequestId(self.sequence);
+        let now = self.clocks();
+        self.node_mut(machine).request(now, id, body);
+        self.drive(machine);
+        id
+    }
+
+    pub fn reply(&mut self, id: ClientRequestId) -> Option<ReplyBody> {
+        self.replies.remove(&id)
+    }
+
+    /// Waits for a reply, for at most ten seconds.
+    pub fn wait_for(&mut self, id: ClientRequestId) -> ReplyBody {
+        for _ in 0..2000 {
+            if let Some(reply) = self.reply(id) {
+                return reply;
+            }
+            self.run(Duration::from_millis(5));
+        }
+        panic!("no reply after ten seconds");
+    }
+
+    pub fn ask(&mut self, machine: usize, body: RequestBody) -> ReplyBody {
+        let id = self.send(machine, body);
+        self.wait_for(id)
+    }
+
+    /// Asks the leader, again and again until it decides.
+    pub fn ask_leader(&mut self, body: &RequestBody) -> ReplyBody {
+        for _ in 0..100 {
+            let leader = self.settle();
+            let reply = self.ask(leader, body.clone());
+            let is_open = matches!(
+                reply,
+                ReplyBody::Unavailable(
+                    Unavailable::NotLeader(_) | Unavailable::Undecided | Unavailable::NoQuorum
+                )
+            );
+            if !is_open {
+                return reply;
+            }
+        }
+        panic!("undecided for long");
+    }
+
+    fn clocks(&self) -> Now {
+        Now {
+            monotonic: self.now,
+            unix_millis: EPOCH + self.now.as_millis(),
+        }
+    }
+
+    /// The driver's loop, as the crate's documentation asks for.
+    fn drive(&mut self, machine: usize) {
+        loop {
+            let now = self.clocks();
+            let Some((node, durable)) = self.machines[machine].running.as_mut() else {
+                return;
+            };
+            let output = node.take_output(now);
+            if output.is_empty() {
+                return;
+            }
+            durable.apply(&output).expect("the disk works");
+            node.persisted(now);
+            self.carry_out(machine, output);
+        }
+    }
+
+    fn carry_out(&mut self, machine: usize, output: NodeOutput) {
+        let from = self.machines[machine].id;
+        for (to, message) in output.messages {
+            let delay = Duration::from_micros(self.random.random_range(200..4_000));
+            self.sequence += 1;
+            let key = (self.now + delay, self.sequence);
+            self.network.insert(key, (from, to, message));
+        }
+        if !self.loses_replies {
+            self.replies.extend(output.replies);
+        }
+    }
+
+    /// Lets time pass, one event after the other.
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        loop {
+            let message_at = self.network.keys().next().map(|(at, _)| *at);
+            let wakeup = self.next_wakeup();
+            let next = message_at.into_iter().chain(wakeup.map(|(at, _)| at)).min();
+            let Some(next) = next.filter(|next| *next < end) else {
+                break;
+            };
+            self.now = next;
+            if message_at == Some(next) {
+                let (_, (from, to, message)) = self.network.pop_first().expect("one is due");
+                self.deliver(from, to, message);
+            } else if let Some((_, machine)) = wakeup {
+                let now = self.clocks();
+                self.node_mut(machine).tick(now);
+                self.drive(machine);
+            }
+        }
+        self.now = end;
+    }
+
+    fn next_wakeup(&self) -> Option<(Timestamp, usize)> {
+        let machines = self.machines.iter().enumerate();
+        let awake = machines.filter(|(_, machine)| !machine.is_frozen);
+        let wakeups = awake.filter_map(|(number, machine)| {
+            let (node, _) = machine.running.as_ref()?;
+            Some((node.next_wakeup().max(self.now), number))
+        });
+        wakeups.min()
+    }
+
+    fn deliver(&mut self, from: ReplicaId, to: ReplicaId, message: PeerMessage) {
+        let number_of = |id| self.machines.iter().position(|machine| machine.id == id);
+        let (Some(sender), Some(receiver)) = (number_of(from), number_of(to)) else {
+            return;
+        };
+        if self.cut.contains(&sender) || self.cut.contains(&receiver) {
+            return;
+        }
+        if self.machines[receiver].is_frozen {
+            self.machines[receiver].waiting.push((from, message));
+        } else if self.machines[receiver].running.is_some() {
+            let now = self.clocks();
+            self.node_mut(receiver).receive(now, from, message);
+            self.drive(receiver);
+        }
+    }
+}
