--- a/crates/bramblewheel-control/src/node/requests.rs
+++ b/crates/bramblewheel-control/src/node/requests.rs
@@ -41,7 +41,8 @@
         if self.is_leader() {
             return true;
         }
-        if self.has_quorum() {
+        // A leader that was heard lately is a better answer than the lack of an own proof.
+        if self.replica.leader().is_some() || self.has_quorum() {
             self.not_leader(id);
         } else {
             self.unavailable(id, Unavailable::NoQuorum);
--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -72,7 +72,7 @@
         cluster
     }
 
-    /// Three machines in one group with bundle version 1, and a leader.
+    /// Three machines in one group with bundle version 1, all with a quorum proven.
     pub fn bootstrapped(seed: u64, snapshot_interval: u64) -> Self {
         let mut cluster = Self::new(3, seed, snapshot_interval);
         let request = cluster.bootstrap_request(3);
@@ -81,6 +81,7 @@
             assert_eq!(cluster.ask(machine, body), ReplyBody::Done);
         }
         cluster.settle();
+        cluster.run(Duration::from_secs(1));
         cluster
     }
 
