--- /dev/null
+++ b/crates/bramblewheel-control/tests/settings.rs
@@ -0,0 +1,113 @@
+//! Errors of the settings file name the file, line and key.
+
+use bramblewheel_control::Settings;
+use bramblewheel_control::settings::Overrides;
+use std::path::Path;
+
+const VALID: &str = r#"name = "control-1"
+zone = "hall-a"
+region = "north"
+data_folder = "data"
+[listen]
+peer = "127.0.0.1:7001"
+service = "127.0.0.1:7002"
+admin = "127.0.0.1:7003"
+[timing]
+heartbeat_ms = 100
+election_ms = 600
+daemon_lease_ms = 6000
+[storage]
+snapshot_interval = 10000
+[log]
+level = "info"
+"#;
+
+fn error(text: &str) -> String {
+    let parsed = Settings::parse(Path::new("s.toml"), text, Overrides::default());
+    parsed.expect_err("the settings are wrong").to_string()
+}
+
+#[test]
+fn valid_settings_are_taken_and_flags_win() {
+    let overrides = Overrides {
+        listen_admin: "127.0.0.1:0".parse().ok(),
+        data_folder: Some("elsewhere".into()),
+        ..Overrides::default()
+    };
+    let settings = Settings::parse(Path::new("s.toml"), VALID, overrides).expect("valid");
+    assert_eq!(settings.listen.admin.port(), 0);
+    assert_eq!(settings.listen.peer.port(), 7001);
+    assert_eq!(settings.data_folder, Path::new("elsewhere"));
+    let (short, _) = VALID.split_once("[timing]").expect("has it");
+    let defaults = Settings::parse(Path::new("s.toml"), short, Overrides::default());
+    assert_eq!(defaults.expect("valid").timing.election_ms, 600);
+}
+
+#[test]
+fn each_fault_is_named_with_its_line_and_key() {
+    let cases = [
+        ("\"control-1\"", "\"Control 1\"", "s.toml:1: name: "),
+        ("zone = \"hall-a\"\n", "", "zone: missing field"),
+        ("region", "reigon", "s.toml:3: reigon: unknown field"),
+        ("\"data\"", "7", "s.toml:4: data_folder: invalid type"),
+        ("peer = \"127.0.0.1:7001\"\n", "", "peer: missing field"),
+        (
+            "127.0.0.1:7001",
+            "0.0.0.0:7001",
+            "s.toml:6: peer: 0.0.0.0:7001 can't be given",
+        ),
+        (
+            "127.0.0.1:7002",
+            "[::]:7002",
+            "s.toml:7: service: [::]:7002 can't be given",
+        ),
+        (
+            "7002",
+            "7001",
+            "s.toml:7: service: 127.0.0.1:7001 is already used by `peer`",
+        ),
+        (
+            "127.0.0.1:7003",
+            "0.0.0.0:7002",
+            "s.toml:8: admin: 0.0.0.0:7002 is already used",
+        ),
+        (
+            "7003\"",
+            "port\"",
+            "s.toml:8: admin: invalid socket address",
+        ),
+        (
+            "heartbeat_ms = 100",
+            "heartbeat_ms = 0",
+            "s.toml:10: heartbeat_ms: must be above",
+        ),
+        (
+            "= 600",
+            "= 399",
+            "s.toml:11: election_ms: 399 is below 4 heartbeats (400)",
+        ),
+        (
+            "= 6000",
+            "= 1199",
+            "s.toml:12: daemon_lease_ms: 1199 is below two election",
+        ),
+        (
+            "= 6000",
+            "= \"6 s\"",
+            "s.toml:12: daemon_lease_ms: invalid type",
+        ),
+        (
+            "= 10000",
+            "= 0",
+            "s.toml:14: snapshot_interval: must be above zero",
+        ),
+        ("\"info\"", "\"loud\"", "s.toml:16: level: unknown variant"),
+        ("[log]", "[log", "s.toml:15: "),
+    ];
+    for (from, to, expected) in cases {
+        assert!(VALID.contains(from), "{from}");
+        let found = error(&VALID.replacen(from, to, 1));
+        assert!(found.contains(expected), "{expected}: {found}");
+        assert!(!found.contains('\n'), "{found}");
+    }
+}
--- a/crates/bramblewheel-control/tests/state.rs
+++ b/crates/bramblewheel-control/tests/state.rs
@@ -132,7 +132,8 @@
     let mut forged = signed(2, 2);
     forged.signatures[1].signature[3] ^= 1;
     let strangers = support::keys(5);
-    let cases: [(SignedBundle, fn(&PublishReply) -> bool); 6] = [
+    type IsRefusal = fn(&PublishReply) -> bool;
+    let cases: [(SignedBundle, IsRefusal); 6] = [
         (other_parent, |r| {
             matches!(
                 r,
