--- a/crates/bramblewheel-lab/src/check/mod.rs
+++ b/crates/bramblewheel-lab/src/check/mod.rs
@@ -13,7 +13,7 @@
 mod tests;
 mod version;
 
-pub use history::History;
+pub use history::{History, Send};
 
 use crate::journal::Record;
 use std::time::Duration;
--- a/crates/bramblewheel-lab/src/check/planned_stop.rs
+++ b/crates/bramblewheel-lab/src/check/planned_stop.rs
@@ -69,21 +69,38 @@
         .collect()
 }
 
-/// Every process that was asked to stop ended by itself, with status 0.
+/// What a process is expected to do next.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Expected {
+    /// Go on.
+    Run,
+    /// End by itself, with status 0.
+    Stop,
+    /// End by a signal.
+    Die,
+}
+
+/// No process ended that was not asked to; every one that was asked ended with status 0.
 pub(super) fn check_exits(history: &History<'_>) -> Finding {
     let mut finding = Finding::new("clean-exit");
     for (process, events) in &history.processes {
-        let mut stops_planned = false;
+        let mut expected = Expected::Run;
         for event in events {
             match event.kind {
-                ProcessEventKind::Fault(FaultKind::PlannedStop) => stops_planned = true,
-                ProcessEventKind::Fault(FaultKind::Started) => stops_planned = false,
-                ProcessEventKind::Exited(status) if stops_planned => {
-                    finding.case(status == Some(0), || {
-                        format!("{process} ended a planned stop with {status:?}")
+                ProcessEventKind::Fault(FaultKind::Started) => expected = Expected::Run,
+                ProcessEventKind::Fault(FaultKind::PlannedStop) => expected = Expected::Stop,
+                ProcessEventKind::Fault(FaultKind::Killed) => expected = Expected::Die,
+                ProcessEventKind::Fault(_) => {}
+                ProcessEventKind::Exited(status) => {
+                    let is_clean = expected == Expected::Stop && status == Some(0);
+                    finding.case(is_clean || expected == Expected::Die, || {
+                        let asked = match expected {
+                            Expected::Run => "unasked",
+                            Expected::Stop | Expected::Die => "on a planned stop",
+                        };
+                        format!("{process} ended {asked} with status {status:?}")
                     });
                 }
-                _ => {}
             }
         }
         if let Some(last) = events.last() {
--- a/crates/bramblewheel-lab/src/check/tests.rs
+++ b/crates/bramblewheel-lab/src/check/tests.rs
@@ -264,6 +264,13 @@
     run.exited(9, "kassa-1", None).fails("clean-exit");
 }
 
+#[test]
+fn a_process_must_not_end_unasked() {
+    let mut run = Run::default();
+    run.fault(1, "kassa-1", FaultKind::Started);
+    run.exited(2, "kassa-1", Some(0)).fails("clean-exit");
+}
+
 #[test]
 fn a_leaving_endpoint_must_get_no_work_after_the_bound() {
     let mut run = Run::default();
--- /dev/null
+++ b/crates/bramblewheel-lab/src/fleet/error.rs
@@ -0,0 +1,40 @@
+//! Why a fleet can't go on.
+
+use super::board::WaitError;
+use super::group::GroupError;
+use crate::error::CommandError;
+use crate::journal::JournalError;
+use crate::process::ProcessError;
+use thiserror::Error;
+
+/// A fleet can't go on.
+#[derive(Debug, Error)]
+pub enum FleetError {
+    /// A process can't be started or told something.
+    #[error(transparent)]
+    Process(#[from] ProcessError),
+    /// A process did not do what was waited for.
+    #[error(transparent)]
+    Wait(#[from] WaitError),
+    /// The control group did not do what it was asked.
+    #[error(transparent)]
+    Group(#[from] GroupError),
+    /// A journal can't be read.
+    #[error(transparent)]
+    Journal(#[from] JournalError),
+    /// A file can't be used.
+    #[error("{0}")]
+    File(#[from] std::io::Error),
+    /// A step of the script can't be carried out.
+    #[error("{0}")]
+    Step(String),
+    /// The run was interrupted.
+    #[error("interrupted")]
+    Interrupted,
+}
+
+impl From<FleetError> for CommandError {
+    fn from(error: FleetError) -> Self {
+        Self::Broken(error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-lab/src/fleet/summary.rs
@@ -0,0 +1,215 @@
+//! What a run came to, as key=value lines.
+
+use crate::check::{Finding, History};
+use crate::journal::Told;
+use bramblewheel_types::Criticality;
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// Violations printed for each checker.
+const SHOWN_VIOLATIONS: usize = 10;
+/// Depth that the call trees must reach, or the run has not shown what it is for.
+const MIN_DEPTH: u32 = 3;
+/// Longest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+/// Figures of one flow.
+#[derive(Clone, Debug)]
+pub struct FlowFigures {
+    /// Class of its requests.
+    pub criticality: Criticality,
+    /// Original requests.
+    pub requests: u64,
+    /// Sends, resends included.
+    pub sends: u64,
+    /// Requests of which a send was completed within the request's deadline.
+    pub completed: u64,
+    /// Requests of which a send was completed, but late.
+    pub late: u64,
+    /// Requests that were told that they failed.
+    pub failed: u64,
+    /// Requests of which nobody knows whether they ran.
+    pub unknown: u64,
+    /// Requests provably not run.
+    pub not_run: u64,
+    latency_us: Histogram<u64>,
+}
+
+/// How a request ended for its caller, the best of all its sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Settled {
+    NotRun,
+    Unknown,
+    Failed,
+    Completed,
+}
+
+/// What a run came to.
+#[derive(Clone, Debug)]
+pub struct Summary {
+    /// Figures by flow.
+    pub flows: BTreeMap<String, FlowFigures>,
+    /// Deepest call that ran.
+    pub depth: u32,
+    /// What the checkers found.
+    pub findings: Vec<Finding>,
+    /// What is missing for the run to have shown anything.
+    pub shortfalls: Vec<String>,
+}
+
+impl Summary {
+    /// Sums up a run; `flows` are the flows that must have been served.
+    pub fn new(history: &History<'_>, flows: &[String], findings: Vec<Finding>) -> Self {
+        let mut summary = Self {
+            flows: figures(history),
+            depth: depth(history),
+            findings,
+            shortfalls: Vec::new(),
+        };
+        for flow in flows {
+            let completed = summary
+                .flows
+                .get(flow)
+                .map_or(0, |figures| figures.completed);
+            if completed == 0 {
+                summary
+                    .shortfalls
+                    .push(format!("no request of {flow} was completed"));
+            }
+        }
+        if summary.depth < MIN_DEPTH {
+            let depth = summary.depth;
+            summary
+                .shortfalls
+                .push(format!("depth {depth} is below {MIN_DEPTH}"));
+        }
+        summary
+    }
+
+    /// Whether every checker passed and enough was served.
+    pub fn passed(&self) -> bool {
+        self.shortfalls.is_empty() && self.findings.iter().all(Finding::passed)
+    }
+
+    /// The lines.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        for (flow, figures) in &self.flows {
+            text += &figures.line(flow);
+        }
+        text += &format!("depth={}\n", self.depth);
+        for finding in &self.findings {
+            text += &finding_lines(finding);
+        }
+        for shortfall in &self.shortfalls {
+            text += &format!("shortfall={shortfall:?}\n");
+        }
+        let result = if self.passed() { "pass" } else { "FAIL" };
+        text + &format!("result={result}\n")
+    }
+}
+
+fn finding_lines(finding: &Finding) -> String {
+    let result = if finding.passed() { "pass" } else { "FAIL" };
+    let (name, cases, count) = (finding.name, finding.cases, finding.violations.len());
+    let mut text = format!("check={name} result={result} cases={cases} violations={count}\n");
+    for violation in finding.violations.iter().take(SHOWN_VIOLATIONS) {
+        text += &format!("violation={name} text={violation:?}\n");
+    }
+    text
+}
+
+impl FlowFigures {
+    fn new(criticality: Criticality) -> Self {
+        let latency_us = Histogram::new_with_max(MAX_LATENCY_US, 3);
+        Self {
+            criticality,
+            requests: 0,
+            sends: 0,
+            completed: 0,
+            late: 0,
+            failed: 0,
+            unknown: 0,
+            not_run: 0,
+            latency_us: latency_us.expect("the bounds are valid"),
+        }
+    }
+
+    fn line(&self, flow: &str) -> String {
+        let mut line = format!("flow={flow} class={}", self.criticality);
+        let numbers = [
+            ("requests", self.requests),
+            ("sends", self.sends),
+            ("completed", self.completed),
+            ("late", self.late),
+            ("not_run", self.not_run),
+            ("failed", self.failed),
+            ("unknown", self.unknown),
+        ];
+        for (key, number) in numbers {
+            let _ = write!(line, " {key}={number}");
+        }
+        let [p50, p99] = [0.5, 0.99].map(|q| self.latency_us.value_at_quantile(q) as f64 / 1e3);
+        line + &format!(" p50_ms={p50:.1} p99_ms={p99:.1}\n")
+    }
+}
+
+fn depth(history: &History<'_>) -> u32 {
+    let runs = history
+        .arrivals
+        .values()
+        .filter(|arrival| arrival.ran_us.is_some());
+    runs.map(|arrival| arrival.context.depth).max().unwrap_or(0)
+}
+
+fn figures(history: &History<'_>) -> BTreeMap<String, FlowFigures> {
+    let mut flows: BTreeMap<String, FlowFigures> = BTreeMap::new();
+    for sends in history.sends_by_request().values() {
+        let first = sends[0];
+        let figures = flows.entry(first.sent.flow.clone());
+        let figures = figures.or_insert_with(|| FlowFigures::new(first.sent.criticality));
+        figures.requests += 1;
+        figures.sends += sends.len() as u64;
+        let best = sends
+            .iter()
+            .map(|send| settled(send.told.map(|(_, reply)| reply.told)));
+        match best.max().unwrap_or(Settled::Unknown) {
+            Settled::NotRun => figures.not_run += 1,
+            Settled::Unknown => figures.unknown += 1,
+            Settled::Failed => figures.failed += 1,
+            Settled::Completed => figures.add_completed(sends),
+        }
+    }
+    flows
+}
+
+impl FlowFigures {
+    fn add_completed(&mut self, sends: &[&crate::check::Send<'_>]) {
+        let completed = sends.iter().filter_map(|send| {
+            let (told_us, reply) = send.told?;
+            (reply.told == Told::Completed).then_some(told_us)
+        });
+        let Some(told_us) = completed.min() else {
+            return;
+        };
+        let first = sends[0];
+        let latency_us = told_us.saturating_sub(first.sent.due_us);
+        let allowed_us = (first.sent_us + first.sent.timeout_ms * 1000) - first.sent.due_us;
+        if latency_us <= allowed_us {
+            self.completed += 1;
+        } else {
+            self.late += 1;
+        }
+        self.latency_us.saturating_record(latency_us);
+    }
+}
+
+fn settled(told: Option<Told>) -> Settled {
+    match told {
+        Some(Told::Completed) => Settled::Completed,
+        Some(Told::Failed) => Settled::Failed,
+        Some(Told::NotRun { .. }) => Settled::NotRun,
+        Some(Told::Unknown | Told::Nothing { .. }) | None => Settled::Unknown,
+    }
+}
--- a/crates/bramblewheel-lab/src/lib.rs
+++ b/crates/bramblewheel-lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod deployments;
 pub mod endpoint;
 pub mod error;
+pub mod fleet;
 pub mod journal;
 pub mod lab_headers;
 pub mod options;
--- a/crates/bramblewheel-lab/src/process/child.rs
+++ b/crates/bramblewheel-lab/src/process/child.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::process::{ChildStderr, ChildStdin, Command};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Mutex, mpsc, watch};
 
 /// A child process can't be started or told something.
 #[derive(Debug, Error)]
@@ -63,7 +63,7 @@
 pub struct Child {
     name: String,
     pid: Pid,
-    input: Option<ChildStdin>,
+    input: Mutex<Option<ChildStdin>>,
     ended: watch::Receiver<Option<ExitStatus>>,
     kill: mpsc::UnboundedSender<()>,
 }
@@ -100,7 +100,7 @@
             .id()
             .and_then(|pid| Pid::from_raw(pid.cast_signed()));
         let pid = pid.ok_or_else(|| start_error(io::ErrorKind::NotFound.into()))?;
-        let input = process.stdin.take();
+        let input = Mutex::new(process.stdin.take());
         let error_output = process.stderr.take();
         let (ended_sender, ended) = watch::channel(None);
         let (kill, mut kill_asked) = mpsc::unbounded_channel();
@@ -142,16 +142,15 @@
     ///
     /// # Errors
     /// [`ProcessError::NotRunning`].
-    pub async fn tell(&mut self, command: &impl ToString) -> Result<(), ProcessError> {
+    pub async fn tell(&self, command: &impl ToString) -> Result<(), ProcessError> {
         let not_running = || ProcessError::NotRunning {
             name: self.name.clone(),
         };
-        let input = self.input.as_mut().ok_or_else(not_running)?;
+        let mut input = self.input.lock().await;
+        let input = input.as_mut().ok_or_else(not_running)?;
         let line = format!("{}\n", command.to_string());
         let written = input.write_all(line.as_bytes()).await;
-        written.map_err(|_| ProcessError::NotRunning {
-            name: self.name.clone(),
-        })
+        written.map_err(|_| not_running())
     }
 
     /// Sends a signal.
