--- a/crates/bramblewheel-lab/src/check/history.rs
+++ b/crates/bramblewheel-lab/src/check/history.rs
@@ -59,8 +59,8 @@
     pub arrivals: BTreeMap<u64, Arrival<'a>>,
     /// Sends of callers by their number.
     pub sends: BTreeMap<u64, Send<'a>>,
-    /// Sub-calls that ended.
-    pub sub_calls: Vec<&'a SubCallEnd>,
+    /// Sub-calls that ended, and when.
+    pub sub_calls: Vec<(u64, &'a SubCallEnd)>,
     /// What happened to each process.
     pub processes: BTreeMap<&'a str, Vec<ProcessEvent>>,
     /// Bundle versions in force at each daemon, in the order of time.
@@ -101,7 +101,7 @@
                 a.ended_us = Some(at_us);
                 a.was_cancelled = true;
             }),
-            Event::SubCall(sub_call) => self.sub_calls.push(sub_call),
+            Event::SubCall(sub_call) => self.sub_calls.push((at_us, sub_call)),
             Event::Sent(sent) => {
                 let send = Send {
                     sent,
--- a/crates/bramblewheel-lab/src/check/tests.rs
+++ b/crates/bramblewheel-lab/src/check/tests.rs
@@ -314,6 +314,28 @@
     shares(20, 10).fails("priority");
 }
 
+#[test]
+fn a_class_that_stays_away_from_overload_is_not_preferred() {
+    let mut run = Run::default();
+    let calls = [
+        (0, Criticality::Normal, 200, 100),
+        (0, Criticality::Low, 10, 6),
+        (SECOND, Criticality::Normal, 200, 0),
+        (SECOND, Criticality::Low, 200, 0),
+    ];
+    for (at_us, class, count, shed) in calls {
+        for number in 0..count {
+            let told = ReplyFromDaemon {
+                told: if number < shed { SHED } else { Told::Completed },
+                status: None,
+                own_whole: Some(true),
+            };
+            run.at(at_us, "kassa-1", Event::SubCall(sub_call(class, told)));
+        }
+    }
+    run.passes("priority");
+}
+
 #[test]
 fn a_session_must_be_known_wherever_its_requests_run() {
     let mut run = Run::default();
