--- a/crates/bramblewheel-lab/src/caller/request.rs
+++ b/crates/bramblewheel-lab/src/caller/request.rs
@@ -86,14 +86,17 @@
 }
 
 impl Request {
+    /// Stays with a gateway that answers: it remembers what became of the earlier sends. Goes on
+    /// to the next when it is silent or leaving.
     async fn send_until_settled(self: Arc<Self>, copy: u32) {
+        let mut gateway_number = copy;
         let mut unsent = None;
-        for number in 0..MAX_SENDS {
+        for _ in 0..MAX_SENDS {
             let left = self.deadline.saturating_duration_since(Instant::now());
             if left < MIN_TIME_LEFT {
                 return;
             }
-            let Some(gateway) = self.shared.gateways.nth(copy + number) else {
+            let Some(gateway) = self.shared.gateways.nth(gateway_number) else {
                 return;
             };
             let resend = unsent.take().unwrap_or_else(|| self.next_resend());
@@ -102,6 +105,7 @@
                 // Nothing left this caller, so that the next try is no resend.
                 unsent = Some(resend);
             }
+            gateway_number += u32::from(leads_elsewhere(reply.reply.told));
             let Some(pause) = pause_before_resend(&reply) else {
                 return;
             };
@@ -211,6 +215,17 @@
     }
 }
 
+/// Whether another gateway may do better.
+fn leads_elsewhere(told: Told) -> bool {
+    match told {
+        Told::Nothing { .. } => true,
+        Told::NotRun { reason } => {
+            matches!(reason, NotRunReason::Draining | NotRunReason::NotReady)
+        }
+        Told::Completed | Told::Failed | Told::Unknown => false,
+    }
+}
+
 /// Whether the same request would be refused again.
 fn is_lasting(reason: NotRunReason) -> bool {
     matches!(
