--- a/crates/bramblewheel-lab/src/caller/request.rs
+++ b/crates/bramblewheel-lab/src/caller/request.rs
@@ -105,7 +105,10 @@
                 // Nothing left this caller, so that the next try is no resend.
                 unsent = Some(resend);
             }
-            gateway_number += u32::from(leads_elsewhere(reply.reply.told));
+            if leads_elsewhere(reply.reply.told) {
+                self.shared.gateways.avoid(&gateway.name);
+                gateway_number += 1;
+            }
             let Some(pause) = pause_before_resend(&reply) else {
                 return;
             };
