--- /dev/null
+++ b/crates/bramblewheel-sim/src/kernel/context.rs
@@ -0,0 +1,71 @@
+//! What a process can do while it handles an event.
+
+use super::actor::Actor;
+use super::core::Core;
+use super::history::Fact;
+use super::process::ProcessId;
+use bramblewheel_types::Timestamp;
+use rand_pcg::Pcg64Mcg;
+use std::time::Duration;
+
+/// What a process can do while it handles an event.
+pub struct Context<'a, A: Actor> {
+    pub(super) core: &'a mut Core<A>,
+    pub(super) process: ProcessId,
+}
+
+impl<A: Actor> Context<'_, A> {
+    /// The process itself.
+    pub fn process(&self) -> ProcessId {
+        self.process
+    }
+
+    /// What the process's own clock shows.
+    pub fn now(&self) -> Timestamp {
+        let process = &self.core.processes[self.process.index()];
+        process.clock.local(self.core.now)
+    }
+
+    /// Virtual time, for records only: no process can know it.
+    pub fn virtual_now(&self) -> Timestamp {
+        self.core.now
+    }
+
+    /// Number of starts of the process so far, from 1.
+    pub fn starts(&self) -> u32 {
+        self.core.processes[self.process.index()].starts
+    }
+
+    /// Sends a message.
+    pub fn send(&mut self, to: ProcessId, message: A::Message) {
+        self.core.send(self.process, to, message);
+    }
+
+    /// Brings `timer` back after `delay` on the process's own clock, unless the process is
+    /// stopped before. Timers can't be taken back: who no longer needs one ignores it.
+    pub fn set_timer(&mut self, delay: Duration, timer: A::Timer) {
+        self.core.set_timer(self.process, delay, timer);
+    }
+
+    /// Like [`set_timer`](Self::set_timer), at a point on the process's own clock; at once if it
+    /// is past.
+    pub fn set_timer_at(&mut self, at: Timestamp, timer: A::Timer) {
+        let delay = at.since(self.now());
+        self.set_timer(delay, timer);
+    }
+
+    /// Records something in the history.
+    pub fn record(&mut self, record: A::Record) {
+        self.core.record(Some(self.process), Fact::Domain(record));
+    }
+
+    /// The process's own randomness.
+    pub fn random(&mut self) -> &mut Pcg64Mcg {
+        &mut self.core.processes[self.process.index()].random
+    }
+
+    /// Ends the process once the event is handled; it starts again after `restart_after`, if any.
+    pub fn exit(&mut self, restart_after: Option<Duration>) {
+        self.core.exit = Some(restart_after);
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/kernel/core.rs
@@ -0,0 +1,124 @@
+//! The kernel's own state, apart from the actors.
+
+use super::actor::Actor;
+use super::history::{Entry, Fact, History};
+use super::network::{Network, Place};
+use super::process::{Process, ProcessId};
+use super::queue::Queue;
+use bramblewheel_types::Timestamp;
+use std::time::Duration;
+
+/// What happens to one process at one time.
+#[derive(Debug)]
+pub(super) enum Event<M, T> {
+    Message {
+        from: ProcessId,
+        /// Start of the receiver that the message was sent to.
+        starts: u32,
+        message: M,
+    },
+    Undelivered {
+        to: ProcessId,
+        /// Start of the sender.
+        starts: u32,
+        message: M,
+    },
+    Timer {
+        /// Start that set the timer.
+        starts: u32,
+        timer: T,
+    },
+    Start,
+}
+
+/// An event with the process it happens to.
+#[derive(Debug)]
+pub(super) struct Addressed<M, T> {
+    pub(super) process: ProcessId,
+    pub(super) event: Event<M, T>,
+}
+
+/// An event of an actor's domain.
+pub(super) type ActorEvent<A> = Addressed<<A as Actor>::Message, <A as Actor>::Timer>;
+
+/// The kernel's own state, apart from the actors.
+pub(super) struct Core<A: Actor> {
+    pub(super) now: Timestamp,
+    pub(super) queue: Queue<ActorEvent<A>>,
+    pub(super) processes: Vec<Process>,
+    pub(super) network: Network,
+    pub(super) history: History<A::Record>,
+    /// Set by a process that ends itself while it handles an event.
+    pub(super) exit: Option<Option<Duration>>,
+}
+
+impl<A: Actor> Core<A> {
+    pub(super) fn place(&self, process: ProcessId) -> Place {
+        let zone = self.processes[process.index()].zone;
+        Place { process, zone }
+    }
+
+    pub(super) fn send(&mut self, from: ProcessId, to: ProcessId, message: A::Message) {
+        let starts = self.processes[to.index()].starts;
+        let copies = self.network.transmit(self.place(from), self.place(to));
+        let arrival = |delay: Duration| self.now + delay;
+        match copies.map(|copy| copy.map(arrival)) {
+            [Some(first), Some(second)] => {
+                self.enqueue_message(first, from, to, starts, message.clone());
+                self.enqueue_message(second, from, to, starts, message);
+            }
+            [Some(at), None] | [None, Some(at)] => {
+                self.enqueue_message(at, from, to, starts, message);
+            }
+            [None, None] => {}
+        }
+    }
+
+    fn enqueue_message(
+        &mut self,
+        at: Timestamp,
+        from: ProcessId,
+        process: ProcessId,
+        starts: u32,
+        message: A::Message,
+    ) {
+        let event = Event::Message {
+            from,
+            starts,
+            message,
+        };
+        self.queue.push(at, Addressed { process, event });
+    }
+
+    /// Tells the sender, if the network reports that, that nobody took its message.
+    pub(super) fn bounce(&mut self, from: ProcessId, to: ProcessId, message: A::Message) {
+        if !self.network.reports_undelivered() {
+            return;
+        }
+        let [Some(delay), _] = self.network.transmit(self.place(to), self.place(from)) else {
+            return;
+        };
+        let starts = self.processes[from.index()].starts;
+        let event = Event::Undelivered {
+            to,
+            starts,
+            message,
+        };
+        let process = from;
+        self.queue
+            .push(self.now + delay, Addressed { process, event });
+    }
+
+    pub(super) fn set_timer(&mut self, process: ProcessId, local: Duration, timer: A::Timer) {
+        let owner = &self.processes[process.index()];
+        let at = self.now + owner.clock.virtual_duration(local);
+        let starts = owner.starts;
+        let event = Event::Timer { starts, timer };
+        self.queue.push(at, Addressed { process, event });
+    }
+
+    pub(super) fn record(&mut self, process: Option<ProcessId>, fact: Fact<A::Record>) {
+        let at = self.now;
+        self.history.record(Entry { at, process, fact });
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/kernel/network.rs
@@ -0,0 +1,180 @@
+//! The network: delays between zones, loss, reordering, duplicates and cuts.
+
+use super::process::ProcessId;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Names a zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub u16);
+
+/// How long messages take between two zones, drawn evenly from a range.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Delay {
+    /// Shortest.
+    pub shortest: Duration,
+    /// Longest.
+    pub longest: Duration,
+}
+
+/// Chances of each message, from 0 to 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Disorder {
+    /// It is lost.
+    pub loss: f64,
+    /// It comes twice.
+    pub duplicate: f64,
+    /// It takes up to ten times as long, so that later ones overtake it.
+    pub reorder: f64,
+}
+
+impl Disorder {
+    fn is_none(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// Most a reordered message is late, in ordinary delays.
+const REORDER_FACTOR: u32 = 10;
+
+/// The network between all processes.
+#[derive(Debug)]
+pub struct Network {
+    zones: usize,
+    delays: Vec<Delay>,
+    disorder: Disorder,
+    cut_links: BTreeSet<(ProcessId, ProcessId)>,
+    cut_zones: BTreeSet<(ZoneId, ZoneId)>,
+    reports_undelivered: bool,
+    random: Pcg64Mcg,
+}
+
+/// Where a message comes from or goes to.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Place {
+    pub(super) process: ProcessId,
+    pub(super) zone: ZoneId,
+}
+
+impl Network {
+    /// A network of `zones` zones with one delay inside each zone and one between any two.
+    pub fn new(zones: usize, inside: Delay, between: Delay, random: Pcg64Mcg) -> Self {
+        let pairs = (0..zones).flat_map(|from| (0..zones).map(move |to| (from, to)));
+        let delays = pairs
+            .map(|(from, to)| if from == to { inside } else { between })
+            .collect();
+        Self {
+            zones,
+            delays,
+            disorder: Disorder::default(),
+            cut_links: BTreeSet::new(),
+            cut_zones: BTreeSet::new(),
+            reports_undelivered: false,
+            random,
+        }
+    }
+
+    /// Sets the delay from one zone to another, one way.
+    pub fn set_delay(&mut self, from: ZoneId, to: ZoneId, delay: Delay) {
+        let index = self.delay_index(from, to);
+        self.delays[index] = delay;
+    }
+
+    /// Sets the chances of loss, duplicates and reordering for all messages from now on.
+    pub fn set_disorder(&mut self, disorder: Disorder) {
+        self.disorder = disorder;
+    }
+
+    /// Whether senders learn that the process they sent to is not there; off at first.
+    ///
+    /// When on, messages belong to connections: one sent to an earlier start of a process never
+    /// reaches a later one. When off, it does.
+    pub fn set_reports_undelivered(&mut self, reports: bool) {
+        self.reports_undelivered = reports;
+    }
+
+    pub(super) fn reports_undelivered(&self) -> bool {
+        self.reports_undelivered
+    }
+
+    /// Cuts the way from one process to another; the way back stays.
+    pub fn cut_link(&mut self, from: ProcessId, to: ProcessId) {
+        self.cut_links.insert((from, to));
+    }
+
+    /// Opens the way from one process to another.
+    pub fn heal_link(&mut self, from: ProcessId, to: ProcessId) {
+        self.cut_links.remove(&(from, to));
+    }
+
+    /// Cuts the way from one zone to another; the way back stays.
+    pub fn cut_zone(&mut self, from: ZoneId, to: ZoneId) {
+        self.cut_zones.insert((from, to));
+    }
+
+    /// Opens the way from one zone to another.
+    pub fn heal_zone(&mut self, from: ZoneId, to: ZoneId) {
+        self.cut_zones.remove(&(from, to));
+    }
+
+    /// Opens all ways and ends all disorder.
+    pub fn heal(&mut self) {
+        self.cut_links.clear();
+        self.cut_zones.clear();
+        self.disorder = Disorder::default();
+    }
+
+    pub(super) fn is_cut(&self, from: Place, to: Place) -> bool {
+        if self.cut_links.is_empty() && self.cut_zones.is_empty() {
+            return false;
+        }
+        self.cut_links.contains(&(from.process, to.process))
+            || self.cut_zones.contains(&(from.zone, to.zone))
+    }
+
+    /// When each copy of a message arrives, after how long; none if it is lost.
+    pub(super) fn transmit(&mut self, from: Place, to: Place) -> [Option<Duration>; 2] {
+        if self.is_cut(from, to) {
+            return [None, None];
+        }
+        let delay = self.delays[self.delay_index(from.zone, to.zone)];
+        if self.disorder.is_none() {
+            return [Some(self.draw(delay)), None];
+        }
+        let first = self.draw_disordered(delay);
+        let is_duplicated = self.random.random_bool(self.disorder.duplicate);
+        let second = if is_duplicated {
+            self.draw_disordered(delay)
+        } else {
+            None
+        };
+        [first, second]
+    }
+
+    fn draw_disordered(&mut self, delay: Delay) -> Option<Duration> {
+        let drawn = self.draw(delay);
+        if self.random.random_bool(self.disorder.loss) {
+            return None;
+        }
+        if self.random.random_bool(self.disorder.reorder) {
+            return Some(drawn * self.random.random_range(2..=REORDER_FACTOR));
+        }
+        Some(drawn)
+    }
+
+    fn draw(&mut self, delay: Delay) -> Duration {
+        let shortest = micros(delay.shortest);
+        let longest = micros(delay.longest).max(shortest);
+        Duration::from_micros(self.random.random_range(shortest..=longest))
+    }
+
+    fn delay_index(&self, from: ZoneId, to: ZoneId) -> usize {
+        usize::from(from.0) * self.zones + usize::from(to.0)
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/bramblewheel-sim/src/lib.rs
+++ b/crates/bramblewheel-sim/src/lib.rs
@@ -5,3 +5,4 @@
 //! virtual time; checkers read the history of events only.
 
 pub mod deployment;
+pub mod kernel;
