Make the daemon's intake of control answers pure

They are now Intake and ReplicaChoice, without input or output; BundleStore works on any FileSystem, and writes by the same write-sync-rename-sync-folder as the storage crate instead of its own copy. The behaviour of the daemon is unchanged: its tests pass as they were.

--- a/crates/bramblewheel-daemon/src/control/mod.rs
+++ b/crates/bramblewheel-daemon/src/control/mod.rs
@@ -1,10 +1,12 @@
 //! The daemon's side of the control plane: bundles, directory, run-once operations.
 
+pub mod choice;
 mod connection;
+pub mod intake;
 pub mod ledger;
 mod link;
 mod poll;
 pub mod store;
-mod verify;
+pub mod verify;
 
 pub use poll::{PollConfig, Poller};
--- a/crates/bramblewheel-daemon/src/control/poll.rs
+++ b/crates/bramblewheel-daemon/src/control/poll.rs
@@ -1,29 +1,22 @@
 //! The long poll: renews the daemon's lease, brings bundles and the directory.
 
+use crate::control::intake::{Intake, POLL_GRACE, POLL_WAIT, RefusedReply};
 use crate::control::link::Link;
 use crate::control::store::BundleStore;
-use crate::control::verify::{check_offer, decode};
 use crate::driver::Driver;
 use crate::metrics::Metrics;
 use arc_swap::ArcSwapOption;
 use bramblewheel_bundle::Bundle;
 use bramblewheel_core::event::{DirectoryEndpoint, DirectoryUpdate, Event};
 use bramblewheel_protocol::control::{
-    DirectoryEntry, LogPosition, PollReply, PollRequest, Registration, ReplyBody, RequestBody,
-    SignedBundle,
+    DirectoryEntry, PollReply, Registration, ReplyBody, RequestBody, SignedBundle,
 };
-use bramblewheel_types::{Millis, ServiceName};
+use bramblewheel_types::ServiceName;
 use slog::Logger;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::watch;
 
-/// How long a replica may hold a poll; also the period in which the lease is renewed.
-const POLL_WAIT: Duration = Duration::from_secs(3);
-/// Time beyond that after which the replica counts as silent.
-const POLL_GRACE: Duration = Duration::from_secs(2);
-
 /// What the poll needs to know.
 #[derive(Clone, Debug)]
 pub struct PollConfig {
@@ -48,8 +41,7 @@
     driver: Arc<Driver>,
     bundle: Arc<ArcSwapOption<Bundle>>,
     metrics: Arc<Metrics>,
-    position: LogPosition,
-    directory_revision: u64,
+    intake: Intake,
 }
 
 impl Poller {
@@ -62,14 +54,14 @@
     ) -> Self {
         let seed = config.registration.incarnation;
         let link = Link::new(config.replicas.clone(), seed, Arc::clone(&metrics));
+        let intake = Intake::new(bundle.load_full());
         Self {
             config,
             link,
             driver,
             bundle,
             metrics,
-            position: LogPosition::default(),
-            directory_revision: 0,
+            intake,
         }
     }
 
@@ -111,26 +103,22 @@
         if let Some(endpoint) = &mut registration.endpoint {
             endpoint.draining = *self.config.draining.borrow();
         }
-        let bundle = self.bundle.load();
-        RequestBody::Poll(Box::new(PollRequest {
-            registration,
-            bundle_version: bundle.as_ref().map(|b| b.version).unwrap_or_default(),
-            position: self.position,
-            directory_revision: self.directory_revision,
-            services: self.config.services.clone(),
-            wait: Millis(POLL_WAIT.as_millis() as u64),
-        }))
+        let services = self.config.services.clone();
+        let request = self.intake.request(registration, services);
+        RequestBody::Poll(Box::new(request))
     }
 
     /// Takes over an answer, or says why it is refused.
-    async fn take(&mut self, reply: PollReply) -> Result<(), String> {
-        if reply.position.index < self.position.index {
+    async fn take(&mut self, mut reply: PollReply) -> Result<(), String> {
+        let news = self.intake.check(&reply);
+        if let Err(RefusedReply::Stale { .. }) = &news {
             self.metrics.control_stale.inc();
-            return Err("older than an answer seen before".to_owned());
         }
-        if let Some(offered) = reply.bundle {
-            self.take_bundle(offered).await?;
+        let bundle = news.map_err(|e| e.to_string())?.map(Arc::new);
+        if let Some((bundle, offered)) = bundle.clone().zip(reply.bundle.take()) {
+            self.put_in_force(bundle, offered).await?;
         }
+        self.intake.take(&reply, bundle);
         let update = DirectoryUpdate {
             is_complete: reply.directory_is_complete,
             live: reply.live.into_iter().map(directory_endpoint).collect(),
@@ -139,30 +127,20 @@
         if update.is_complete || !update.live.is_empty() || !update.removed.is_empty() {
             self.driver.submit(Event::DirectoryUpdated(update));
         }
-        self.position = reply.position;
-        self.directory_revision = reply.directory_revision;
         self.metrics.control_polls.inc();
         self.link.succeeded();
         Ok(())
     }
 
-    /// Checks, writes and only then uses a bundle.
-    async fn take_bundle(&self, offered: SignedBundle) -> Result<(), String> {
-        let in_force = self.bundle.load_full();
-        if in_force
-            .as_ref()
-            .is_some_and(|b| b.version == offered.version)
-        {
-            return confirm_same(&offered, in_force.as_deref());
-        }
-        let bundle = check_offer(&offered, in_force.as_deref()).map_err(|e| e.to_string())?;
+    /// Writes a bundle and only then uses it.
+    async fn put_in_force(&self, bundle: Arc<Bundle>, offered: SignedBundle) -> Result<(), String> {
         let store = self.config.store.clone();
         let saved = tokio::task::spawn_blocking(move || store.save(&offered)).await;
         saved
             .map_err(|e| e.to_string())?
             .map_err(|e| e.to_string())?;
         let version = bundle.version;
-        self.install(Arc::new(bundle));
+        self.install(bundle);
         slog::info!(self.config.log, "bundle in force"; "version" => version.0);
         Ok(())
     }
@@ -174,15 +152,6 @@
     }
 }
 
-/// A bundle that is in force may come once more; another one of its version must never be used.
-fn confirm_same(offered: &SignedBundle, in_force: Option<&Bundle>) -> Result<(), String> {
-    let bundle = decode(offered).map_err(|error| error.to_string())?;
-    if Some(&bundle) == in_force {
-        return Ok(());
-    }
-    Err(format!("another bundle of version {}", offered.version))
-}
-
 fn directory_endpoint(entry: DirectoryEntry) -> DirectoryEndpoint {
     DirectoryEndpoint {
         endpoint: entry.endpoint,
--- a/crates/bramblewheel-daemon/src/control/store.rs
+++ b/crates/bramblewheel-daemon/src/control/store.rs
@@ -4,27 +4,31 @@
 use bramblewheel_bundle::Bundle;
 use bramblewheel_protocol::codec::{self, CodecError, MAX_CONTROL_FRAME};
 use bramblewheel_protocol::control::SignedBundle;
-use std::fs::{self, File};
-use std::io::{self, Write};
+use bramblewheel_storage::{DiskFileSystem, FileSystem, StorageError, write_whole_file};
+use std::io;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
 /// File that holds the bundle in force, as one frame of the control protocol.
 const FILE: &str = "bundle.cbor";
-/// File under which a new one is written before it takes the other's name.
-const TEMPORARY_FILE: &str = "bundle.cbor.new";
 
 /// The data folder can't be used.
 #[derive(Debug, Error)]
 pub enum StoreError {
-    /// The operating system refuses.
+    /// The file can't be read.
     #[error("{path}: {error}")]
-    Io {
-        /// File or folder.
+    Read {
+        /// The file.
         path: PathBuf,
-        /// What it says.
+        /// What the file system says.
         error: io::Error,
     },
+    /// The file can't be written or synced.
+    #[error(transparent)]
+    Write(#[from] StorageError),
+    /// The bundle is too large for a file.
+    #[error(transparent)]
+    Encode(#[from] CodecError),
     /// The file is damaged. It isn't skipped, since without it the daemon could go back to an
     /// older bundle; to start afresh, an operator removes it.
     #[error("{path} is damaged ({reason}); remove it to fetch the bundle in force anew")]
@@ -38,18 +42,21 @@
 
 /// The bundle in force in a data folder.
 #[derive(Clone, Debug)]
-pub struct BundleStore {
+pub struct BundleStore<F = DiskFileSystem> {
+    files: F,
     folder: PathBuf,
 }
 
-impl BundleStore {
+impl<F: FileSystem> BundleStore<F> {
     /// Opens a data folder, and makes it if it is not there.
     ///
     /// # Errors
-    /// [`StoreError::Io`] when it can't be made.
-    pub fn open(folder: &Path) -> Result<Self, StoreError> {
-        fs::create_dir_all(folder).map_err(|error| io_error(folder, error))?;
+    /// [`StoreError::Read`] when it can't be made.
+    pub fn open(files: F, folder: &Path) -> Result<Self, StoreError> {
+        let created = files.create_folder(folder);
+        created.map_err(|error| read_error(folder, error))?;
         Ok(Self {
+            files,
             folder: folder.to_owned(),
         })
     }
@@ -60,10 +67,10 @@
     /// [`StoreError`] when it can't be read or is damaged.
     pub fn load(&self) -> Result<Option<Bundle>, StoreError> {
         let path = self.folder.join(FILE);
-        let bytes = match fs::read(&path) {
+        let bytes = match self.files.read(&path) {
             Ok(bytes) => bytes,
             Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
-            Err(error) => return Err(io_error(&path, error)),
+            Err(error) => return Err(read_error(&path, error)),
         };
         let damaged = |reason: String| StoreError::Damaged {
             path: path.clone(),
@@ -80,26 +87,14 @@
     /// returns, it is on disk.
     ///
     /// # Errors
-    /// [`StoreError::Io`] when any step fails; then the older file is still in place.
+    /// [`StoreError`] when any step fails; then one of both bundles is in place, whole.
     pub fn save(&self, signed: &SignedBundle) -> Result<(), StoreError> {
-        let temporary = self.folder.join(TEMPORARY_FILE);
-        let path = self.folder.join(FILE);
-        let frame = codec::encode(signed, MAX_CONTROL_FRAME)
-            .map_err(|error| io_error(&path, io::Error::other(error)))?;
-        write_synced(&temporary, &frame).map_err(|error| io_error(&temporary, error))?;
-        fs::rename(&temporary, &path).map_err(|error| io_error(&path, error))?;
-        File::open(&self.folder)
-            .and_then(|folder| folder.sync_all())
-            .map_err(|error| io_error(&self.folder, error))
+        let frame = codec::encode(signed, MAX_CONTROL_FRAME)?;
+        write_whole_file(&self.files, &self.folder, FILE, &frame)?;
+        Ok(())
     }
 }
 
-fn write_synced(path: &Path, bytes: &[u8]) -> io::Result<()> {
-    let mut file = File::create(path)?;
-    file.write_all(bytes)?;
-    file.sync_all()
-}
-
 fn decode_frame(bytes: &[u8]) -> Result<SignedBundle, CodecError> {
     let cut_short = || CodecError::Malformed("cut short".to_owned());
     let (prefix, rest) = bytes.split_first_chunk::<4>().ok_or_else(cut_short)?;
@@ -109,8 +104,8 @@
     codec::decode(rest)
 }
 
-fn io_error(path: &Path, error: io::Error) -> StoreError {
-    StoreError::Io {
+fn read_error(path: &Path, error: io::Error) -> StoreError {
+    StoreError::Read {
         path: path.to_owned(),
         error,
     }
--- a/crates/bramblewheel-daemon/src/daemon.rs
+++ b/crates/bramblewheel-daemon/src/daemon.rs
@@ -19,6 +19,7 @@
 use bramblewheel_core::engine::{Engine, EngineConfig, LocalEndpoint};
 use bramblewheel_core::event::Event;
 use bramblewheel_protocol::control::{EndpointRegistration, Registration};
+use bramblewheel_storage::DiskFileSystem;
 use slog::Logger;
 use std::io;
 use std::net::SocketAddr;
@@ -112,7 +113,7 @@
 /// # Errors
 /// [`StartError`] when a listener, file or folder can't be opened.
 pub async fn run(settings: Settings, log: Logger) -> Result<DaemonHandle, StartError> {
-    let store = BundleStore::open(&settings.data_folder)?;
+    let store = BundleStore::open(DiskFileSystem, &settings.data_folder)?;
     let persisted = store.load()?.map(Arc::new);
     let sessions = match &settings.sessions {
         Some(sessions) => SessionKeys::load(&sessions.key_file)?,
--- a/crates/bramblewheel-storage/src/atomic.rs
+++ b/crates/bramblewheel-storage/src/atomic.rs
@@ -8,7 +8,10 @@
 pub(crate) const TEMPORARY: &str = ".tmp";
 
 /// Writes a file under another name, syncs it, renames it and syncs the folder.
-pub(crate) fn write<F: FileSystem>(
+///
+/// # Errors
+/// [`StorageError::Io`] when any step fails; the file then has its old or its new content, whole.
+pub fn write<F: FileSystem>(
     files: &F,
     folder: &Path,
     name: &str,
--- a/crates/bramblewheel-storage/src/lib.rs
+++ b/crates/bramblewheel-storage/src/lib.rs
@@ -14,6 +14,7 @@
 mod snapshot_file;
 mod storage;
 
+pub use atomic::write as write_whole_file;
 pub use error::StorageError;
 pub use file_system::{AppendFile, DiskFileSystem, FileSystem, MemoryFileSystem};
 pub use identity::Identity;
