Read and write the project's headers in one place

Now the core's parser is the only one, with the stricter rule of each pair. Fields are searched in a short list instead of a map of owned names, and values are written straight into their sink. A gateway drops what outsiders may not set before anything is checked. The daemon reads an answer's head once; an answer that is not understood is not read further.

A remaining time is cut at one hour, the longest deadline that a bundle may set.

--- a/crates/bramblewheel-core/src/headers/answer.rs
+++ b/crates/bramblewheel-core/src/headers/answer.rs
@@ -1,10 +1,23 @@
 //! The answer to an attempt: outcome and feedback.
 
+use crate::cohort::COHORT_COUNT;
 use crate::event::{AdmissionLevel, Feedback};
 use crate::headers::fields::Fields;
-use crate::headers::{HeaderError, HeaderList};
+use crate::headers::{HeaderError, HeaderSink};
 use bramblewheel_types::{AttemptId, Criticality, Millis, NotRunReason, Outcome, headers as names};
 
+/// [`Outcome::as_str`] of [`Outcome::NotRun`].
+const NOT_RUN: &str = "not-run";
+
+/// An endpoint's own word that it ran nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointRefusal {
+    /// Reason, if one was given.
+    pub reason: Option<NotRunReason>,
+    /// When callers may come back, if a time was given.
+    pub retry_after: Option<Millis>,
+}
+
 /// Headers of an answer between daemons.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AnswerHeaders {
@@ -16,37 +29,39 @@
     pub feedback: Feedback,
 }
 
-/// Headers that tell an application, or a caller outside, the outcome.
-pub fn encode_outcome(outcome: Outcome) -> HeaderList {
-    let mut list = vec![(names::OUTCOME, outcome.as_str().to_owned())];
+/// Writes the headers that tell an application, or a caller outside, the outcome.
+pub fn write_outcome(outcome: Outcome, to: &mut impl HeaderSink) {
+    to.put(names::OUTCOME, &outcome.as_str());
     if let Outcome::NotRun {
         reason,
         retry_after,
     } = outcome
     {
-        list.push((names::REASON, reason.to_string()));
-        list.push((names::RETRY_AFTER_MS, retry_after.0.to_string()));
+        to.put(names::REASON, &reason);
+        to.put(names::RETRY_AFTER_MS, &retry_after.0);
     }
-    list
 }
 
-/// Headers of an answer between daemons.
-pub fn encode(answer: &AnswerHeaders) -> HeaderList {
-    let feedback = &answer.feedback;
+/// Writes the headers of an answer between daemons.
+pub fn write(answer: &AnswerHeaders, to: &mut impl HeaderSink) {
+    write_outcome(answer.outcome, to);
+    write_feedback(answer.attempt, &answer.feedback, to);
+}
+
+/// Writes what an answer between daemons says besides its outcome.
+pub fn write_feedback(attempt: AttemptId, feedback: &Feedback, to: &mut impl HeaderSink) {
     let level = feedback.admission_level;
-    let mut list = encode_outcome(answer.outcome);
-    list.push((names::ATTEMPT, answer.attempt.to_string()));
-    list.push((names::TOKENS_SPENT, feedback.retry_tokens_spent.to_string()));
-    list.push((names::LOAD, feedback.load_percent.to_string()));
-    let level = format!("{}/{}", level.criticality, level.cohort);
-    list.push((names::ADMISSION_LEVEL, level));
+    to.put(names::ATTEMPT, &attempt);
+    to.put(names::TOKENS_SPENT, &feedback.retry_tokens_spent);
+    to.put(names::LOAD, &feedback.load_percent);
+    let level = format_args!("{}/{}", level.criticality, level.cohort);
+    to.put(names::ADMISSION_LEVEL, &level);
     if feedback.is_final {
-        list.push((names::FINAL, "1".to_owned()));
+        to.put(names::FINAL, &1);
     }
     if feedback.draining {
-        list.push((names::DRAINING, "1".to_owned()));
+        to.put(names::DRAINING, &1);
     }
-    list
 }
 
 /// Parses the headers of an answer between daemons.
@@ -76,7 +91,7 @@
         Some("completed") => Ok(Outcome::Completed),
         Some("failed") => Ok(Outcome::Failed),
         Some("unknown") => Ok(Outcome::Unknown),
-        Some("not-run") => Ok(Outcome::NotRun {
+        Some(NOT_RUN) => Ok(Outcome::NotRun {
             reason: fields.required::<NotRunReason>(names::REASON)?,
             retry_after: Millis(fields.required_number(names::RETRY_AFTER_MS)?),
         }),
@@ -85,6 +100,19 @@
     }
 }
 
+/// Parses an endpoint's own word that it ran nothing; the reason and the time to come back that
+/// it gives count only where they can be understood.
+pub fn parse_refusal(fields: &Fields<'_>) -> Option<EndpointRefusal> {
+    if fields.text(names::OUTCOME) != Some(NOT_RUN) {
+        return None;
+    }
+    let retry_after = fields.optional_number(names::RETRY_AFTER_MS).ok().flatten();
+    Some(EndpointRefusal {
+        reason: fields.optional(names::REASON).ok().flatten(),
+        retry_after: retry_after.map(Millis),
+    })
+}
+
 fn parse_level(fields: &Fields<'_>) -> Result<AdmissionLevel, HeaderError> {
     let text = fields
         .text(names::ADMISSION_LEVEL)
@@ -92,6 +120,7 @@
     let parsed = text.split_once('/').and_then(|(class, cohort)| {
         let is_number = cohort.bytes().all(|byte| byte.is_ascii_digit());
         let cohort = cohort.parse::<u8>().ok().filter(|_| is_number)?;
+        let cohort = Some(cohort).filter(|cohort| *cohort < COHORT_COUNT)?;
         let criticality = class.parse::<Criticality>().ok()?;
         Some(AdmissionLevel {
             criticality,
--- a/crates/bramblewheel-core/src/headers/context.rs
+++ b/crates/bramblewheel-core/src/headers/context.rs
@@ -2,46 +2,49 @@
 
 use crate::context::{CallContext, Operation};
 use crate::headers::fields::Fields;
-use crate::headers::{HeaderError, HeaderList};
+use crate::headers::route_path::route_path;
+use crate::headers::{HeaderError, HeaderSink, MAX_TIMEOUT_MS};
 use bramblewheel_types::{BundleVersion, OperationKey, Timestamp, headers as names};
 use std::time::Duration;
 
-/// Longest remaining time accepted from another daemon, in milliseconds: one hour.
-const MAX_TIMEOUT_MS: u64 = 3_600_000;
-
-/// Headers of an attempt. The deadline becomes the time that remains at `now`, rounded down, so
-/// that no hop believes to have more time than its caller; the path goes in the request line.
-pub fn encode(now: Timestamp, context: &CallContext) -> HeaderList {
-    let remaining = context.deadline.since(now).as_millis();
-    let mut list = vec![
-        (names::REQUEST_ID, context.request.to_string()),
-        (names::CALL_ID, context.call.to_string()),
-        (names::ATTEMPT, context.attempt.to_string()),
-        (names::SERVICE, context.service.to_string()),
-        (names::CRITICALITY, context.criticality.to_string()),
-        (names::TIMEOUT_MS, remaining.to_string()),
-        (names::RETRY_TOKENS, context.retry_tokens.to_string()),
-        (names::DEPTH, context.depth.to_string()),
-        (names::BUNDLE_VERSION, context.bundle_version.to_string()),
-    ];
+/// Writes the headers of an attempt. The deadline becomes the time that remains at `now`, rounded
+/// down, so that no hop believes to have more time than its caller; the path goes in the request
+/// line.
+pub fn write(now: Timestamp, context: &CallContext, to: &mut impl HeaderSink) {
+    to.put(names::CALL_ID, &context.call);
+    to.put(names::SERVICE, &context.service);
+    to.put(names::RETRY_TOKENS, &context.retry_tokens);
+    to.put(names::DEPTH, &context.depth);
+    to.put(names::BUNDLE_VERSION, &context.bundle_version);
     if context.may_have_run {
-        list.push((names::MAY_HAVE_RUN, "1".to_owned()));
+        to.put(names::MAY_HAVE_RUN, &1);
+    }
+    if let Some(operation) = &context.operation {
+        let minted = operation.minted_at_unix_millis;
+        to.put(names::OPERATION_MINTED, &minted);
     }
+    write_for_endpoint(now, context, to);
+}
+
+/// Writes what the endpoint is told of the attempt it runs.
+pub fn write_for_endpoint(now: Timestamp, context: &CallContext, to: &mut impl HeaderSink) {
+    let remaining = context.deadline.since(now).as_millis();
+    to.put(names::ATTEMPT, &context.attempt);
+    to.put(names::REQUEST_ID, &context.request);
+    to.put(names::CRITICALITY, &context.criticality);
+    to.put(names::TIMEOUT_MS, &remaining);
     if context.in_session {
-        list.push((names::IN_SESSION, "1".to_owned()));
+        to.put(names::IN_SESSION, &1);
     }
     if let Some(operation) = &context.operation {
-        let minted = operation.minted_at_unix_millis.to_string();
-        list.push((names::OPERATION_KEY, operation.key.to_string()));
-        list.push((names::OPERATION_MINTED, minted));
+        to.put(names::OPERATION_KEY, &operation.key);
     }
-    list
 }
 
 /// Context of an attempt that arrived at `now` for `path`.
 ///
 /// # Errors
-/// [`HeaderError`] when a header is missing or not acceptable.
+/// [`HeaderError`] when a header is missing or not acceptable, or the path is ambiguous.
 pub fn parse(now: Timestamp, path: &str, fields: &Fields<'_>) -> Result<CallContext, HeaderError> {
     let remaining = fields
         .required_number::<u64>(names::TIMEOUT_MS)?
@@ -51,7 +54,7 @@
         call: fields.required(names::CALL_ID)?,
         attempt: fields.required(names::ATTEMPT)?,
         service: fields.required(names::SERVICE)?,
-        path: path.to_owned(),
+        path: route_path(path)?,
         criticality: fields.required(names::CRITICALITY)?,
         deadline: now + Duration::from_millis(remaining),
         retry_tokens: fields.required_number(names::RETRY_TOKENS)?,
--- a/crates/bramblewheel-core/src/headers/fields.rs
+++ b/crates/bramblewheel-core/src/headers/fields.rs
@@ -1,13 +1,19 @@
 //! The project's headers of one message, looked up by name and parsed by type.
 
-use crate::headers::{HeaderError, MAX_HEADERS, MAX_VALUE_LENGTH, has_prefix};
-use std::collections::BTreeMap;
+use crate::headers::{
+    HeaderError, MAX_HEADERS, MAX_VALUE_LENGTH, has_prefix, may_come_from_outside,
+};
 use std::str::FromStr;
 
+/// Headers that most messages have room for without a second allocation.
+const USUAL_COUNT: usize = 16;
+
 /// Headers of one message whose names carry the project's prefix.
+///
+/// They are few, so that a search through all of them is faster than an index.
 #[derive(Debug, Default)]
 pub struct Fields<'a> {
-    values: BTreeMap<String, &'a str>,
+    values: Vec<(&'a str, &'a str)>,
 }
 
 impl<'a> Fields<'a> {
@@ -20,7 +26,9 @@
     where
         I: IntoIterator<Item = (&'a str, &'a [u8])>,
     {
-        let mut fields = Self::default();
+        let mut fields = Self {
+            values: Vec::with_capacity(USUAL_COUNT),
+        };
         for (name, value) in headers {
             if has_prefix(name) {
                 fields.insert(name, value)?;
@@ -29,30 +37,46 @@
         Ok(fields)
     }
 
-    fn insert(&mut self, name: &str, value: &'a [u8]) -> Result<(), HeaderError> {
-        let name = name.to_ascii_lowercase();
+    /// Collects what a caller outside may set; what only daemons tell each other is dropped.
+    ///
+    /// # Errors
+    /// As [`Fields::collect`].
+    pub fn collect_from_outside<I>(headers: I) -> Result<Self, HeaderError>
+    where
+        I: IntoIterator<Item = (&'a str, &'a [u8])>,
+    {
+        let headers = headers.into_iter();
+        Self::collect(headers.filter(|(name, _)| may_come_from_outside(name)))
+    }
+
+    fn insert(&mut self, name: &'a str, value: &'a [u8]) -> Result<(), HeaderError> {
+        let owned = || name.to_ascii_lowercase();
         if value.len() > MAX_VALUE_LENGTH {
-            let length = value.len();
-            return Err(HeaderError::TooLong { name, length });
+            return Err(HeaderError::TooLong {
+                name: owned(),
+                length: value.len(),
+            });
         }
         let is_visible = value.iter().all(u8::is_ascii_graphic);
         let text = std::str::from_utf8(value).ok().filter(|_| is_visible);
         let Some(text) = text else {
-            return Err(HeaderError::Malformed(name));
+            return Err(HeaderError::Malformed(owned()));
         };
-        if self.values.contains_key(&name) {
-            return Err(HeaderError::Repeated(name));
+        if self.text(name).is_some() {
+            return Err(HeaderError::Repeated(owned()));
         }
         if self.values.len() >= MAX_HEADERS {
             return Err(HeaderError::TooMany);
         }
-        self.values.insert(name, text);
+        self.values.push((name, text));
         Ok(())
     }
 
-    /// The text of a header, if it is there.
-    pub fn text(&self, name: &'static str) -> Option<&'a str> {
-        self.values.get(name).copied()
+    /// The text of a header, if it is there. Names are compared without regard to case.
+    pub fn text(&self, name: &str) -> Option<&'a str> {
+        let mut values = self.values.iter();
+        let found = values.find(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.map(|(_, text)| *text)
     }
 
     /// A header parsed by its type, if it is there.
--- a/crates/bramblewheel-daemon/src/http/route_path.rs
+++ b/crates/bramblewheel-core/src/headers/route_path.rs
@@ -1,10 +1,9 @@
 //! The path by which a bundle's routes are matched.
 
-use http::Uri;
 use thiserror::Error;
 
 /// A path that endpoints may read differently from how routes are matched.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the path holds an empty or dot segment, or a broken percent escape")]
 pub struct AmbiguousPath;
 
@@ -15,8 +14,8 @@
 ///
 /// # Errors
 /// [`AmbiguousPath`] when the path can't be matched safely.
-pub fn route_path(uri: &Uri) -> Result<String, AmbiguousPath> {
-    let path = unescape(uri.path())?;
+pub fn route_path(path: &str) -> Result<String, AmbiguousPath> {
+    let path = unescape(path)?;
     let (_, rest) = path.split_at_checked(1).ok_or(AmbiguousPath)?;
     let mut segments = rest.split('/').peekable();
     while let Some(segment) = segments.next() {
--- a/crates/bramblewheel-core/tests/headers.rs
+++ b/crates/bramblewheel-core/tests/headers.rs
@@ -7,8 +7,10 @@
 use bramblewheel_core::event::{AdmissionLevel, Feedback};
 use bramblewheel_core::headers::answer::{self, AnswerHeaders};
 use bramblewheel_core::headers::fields::Fields;
+use bramblewheel_core::headers::route_path::{AmbiguousPath, route_path};
 use bramblewheel_core::headers::{
-    HeaderError, MAX_HEADERS, MAX_VALUE_LENGTH, context, may_come_from_outside, request,
+    HeaderError, HeaderList, MAX_HEADERS, MAX_TIMEOUT_MS, MAX_VALUE_LENGTH, context,
+    may_come_from_outside, request,
 };
 use bramblewheel_core::session::{Session, SessionError, SessionKey, mint, verify};
 use bramblewheel_types::{
@@ -45,7 +47,8 @@
 fn contexts_and_answers_are_read_back_as_written() {
     for_seeds(300, 300, |u| {
         let written = random_context(u)?;
-        let list = context::encode(at(5), &written);
+        let mut list = HeaderList::new();
+        context::write(at(5), &written, &mut list);
         let read = fields(&list).and_then(|fields| context::parse(at(5), "/pay", &fields));
         assert_eq!(read, Ok(written));
 
@@ -75,7 +78,8 @@
                 },
             },
         };
-        let list = answer::encode(&written);
+        let mut list = HeaderList::new();
+        answer::write(&written, &mut list);
         assert_eq!(
             fields(&list).and_then(|fields| answer::parse(&fields)),
             Ok(written)
@@ -87,7 +91,8 @@
 #[test]
 fn arbitrary_values_are_refused_or_understood_but_never_panic() {
     for_seeds(300, 600, |u| {
-        let mut list = context::encode(at(5), &random_context(u)?);
+        let mut list = HeaderList::new();
+        context::write(at(5), &random_context(u)?, &mut list);
         let index = u.choose_index(list.len())?;
         list[index].1 = u.arbitrary::<String>()?;
         if let Ok(fields) = fields(&list) {
@@ -113,6 +118,7 @@
         (names::CRITICALITY, "urgent"),
         (names::PARENT, "zzzzzzzzzzzzzzzz"),
         (names::OPERATION_KEY, "with space"),
+        (names::CALLER, "with space"),
     ] {
         assert_eq!(
             parse(&with(name, value)),
@@ -130,6 +136,11 @@
     let long = "x".repeat(MAX_VALUE_LENGTH + 1);
     let too_long = parse(&with(names::SESSION, &long));
     assert!(matches!(too_long, Err(HeaderError::TooLong { .. })));
+    let long_caller = "x".repeat(request::MAX_CALLER_LENGTH + 1);
+    let too_long = parse(&with(names::CALLER, &long_caller));
+    assert!(matches!(too_long, Err(HeaderError::TooLong { .. })));
+    let day = parse(&with(names::TIMEOUT_MS, "86400000")).map(|headers| headers.timeout);
+    assert_eq!(day, Ok(Some(Duration::from_millis(MAX_TIMEOUT_MS))));
     let many: Vec<(String, String)> = (0..=MAX_HEADERS)
         .map(|index| (format!("bw-other-{index}"), "1".to_owned()))
         .collect();
@@ -137,6 +148,76 @@
     assert_eq!(collected.err(), Some(HeaderError::TooMany));
 }
 
+#[test]
+fn an_unknown_cohort_or_a_doubtful_mark_breaks_an_answer() {
+    let answer = |name: &str, value: &'static str| {
+        let mut list = [
+            (names::ATTEMPT, "00000000000000ff"),
+            (names::OUTCOME, "completed"),
+            (names::TOKENS_SPENT, "0"),
+            (names::LOAD, "0"),
+            (names::ADMISSION_LEVEL, "normal/127"),
+            (names::FINAL, "0"),
+        ];
+        let entry = list.iter_mut().find(|(known, _)| *known == name);
+        entry.expect("one of the list").1 = value;
+        let pairs = list.iter().map(|(name, value)| (*name, value.as_bytes()));
+        Fields::collect(pairs).and_then(|fields| answer::parse(&fields))
+    };
+    assert!(answer(names::FINAL, "1").is_ok_and(|answer| answer.feedback.is_final));
+    for (name, value) in [
+        (names::ADMISSION_LEVEL, "normal/128"),
+        (names::ADMISSION_LEVEL, "normal/+1"),
+        (names::FINAL, "yes"),
+        (names::OUTCOME, "perhaps"),
+    ] {
+        let malformed = Err(HeaderError::Malformed(name.to_owned()));
+        assert_eq!(answer(name, value), malformed, "{name}: {value}");
+    }
+}
+
+#[test]
+fn an_endpoints_refusal_counts_without_its_details() {
+    let refusal = |list: &[(&'static str, &'static str)]| {
+        let pairs = list.iter().map(|(name, value)| (*name, value.as_bytes()));
+        answer::parse_refusal(&Fields::collect(pairs).expect("well formed"))
+    };
+    assert_eq!(refusal(&[(names::OUTCOME, "completed")]), None);
+    let bare = refusal(&[(names::OUTCOME, "not-run"), (names::REASON, "siesta")]);
+    assert!(bare.is_some_and(|bare| bare.reason.is_none() && bare.retry_after.is_none()));
+    let full = refusal(&[
+        (names::OUTCOME, "not-run"),
+        (names::REASON, "draining"),
+        (names::RETRY_AFTER_MS, "7"),
+    ]);
+    let full = full.expect("a refusal");
+    assert_eq!(full.reason, Some(NotRunReason::Draining));
+    assert_eq!(full.retry_after, Some(Millis(7)));
+}
+
+#[test]
+fn paths_are_matched_in_one_form_or_refused() {
+    for (path, plain) in [
+        ("/", "/"),
+        ("/%70ay/", "/pay/"),
+        ("/a%2fb", "/a%2Fb"),
+        ("/~a%7Eb", "/~a~b"),
+    ] {
+        assert_eq!(route_path(path).as_deref(), Ok(plain));
+    }
+    for path in [
+        "",
+        "//pay",
+        "/./pay",
+        "/a/%2e%2E/pay",
+        "/a//b",
+        "/%7",
+        "/%zz",
+    ] {
+        assert_eq!(route_path(path), Err(AmbiguousPath), "{path}");
+    }
+}
+
 #[test]
 fn outsiders_may_not_set_what_daemons_tell_each_other() {
     for name in [
@@ -148,9 +229,21 @@
     ] {
         assert!(!may_come_from_outside(name), "{name}");
     }
-    for name in [names::SERVICE, names::OPERATION_KEY, "BW-Session", "accept"] {
+    for name in [names::SERVICE, names::CALLER, "BW-Session", "accept"] {
         assert!(may_come_from_outside(name), "{name}");
     }
+    let spoofed = [
+        (names::SERVICE, "a"),
+        (names::PARENT, "zzz"),
+        (names::DEPTH, "1"),
+        (names::DEPTH, "2"),
+    ];
+    let pairs = spoofed
+        .iter()
+        .map(|(name, value)| (*name, value.as_bytes()));
+    let fields = Fields::collect_from_outside(pairs).expect("what is spoofed is dropped");
+    assert_eq!(fields.text(names::DEPTH), None);
+    assert!(request::parse(&fields).is_ok_and(|headers| headers.parent.is_none()));
 }
 
 #[test]
--- a/crates/bramblewheel-daemon/src/http/answer.rs
+++ b/crates/bramblewheel-daemon/src/http/answer.rs
@@ -1,10 +1,10 @@
 //! Answers as callers and daemons see them.
 
 use crate::http::body::AnswerBody;
-use crate::http::context::write_outcome;
 use crate::http::exchange::WholeAnswer;
-use crate::http::fields::{end_to_end, set};
+use crate::http::fields::{MapSink, end_to_end, set};
 use bramblewheel_core::event::StoredAnswer;
+use bramblewheel_core::headers::answer::write_outcome;
 use bramblewheel_types::{Millis, NotRunReason, Outcome};
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
@@ -29,7 +29,7 @@
     outcome: Outcome,
     body: AnswerBody,
 ) -> HttpAnswer {
-    write_outcome(&mut headers, outcome);
+    write_outcome(outcome, &mut MapSink(&mut headers));
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
@@ -72,7 +72,7 @@
     headers.insert(CONTENT_TYPE, plain);
     if let Outcome::NotRun { retry_after, .. } = outcome {
         let seconds = retry_after.0.div_ceil(1000);
-        set(&mut headers, RETRY_AFTER_NAME, seconds);
+        set(&mut headers, RETRY_AFTER_NAME, seconds.to_string());
     }
     let body = AnswerBody::whole(Bytes::from(text));
     with_head(status_of(outcome), headers, outcome, body)
--- a/crates/bramblewheel-daemon/src/http/exchange.rs
+++ b/crates/bramblewheel-daemon/src/http/exchange.rs
@@ -4,21 +4,22 @@
 use crate::http::pool::{Lease, Pool, RequestBody};
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use http::response::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use std::sync::Arc;
 
 /// How an exchange ended.
-pub enum Exchanged {
+pub enum Exchanged<A> {
     /// No byte of the request was written.
     NotSent,
     /// The connection broke after the first byte, or the answer was broken.
     Lost,
-    /// The whole answer arrived; the connection was kept.
-    Whole(WholeAnswer),
-    /// The answer is longer than the limit, or has no stated length.
-    Long(LongAnswer),
+    /// The whole answer arrived; the connection was kept. With what its head was read as.
+    Whole(WholeAnswer, A),
+    /// The answer is longer than the limit. With what its head was read as.
+    Long(LongAnswer, A),
 }
 
 /// A whole answer.
@@ -58,15 +59,15 @@
 /// Sends a request and reads its answer.
 ///
 /// `head` builds the request's head just before it is written, since its remaining time must be
-/// that of the moment of sending; `None` when it must not be sent any more. `accept` looks at the
-/// answer's head; an answer that it refuses is not read and its connection is closed.
-pub async fn exchange(
+/// that of the moment of sending; `None` when it must not be sent any more. `accept` reads the
+/// answer's head; an answer that it refuses is not read further and its connection is closed.
+pub async fn exchange<A>(
     pool: &Arc<Pool>,
     limits: ExchangeLimits,
     body: Bytes,
     head: impl Fn() -> Option<http::request::Builder>,
-    accept: impl Fn(&HeaderMap) -> bool,
-) -> Exchanged {
+    accept: impl Fn(&HeaderMap) -> Option<A>,
+) -> Exchanged<A> {
     let sent = loop {
         let Ok(mut lease) = pool.acquire(limits.connections).await else {
             return Exchanged::NotSent;
@@ -86,38 +87,45 @@
             Err(_) => break None,
         }
     };
-    match sent {
-        Some((lease, response)) if accept(response.headers()) => {
-            receive(lease, response, limits.body_bytes).await
-        }
-        _ => Exchanged::Lost,
+    let Some((lease, response)) = sent else {
+        return Exchanged::Lost;
+    };
+    match accept(response.headers()) {
+        Some(accepted) => receive(lease, response, limits.body_bytes, accepted).await,
+        None => Exchanged::Lost,
     }
 }
 
-async fn receive(lease: Lease, response: Response<Incoming>, limit: usize) -> Exchanged {
+async fn receive<A>(
+    lease: Lease,
+    response: Response<Incoming>,
+    limit: usize,
+    accepted: A,
+) -> Exchanged<A> {
     let (head, mut source) = response.into_parts();
-    let long = |begun, source, lease| {
-        Exchanged::Long(LongAnswer {
-            status: head.status,
-            headers: head.headers.clone(),
-            begun,
-            source,
-            lease,
-        })
+    let long = |head: Parts, begun, source, lease| LongAnswer {
+        status: head.status,
+        headers: head.headers,
+        begun,
+        source,
+        lease,
     };
     if is_streamed(&head.headers, limit) {
-        return long(Bytes::new(), source, lease);
+        return Exchanged::Long(long(head, Bytes::new(), source, lease), accepted);
     }
     match collect(&mut source, limit).await {
         Err(_) => Exchanged::Lost,
-        Ok(Collected::OverLimit(begun)) => long(begun, source, lease),
+        Ok(Collected::OverLimit(begun)) => {
+            Exchanged::Long(long(head, begun, source, lease), accepted)
+        }
         Ok(Collected::Whole(body)) => {
             lease.give_back();
-            Exchanged::Whole(WholeAnswer {
+            let whole = WholeAnswer {
                 status: head.status,
                 headers: head.headers,
                 body,
-            })
+            };
+            Exchanged::Whole(whole, accepted)
         }
     }
 }
--- a/crates/bramblewheel-daemon/src/http/fields.rs
+++ b/crates/bramblewheel-daemon/src/http/fields.rs
@@ -1,82 +1,49 @@
-//! Reading and filtering header fields.
+//! Header maps on the wire and the project's fields in them.
 
-use crate::http::route_path::AmbiguousPath;
-use bramblewheel_protocol::headers;
+use bramblewheel_core::headers::fields::Fields;
+use bramblewheel_core::headers::{HeaderError, HeaderSink, has_prefix};
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
-use std::str::FromStr;
-use thiserror::Error;
+use std::fmt::{Display, Write};
 
-/// A header of the project is missing, given twice or malformed, or the path is ambiguous.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
-pub enum FieldError {
-    /// The header is missing.
-    #[error("header {0} is missing")]
-    Missing(&'static str),
-    /// The header is given more than once.
-    #[error("header {0} is given more than once")]
-    Repeated(&'static str),
-    /// The header's value is malformed.
-    #[error("header {name}: {reason}")]
-    Malformed {
-        /// The header.
-        name: &'static str,
-        /// What is wrong.
-        reason: String,
-    },
-    /// The path can't be matched safely.
-    #[error(transparent)]
-    Path(AmbiguousPath),
-}
+/// Room that most values need, in bytes.
+const USUAL_LENGTH: usize = 40;
 
-impl From<AmbiguousPath> for FieldError {
-    fn from(error: AmbiguousPath) -> Self {
-        Self::Path(error)
-    }
-}
-
-/// Reads a header that may be absent.
+/// The project's fields of a message of a daemon, application or endpoint.
 ///
 /// # Errors
-/// [`FieldError`] when it is given twice or isn't a `T`.
-pub fn optional<T>(map: &HeaderMap, name: &'static str) -> Result<Option<T>, FieldError>
-where
-    T: FromStr,
-    T::Err: ToString,
-{
-    let mut values = map.get_all(name).iter();
-    let Some(value) = values.next() else {
-        return Ok(None);
-    };
-    if values.next().is_some() {
-        return Err(FieldError::Repeated(name));
-    }
-    let malformed = |reason: String| FieldError::Malformed { name, reason };
-    let text = value.to_str().map_err(|e| malformed(e.to_string()))?;
-    let parsed = text.parse().map_err(|e: T::Err| malformed(e.to_string()))?;
-    Ok(Some(parsed))
+/// [`HeaderError`] when one of them is not acceptable.
+pub fn fields(map: &HeaderMap) -> Result<Fields<'_>, HeaderError> {
+    Fields::collect(pairs(map))
 }
 
-/// Reads a header that must be there.
+/// The fields that an outside caller may set; others of the project's are dropped.
 ///
 /// # Errors
-/// [`FieldError`] when it is missing, given twice or isn't a `T`.
-pub fn required<T>(map: &HeaderMap, name: &'static str) -> Result<T, FieldError>
-where
-    T: FromStr,
-    T::Err: ToString,
-{
-    optional(map, name)?.ok_or(FieldError::Missing(name))
+/// [`HeaderError`] when one of them is not acceptable.
+pub fn fields_from_outside(map: &HeaderMap) -> Result<Fields<'_>, HeaderError> {
+    Fields::collect_from_outside(pairs(map))
 }
 
-/// Whether a header is set to `1`.
-pub fn is_set(map: &HeaderMap, name: &'static str) -> bool {
-    map.get(name).is_some_and(|value| value == "1")
+fn pairs(map: &HeaderMap) -> impl Iterator<Item = (&str, &[u8])> {
+    map.iter()
+        .map(|(name, value)| (name.as_str(), value.as_bytes()))
+}
+
+/// Puts the project's headers on a message.
+pub struct MapSink<'a>(pub &'a mut HeaderMap);
+
+impl HeaderSink for MapSink<'_> {
+    fn put(&mut self, name: &'static str, value: &dyn Display) {
+        let mut text = String::with_capacity(USUAL_LENGTH);
+        write!(text, "{value}").expect("a string takes all that is written");
+        set(self.0, name, text);
+    }
 }
 
 /// Sets a header to a value that consists of visible ASCII by construction.
-pub fn set(map: &mut HeaderMap, name: &'static str, value: impl ToString) {
-    let value = HeaderValue::try_from(value.to_string())
-        .expect("ids, numbers and names consist of visible ASCII");
+pub fn set(map: &mut HeaderMap, name: &'static str, value: String) {
+    let value =
+        HeaderValue::try_from(value).expect("ids, numbers and names consist of visible ASCII");
     map.insert(HeaderName::from_static(name), value);
 }
 
@@ -115,5 +82,5 @@
     HOP_BY_HOP.contains(name)
         || text == "keep-alive"
         || text == "proxy-connection"
-        || text.starts_with(headers::PREFIX)
+        || has_prefix(text)
 }
--- a/crates/bramblewheel-daemon/src/http/mod.rs
+++ b/crates/bramblewheel-daemon/src/http/mod.rs
@@ -2,10 +2,8 @@
 
 pub mod answer;
 pub mod body;
-pub mod context;
 pub mod exchange;
 pub mod fields;
 pub mod pool;
 pub mod root;
-pub mod route_path;
 pub mod server;
--- a/crates/bramblewheel-daemon/src/inbound.rs
+++ b/crates/bramblewheel-daemon/src/inbound.rs
@@ -4,14 +4,15 @@
 mod dispatch;
 
 use crate::http::answer::{self, HttpAnswer, not_run};
-use crate::http::context;
-use crate::http::fields::{optional, set};
+use crate::http::fields::{MapSink, fields};
 use crate::http::server::Handler;
 use crate::shared::Shared;
 use bramblewheel_core::context::CallContext;
 use bramblewheel_core::event::Feedback;
+use bramblewheel_core::headers::fields::Fields;
+use bramblewheel_core::headers::{HeaderError, answer as answer_headers, context};
 use bramblewheel_protocol::headers;
-use bramblewheel_types::{AttemptId, NotRunReason};
+use bramblewheel_types::{AttemptId, NotRunReason, Timestamp};
 use bytes::Bytes;
 use http::Request;
 use http::request::Parts;
@@ -40,16 +41,15 @@
     async fn answer(&self, request: Request<Incoming>) -> HttpAnswer {
         let now = self.shared.driver.clock().now();
         let (head, mut body) = request.into_parts();
-        let echoed = optional::<AttemptId>(&head.headers, headers::ATTEMPT)
-            .ok()
-            .flatten();
-        let context = match context::read(&head.headers, &head.uri, now) {
+        let context = match read_context(&head, now) {
             Ok(context) => context,
-            Err(error) => return refused(answer::invalid_request(&error.to_string()), echoed),
+            Err((error, attempt)) => {
+                return refused(answer::invalid_request(&error.to_string()), attempt);
+            }
         };
         let body = match self.shared.read_body(&mut body).await {
             Ok(body) => body,
-            Err(refusal) => return refused(*refusal, echoed),
+            Err(refusal) => return refused(*refusal, Some(context.attempt)),
         };
         let request = InboundRequest {
             context,
@@ -66,11 +66,20 @@
     }
 }
 
+/// Reads the context; an error comes with the attempt to be refused, if that can be read.
+fn read_context(
+    head: &Parts,
+    now: Timestamp,
+) -> Result<CallContext, (HeaderError, Option<AttemptId>)> {
+    let fields = fields(&head.headers).map_err(|error| (error, None))?;
+    let attempt = |fields: &Fields<'_>| fields.optional(headers::ATTEMPT).ok().flatten();
+    context::parse(now, head.uri.path(), &fields).map_err(|error| (error, attempt(&fields)))
+}
+
 /// An answer between daemons names its attempt and carries feedback.
 fn between_daemons(mut answer: HttpAnswer, attempt: AttemptId, feedback: &Feedback) -> HttpAnswer {
-    let fields = answer.headers_mut();
-    set(fields, headers::ATTEMPT, attempt);
-    context::write_feedback(fields, feedback);
+    let mut sink = MapSink(answer.headers_mut());
+    answer_headers::write_feedback(attempt, feedback, &mut sink);
     answer
 }
 
--- a/crates/bramblewheel-daemon/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-daemon/src/inbound/dispatch.rs
@@ -1,13 +1,13 @@
 //! Passing an admitted attempt to the local endpoint.
 
-use crate::http::context;
 use crate::http::exchange::{ExchangeLimits, Exchanged, LongAnswer, WholeAnswer, exchange};
-use crate::http::fields::{end_to_end, optional};
+use crate::http::fields::{MapSink, end_to_end, fields};
 use crate::http::pool::Lease;
 use crate::inbound::InboundRequest;
 use crate::shared::Shared;
 use bramblewheel_core::event::{DispatchResult, StoredAnswer};
-use bramblewheel_protocol::headers;
+use bramblewheel_core::headers::answer::parse_refusal;
+use bramblewheel_core::headers::context::write_for_endpoint;
 use bramblewheel_types::{Millis, NotRunReason, Outcome, Timestamp};
 use bytes::Bytes;
 use http::header::HOST;
@@ -76,13 +76,13 @@
         let now = clock.now();
         (now < request.context.deadline).then(|| request_head(&request, endpoint, now))
     };
-    let exchanged = exchange(&pool, limits, request.body.clone(), head, |_| true).await;
+    let exchanged = exchange(&pool, limits, request.body.clone(), head, |_| Some(())).await;
     let is_operation = request.context.operation.is_some();
     match exchanged {
         Exchanged::NotSent => Dispatched::Result(DispatchResult::NotSent, None),
         Exchanged::Lost => Dispatched::Result(DispatchResult::Lost, None),
-        Exchanged::Whole(whole) => ended(whole, is_operation),
-        Exchanged::Long(long) => streamed(long),
+        Exchanged::Whole(whole, ()) => ended(whole, is_operation),
+        Exchanged::Long(long, ()) => streamed(long),
     }
 }
 
@@ -101,7 +101,7 @@
                 .expect("an address consists of visible ASCII");
             fields.insert(HOST, host);
         }
-        context::write_for_endpoint(fields, &request.context, now);
+        write_for_endpoint(now, &request.context, &mut MapSink(fields));
     }
     builder
 }
@@ -152,15 +152,12 @@
 /// The endpoint's own proof that it ran nothing: status 503 and the outcome `not-run`. A plain
 /// 503 proves nothing.
 fn refusal(status: StatusCode, map: &HeaderMap) -> Option<DispatchResult> {
-    let outcome = map.get(headers::OUTCOME)?;
-    if status != StatusCode::SERVICE_UNAVAILABLE || outcome != "not-run" {
+    if status != StatusCode::SERVICE_UNAVAILABLE {
         return None;
     }
-    let reason = map.get(headers::REASON).and_then(|r| r.to_str().ok());
-    let reason = reason.and_then(|text| text.parse().ok());
-    let retry_after = optional(map, headers::RETRY_AFTER_MS).ok().flatten();
+    let refusal = fields(map).ok().as_ref().and_then(parse_refusal)?;
     Some(DispatchResult::Refused {
-        reason: reason.unwrap_or(NotRunReason::Overloaded),
-        retry_after: retry_after.map_or(DEFAULT_RETRY_AFTER, Millis),
+        reason: refusal.reason.unwrap_or(NotRunReason::Overloaded),
+        retry_after: refusal.retry_after.unwrap_or(DEFAULT_RETRY_AFTER),
     })
 }
--- a/crates/bramblewheel-daemon/src/load_report.rs
+++ b/crates/bramblewheel-daemon/src/load_report.rs
@@ -48,8 +48,8 @@
 async fn ask(pool: &Arc<Pool>) -> Option<EndpointReport> {
     let host = pool.address().to_string();
     let head = || Some(Request::get(PATH).header(HOST, host.as_str()));
-    match exchange(pool, LIMITS, Bytes::new(), head, |_| true).await {
-        Exchanged::Whole(answer) => parse(&answer),
+    match exchange(pool, LIMITS, Bytes::new(), head, |_| Some(())).await {
+        Exchanged::Whole(answer, ()) => parse(&answer),
         _ => None,
     }
 }
--- a/crates/bramblewheel-daemon/src/outbound/attempt.rs
+++ b/crates/bramblewheel-daemon/src/outbound/attempt.rs
@@ -1,15 +1,15 @@
 //! One attempt of a call at another endpoint's daemon.
 
-use crate::http::context;
 use crate::http::exchange::{ExchangeLimits, Exchanged, LongAnswer, WholeAnswer, exchange};
-use crate::http::fields::{end_to_end, optional};
+use crate::http::fields::{MapSink, end_to_end, fields};
 use crate::http::pool::Lease;
 use crate::outbound::AppRequest;
 use crate::shared::Shared;
 use bramblewheel_core::context::CallContext;
-use bramblewheel_core::event::{AttemptResult, Feedback};
-use bramblewheel_protocol::headers;
-use bramblewheel_types::{AttemptId, Outcome};
+use bramblewheel_core::event::AttemptResult;
+use bramblewheel_core::headers::answer::{self, AnswerHeaders};
+use bramblewheel_core::headers::context::write;
+use bramblewheel_types::{AttemptId, Outcome, Timestamp};
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
@@ -54,21 +54,12 @@
         let now = clock.now();
         (now < context.deadline).then(|| request_head(&request, &context, address, now))
     };
-    let is_echoed = |map: &HeaderMap| echoes(map, context.attempt);
-    match exchange(&pool, limits, request.body.clone(), head, is_echoed).await {
+    let read = |map: &HeaderMap| answer_to(context.attempt, map);
+    match exchange(&pool, limits, request.body.clone(), head, read).await {
         Exchanged::NotSent => Ended::Result(AttemptResult::NotSent, None),
-        Exchanged::Lost => lost(),
-        Exchanged::Whole(whole) => match stated(&whole.headers) {
-            Some((outcome, feedback)) => {
-                let result = AttemptResult::Answered { outcome, feedback };
-                Ended::Result(result, Some(whole))
-            }
-            None => lost(),
-        },
-        Exchanged::Long(long) => match stated(&long.headers) {
-            Some((outcome, feedback)) => streamed(long, outcome, feedback),
-            None => lost(),
-        },
+        Exchanged::Lost => Ended::Result(AttemptResult::Lost, None),
+        Exchanged::Whole(whole, stated) => Ended::Result(result(stated), Some(whole)),
+        Exchanged::Long(long, stated) => streamed(long, stated),
     }
 }
 
@@ -76,7 +67,7 @@
     request: &AppRequest,
     context: &CallContext,
     address: SocketAddr,
-    now: bramblewheel_types::Timestamp,
+    now: Timestamp,
 ) -> http::request::Builder {
     let head = &request.head;
     let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
@@ -88,32 +79,31 @@
                 .expect("an address consists of visible ASCII");
             fields.insert(HOST, host);
         }
-        context::write(fields, context, now);
+        write(now, context, &mut MapSink(fields));
     }
     builder
 }
 
-/// An answer without the id of this very attempt belongs to some other one.
-fn echoes(map: &HeaderMap, attempt: AttemptId) -> bool {
-    matches!(optional::<AttemptId>(map, headers::ATTEMPT), Ok(Some(echoed)) if echoed == attempt)
+/// What an answer states; none when that can't be understood, or when the answer is not to this
+/// very attempt.
+fn answer_to(attempt: AttemptId, map: &HeaderMap) -> Option<AnswerHeaders> {
+    let stated = answer::parse(&fields(map).ok()?).ok()?;
+    (stated.attempt == attempt).then_some(stated)
 }
 
-fn stated(map: &HeaderMap) -> Option<(Outcome, Feedback)> {
-    let outcome = context::read_outcome(map).ok()?;
-    let feedback = context::read_feedback(map).ok()?;
-    Some((outcome, feedback))
-}
-
-fn lost() -> Ended {
-    Ended::Result(AttemptResult::Lost, None)
+fn result(stated: AnswerHeaders) -> AttemptResult {
+    AttemptResult::Answered {
+        outcome: stated.outcome,
+        feedback: stated.feedback,
+    }
 }
 
-fn streamed(long: LongAnswer, outcome: Outcome, feedback: Feedback) -> Ended {
+fn streamed(long: LongAnswer, stated: AnswerHeaders) -> Ended {
     Ended::Streamed(Box::new(StreamedAttempt {
         status: long.status,
         headers: end_to_end(&long.headers),
-        outcome,
-        result: AttemptResult::Answered { outcome, feedback },
+        outcome: stated.outcome,
+        result: result(stated),
         begun: long.begun,
         source: long.source,
         lease: long.lease,
