Test slow heads, broken bodies and untrusted contexts from outside

The hostile peers of the daemon's tests now also trickle a head in, stall, truncate or chunk a body beyond the limit, state two lengths for one body, and send contexts between daemons that are incomplete, repeated, out of range, too long or too many.

--- a/crates/bramblewheel-daemon/tests/hostile.rs
+++ b/crates/bramblewheel-daemon/tests/hostile.rs
@@ -2,8 +2,12 @@
 
 mod support;
 
-use support::Pair;
+use std::net::SocketAddr;
+use std::time::Duration;
 use support::client::{Reply, call, read_all, send_raw};
+use support::{Pair, soon};
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
 
 /// The daemon still serves after whatever was done to it.
 async fn still_serves(pair: &mut Pair) {
@@ -38,6 +42,133 @@
     still_serves(&mut pair).await;
 }
 
+/// Writes pieces for ever, until the other side has closed.
+async fn trickle(mut to: OwnedWriteHalf, piece: &[u8]) {
+    const PAUSE: Duration = Duration::from_millis(20);
+    while to.write_all(piece).await.is_ok() {
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+#[tokio::test]
+async fn a_head_that_trickles_in_is_cut_off() {
+    let mut pair = Pair::start().await;
+    let (_reading, mut writing) = send_raw(pair.entry(), b"").await.into_split();
+    let start = b"GET / HTTP/1.1\r\nbw-service: stock\r\nx-slow: ";
+    writing.write_all(start).await.expect("an open connection");
+    soon("the end of a slow head", trickle(writing, b"a")).await;
+    assert!(!pair.endpoint.has_more());
+    still_serves(&mut pair).await;
+}
+
+#[tokio::test]
+async fn a_body_that_stalls_is_refused_and_never_passed_on() {
+    let mut pair = Pair::start().await;
+    let head = "POST / HTTP/1.1\r\nhost: test\r\nconnection: close\r\nbw-service: stock\r\n";
+    let stalled = format!("{head}content-length: 100\r\n\r\nonly a part");
+    let reply = raw(&pair, stalled.as_bytes()).await;
+    assert_eq!(reply.status(), 400);
+    assert_eq!(reply.header("bw-outcome"), Some("not-run"));
+    assert!(!pair.endpoint.has_more());
+    still_serves(&mut pair).await;
+}
+
+#[tokio::test]
+async fn a_truncated_body_is_never_passed_on() {
+    let mut pair = Pair::start().await;
+    let head = "POST / HTTP/1.1\r\nhost: test\r\nbw-service: stock\r\n";
+    for rest in [
+        "content-length: 100\r\n\r\nonly a part",
+        "transfer-encoding: chunked\r\n\r\nb\r\nonly a part\r\n",
+        "transfer-encoding: chunked\r\n\r\nzz\r\n",
+    ] {
+        let mut stream = send_raw(pair.entry(), format!("{head}{rest}").as_bytes()).await;
+        stream.shutdown().await.expect("an open connection");
+        let reply = read_all(&mut stream).await;
+        assert_ne!(reply.status(), 200, "{rest}");
+    }
+    assert!(!pair.endpoint.has_more());
+    still_serves(&mut pair).await;
+}
+
+#[tokio::test]
+async fn a_body_without_a_stated_length_is_refused_when_it_grows_too_long() {
+    let mut pair = Pair::start().await;
+    let chunk = format!("{:x}\r\n{}\r\n", 1024, "z".repeat(1024));
+    let chunks = chunk.repeat(support::BODY_LIMIT / 1024 + 1);
+    let request = format!(
+        "POST / HTTP/1.1\r\nhost: test\r\nconnection: close\r\nbw-service: stock\r\n\
+         transfer-encoding: chunked\r\n\r\n{chunks}0\r\n\r\n"
+    );
+    assert_eq!(raw(&pair, request.as_bytes()).await.status(), 413);
+    assert!(!pair.endpoint.has_more());
+    still_serves(&mut pair).await;
+}
+
+#[tokio::test]
+async fn two_lengths_for_one_body_are_refused() {
+    let mut pair = Pair::start().await;
+    let head = "POST / HTTP/1.1\r\nhost: test\r\nconnection: close\r\nbw-service: stock\r\n";
+    let smuggled = "GET /smuggled HTTP/1.1\r\nbw-service: stock\r\n\r\n";
+    let lengths = "content-length: 4\r\ncontent-length: 60\r\n";
+    let request = format!("{head}{lengths}\r\nbody{smuggled}");
+    assert_eq!(raw(&pair, request.as_bytes()).await.status(), 400);
+    assert!(!pair.endpoint.has_more());
+    still_serves(&mut pair).await;
+}
+
+/// Header lines of an attempt as a daemon sends it, without one of them.
+fn attempt_without(name: &str) -> Vec<&'static str> {
+    let lines = [
+        "bw-request-id: 000000000000000000000000000000aa",
+        "bw-call-id: 00000000000000bb",
+        "bw-attempt: 00000000000000cc",
+        "bw-criticality: normal",
+        "bw-timeout-ms: 5000",
+        "bw-retry-tokens: 1",
+        "bw-depth: 1",
+        "bw-bundle-version: 1",
+    ];
+    let other = |line: &&str| line.split(':').next() != Some(name);
+    lines.into_iter().filter(other).collect()
+}
+
+async fn attempt(inbound: SocketAddr, without: &str, extra: &[&str]) -> Reply {
+    let mut lines = attempt_without(without);
+    lines.extend(extra);
+    call(inbound, "/", &lines, "").await
+}
+
+#[tokio::test]
+async fn a_context_that_can_not_be_trusted_never_reaches_the_endpoint() {
+    let mut pair = Pair::start().await;
+    let inbound = pair.sidecar.addresses().inbound.expect("a sidecar has one");
+    let long = format!("bw-session: {}", "x".repeat(1000));
+    let many: Vec<String> = (0..40).map(|n| format!("bw-other-{n}: 1")).collect();
+    let many: Vec<&str> = many.iter().map(String::as_str).collect();
+    let cases: [(&str, &[&str]); 9] = [
+        ("bw-retry-tokens", &[]),
+        ("bw-retry-tokens", &["bw-retry-tokens: +1"]),
+        ("bw-retry-tokens", &["bw-retry-tokens: 4294967296"]),
+        ("", &["bw-retry-tokens: 1"]),
+        ("", &["bw-in-session: perhaps"]),
+        ("", &["bw-operation-minted-ms: 1"]),
+        ("bw-depth", &["bw-depth: 256"]),
+        ("", &[&long]),
+        ("", &many),
+    ];
+    for (without, extra) in cases {
+        let reply = attempt(inbound, without, extra).await;
+        assert_eq!(reply.status(), 400, "{without} {extra:?}");
+        assert_eq!(reply.header("bw-outcome"), Some("not-run"));
+    }
+    assert!(!pair.endpoint.has_more());
+    let served = tokio::spawn(async move { attempt(inbound, "", &[]).await });
+    pair.endpoint.next().await.answer("trusted").await;
+    assert_eq!(served.await.expect("the caller ends").text(), "trusted");
+    still_serves(&mut pair).await;
+}
+
 #[tokio::test]
 async fn an_oversized_body_is_refused() {
     let mut pair = Pair::start().await;
--- a/crates/bramblewheel-daemon/tests/support/mod.rs
+++ b/crates/bramblewheel-daemon/tests/support/mod.rs
@@ -97,7 +97,8 @@
         "name = \"{name}\"\nzone = \"hall-a\"\nregion = \"north\"\ndata_folder = {data:?}\n\
          control = [\"{control}\"]\ncalls = [\"stock\"]\n\
          [listen]\n{inbound}outbound = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n{section}\
-         [limits]\nbody_bytes = {BODY_LIMIT}\nconnections = 8\nheader_timeout_ms = 500\n"
+         [limits]\nbody_bytes = {BODY_LIMIT}\nconnections = 8\nheader_timeout_ms = 500\n\
+         body_timeout_ms = 1000\n"
     );
     Settings::parse(Path::new("trial.toml"), &text, Overrides::default())
         .expect("the text is valid settings")
