Split the daemon's assembly, driver and settings by job

The driver's table of tasks, the commands it hands over, the listeners, the wait for a drain, the start errors, and the reading and checking of settings stand in modules of their own. No behaviour changes.

--- a/crates/bramblewheel-daemon/src/daemon.rs
+++ b/crates/bramblewheel-daemon/src/daemon.rs
@@ -1,83 +1,42 @@
 //! Puts a daemon together, runs it, and stops it without interrupting anything.
 
+mod drain;
+mod error;
+mod listeners;
+
+pub use error::StartError;
+pub use listeners::BoundAddresses;
+
 use crate::admin::{Admin, AdminState};
 use crate::clock::Clock;
 use crate::control::ledger::{CLAIM_TIMEOUT, LedgerClient, LedgerJob};
-use crate::control::store::{BundleStore, StoreError};
+use crate::control::store::BundleStore;
 use crate::control::{PollConfig, Poller};
 use crate::driver::Driver;
 use crate::http::pool::{Pool, Pools};
-use crate::http::server::{Handler, ServerConfig, serve};
 use crate::inbound::Inbound;
 use crate::load_report;
 use crate::metrics::Metrics;
 use crate::outbound::Outbound;
-use crate::sessions::{SessionKeyError, SessionKeys};
+use crate::sessions::SessionKeys;
 use crate::settings::{EndpointSettings, Settings};
 use crate::shared::{IdSource, Shared};
 use arc_swap::ArcSwapOption;
 use bramblewheel_core::engine::{Engine, EngineConfig, LocalEndpoint};
 use bramblewheel_core::event::Event;
 use bramblewheel_protocol::control::{EndpointRegistration, Registration};
+use drain::wait_for_drain;
+use listeners::{Listeners, Servers};
 use slog::Logger;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use thiserror::Error;
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
-/// Time between a complete drain and the closing of connections. Meanwhile late requests are
-/// still refused with proof, instead of meeting a closed connection that proves nothing.
-const DRAIN_LINGER: Duration = Duration::from_secs(1);
-/// Time after which a drain that is still going on is logged, again and again.
-const DRAIN_REMINDER: Duration = Duration::from_secs(60);
 /// Time between two looks for pools that are no longer used.
 const POOL_CHECK_PERIOD: Duration = Duration::from_secs(30);
 
-/// A daemon can't start; the text is one line.
-#[derive(Debug, Error)]
-pub enum StartError {
-    /// A listener can't be opened.
-    #[error("listener {listener} at {address}: {error}")]
-    Bind {
-        /// Which listener.
-        listener: &'static str,
-        /// Its address.
-        address: SocketAddr,
-        /// What the operating system says.
-        error: io::Error,
-    },
-    /// The data folder can't be used.
-    #[error(transparent)]
-    Store(#[from] StoreError),
-    /// The session keys can't be used.
-    #[error(transparent)]
-    SessionKeys(#[from] SessionKeyError),
-    /// The operating system gives no random numbers.
-    #[error("no random numbers: {0}")]
-    Random(getrandom::Error),
-}
-
-impl From<getrandom::Error> for StartError {
-    fn from(error: getrandom::Error) -> Self {
-        Self::Random(error)
-    }
-}
-
-/// Addresses that a daemon listens on.
-#[derive(Clone, Copy, Debug)]
-pub struct BoundAddresses {
-    /// Calls from other daemons; none at a gateway.
-    pub inbound: Option<SocketAddr>,
-    /// Calls from applications or outside callers.
-    pub outbound: SocketAddr,
-    /// Health and metrics.
-    pub admin: SocketAddr,
-}
-
 /// A running daemon. Dropping it ends the daemon at once, as a crash would.
 #[derive(Debug)]
 pub struct DaemonHandle {
@@ -173,49 +132,6 @@
     }
 }
 
-struct Listeners {
-    inbound: Option<TcpListener>,
-    outbound: TcpListener,
-    admin: TcpListener,
-    addresses: BoundAddresses,
-}
-
-impl Listeners {
-    async fn bind(settings: &Settings) -> Result<Self, StartError> {
-        let inbound = match settings.listen.inbound {
-            Some(address) => Some(bind("inbound", address).await?),
-            None => None,
-        };
-        let (outbound, outbound_address) = bind("outbound", settings.listen.outbound).await?;
-        let (admin, admin_address) = bind("admin", settings.listen.admin).await?;
-        let addresses = BoundAddresses {
-            inbound: inbound.as_ref().map(|(_, address)| *address),
-            outbound: outbound_address,
-            admin: admin_address,
-        };
-        Ok(Self {
-            inbound: inbound.map(|(listener, _)| listener),
-            outbound,
-            admin,
-            addresses,
-        })
-    }
-}
-
-async fn bind(
-    listener: &'static str,
-    address: SocketAddr,
-) -> Result<(TcpListener, SocketAddr), StartError> {
-    let failed = |error| StartError::Bind {
-        listener,
-        address,
-        error,
-    };
-    let socket = TcpListener::bind(address).await.map_err(failed)?;
-    let bound = socket.local_addr().map_err(failed)?;
-    Ok((socket, bound))
-}
-
 /// What the daemon's tasks are made from.
 struct Parts {
     settings: Settings,
@@ -321,57 +237,6 @@
     }
 }
 
-/// The listeners of a daemon, which end together.
-struct Servers {
-    tasks: JoinSet<()>,
-    config: ServerConfig,
-    stop: watch::Sender<bool>,
-}
-
-impl Servers {
-    fn new(settings: &Settings, log: &Logger) -> Self {
-        let stop = watch::Sender::new(false);
-        Self {
-            tasks: JoinSet::new(),
-            config: ServerConfig {
-                limits: settings.limits.clone(),
-                stop: stop.subscribe(),
-                log: log.clone(),
-            },
-            stop,
-        }
-    }
-
-    fn start<H: Handler>(&mut self, name: &'static str, listener: TcpListener, handler: H) {
-        if let Ok(address) = listener.local_addr() {
-            let address = address.to_string();
-            slog::info!(self.config.log, "listening"; "address" => address, "listener" => name);
-        }
-        let config = self.config.clone();
-        self.tasks.spawn(serve(listener, Arc::new(handler), config));
-    }
-
-    /// Closes connections after the request in progress and waits for them.
-    async fn stop(mut self) {
-        self.stop.send_replace(true);
-        while self.tasks.join_next().await.is_some() {}
-    }
-}
-
-async fn wait_for_drain(driver: &Driver, mut draining: watch::Receiver<bool>, log: &Logger) {
-    // The sender lives in the handle; when that is dropped, so is this task.
-    let _ = draining.wait_for(|draining| *draining).await;
-    let mut drained = driver.drained();
-    loop {
-        let complete = drained.wait_for(|drained| *drained);
-        if tokio::time::timeout(DRAIN_REMINDER, complete).await.is_ok() {
-            break;
-        }
-        slog::warn!(log, "still draining"; "reason" => "calls are in progress");
-    }
-    tokio::time::sleep(DRAIN_LINGER).await;
-}
-
 async fn check_pools(shared: Arc<Shared>) {
     let mut ticks = tokio::time::interval(POOL_CHECK_PERIOD);
     loop {
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/daemon/error.rs
@@ -0,0 +1,37 @@
+//! Why a daemon can't start.
+
+use crate::control::store::StoreError;
+use crate::sessions::SessionKeyError;
+use std::io;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// A daemon can't start; the text is one line.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// A listener can't be opened.
+    #[error("listener {listener} at {address}: {error}")]
+    Bind {
+        /// Which listener.
+        listener: &'static str,
+        /// Its address.
+        address: SocketAddr,
+        /// What the operating system says.
+        error: io::Error,
+    },
+    /// The data folder can't be used.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// The session keys can't be used.
+    #[error(transparent)]
+    SessionKeys(#[from] SessionKeyError),
+    /// The operating system gives no random numbers.
+    #[error("no random numbers: {0}")]
+    Random(getrandom::Error),
+}
+
+impl From<getrandom::Error> for StartError {
+    fn from(error: getrandom::Error) -> Self {
+        Self::Random(error)
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/daemon/listeners.rs
@@ -0,0 +1,114 @@
+//! The daemon's listeners: bound together, served together, stopped together.
+
+use crate::daemon::StartError;
+use crate::http::server::{Handler, ServerConfig, serve};
+use crate::settings::Settings;
+use slog::Logger;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// Addresses that a daemon listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct BoundAddresses {
+    /// Calls from other daemons; none at a gateway.
+    pub inbound: Option<SocketAddr>,
+    /// Calls from applications or outside callers.
+    pub outbound: SocketAddr,
+    /// Health and metrics.
+    pub admin: SocketAddr,
+}
+
+/// The daemon's listeners, bound but not served yet.
+pub(super) struct Listeners {
+    pub(super) inbound: Option<TcpListener>,
+    pub(super) outbound: TcpListener,
+    pub(super) admin: TcpListener,
+    pub(super) addresses: BoundAddresses,
+}
+
+impl Listeners {
+    /// Binds the addresses of the settings.
+    ///
+    /// # Errors
+    /// [`StartError::Bind`] for the first one that can't be had.
+    pub(super) async fn bind(settings: &Settings) -> Result<Self, StartError> {
+        let inbound = match settings.listen.inbound {
+            Some(address) => Some(bind("inbound", address).await?),
+            None => None,
+        };
+        let (outbound, outbound_address) = bind("outbound", settings.listen.outbound).await?;
+        let (admin, admin_address) = bind("admin", settings.listen.admin).await?;
+        let addresses = BoundAddresses {
+            inbound: inbound.as_ref().map(|(_, address)| *address),
+            outbound: outbound_address,
+            admin: admin_address,
+        };
+        Ok(Self {
+            inbound: inbound.map(|(listener, _)| listener),
+            outbound,
+            admin,
+            addresses,
+        })
+    }
+}
+
+async fn bind(
+    listener: &'static str,
+    address: SocketAddr,
+) -> Result<(TcpListener, SocketAddr), StartError> {
+    let failed = |error| StartError::Bind {
+        listener,
+        address,
+        error,
+    };
+    let socket = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = socket.local_addr().map_err(failed)?;
+    Ok((socket, bound))
+}
+
+/// The listeners of a daemon, which end together.
+pub(super) struct Servers {
+    tasks: JoinSet<()>,
+    config: ServerConfig,
+    stop: watch::Sender<bool>,
+}
+
+impl Servers {
+    /// None yet.
+    pub(super) fn new(settings: &Settings, log: &Logger) -> Self {
+        let stop = watch::Sender::new(false);
+        Self {
+            tasks: JoinSet::new(),
+            config: ServerConfig {
+                limits: settings.limits.clone(),
+                stop: stop.subscribe(),
+                log: log.clone(),
+            },
+            stop,
+        }
+    }
+
+    /// Serves a listener.
+    pub(super) fn start<H: Handler>(
+        &mut self,
+        name: &'static str,
+        listener: TcpListener,
+        handler: H,
+    ) {
+        if let Ok(address) = listener.local_addr() {
+            let address = address.to_string();
+            slog::info!(self.config.log, "listening"; "address" => address, "listener" => name);
+        }
+        let config = self.config.clone();
+        self.tasks.spawn(serve(listener, Arc::new(handler), config));
+    }
+
+    /// Closes connections after the request in progress and waits for them.
+    pub(super) async fn stop(mut self) {
+        self.stop.send_replace(true);
+        while self.tasks.join_next().await.is_some() {}
+    }
+}
--- a/crates/bramblewheel-daemon/src/driver.rs
+++ b/crates/bramblewheel-daemon/src/driver.rs
@@ -3,50 +3,35 @@
 //! Actions are handed over while the engine's lock is held, so that two threads can't swap the
 //! order of, say, a send and its cancellation. Handing over never waits: it is a channel send.
 
+mod command;
+mod registry;
+
+pub use command::{CallCommand, InboundCommand};
+
 use crate::clock::Clock;
 use crate::control::ledger::LedgerJob;
-use bramblewheel_core::action::{Action, Answer};
+use bramblewheel_core::action::Action;
 use bramblewheel_core::context::{CallContext, CallRequest};
 use bramblewheel_core::engine::Engine;
-use bramblewheel_core::event::{AttemptResult, Event, Feedback};
+use bramblewheel_core::event::{AttemptResult, Event};
 use bramblewheel_types::{AttemptId, CallId, Timestamp};
-use std::collections::HashMap;
-use std::collections::hash_map::Entry;
-use std::net::SocketAddr;
+use registry::Registry;
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::{Notify, mpsc, watch};
 
-/// What the task that serves an application's call is to do.
+/// Another attempt with this id is in progress.
 #[derive(Debug)]
-pub enum CallCommand {
-    /// Send the request to another daemon.
-    Send {
-        /// Address of the daemon.
-        address: SocketAddr,
-        /// Context to put into the headers.
-        context: Box<CallContext>,
-    },
-    /// Close the attempt's connection.
-    Cancel(AttemptId),
-    /// Answer the application.
-    Answer(Box<Answer>),
-}
+pub struct DuplicateAttempt;
 
-/// What the task that serves another daemon's attempt is to do.
+/// The engine, and what it needs to hand its actions over.
 #[derive(Debug)]
-pub enum InboundCommand {
-    /// Pass the request to the local endpoint.
-    Dispatch,
-    /// Close the connection to the local endpoint.
-    Cancel,
-    /// Answer the calling daemon.
-    Answer(Box<Answer>, Feedback),
+struct State {
+    engine: Engine,
+    actions: Vec<Action>,
+    armed: Timestamp,
+    tasks: Registry,
 }
 
-/// Another attempt with this id is in progress.
-#[derive(Debug)]
-pub struct DuplicateAttempt;
-
 /// The engine with the tasks that carry out its actions.
 #[derive(Debug)]
 pub struct Driver {
@@ -57,22 +42,6 @@
     ledger: mpsc::UnboundedSender<LedgerJob>,
 }
 
-#[derive(Debug)]
-struct State {
-    engine: Engine,
-    actions: Vec<Action>,
-    armed: Timestamp,
-    calls: HashMap<CallId, CallEntry>,
-    attempts: HashMap<AttemptId, CallId>,
-    inbound: HashMap<AttemptId, mpsc::UnboundedSender<InboundCommand>>,
-}
-
-#[derive(Debug)]
-struct CallEntry {
-    commands: mpsc::UnboundedSender<CallCommand>,
-    attempts: Vec<AttemptId>,
-}
-
 impl Driver {
     /// Takes over an engine; ledger requests go to `ledger`.
     pub fn new(engine: Engine, clock: Clock, ledger: mpsc::UnboundedSender<LedgerJob>) -> Self {
@@ -82,9 +51,7 @@
                 engine,
                 actions: Vec::new(),
                 armed: Timestamp::NEVER,
-                calls: HashMap::new(),
-                attempts: HashMap::new(),
-                inbound: HashMap::new(),
+                tasks: Registry::default(),
             }),
             sooner: Notify::new(),
             drained: watch::Sender::new(false),
@@ -119,30 +86,25 @@
         call: CallId,
         request: CallRequest,
     ) -> mpsc::UnboundedReceiver<CallCommand> {
-        let (commands, receiver) = mpsc::unbounded_channel();
-        let entry = CallEntry {
-            commands,
-            attempts: Vec::new(),
-        };
         let mut state = self.lock();
-        state.calls.insert(call, entry);
+        let commands = state.tasks.add_call(call);
         self.apply(&mut state, Event::OutboundCall { call, request });
-        receiver
+        commands
     }
 
     /// Ends a call whose application went away.
     pub fn cancel_call(&self, call: CallId) {
         let mut state = self.lock();
-        if state.calls.contains_key(&call) {
+        if state.tasks.has_call(call) {
             self.apply(&mut state, Event::OutboundCancelled { call });
-            state.forget_call(call);
+            state.tasks.forget_call(call);
         }
     }
 
     /// Tells the engine how an attempt ended, unless it was cancelled meanwhile.
     pub fn end_attempt(&self, attempt: AttemptId, result: AttemptResult) {
         let mut state = self.lock();
-        if state.attempts.remove(&attempt).is_some() {
+        if state.tasks.take_attempt(attempt).is_some() {
             self.apply(&mut state, Event::AttemptEnded { attempt, result });
         }
     }
@@ -155,27 +117,23 @@
         &self,
         context: CallContext,
     ) -> Result<mpsc::UnboundedReceiver<InboundCommand>, DuplicateAttempt> {
-        let (sender, receiver) = mpsc::unbounded_channel();
         let mut state = self.lock();
-        match state.inbound.entry(context.attempt) {
-            Entry::Occupied(_) => return Err(DuplicateAttempt),
-            Entry::Vacant(entry) => entry.insert(sender),
-        };
+        let commands = state.tasks.add_inbound(context.attempt)?;
         self.apply(&mut state, Event::InboundCall { context });
-        Ok(receiver)
+        Ok(commands)
     }
 
     /// Tells the engine that the calling daemon went away before the answer.
     pub fn cancel_inbound(&self, attempt: AttemptId) {
         let mut state = self.lock();
-        if state.inbound.contains_key(&attempt) {
+        if state.tasks.has_inbound(attempt) {
             self.apply(&mut state, Event::InboundCancelled { attempt });
         }
     }
 
     /// Forgets an inbound attempt whose task has ended.
     pub fn end_inbound(&self, attempt: AttemptId) {
-        self.lock().inbound.remove(&attempt);
+        self.lock().tasks.forget_inbound(attempt);
     }
 
     /// Sends ticks when they are due; never returns.
@@ -226,24 +184,29 @@
                 context,
                 ..
             } => {
-                state.begin_attempt(call, context.attempt);
+                state.tasks.add_attempt(call, context.attempt);
                 let context = Box::new(context);
-                command_call(state, call, CallCommand::Send { address, context });
+                let command = CallCommand::Send { address, context };
+                state.tasks.command_call(call, command);
             }
             Action::CancelAttempt { attempt } => {
-                if let Some(call) = state.attempts.remove(&attempt) {
-                    command_call(state, call, CallCommand::Cancel(attempt));
+                if let Some(call) = state.tasks.take_attempt(attempt) {
+                    let command = CallCommand::Cancel(attempt);
+                    state.tasks.command_call(call, command);
                 }
             }
             Action::AnswerCall { call, answer } => {
-                command_call(state, call, CallCommand::Answer(Box::new(answer)));
-                state.forget_call(call);
+                let command = CallCommand::Answer(Box::new(answer));
+                state.tasks.command_call(call, command);
+                state.tasks.forget_call(call);
             }
             Action::Dispatch { attempt } => {
-                command_inbound(state, attempt, InboundCommand::Dispatch);
+                state
+                    .tasks
+                    .command_inbound(attempt, InboundCommand::Dispatch);
             }
             Action::CancelDispatch { attempt } => {
-                command_inbound(state, attempt, InboundCommand::Cancel);
+                state.tasks.command_inbound(attempt, InboundCommand::Cancel);
             }
             Action::AnswerAttempt {
                 attempt,
@@ -251,7 +214,7 @@
                 feedback,
             } => {
                 let command = InboundCommand::Answer(Box::new(answer), feedback);
-                command_inbound(state, attempt, command);
+                state.tasks.command_inbound(attempt, command);
             }
             Action::Ledger { attempt, request } => {
                 // The ledger task lives as long as the driver; at a stop nobody waits any more.
@@ -263,34 +226,3 @@
         }
     }
 }
-
-impl State {
-    fn begin_attempt(&mut self, call: CallId, attempt: AttemptId) {
-        if let Some(entry) = self.calls.get_mut(&call) {
-            entry.attempts.push(attempt);
-            self.attempts.insert(attempt, call);
-        }
-    }
-
-    fn forget_call(&mut self, call: CallId) {
-        let Some(entry) = self.calls.remove(&call) else {
-            return;
-        };
-        for attempt in entry.attempts {
-            self.attempts.remove(&attempt);
-        }
-    }
-}
-
-/// A call or attempt without a task has been cancelled: there is nobody left to command.
-fn command_call(state: &State, call: CallId, command: CallCommand) {
-    if let Some(entry) = state.calls.get(&call) {
-        let _ = entry.commands.send(command);
-    }
-}
-
-fn command_inbound(state: &State, attempt: AttemptId, command: InboundCommand) {
-    if let Some(sender) = state.inbound.get(&attempt) {
-        let _ = sender.send(command);
-    }
-}
--- /dev/null
+++ b/crates/bramblewheel-daemon/src/settings/check.rs
@@ -0,0 +1,84 @@
+//! Faults that the types of the settings can't express.
+
+use crate::settings::Settings;
+use std::net::SocketAddr;
+
+impl Settings {
+    /// The first fault that the types can't express: key and reason.
+    pub(super) fn fault(&self) -> Option<(&'static str, String)> {
+        self.missing_fault()
+            .or_else(|| self.address_fault())
+            .or_else(|| self.limit_fault())
+    }
+
+    fn missing_fault(&self) -> Option<(&'static str, String)> {
+        if self.control.is_empty() {
+            let reason = "at least one control replica is needed";
+            return Some(("control", reason.to_owned()));
+        }
+        if self.endpoint.is_some() && self.listen.inbound.is_none() {
+            let reason = "missing key `inbound`: a daemon with an endpoint needs it";
+            return Some(("[listen]", reason.to_owned()));
+        }
+        if self.endpoint.is_none() && self.listen.inbound.is_some() {
+            let reason = "a gateway (no `[endpoint]`) has no inbound listener";
+            return Some(("inbound", reason.to_owned()));
+        }
+        None
+    }
+
+    fn address_fault(&self) -> Option<(&'static str, String)> {
+        let inbound = self.listen.inbound.map(|address| ("inbound", address));
+        let endpoint = self.endpoint.as_ref().map(|e| ("address", e.address));
+        let listeners = [
+            ("outbound", self.listen.outbound),
+            ("admin", self.listen.admin),
+        ];
+        let named: Vec<_> = inbound
+            .into_iter()
+            .chain(listeners)
+            .chain(endpoint)
+            .collect();
+        for (index, &(key, address)) in named.iter().enumerate() {
+            let clash = named[..index].iter().find(|(_, a)| clashes(*a, address));
+            if let Some((other, _)) = clash {
+                return Some((key, format!("{address} is already used by `{other}`")));
+            }
+        }
+        if let Some(address) = self.listen.inbound.filter(|a| a.ip().is_unspecified()) {
+            let reason = format!("{address} can't be given to other daemons: name one address");
+            return Some(("inbound", reason));
+        }
+        let to_connect = self.control.iter().map(|address| ("control", *address));
+        to_connect
+            .chain(endpoint)
+            .find(|(_, address)| address.port() == 0)
+            .map(|(key, address)| (key, format!("{address} has no port to connect to")))
+    }
+
+    fn limit_fault(&self) -> Option<(&'static str, String)> {
+        /// The HTTP library's smallest read buffer.
+        const LEAST_HEADER_BYTES: usize = 8192;
+        if self.limits.header_bytes < LEAST_HEADER_BYTES {
+            let reason = format!("at least {LEAST_HEADER_BYTES} bytes are needed");
+            return Some(("header_bytes", reason));
+        }
+        let positive = [
+            ("header_count", self.limits.header_count as u64),
+            ("body_bytes", self.limits.body_bytes as u64),
+            ("connections", self.limits.connections as u64),
+            ("header_timeout_ms", self.limits.header_timeout_ms),
+            ("body_timeout_ms", self.limits.body_timeout_ms),
+        ];
+        positive
+            .into_iter()
+            .find(|(_, value)| *value == 0)
+            .map(|(key, _)| (key, "must be above zero".to_owned()))
+    }
+}
+
+fn clashes(one: SocketAddr, other: SocketAddr) -> bool {
+    let same_host =
+        one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() != 0 && one.port() == other.port() && same_host
+}
