--- a/crates/bramblewheel-control/src/node/group.rs
+++ b/crates/bramblewheel-control/src/node/group.rs
@@ -1,8 +1,11 @@
 //! Members of the group and where they are reached.
 
 use super::ControlNode;
+use super::message::PeerMessage;
+use crate::state::{Command, LoggedCommand};
 use bramblewheel_protocol::control::{GroupStatus, ReplicaAddress};
-use bramblewheel_replication::ReplicaId;
+use bramblewheel_replication::{Entry, Payload, ReplicaId};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A replica's address as its opaque description in the membership.
 pub(super) fn describe(address: &ReplicaAddress) -> Vec<u8> {
@@ -11,6 +14,21 @@
     bytes
 }
 
+/// Addresses in entries that are not known to be committed. An address only says where to try, so
+/// one that is not committed does no harm, while without it a replica whose peers all moved while
+/// it ran could not find them after a restart.
+pub(super) fn addresses_in(entries: &[Entry]) -> BTreeMap<u64, ReplicaAddress> {
+    let commands = entries.iter().filter_map(|entry| match &entry.payload {
+        Payload::Command(bytes) => LoggedCommand::decode(bytes).ok(),
+        Payload::Empty | Payload::Membership(_) => None,
+    });
+    let addresses = commands.filter_map(|logged| match logged.command {
+        Command::Address(address) => Some((address.replica, address)),
+        Command::Publish(_) | Command::Operations(_) | Command::Directory { .. } => None,
+    });
+    addresses.collect()
+}
+
 impl ControlNode {
     /// Where a replica is reached, as far as known: as it said itself, else as in the log.
     pub fn member_address(&self, replica: ReplicaId) -> Option<ReplicaAddress> {
@@ -21,6 +39,14 @@
         introduced.or_else(|| self.recorded_address(replica))
     }
 
+    /// Tells the other members where this replica is reached since this start.
+    pub(super) fn announce(&mut self) {
+        let own = self.replica.id();
+        let others = self.replica.membership().members().filter(|id| *id != own);
+        let announcements = others.map(|id| (id, PeerMessage::Announcement));
+        self.messages.extend(announcements);
+    }
+
     /// Where a replica is reached according to the log.
     pub(super) fn recorded_address(&self, replica: ReplicaId) -> Option<ReplicaAddress> {
         if let Some(address) = self.state.address(replica.0) {
@@ -33,7 +59,7 @@
     /// State of the group as this replica sees it.
     pub fn group_status(&self, now: super::Now) -> GroupStatus {
         let membership = self.replica.membership();
-        let addresses = |replicas: &std::collections::BTreeSet<ReplicaId>| {
+        let addresses = |replicas: &BTreeSet<ReplicaId>| {
             let known = replicas.iter();
             known.filter_map(|id| self.member_address(*id)).collect()
         };
--- a/crates/bramblewheel-control/src/node/housekeeping.rs
+++ b/crates/bramblewheel-control/src/node/housekeeping.rs
@@ -80,7 +80,7 @@
     }
 
     /// Brings addresses that members stated to the log, where they differ.
-    fn record_addresses(&mut self) {
+    pub(super) fn record_addresses(&mut self) {
         let members: Vec<ReplicaId> = self.replica.membership().members().collect();
         for member in members {
             let Some(stated) = self.member_address(member) else {
--- a/crates/bramblewheel-control/src/node/message.rs
+++ b/crates/bramblewheel-control/src/node/message.rs
@@ -21,6 +21,8 @@
 pub enum PeerMessage {
     /// Replication of the log.
     Replication(Box<Message>),
+    /// Says nothing but who and where the sender is, which its [`Hello`] does.
+    Announcement,
     /// To the leader: daemons that are new or say something new of themselves.
     Registrations(Vec<Registration>),
     /// To the leader: daemons that polled the sender since its last such message.
--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -126,8 +126,9 @@
     ) -> Result<Self, MalformedState> {
         let data = restored.snapshot.as_ref().map(|s| s.data.as_slice());
         let state = ControlState::decode(data.unwrap_or_default())?;
+        let introduced = group::addresses_in(&restored.entries);
         let replica = Replica::new(replica_config(&config), restored, now.monotonic);
-        Ok(Self {
+        let mut node = Self {
             config,
             replica,
             state,
@@ -141,7 +142,7 @@
             reads: Reads::default(),
             leases: Leases::default(),
             replacement: None,
-            introduced: BTreeMap::new(),
+            introduced,
             messages: Vec::new(),
             replies: Vec::new(),
             bootstrap_write: None,
@@ -150,7 +151,9 @@
             housekeeping_due: now.monotonic,
             exchange_due: now.monotonic,
             counters: Counters::default(),
-        })
+        };
+        node.announce();
+        Ok(node)
     }
 
     /// Takes in a message of another replica.
@@ -160,6 +163,7 @@
             PeerMessage::Replication(message) => {
                 self.replica.receive(now.monotonic, from, *message);
             }
+            PeerMessage::Announcement => {}
             PeerMessage::Registrations(registrations) => {
                 // Never passed on: two replicas could send it to and fro.
                 let registrations = registrations.into_iter().filter(|_| self.is_leader());
@@ -184,6 +188,9 @@
     pub fn introduce(&mut self, now: Now, address: ReplicaAddress) {
         self.now = now;
         self.introduced.insert(address.replica, address);
+        if self.is_leader() {
+            self.record_addresses();
+        }
     }
 
     /// A client went away: its request needs no reply any more.
