--- a/crates/bramblewheel-lab/src/lib.rs
+++ b/crates/bramblewheel-lab/src/lib.rs
@@ -5,8 +5,17 @@
 
 pub mod answer;
 pub mod bench;
+pub mod caller;
 pub mod check;
+pub mod client;
 pub mod commands;
+pub mod deployments;
+pub mod endpoint;
 pub mod error;
 pub mod journal;
+pub mod lab_headers;
 pub mod options;
+pub mod process;
+pub mod runtime;
+pub mod signals;
+pub mod stdin_commands;
