Measure the latency that the daemons add

`bramblewheel-lab bench latency` sends the same open-loop Poisson load straight to an endpoint and through a gateway and the endpoint's daemon, in alternation. Latency counts from the time a request was due. Endpoint and daemons are processes of their own; processor time is read from /proc. The control replica is a stand-in inside the bench until the real one is there; control work is not on the path of a call.

Running a daemon as a whole process moves from its `main` into the library, so that the lab's `run-daemon` runs the very same.

The latencies say more about the machine than about the daemons; the processor time is the figure to work on.

--- a/crates/bramblewheel-daemon/src/lib.rs
+++ b/crates/bramblewheel-daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod outbound;
+pub mod process;
 pub mod sessions;
 pub mod settings;
 mod shared;
--- a/crates/bramblewheel-daemon/src/main.rs
+++ b/crates/bramblewheel-daemon/src/main.rs
@@ -1,12 +1,11 @@
 //! Entry point: reads flags and settings, runs the daemon until it is told to stop.
 
 use bramblewheel_daemon::settings::Overrides;
-use bramblewheel_daemon::{Settings, daemon, logging};
+use bramblewheel_daemon::{Settings, process};
 use gumdrop::Options;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for settings that can't be used.
 const BAD_SETTINGS: u8 = 2;
@@ -53,8 +52,7 @@
     if flags.check_settings {
         return ExitCode::SUCCESS;
     }
-    stop_on_broken_invariants();
-    match run(settings) {
+    match process::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("bramblewheel-daemon: {error}");
@@ -62,33 +60,3 @@
         }
     }
 }
-
-/// A panic is a broken invariant: the process ends rather than go on with state it can't trust.
-fn stop_on_broken_invariants() {
-    let report = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |panic| {
-        report(panic);
-        std::process::abort();
-    }));
-}
-
-#[tokio::main(worker_threads = 2)]
-async fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
-    let log = logging::logger(settings.log.level.into());
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut handle = daemon::run(settings, log.clone()).await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
-    }
-    slog::info!(log, "stopping"; "reason" => "signal");
-    handle.drain();
-    loop {
-        tokio::select! {
-            () = handle.stopped() => return Ok(()),
-            _ = terminate.recv() => {
-                slog::warn!(log, "still draining"; "reason" => "calls are in progress");
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/bramblewheel-lab/src/bench/latency/report.rs
@@ -0,0 +1,91 @@
+//! Lines of key=value for people and scripts.
+
+use crate::bench::latency::alternation::Alternation;
+use hdrhistogram::Histogram;
+use std::fmt::Write;
+
+const NANOS_PER_MILLI: f64 = 1e6;
+const MICROS_PER_SECOND: f64 = 1e6;
+/// Quantiles reported, with the names of their keys.
+const QUANTILES: [(&str, f64); 3] = [("p50", 0.5), ("p99", 0.99), ("p999", 0.999)];
+
+fn millis_at(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / NANOS_PER_MILLI
+}
+
+fn added(alternation: &Alternation, quantile: f64) -> f64 {
+    let through = millis_at(&alternation.through.latency, quantile);
+    through - millis_at(&alternation.direct.latency, quantile)
+}
+
+fn cpu_micros_per_call(alternation: &Alternation) -> f64 {
+    let calls = alternation.through.latency.len().max(1);
+    alternation.daemon_cpu.as_micros() as f64 / calls as f64
+}
+
+/// One alternation.
+pub fn alternation_line(rate: u32, number: usize, alternation: &Alternation) -> String {
+    let mut line = format!("alternation={number} rate={rate}");
+    for (name, quantile) in QUANTILES {
+        let direct = millis_at(&alternation.direct.latency, quantile);
+        let through = millis_at(&alternation.through.latency, quantile);
+        let _ = write!(
+            line,
+            " direct_{name}_ms={direct:.3} through_{name}_ms={through:.3}"
+        );
+    }
+    let late = |measured: &Histogram<u64>| millis_at(measured, 0.99);
+    let _ = write!(
+        line,
+        " sent_late_p99_ms={:.3}/{:.3} cpu_us_per_call={:.1}",
+        late(&alternation.direct.lateness),
+        late(&alternation.through.lateness),
+        cpu_micros_per_call(alternation),
+    );
+    line
+}
+
+/// All alternations at one rate: medians, and the worst of what was added.
+pub fn summary(rate: u32, alternations: &[Alternation]) -> String {
+    let over = |value: &dyn Fn(&Alternation) -> f64| -> Vec<f64> {
+        alternations.iter().map(value).collect()
+    };
+    let mut text = String::new();
+    let mut line = |key: &str, value: f64, digits: usize| {
+        let _ = writeln!(text, "rate={rate} {key}={value:.digits$}");
+    };
+    line(
+        "calls",
+        over(&|a| a.through.latency.len() as f64).iter().sum(),
+        0,
+    );
+    for (name, quantile) in QUANTILES {
+        let direct = over(&|a| millis_at(&a.direct.latency, quantile));
+        let through = over(&|a| millis_at(&a.through.latency, quantile));
+        let added = over(&|a| added(a, quantile));
+        line(&format!("direct_{name}_ms"), median(&direct), 3);
+        line(&format!("through_{name}_ms"), median(&through), 3);
+        line(&format!("added_{name}_ms"), median(&added), 3);
+        line(&format!("added_{name}_ms_worst"), worst(&added), 3);
+    }
+    let cpu = over(&cpu_micros_per_call);
+    line("cpu_us_per_call", median(&cpu), 1);
+    line("cpu_us_per_call_worst", worst(&cpu), 1);
+    line("calls_per_core_second", MICROS_PER_SECOND / median(&cpu), 0);
+    text
+}
+
+/// The middle value; the mean of the two middle ones for an even count; 0 for none.
+pub(super) fn median(values: &[f64]) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    match sorted.len() {
+        0 => 0.0,
+        length if length % 2 == 1 => sorted[length / 2],
+        length => f64::midpoint(sorted[length / 2 - 1], sorted[length / 2]),
+    }
+}
+
+pub(super) fn worst(values: &[f64]) -> f64 {
+    values.iter().copied().fold(f64::NEG_INFINITY, f64::max)
+}
--- /dev/null
+++ b/crates/bramblewheel-lab/src/bench/latency/tests.rs
@@ -0,0 +1,40 @@
+//! The pure parts of the bench.
+
+use super::report::{median, worst};
+use super::{cpu, parse_rates, schedule};
+use std::time::Duration;
+
+#[test]
+fn arrivals_are_in_order_within_the_window_and_at_the_mean_rate() {
+    let window = Duration::from_secs(10);
+    let due = schedule::arrivals(7, 1000, window);
+    assert!(due.is_sorted());
+    assert!(due.last().is_some_and(|last| *last < window));
+    // Ten thousand expected; five standard deviations are five hundred.
+    assert!((9_500..=10_500).contains(&due.len()), "{}", due.len());
+    assert_eq!(due, schedule::arrivals(7, 1000, window));
+    assert_ne!(due, schedule::arrivals(8, 1000, window));
+}
+
+#[test]
+fn processor_time_is_found_after_any_name() {
+    let stat = "42 (a) (b c) S 1 2 3 4 5 6 7 8 9 10 150 25 0 0 20 0 3";
+    assert_eq!(cpu::parse(stat), Some(Duration::from_millis(1750)));
+    assert_eq!(cpu::parse("42 (a) S 1 2"), None);
+    assert_eq!(cpu::parse(""), None);
+}
+
+#[test]
+fn medians_and_worsts() {
+    assert_eq!(median(&[3.0, 1.0, 2.0]), 2.0);
+    assert_eq!(median(&[4.0, 1.0, 2.0, 3.0]), 2.5);
+    assert_eq!(worst(&[1.0, 3.0, 2.0]), 3.0);
+}
+
+#[test]
+fn rates_are_positive_numbers() {
+    assert_eq!(parse_rates("1000, 5000").ok(), Some(vec![1000, 5000]));
+    for text in ["", "0", "1000,", "fast", "-1"] {
+        assert!(parse_rates(text).is_err(), "{text}");
+    }
+}
--- a/crates/bramblewheel-lab/src/commands/hidden.rs
+++ b/crates/bramblewheel-lab/src/commands/hidden.rs
@@ -1,6 +1,8 @@
 //! Commands that the lab starts itself with: one daemon, one control replica.
 
 use crate::error::CommandError;
+use bramblewheel_daemon::process;
+use bramblewheel_daemon::settings::{Overrides, Settings};
 use gumdrop::Options;
 use std::path::PathBuf;
 
@@ -18,8 +20,10 @@
 ///
 /// # Errors
 /// [`CommandError`] when it can't start.
-pub fn run_daemon(_options: SettingsOptions) -> Result<(), CommandError> {
-    Err(CommandError::NotThere("run-daemon"))
+pub fn run_daemon(options: SettingsOptions) -> Result<(), CommandError> {
+    let settings = Settings::load(&options.settings, Overrides::default())
+        .map_err(|error| CommandError::BadInput(error.to_string()))?;
+    process::run(settings).map_err(|error| CommandError::Broken(error.to_string()))
 }
 
 /// Runs one control replica until it is told to stop.
