Add models of callers, endpoints and layers on the simulation kernel

Callers are an open loop with hard retries; an endpoint has slots, a queue, cold start, sub-calls and a lagging load report. The layer between is nothing, a naive one (three tries per hop), or the real engine on each machine, driven by messages as the tokio shell drives it. The ledger is one process that answers after a quorum's delay, behind two messages, so that control replicas can take its place.

--- a/crates/bramblewheel-sim/src/lib.rs
+++ b/crates/bramblewheel-sim/src/lib.rs
@@ -6,3 +6,4 @@
 
 pub mod deployment;
 pub mod kernel;
+pub mod requests;
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/callers.rs
@@ -0,0 +1,304 @@
+//! Callers of one zone: an open loop of new requests, and hard retries.
+
+use super::actor::RequestActor;
+use super::layer::LayerKind;
+use super::load::{CallerBehaviour, LoadProfile, flow_at};
+use super::message::{Message, RootRequest, SendId, Timer};
+use super::places::Places;
+use super::record::Record;
+use super::topology::{FlowIndex, Topology, ZoneIndex};
+use super::work::next_arrival;
+use crate::kernel::{Context, ProcessId};
+use bramblewheel_core::context::Operation;
+use bramblewheel_types::{OperationKey, Outcome, RequestId, Timestamp};
+use rand::{Rng, RngExt};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Bits of a send's or request's number that count within one zone's callers.
+const NUMBER_BITS: u32 = 40;
+
+/// What became of one request of a person.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RequestResult {
+    /// Kind of request.
+    pub flow: FlowIndex,
+    /// When it was first sent.
+    pub began: Timestamp,
+    /// When the whole answer came, if one came.
+    pub completed: Option<Timestamp>,
+    /// Times that it was sent.
+    pub sends: u32,
+    /// Id of the send that was answered in full, or of the last one.
+    pub request: RequestId,
+}
+
+impl RequestResult {
+    /// Whether the whole answer came within the deadline.
+    pub fn is_good(&self, topology: &Topology) -> bool {
+        let deadline = Duration::from_millis(topology.flows[self.flow.0].model.deadline_ms);
+        self.completed
+            .is_some_and(|at| at.since(self.began) <= deadline)
+    }
+}
+
+#[derive(Debug)]
+struct Person {
+    result: RequestResult,
+    caller: String,
+    has_id: bool,
+    in_session: bool,
+    operation: Option<Operation>,
+    resend: u32,
+}
+
+#[derive(Debug)]
+struct OpenSend {
+    person: u64,
+    to: ProcessId,
+    request: RequestId,
+    resend: u32,
+}
+
+/// The callers of one zone.
+#[derive(Debug)]
+pub struct Callers {
+    topology: Arc<Topology>,
+    places: Places,
+    zone: ZoneIndex,
+    layer: LayerKind,
+    load: LoadProfile,
+    behaviour: CallerBehaviour,
+    people: BTreeMap<u64, Person>,
+    sends: HashMap<SendId, OpenSend>,
+    numbers: u64,
+    results: Vec<RequestResult>,
+}
+
+impl Callers {
+    /// Callers of a zone; `load` is that of all zones together.
+    pub fn new(
+        topology: Arc<Topology>,
+        zone: ZoneIndex,
+        layer: LayerKind,
+        load: LoadProfile,
+        behaviour: CallerBehaviour,
+    ) -> Self {
+        Self {
+            places: Places::new(&topology),
+            topology,
+            zone,
+            layer,
+            load,
+            behaviour,
+            people: BTreeMap::new(),
+            sends: HashMap::new(),
+            numbers: (zone.0 as u64) << NUMBER_BITS,
+            results: Vec::new(),
+        }
+    }
+
+    /// Results of requests that are over, and of those still in progress as far as they are.
+    pub fn results(&self) -> impl Iterator<Item = &RequestResult> {
+        let open = self.people.values().map(|person| &person.result);
+        self.results.iter().chain(open)
+    }
+
+    pub(super) fn start(&mut self, context: &mut Context<'_, RequestActor>) {
+        self.wait_for_arrival(context);
+    }
+
+    fn wait_for_arrival(&mut self, context: &mut Context<'_, RequestActor>) {
+        let rate = self.load.peak_rate() / self.topology.zones.len() as f64;
+        let wait = next_arrival(rate, context.random());
+        context.set_timer(wait, Timer::Arrival);
+    }
+
+    pub(super) fn timer(&mut self, context: &mut Context<'_, RequestActor>, timer: Timer) {
+        match timer {
+            Timer::Arrival => {
+                // Arrivals come at the peak rate and are thinned to the rate of the moment.
+                let now = context.virtual_now();
+                let share = self.load.rate(now) / self.load.peak_rate();
+                if context.random().random_bool(share) {
+                    self.begin(context);
+                }
+                if now < self.load.ends {
+                    self.wait_for_arrival(context);
+                }
+            }
+            Timer::Resend(person) => self.send(context, person),
+            Timer::GiveUp(send) => self.give_up(context, send),
+            _ => {}
+        }
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.numbers += 1;
+        self.numbers
+    }
+
+    fn begin(&mut self, context: &mut Context<'_, RequestActor>) {
+        let number = self.next_number();
+        let now = context.virtual_now();
+        let random = context.random();
+        let flow = flow_at(&self.topology, random.random());
+        let model = &self.topology.flows[flow].model;
+        let caller = random.random_range(0..self.behaviour.callers_per_zone);
+        let operation = model.run_once.then(|| Operation {
+            key: OperationKey::new(&format!("operation-{number:x}"))
+                .expect("a short text of visible characters is a valid key"),
+            minted_at_unix_millis: now.as_millis(),
+        });
+        let person = Person {
+            result: RequestResult {
+                flow: FlowIndex(flow),
+                began: now,
+                completed: None,
+                sends: 0,
+                request: draw_id(random),
+            },
+            caller: format!("caller-{}-{caller}", self.zone.0),
+            has_id: random.random_bool(self.behaviour.with_id),
+            in_session: random.random_bool(model.in_session),
+            operation,
+            resend: 0,
+        };
+        self.people.insert(number, person);
+        self.send(context, number);
+    }
+
+    fn send(&mut self, context: &mut Context<'_, RequestActor>, number: u64) {
+        let send = SendId(self.next_number());
+        let Some(person) = self.people.get_mut(&number) else {
+            return;
+        };
+        person.result.sends += 1;
+        let is_resend = person.result.sends > 1;
+        if is_resend && person.has_id {
+            person.resend += 1;
+        } else if is_resend {
+            person.result.request = draw_id(context.random());
+        }
+        let flow = &self.topology.flows[person.result.flow.0];
+        let timeout = Duration::from_millis(flow.model.deadline_ms);
+        let request = RootRequest {
+            send,
+            request: person.result.request,
+            resend: person.resend,
+            flow: person.result.flow,
+            route: flow.route,
+            caller: person.caller.clone(),
+            timeout,
+            in_session: person.in_session,
+            operation: person.operation.clone(),
+        };
+        let open = OpenSend {
+            person: number,
+            to: self.destination(context, request.flow),
+            request: request.request,
+            resend: request.resend,
+        };
+        context.record(Record::Sent {
+            request: request.request,
+            resend: request.resend,
+            operation: request.operation.as_ref().map(|o| o.key.clone()),
+        });
+        context.send(open.to, Message::Request(Box::new(request)));
+        context.set_timer(timeout, Timer::GiveUp(send));
+        self.sends.insert(send, open);
+    }
+
+    /// The gateway of the own zone, or without any layer an endpoint anywhere.
+    fn destination(&self, context: &mut Context<'_, RequestActor>, flow: FlowIndex) -> ProcessId {
+        if self.layer.has_gateways() {
+            return self.places.gateway(self.zone);
+        }
+        let route = self.topology.flows[flow.0].route;
+        let service = self.topology.routes[route.0].service;
+        let endpoints = &self.topology.services[service.0].endpoints;
+        let position = context.random().random_range(0..endpoints.len());
+        self.places.host(endpoints[position])
+    }
+
+    pub(super) fn receive(&mut self, context: &mut Context<'_, RequestActor>, message: Message) {
+        if let Message::Answer(send, outcome) = message {
+            self.answered(context, send, outcome);
+        }
+    }
+
+    pub(super) fn undelivered(
+        &mut self,
+        context: &mut Context<'_, RequestActor>,
+        message: Message,
+    ) {
+        if let Message::Request(request) = message {
+            self.answered(context, request.send, Outcome::Unknown);
+        }
+    }
+
+    fn answered(
+        &mut self,
+        context: &mut Context<'_, RequestActor>,
+        send: SendId,
+        outcome: Outcome,
+    ) {
+        let Some(open) = self.sends.remove(&send) else {
+            return;
+        };
+        let Some(person) = self.people.get_mut(&open.person) else {
+            return;
+        };
+        context.record(Record::Told {
+            request: open.request,
+            resend: open.resend,
+            operation: person.operation.as_ref().map(|o| o.key.clone()),
+            outcome,
+        });
+        if outcome == Outcome::Completed {
+            person.result.completed = Some(context.virtual_now());
+            return self.finish(open.person);
+        }
+        self.try_again(context, open.person);
+    }
+
+    fn give_up(&mut self, context: &mut Context<'_, RequestActor>, send: SendId) {
+        let Some(open) = self.sends.remove(&send) else {
+            return;
+        };
+        let Some(person) = self.people.get(&open.person) else {
+            return;
+        };
+        context.record(Record::GaveUp {
+            request: open.request,
+            resend: open.resend,
+            operation: person.operation.as_ref().map(|o| o.key.clone()),
+        });
+        context.send(open.to, Message::GiveUp(send));
+        self.try_again(context, open.person);
+    }
+
+    fn try_again(&mut self, context: &mut Context<'_, RequestActor>, number: u64) {
+        let is_last = self
+            .people
+            .get(&number)
+            .is_some_and(|person| person.result.sends >= self.behaviour.max_sends);
+        if is_last {
+            return self.finish(number);
+        }
+        let spread = context.random().random_range(1.0..2.0);
+        let pause = self.behaviour.pause.mul_f64(spread);
+        context.set_timer(pause, Timer::Resend(number));
+    }
+
+    fn finish(&mut self, number: u64) {
+        if let Some(person) = self.people.remove(&number) {
+            self.results.push(person.result);
+        }
+    }
+}
+
+fn draw_id(random: &mut impl Rng) -> RequestId {
+    RequestId(u128::from(random.next_u64()) << 64 | u128::from(random.next_u64()))
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/endpoint.rs
@@ -0,0 +1,317 @@
+//! One endpoint: slots, its own queue, service times, cold start, sub-calls, cancellation.
+//!
+//! A request holds its slot until it has ended, also while it waits for its sub-calls. A failed
+//! sub-call fails the request, at once.
+
+use super::slab::{Key, Slab};
+use super::topology::{Endpoint, RouteIndex, Topology};
+use super::work::log_normal;
+use bramblewheel_core::event::EndpointReport;
+use bramblewheel_types::{OperationKey, RequestId, Timestamp};
+use rand::Rng;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A request that an endpoint runs or keeps in its queue.
+pub type RunKey = Key<Run>;
+
+/// What an endpoint is asked to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunRequest {
+    /// Route called.
+    pub route: RouteIndex,
+    /// The original request.
+    pub request: RequestId,
+    /// Number of the try; means something only to the layer.
+    pub attempt: u64,
+    /// Set when the request must not run twice.
+    pub operation: Option<OperationKey>,
+}
+
+/// One request at an endpoint.
+#[derive(Debug)]
+pub struct Run {
+    /// What is run.
+    pub request: RunRequest,
+    started: Option<Timestamp>,
+    next_call: usize,
+    waiting: usize,
+}
+
+/// What an endpoint wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EndpointAction {
+    /// Call `work_done` after this time.
+    Work {
+        /// The run.
+        run: RunKey,
+        /// Time that the work takes.
+        takes: Duration,
+    },
+    /// A request left the queue, if it was in it, and began to run.
+    Started {
+        /// What is run.
+        request: RunRequest,
+    },
+    /// Make a sub-call and call `sub_call_ended` with its end.
+    SubCall {
+        /// The run.
+        run: RunKey,
+        /// Position among the route's sub-calls.
+        position: usize,
+    },
+    /// The request ended.
+    Ended {
+        /// The run; its key finds nothing any more.
+        run: RunKey,
+        /// What was run.
+        request: RunRequest,
+        /// Time in a slot.
+        held: Duration,
+        /// Whether it succeeded.
+        is_success: bool,
+    },
+}
+
+/// One endpoint.
+#[derive(Debug)]
+pub struct EndpointModel {
+    topology: Arc<Topology>,
+    shape: Endpoint,
+    started: Timestamp,
+    slowdown: f64,
+    is_draining: bool,
+    running: u32,
+    queue: VecDeque<RunKey>,
+    runs: Slab<Run>,
+    samples: VecDeque<(Timestamp, u32)>,
+}
+
+impl EndpointModel {
+    /// An endpoint that starts now; `shape` comes from the topology.
+    pub fn new(topology: Arc<Topology>, shape: Endpoint, now: Timestamp) -> Self {
+        Self {
+            topology,
+            shape,
+            started: now,
+            slowdown: 1.0,
+            is_draining: false,
+            running: 0,
+            queue: VecDeque::new(),
+            runs: Slab::default(),
+            samples: VecDeque::new(),
+        }
+    }
+
+    /// Factor by which all work takes longer than usual from now on.
+    pub fn set_slowdown(&mut self, factor: f64) {
+        self.slowdown = factor;
+    }
+
+    /// Takes no new requests from now on.
+    pub fn drain(&mut self) {
+        self.is_draining = true;
+    }
+
+    /// Marks the endpoint as warm, as if it had started long ago.
+    pub fn warm_up(&mut self) {
+        self.shape.cold_start = Duration::ZERO;
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// A request that runs or waits.
+    pub fn run(&self, run: RunKey) -> Option<&Run> {
+        self.runs.get(run)
+    }
+
+    /// Takes a request in; `None` when all connections are in use or the endpoint is leaving.
+    pub fn accept(
+        &mut self,
+        now: Timestamp,
+        request: RunRequest,
+        random: &mut impl Rng,
+        actions: &mut Vec<EndpointAction>,
+    ) -> Option<RunKey> {
+        let in_use = self.running as usize + self.queue.len();
+        if self.is_draining || in_use >= self.shape.connections as usize {
+            return None;
+        }
+        let run = self.runs.insert(Run {
+            request,
+            started: None,
+            next_call: 0,
+            waiting: 0,
+        });
+        if self.running < self.shape.slots {
+            self.begin(now, run, random, actions);
+        } else {
+            self.queue.push_back(run);
+        }
+        Some(run)
+    }
+
+    fn begin(
+        &mut self,
+        now: Timestamp,
+        key: RunKey,
+        random: &mut impl Rng,
+        actions: &mut Vec<EndpointAction>,
+    ) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        run.started = Some(now);
+        self.running += 1;
+        let request = run.request.clone();
+        let route = request.route;
+        actions.push(EndpointAction::Started { request });
+        let takes = self.part_of_work(now, route, random);
+        actions.push(EndpointAction::Work { run: key, takes });
+    }
+
+    /// The whole work, or half of it when there are sub-calls in the middle.
+    fn part_of_work(&self, now: Timestamp, route: RouteIndex, random: &mut impl Rng) -> Duration {
+        let route = &self.topology.routes[route.0];
+        let whole = log_normal(route.work, route.work_sigma, random);
+        let parts = if route.calls.is_empty() { 1.0 } else { 2.0 };
+        whole.mul_f64(self.slowdown * self.cold_factor(now) / parts)
+    }
+
+    /// Falls from `cold_factor` to 1 over the cold start.
+    fn cold_factor(&self, now: Timestamp) -> f64 {
+        let cold_start = self.shape.cold_start.as_secs_f64();
+        if cold_start == 0.0 {
+            return 1.0;
+        }
+        let remaining = 1.0 - now.since(self.started).as_secs_f64() / cold_start;
+        1.0 + (self.shape.cold_factor - 1.0) * remaining.max(0.0)
+    }
+
+    /// A part of the work is done.
+    pub fn work_done(
+        &mut self,
+        now: Timestamp,
+        key: RunKey,
+        random: &mut impl Rng,
+        actions: &mut Vec<EndpointAction>,
+    ) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        let route = &self.topology.routes[run.request.route.0];
+        if run.next_call >= route.calls.len() {
+            return self.end(now, key, true, random, actions);
+        }
+        let last = if route.parallel {
+            route.calls.len()
+        } else {
+            run.next_call + 1
+        };
+        for position in run.next_call..last {
+            run.waiting += 1;
+            actions.push(EndpointAction::SubCall { run: key, position });
+        }
+        run.next_call = last;
+    }
+
+    /// A sub-call ended.
+    pub fn sub_call_ended(
+        &mut self,
+        now: Timestamp,
+        key: RunKey,
+        is_success: bool,
+        random: &mut impl Rng,
+        actions: &mut Vec<EndpointAction>,
+    ) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        run.waiting -= 1;
+        if !is_success {
+            return self.end(now, key, false, random, actions);
+        }
+        if run.waiting > 0 {
+            return;
+        }
+        let route = run.request.route;
+        let calls = self.topology.routes[route.0].calls.len();
+        if run.next_call < calls {
+            let position = run.next_call;
+            run.waiting = 1;
+            run.next_call += 1;
+            return actions.push(EndpointAction::SubCall { run: key, position });
+        }
+        let takes = self.part_of_work(now, route, random);
+        actions.push(EndpointAction::Work { run: key, takes });
+    }
+
+    /// Stops a request, or takes it out of the queue; nothing more is heard of it. Returns the
+    /// time it held a slot, if it did.
+    pub fn cancel(
+        &mut self,
+        now: Timestamp,
+        key: RunKey,
+        random: &mut impl Rng,
+        actions: &mut Vec<EndpointAction>,
+    ) -> Option<Duration> {
+        let run = self.runs.remove(key)?;
+        let Some(started) = run.started else {
+            self.queue.retain(|waiting| *waiting != key);
+            return None;
+        };
+        self.free_slot(now, random, actions);
+        Some(now.since(started))
+    }
+
+    fn end(
+        &mut self,
+        now: Timestamp,
+        key: RunKey,
+        is_success: bool,
+        random: &mut impl Rng,
+        actions: &mut Vec<EndpointAction>,
+    ) {
+        let Some(run) = self.runs.remove(key) else {
+            return;
+        };
+        actions.push(EndpointAction::Ended {
+            run: key,
+            request: run.request,
+            held: run.started.map_or(Duration::ZERO, |at| now.since(at)),
+            is_success,
+        });
+        self.free_slot(now, random, actions);
+    }
+
+    fn free_slot(
+        &mut self,
+        now: Timestamp,
+        random: &mut impl Rng,
+        actions: &mut Vec<EndpointAction>,
+    ) {
+        self.running -= 1;
+        if let Some(next) = self.queue.pop_front() {
+            self.begin(now, next, random, actions);
+        }
+    }
+
+    /// The endpoint's own word on its load: as old as `lag_ms`, less a share of `flattery`.
+    pub fn report(&mut self, now: Timestamp) -> EndpointReport {
+        let lag = Duration::from_millis(self.shape.report.lag_ms);
+        self.samples.push_back((now, self.running));
+        while self.samples.len() > 1 && now.since(self.samples[1].0) >= lag {
+            self.samples.pop_front();
+        }
+        let busy = f64::from(self.samples[0].1) * (1.0 - self.shape.report.flattery);
+        EndpointReport {
+            slots: self.shape.slots,
+            busy: busy as u32,
+            draining: self.is_draining,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/host.rs
@@ -0,0 +1,227 @@
+//! A machine of the deployment: an endpoint with the layer beside it, or a gateway.
+
+use super::actor::RequestActor;
+use super::endpoint::{EndpointAction, EndpointModel};
+use super::layer::{Environment, Layer, LayerCounters, LayerSettings};
+use super::message::{Message, Timer};
+use super::places::Places;
+use super::record::Record;
+use super::topology::{EndpointIndex, Topology, ZoneIndex};
+use crate::kernel::{Context, ProcessId, StartCause};
+use bramblewheel_types::RequestId;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Slot time spent for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlotUse {
+    /// The original request.
+    pub request: RequestId,
+    /// Time in a slot, own work and waiting for sub-calls alike.
+    pub held: Duration,
+}
+
+/// A machine.
+pub struct Host {
+    topology: Arc<Topology>,
+    places: Places,
+    zone: ZoneIndex,
+    endpoint_index: Option<EndpointIndex>,
+    settings: LayerSettings,
+    slowdown: f64,
+    endpoint: Option<EndpointModel>,
+    layer: Option<Box<dyn Layer>>,
+    actions: Vec<EndpointAction>,
+    slot_uses: Vec<SlotUse>,
+    counters: LayerCounters,
+}
+
+impl Host {
+    /// A machine, stopped at first; without an endpoint it is a gateway.
+    pub fn new(
+        topology: Arc<Topology>,
+        zone: ZoneIndex,
+        endpoint_index: Option<EndpointIndex>,
+        settings: LayerSettings,
+    ) -> Self {
+        Self {
+            places: Places::new(&topology),
+            topology,
+            zone,
+            endpoint_index,
+            settings,
+            slowdown: 1.0,
+            endpoint: None,
+            layer: None,
+            actions: Vec::new(),
+            slot_uses: Vec::new(),
+            counters: LayerCounters::default(),
+        }
+    }
+
+    /// The layer on this machine, while it runs.
+    pub fn layer(&self) -> Option<&dyn Layer> {
+        self.layer.as_deref()
+    }
+
+    /// Slot time spent so far.
+    pub fn slot_uses(&self) -> &[SlotUse] {
+        &self.slot_uses
+    }
+
+    /// What the layer did, over all starts.
+    pub fn counters(&self) -> LayerCounters {
+        self.counters
+    }
+
+    /// Makes the endpoint's work slower, also after a restart.
+    pub fn set_slowdown(&mut self, factor: f64) {
+        self.slowdown = factor;
+        if let Some(endpoint) = &mut self.endpoint {
+            endpoint.set_slowdown(factor);
+        }
+    }
+
+    /// Begins a planned stop.
+    pub fn drain(&mut self, context: &mut Context<'_, RequestActor>) {
+        if let Some(endpoint) = &mut self.endpoint {
+            endpoint.drain();
+        }
+        self.with_layer(context, |layer, environment| layer.drain(environment));
+    }
+
+    pub(super) fn start(&mut self, context: &mut Context<'_, RequestActor>, cause: StartCause) {
+        let shape = self.endpoint_index.map(|index| {
+            let shape = self.topology.endpoints[index.0].clone();
+            EndpointModel::new(Arc::clone(&self.topology), shape, context.now())
+        });
+        self.endpoint = shape;
+        if let Some(endpoint) = &mut self.endpoint {
+            endpoint.set_slowdown(self.slowdown);
+            if cause == StartCause::First {
+                endpoint.warm_up();
+            }
+        }
+        self.layer =
+            Some(
+                self.settings
+                    .build(&self.topology, self.zone, self.endpoint_index, context),
+            );
+        self.with_layer(context, |layer, environment| layer.start(environment));
+    }
+
+    pub(super) fn stop(&mut self) {
+        self.endpoint = None;
+        self.layer = None;
+        self.actions.clear();
+    }
+
+    pub(super) fn receive(
+        &mut self,
+        context: &mut Context<'_, RequestActor>,
+        from: ProcessId,
+        message: Message,
+    ) {
+        self.with_layer(context, |layer, environment| {
+            layer.receive(environment, from, message);
+        });
+    }
+
+    pub(super) fn undelivered(
+        &mut self,
+        context: &mut Context<'_, RequestActor>,
+        to: ProcessId,
+        message: Message,
+    ) {
+        self.with_layer(context, |layer, environment| {
+            layer.undelivered(environment, to, message);
+        });
+    }
+
+    pub(super) fn timer(&mut self, context: &mut Context<'_, RequestActor>, timer: Timer) {
+        let Timer::Work(run) = timer else {
+            return self.with_layer(context, |layer, environment| {
+                layer.timer(environment, timer);
+            });
+        };
+        if let Some(endpoint) = &mut self.endpoint {
+            let now = context.now();
+            endpoint.work_done(now, run, context.random(), &mut self.actions);
+        }
+        self.carry_out(context);
+    }
+
+    fn with_layer(
+        &mut self,
+        context: &mut Context<'_, RequestActor>,
+        call: impl FnOnce(&mut dyn Layer, &mut Environment<'_, '_>),
+    ) {
+        self.call_layer(context, call);
+        self.carry_out(context);
+    }
+
+    fn call_layer(
+        &mut self,
+        context: &mut Context<'_, RequestActor>,
+        call: impl FnOnce(&mut dyn Layer, &mut Environment<'_, '_>),
+    ) {
+        let Some(layer) = &mut self.layer else {
+            return;
+        };
+        let mut environment = Environment {
+            context,
+            topology: &self.topology,
+            places: self.places,
+            endpoint: self.endpoint.as_mut(),
+            actions: &mut self.actions,
+            counters: &mut self.counters,
+            slot_uses: &mut self.slot_uses,
+        };
+        call(layer.as_mut(), &mut environment);
+    }
+
+    /// Does what the endpoint wants, until it wants nothing more.
+    fn carry_out(&mut self, context: &mut Context<'_, RequestActor>) {
+        while !self.actions.is_empty() {
+            for action in std::mem::take(&mut self.actions) {
+                self.carry_out_one(context, action);
+            }
+        }
+    }
+
+    fn carry_out_one(&mut self, context: &mut Context<'_, RequestActor>, action: EndpointAction) {
+        match action {
+            EndpointAction::Work { run, takes } => context.set_timer(takes, Timer::Work(run)),
+            EndpointAction::Started { request } => {
+                let Some(endpoint) = self.endpoint_index else {
+                    return;
+                };
+                context.record(Record::Ran {
+                    endpoint,
+                    request: request.request,
+                    attempt: request.attempt,
+                    operation: request.operation,
+                });
+            }
+            EndpointAction::SubCall { run, position } => {
+                self.call_layer(context, |layer, environment| {
+                    layer.sub_call(environment, run, position);
+                });
+            }
+            EndpointAction::Ended {
+                run,
+                request,
+                held,
+                is_success,
+            } => {
+                self.slot_uses.push(SlotUse {
+                    request: request.request,
+                    held,
+                });
+                self.call_layer(context, |layer, environment| {
+                    layer.run_ended(environment, run, &request, is_success);
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/layer/direct.rs
@@ -0,0 +1,314 @@
+//! Calls without bramblewheel: a random endpoint, a fixed number of tries, a fixed timeout.
+//!
+//! No deadline travels with a call and nobody cancels: an endpoint finds out that its caller has
+//! gone only when it writes the answer.
+
+use super::super::connections::{Acquired, Connections};
+use super::super::endpoint::{RunKey, RunRequest};
+use super::super::message::{Message, RootRequest, SendId, Timer};
+use super::super::slab::{Key, Slab};
+use super::super::topology::RouteIndex;
+use super::{Environment, Layer};
+use crate::kernel::ProcessId;
+use bramblewheel_types::{OperationKey, Outcome, RequestId};
+use rand::RngExt;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Names a call at its maker.
+pub type OutCallKey = Key<OutCall>;
+
+/// How calls are made.
+#[derive(Clone, Copy, Debug)]
+pub struct DirectSettings {
+    max_tries: u32,
+    try_timeout: Duration,
+}
+
+impl DirectSettings {
+    /// One try, with the timeout that is usual where nobody set one.
+    pub const NONE: Self = Self {
+        max_tries: 1,
+        try_timeout: Duration::from_secs(5),
+    };
+    /// Three tries of a second each.
+    pub const NAIVE: Self = Self {
+        max_tries: 3,
+        try_timeout: Duration::from_secs(1),
+    };
+}
+
+/// Whose call it is.
+#[derive(Clone, Copy, Debug)]
+enum Owner {
+    Caller(ProcessId, SendId),
+    Run(RunKey),
+}
+
+/// A call in progress at its maker.
+#[derive(Debug)]
+pub struct OutCall {
+    owner: Owner,
+    route: RouteIndex,
+    request: RequestId,
+    operation: Option<OperationKey>,
+    tried: u32,
+    to: ProcessId,
+}
+
+/// Who waits for a run of the local endpoint.
+#[derive(Clone, Copy, Debug)]
+enum Origin {
+    Caller(ProcessId, SendId),
+    Host(ProcessId, OutCallKey, u32),
+}
+
+/// One machine's calls without bramblewheel.
+#[derive(Debug)]
+pub struct DirectLayer {
+    settings: DirectSettings,
+    calls: Slab<OutCall>,
+    origins: HashMap<u64, Origin>,
+    runs: u64,
+    connections: Connections<ProcessId, ()>,
+}
+
+impl DirectLayer {
+    /// No calls yet.
+    pub fn new(settings: DirectSettings) -> Self {
+        Self {
+            settings,
+            calls: Slab::default(),
+            origins: HashMap::new(),
+            runs: 0,
+            connections: Connections::default(),
+        }
+    }
+
+    fn begin(&mut self, environment: &mut Environment<'_, '_>, call: OutCall) {
+        environment.counters.calls += 1;
+        let key = self.calls.insert(call);
+        self.try_once(environment, key);
+    }
+
+    fn try_once(&mut self, environment: &mut Environment<'_, '_>, key: OutCallKey) {
+        let Some(call) = self.calls.get_mut(key) else {
+            return;
+        };
+        environment.counters.attempts += 1;
+        call.tried += 1;
+        let service = environment.topology.routes[call.route.0].service;
+        let endpoints = &environment.topology.services[service.0].endpoints;
+        let position = environment
+            .context
+            .random()
+            .random_range(0..endpoints.len());
+        call.to = environment.places.host(endpoints[position]);
+        let tried = call.tried;
+        let timeout = Timer::DirectTimeout(key, tried);
+        environment
+            .context
+            .set_timer(self.settings.try_timeout, timeout);
+        let acquired = self.connections.acquire(call.to, u32::MAX, ());
+        if acquired == Acquired::Reused {
+            return self.send(environment, key, tried);
+        }
+        let connect_time = environment.topology.connect_time();
+        let connected = Timer::DirectConnected(key, tried);
+        environment.context.set_timer(connect_time, connected);
+    }
+
+    fn send(&mut self, environment: &mut Environment<'_, '_>, key: OutCallKey, tried: u32) {
+        let Some(call) = self.calls.get(key).filter(|call| call.tried == tried) else {
+            return;
+        };
+        let request = RunRequest {
+            route: call.route,
+            request: call.request,
+            attempt: 0,
+            operation: call.operation.clone(),
+        };
+        let message = Message::DirectCall {
+            call: key,
+            tried,
+            request,
+        };
+        environment.context.send(call.to, message);
+    }
+
+    /// A try ended; `reusable` says whether its connection can be used again.
+    fn try_ended(
+        &mut self,
+        environment: &mut Environment<'_, '_>,
+        key: OutCallKey,
+        tried: u32,
+        is_success: bool,
+        reusable: bool,
+    ) {
+        let Some(call) = self.calls.get(key).filter(|call| call.tried == tried) else {
+            return;
+        };
+        self.connections.release(&call.to, reusable);
+        if !is_success && tried < self.settings.max_tries {
+            return self.try_once(environment, key);
+        }
+        let Some(call) = self.calls.remove(key) else {
+            return;
+        };
+        match call.owner {
+            Owner::Caller(process, send) => {
+                answer_caller(environment, process, send, is_success);
+            }
+            Owner::Run(run) => environment.end_sub_call(run, is_success),
+        }
+    }
+
+    fn run(
+        &mut self,
+        environment: &mut Environment<'_, '_>,
+        origin: Origin,
+        mut request: RunRequest,
+    ) {
+        self.runs += 1;
+        request.attempt = self.runs;
+        self.origins.insert(self.runs, origin);
+        if environment.run(request).is_none() {
+            self.answer(environment, self.runs, false);
+        }
+    }
+
+    fn answer(&mut self, environment: &mut Environment<'_, '_>, run: u64, is_success: bool) {
+        match self.origins.remove(&run) {
+            Some(Origin::Caller(process, send)) => {
+                answer_caller(environment, process, send, is_success);
+            }
+            Some(Origin::Host(process, call, tried)) => {
+                let message = Message::DirectAnswer {
+                    call,
+                    tried,
+                    is_success,
+                };
+                environment.context.send(process, message);
+            }
+            None => {}
+        }
+    }
+
+    fn request(
+        &mut self,
+        environment: &mut Environment<'_, '_>,
+        from: ProcessId,
+        root: RootRequest,
+    ) {
+        let operation = root.operation.map(|operation| operation.key);
+        if environment.endpoint.is_some() {
+            environment.counters.calls += 1;
+            environment.counters.attempts += 1;
+            let request = RunRequest {
+                route: root.route,
+                request: root.request,
+                attempt: 0,
+                operation,
+            };
+            return self.run(environment, Origin::Caller(from, root.send), request);
+        }
+        let call = OutCall {
+            owner: Owner::Caller(from, root.send),
+            route: root.route,
+            request: root.request,
+            operation,
+            tried: 0,
+            to: from,
+        };
+        self.begin(environment, call);
+    }
+}
+
+fn answer_caller(
+    environment: &mut Environment<'_, '_>,
+    process: ProcessId,
+    send: SendId,
+    is_success: bool,
+) {
+    let outcome = if is_success {
+        Outcome::Completed
+    } else {
+        Outcome::Failed
+    };
+    environment
+        .context
+        .send(process, Message::Answer(send, outcome));
+}
+
+impl Layer for DirectLayer {
+    fn start(&mut self, _environment: &mut Environment<'_, '_>) {}
+
+    fn receive(
+        &mut self,
+        environment: &mut Environment<'_, '_>,
+        from: ProcessId,
+        message: Message,
+    ) {
+        match message {
+            Message::Request(root) => self.request(environment, from, *root),
+            Message::DirectCall {
+                call,
+                tried,
+                request,
+            } => self.run(environment, Origin::Host(from, call, tried), request),
+            Message::DirectAnswer {
+                call,
+                tried,
+                is_success,
+            } => self.try_ended(environment, call, tried, is_success, true),
+            _ => {}
+        }
+    }
+
+    fn timer(&mut self, environment: &mut Environment<'_, '_>, timer: Timer) {
+        match timer {
+            Timer::DirectConnected(call, tried) => self.send(environment, call, tried),
+            Timer::DirectTimeout(call, tried) => {
+                self.try_ended(environment, call, tried, false, false);
+            }
+            _ => {}
+        }
+    }
+
+    fn undelivered(
+        &mut self,
+        environment: &mut Environment<'_, '_>,
+        _to: ProcessId,
+        message: Message,
+    ) {
+        if let Message::DirectCall { call, tried, .. } = message {
+            self.try_ended(environment, call, tried, false, false);
+        }
+    }
+
+    fn sub_call(&mut self, environment: &mut Environment<'_, '_>, run: RunKey, position: usize) {
+        let Some(parent) = environment.endpoint.as_ref().and_then(|e| e.run(run)) else {
+            return;
+        };
+        let route = environment.topology.routes[parent.request.route.0].calls[position];
+        let call = OutCall {
+            owner: Owner::Run(run),
+            route,
+            request: parent.request.request,
+            operation: None,
+            tried: 0,
+            to: environment.context.process(),
+        };
+        self.begin(environment, call);
+    }
+
+    fn run_ended(
+        &mut self,
+        environment: &mut Environment<'_, '_>,
+        _run: RunKey,
+        request: &RunRequest,
+        is_success: bool,
+    ) {
+        self.answer(environment, request.attempt, is_success);
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/layer/mod.rs
@@ -0,0 +1,177 @@
+//! What stands between callers and endpoints: nothing, a naive layer, or bramblewheel.
+
+pub mod daemon;
+pub mod direct;
+mod ledger_client;
+
+use super::actor::RequestActor;
+use super::endpoint::{EndpointAction, EndpointModel, RunKey, RunRequest};
+use super::host::SlotUse;
+use super::message::{Message, Timer};
+use super::places::Places;
+use super::topology::{EndpointIndex, Topology, ZoneIndex};
+use crate::kernel::{Context, ProcessId};
+use bramblewheel_bundle::Bundle;
+use daemon::DaemonLayer;
+use direct::{DirectLayer, DirectSettings};
+use std::sync::Arc;
+
+/// Which layer a run uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LayerKind {
+    /// Callers and endpoints choose an endpoint at random, once.
+    None,
+    /// Three tries at each hop, random routing, first in first out.
+    Naive,
+    /// The engines of bramblewheel.
+    Bramblewheel,
+}
+
+impl LayerKind {
+    /// All kinds, worst first.
+    pub const ALL: [Self; 3] = [Self::None, Self::Naive, Self::Bramblewheel];
+
+    /// Name in reports.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Naive => "naive",
+            Self::Bramblewheel => "bramblewheel",
+        }
+    }
+
+    /// Whether callers send to the gateway of their zone.
+    pub const fn has_gateways(self) -> bool {
+        !matches!(self, Self::None)
+    }
+}
+
+/// A layer and what it is told at its start.
+#[derive(Clone, Debug)]
+pub struct LayerSettings {
+    /// Which layer.
+    pub kind: LayerKind,
+    /// Bundle in force; only bramblewheel looks at it.
+    pub bundle: Arc<Bundle>,
+}
+
+impl LayerSettings {
+    pub(super) fn build(
+        &self,
+        topology: &Topology,
+        zone: ZoneIndex,
+        endpoint: Option<EndpointIndex>,
+        context: &mut Context<'_, RequestActor>,
+    ) -> Box<dyn Layer> {
+        match self.kind {
+            LayerKind::None => Box::new(DirectLayer::new(DirectSettings::NONE)),
+            LayerKind::Naive => Box::new(DirectLayer::new(DirectSettings::NAIVE)),
+            LayerKind::Bramblewheel => Box::new(DaemonLayer::new(
+                topology,
+                zone,
+                endpoint,
+                Arc::clone(&self.bundle),
+                context,
+            )),
+        }
+    }
+}
+
+/// What layers count.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LayerCounters {
+    /// Calls by callers and endpoints.
+    pub calls: u64,
+    /// Tries of them that were sent.
+    pub attempts: u64,
+}
+
+impl std::ops::AddAssign for LayerCounters {
+    fn add_assign(&mut self, other: Self) {
+        self.calls += other.calls;
+        self.attempts += other.attempts;
+    }
+}
+
+/// What a layer can do while it handles an event.
+pub struct Environment<'a, 'b> {
+    pub(super) context: &'a mut Context<'b, RequestActor>,
+    pub(super) topology: &'a Topology,
+    pub(super) places: Places,
+    pub(super) endpoint: Option<&'a mut EndpointModel>,
+    pub(super) actions: &'a mut Vec<EndpointAction>,
+    pub(super) counters: &'a mut LayerCounters,
+    pub(super) slot_uses: &'a mut Vec<SlotUse>,
+}
+
+impl Environment<'_, '_> {
+    /// Hands a request to the endpoint; `None` if it does not take it.
+    pub(super) fn run(&mut self, request: RunRequest) -> Option<RunKey> {
+        let now = self.context.now();
+        let endpoint = self.endpoint.as_mut()?;
+        endpoint.accept(now, request, self.context.random(), self.actions)
+    }
+
+    /// Stops a request at the endpoint.
+    pub(super) fn cancel_run(&mut self, run: RunKey) {
+        let now = self.context.now();
+        let Some(endpoint) = self.endpoint.as_mut() else {
+            return;
+        };
+        let Some(request) = endpoint.run(run).map(|run| run.request.request) else {
+            return;
+        };
+        let held = endpoint.cancel(now, run, self.context.random(), self.actions);
+        if let Some(held) = held {
+            self.slot_uses.push(SlotUse { request, held });
+        }
+    }
+
+    /// Tells the endpoint how a sub-call ended.
+    pub(super) fn end_sub_call(&mut self, run: RunKey, is_success: bool) {
+        let now = self.context.now();
+        if let Some(endpoint) = self.endpoint.as_mut() {
+            endpoint.sub_call_ended(now, run, is_success, self.context.random(), self.actions);
+        }
+    }
+}
+
+/// One machine's part of a layer.
+pub trait Layer {
+    /// The machine starts.
+    fn start(&mut self, environment: &mut Environment<'_, '_>);
+
+    /// A message arrives.
+    fn receive(&mut self, environment: &mut Environment<'_, '_>, from: ProcessId, message: Message);
+
+    /// A timer is due.
+    fn timer(&mut self, environment: &mut Environment<'_, '_>, timer: Timer);
+
+    /// A message reached a machine that is down.
+    fn undelivered(
+        &mut self,
+        environment: &mut Environment<'_, '_>,
+        to: ProcessId,
+        message: Message,
+    );
+
+    /// The local endpoint asks for a sub-call.
+    fn sub_call(&mut self, environment: &mut Environment<'_, '_>, run: RunKey, position: usize);
+
+    /// The local endpoint ended a request.
+    fn run_ended(
+        &mut self,
+        environment: &mut Environment<'_, '_>,
+        run: RunKey,
+        request: &RunRequest,
+        is_success: bool,
+    );
+
+    /// A planned stop begins.
+    fn drain(&mut self, _environment: &mut Environment<'_, '_>) {}
+
+    /// What the engine counted, if there is one.
+    fn metrics(&self) -> Option<bramblewheel_core::metrics::Metrics> {
+        None
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/simulation.rs
@@ -0,0 +1,242 @@
+//! A deployment under load: builds the processes and reads what became of the requests.
+
+use super::actor::RequestActor;
+use super::callers::{Callers, RequestResult};
+use super::host::{Host, SlotUse};
+use super::layer::{LayerCounters, LayerSettings};
+use super::ledger::LedgerService;
+use super::load::{CallerBehaviour, LoadProfile};
+use super::places::Places;
+use super::record::Record;
+use super::topology::{EndpointIndex, ServiceIndex, Topology, ZoneIndex};
+use crate::kernel::{Clock, Delay, Entry, Network, ProcessId, Purpose, Simulation, Streams};
+use bramblewheel_types::Timestamp;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time that a replica takes to sync its log, for the ledger's commits.
+const SYNC_TIME: Duration = Duration::from_millis(1);
+
+/// What is simulated.
+#[derive(Clone, Debug)]
+pub struct RequestSettings {
+    /// The deployment.
+    pub topology: Arc<Topology>,
+    /// The layer.
+    pub layer: LayerSettings,
+    /// The load.
+    pub load: LoadProfile,
+    /// How callers behave.
+    pub callers: CallerBehaviour,
+    /// Seed of the run.
+    pub seed: u64,
+}
+
+/// A run of a deployment under load.
+pub struct RequestSimulation {
+    topology: Arc<Topology>,
+    places: Places,
+    simulation: Simulation<RequestActor>,
+}
+
+impl RequestSimulation {
+    /// Builds and starts all processes.
+    pub fn new(settings: &RequestSettings) -> Self {
+        let streams = Streams::new(settings.seed);
+        let topology = Arc::clone(&settings.topology);
+        let network = network(&topology, streams);
+        let mut simulation = Simulation::new(streams, network);
+        simulation.network_mut().set_reports_undelivered(true);
+        let mut run = Self {
+            places: Places::new(&topology),
+            topology,
+            simulation,
+        };
+        run.add_hosts(&settings.layer);
+        run.add_ledger();
+        run.add_callers(settings);
+        run
+    }
+
+    fn add(&mut self, actor: RequestActor, zone: crate::kernel::ZoneId) {
+        let process = self.simulation.add(actor, zone, Clock::default());
+        self.simulation.start(process);
+    }
+
+    fn add_hosts(&mut self, layer: &LayerSettings) {
+        let topology = Arc::clone(&self.topology);
+        let zones = (0..topology.zones.len()).map(ZoneIndex);
+        let endpoints = topology.endpoints.iter().enumerate();
+        let hosts = endpoints.map(|(index, shape)| (shape.zone, Some(EndpointIndex(index))));
+        let gateways = zones.map(|zone| (zone, None));
+        for (zone, endpoint) in hosts.chain(gateways) {
+            let host = Host::new(Arc::clone(&topology), zone, endpoint, layer.clone());
+            self.add(RequestActor::Host(Box::new(host)), Places::zone(zone));
+        }
+    }
+
+    /// A commit takes a message to another zone and back, and a sync.
+    fn add_ledger(&mut self) {
+        let commit_time = self.topology.delay_between_zones() * 2 + SYNC_TIME;
+        let ledger = LedgerService::new(commit_time);
+        let zone = Places::zone(ZoneIndex(0));
+        self.add(RequestActor::Ledger(ledger), zone);
+    }
+
+    fn add_callers(&mut self, settings: &RequestSettings) {
+        for zone in (0..self.topology.zones.len()).map(ZoneIndex) {
+            let callers = Callers::new(
+                Arc::clone(&self.topology),
+                zone,
+                settings.layer.kind,
+                settings.load.clone(),
+                settings.callers,
+            );
+            let place = self.places.caller_zone(zone);
+            self.add(RequestActor::Callers(Box::new(callers)), place);
+        }
+    }
+
+    /// Handles all events up to a virtual time.
+    pub fn run_until(&mut self, end: Timestamp) {
+        self.simulation.run_until(end);
+    }
+
+    /// Makes all work of a service slower by a factor.
+    pub fn set_slowdown(&mut self, service: ServiceIndex, factor: f64) {
+        let topology = Arc::clone(&self.topology);
+        for endpoint in &topology.services[service.0].endpoints {
+            self.host_mut(self.places.host(*endpoint))
+                .set_slowdown(factor);
+        }
+    }
+
+    /// Cuts a zone off from the others and from their callers; its own callers still reach it.
+    pub fn cut_zone(&mut self, zone: ZoneIndex) {
+        let others = self.other_zones(zone);
+        let inside = [Places::zone(zone), self.places.caller_zone(zone)];
+        for outside in others {
+            for own in inside {
+                self.simulation.network_mut().cut_zone(own, outside);
+                self.simulation.network_mut().cut_zone(outside, own);
+            }
+        }
+    }
+
+    /// Ends all cuts.
+    pub fn heal(&mut self) {
+        self.simulation.network_mut().heal();
+    }
+
+    fn other_zones(&self, zone: ZoneIndex) -> Vec<crate::kernel::ZoneId> {
+        (0..self.topology.zones.len())
+            .map(ZoneIndex)
+            .filter(|other| *other != zone)
+            .flat_map(|other| [Places::zone(other), self.places.caller_zone(other)])
+            .collect()
+    }
+
+    /// Begins a planned stop of an endpoint and its daemon.
+    pub fn drain(&mut self, endpoint: EndpointIndex) {
+        let process = self.places.host(endpoint);
+        self.simulation.with(process, |actor, context| {
+            if let RequestActor::Host(host) = actor {
+                host.drain(context);
+            }
+        });
+    }
+
+    /// What is simulated underneath, for faults on single processes.
+    pub fn kernel_mut(&mut self) -> &mut Simulation<RequestActor> {
+        &mut self.simulation
+    }
+
+    /// What is simulated underneath.
+    pub fn kernel(&self) -> &Simulation<RequestActor> {
+        &self.simulation
+    }
+
+    /// Where the processes are.
+    pub fn places(&self) -> Places {
+        self.places
+    }
+
+    /// The deployment.
+    pub fn topology(&self) -> &Arc<Topology> {
+        &self.topology
+    }
+
+    /// Takes the history's entries since the last call out of memory.
+    pub fn take_history(&mut self) -> Vec<Entry<Record>> {
+        self.simulation.history_mut().take_entries()
+    }
+
+    fn host_mut(&mut self, process: ProcessId) -> &mut Host {
+        match self.simulation.actor_mut(process) {
+            RequestActor::Host(host) => host,
+            _ => unreachable!("places name hosts for endpoints and gateways"),
+        }
+    }
+
+    /// Endpoints' machines, then gateways.
+    pub fn hosts(&self) -> impl Iterator<Item = &Host> {
+        let endpoints = (0..self.topology.endpoints.len()).map(EndpointIndex);
+        let gateways = (0..self.topology.zones.len()).map(ZoneIndex);
+        let processes = endpoints
+            .map(|endpoint| self.places.host(endpoint))
+            .chain(gateways.map(|zone| self.places.gateway(zone)));
+        processes.filter_map(|process| match self.simulation.actor(process) {
+            RequestActor::Host(host) => Some(host.as_ref()),
+            _ => None,
+        })
+    }
+
+    /// What became of each person's request.
+    pub fn results(&self) -> impl Iterator<Item = &RequestResult> {
+        let zones = (0..self.topology.zones.len()).map(ZoneIndex);
+        zones
+            .filter_map(
+                |zone| match self.simulation.actor(self.places.callers(zone)) {
+                    RequestActor::Callers(callers) => Some(callers.results()),
+                    _ => None,
+                },
+            )
+            .flatten()
+    }
+
+    /// Slot time spent so far, by request.
+    pub fn slot_uses(&self) -> impl Iterator<Item = &SlotUse> {
+        self.hosts().flat_map(Host::slot_uses)
+    }
+
+    /// What the layers of all machines counted.
+    pub fn counters(&self) -> LayerCounters {
+        let mut sum = LayerCounters::default();
+        for host in self.hosts() {
+            sum += host.counters();
+        }
+        sum
+    }
+}
+
+fn network(topology: &Topology, streams: Streams) -> Network {
+    let exactly = |duration| Delay {
+        shortest: duration,
+        longest: duration,
+    };
+    let zones = topology.zones.len();
+    let inside = exactly(topology.delay(ZoneIndex(0), ZoneIndex(0)));
+    let between = exactly(topology.delay_between_zones());
+    let random = streams.stream(Purpose::Network);
+    let mut network = Network::new(2 * zones, inside, between, random);
+    // The second half of the zones are the places of callers; each send opens a connection.
+    let to_clients = exactly(topology.client_delay());
+    let from_clients = exactly(topology.client_delay() + topology.connect_time());
+    for zone in (0..zones).map(ZoneIndex) {
+        for client in (zones..2 * zones).map(ZoneIndex) {
+            network.set_delay(Places::zone(zone), Places::zone(client), to_clients);
+            network.set_delay(Places::zone(client), Places::zone(zone), from_clients);
+        }
+    }
+    network
+}
