--- a/crates/bramblewheel-core/tests/headers.rs
+++ b/crates/bramblewheel-core/tests/headers.rs
@@ -229,7 +229,13 @@
     ] {
         assert!(!may_come_from_outside(name), "{name}");
     }
-    for name in [names::SERVICE, names::CALLER, "BW-Session", "accept"] {
+    for name in [
+        names::SERVICE,
+        names::OPERATION_KEY,
+        names::CALLER,
+        "BW-Session",
+        "accept",
+    ] {
         assert!(may_come_from_outside(name), "{name}");
     }
     let spoofed = [
