--- a/crates/bramblewheel-sim/src/lib.rs
+++ b/crates/bramblewheel-sim/src/lib.rs
@@ -5,3 +5,5 @@
 //! virtual time; checkers read the history of events only.
 
 pub mod deployment;
+pub mod kernel;
+pub mod requests;
