--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/bound.rs
@@ -0,0 +1,184 @@
+//! The best that any layer could do with the slots that remain; see
+//! `docs/design/10-overload-bound.md`.
+//!
+//! A linear programme: rates of whole requests by flow, none above what is offered, such that no
+//! service is asked for more slot time than its slots have.
+
+use super::topology::{RouteIndex, Topology, ZoneIndex};
+use super::work::log_normal_mean;
+use std::time::Duration;
+
+/// Smallest gain of a step that is still taken.
+const TOLERANCE: f64 = 1e-9;
+
+/// A deployment whose services may be slower than usual.
+#[derive(Clone, Debug)]
+pub struct Capacity<'a> {
+    topology: &'a Topology,
+    slowdown: Vec<f64>,
+}
+
+impl<'a> Capacity<'a> {
+    /// A deployment at its usual speed.
+    pub fn new(topology: &'a Topology) -> Self {
+        Self {
+            topology,
+            slowdown: vec![1.0; topology.services.len()],
+        }
+    }
+
+    /// The same with one service slower by a factor.
+    #[must_use]
+    pub fn with_slowdown(mut self, service: usize, factor: f64) -> Self {
+        self.slowdown[service] = factor;
+        self
+    }
+
+    /// Shortest mean time in which a route is answered, without any queueing; adds the slot time
+    /// that each service spends on it, in seconds.
+    fn hold(&self, route: RouteIndex, slot_time: &mut [f64]) -> f64 {
+        let route = &self.topology.routes[route.0];
+        let work = log_normal_mean(route.work, route.work_sigma).as_secs_f64();
+        let own = work * self.slowdown[route.service.0];
+        let round_trip = self.topology.delay(ZoneIndex(0), ZoneIndex(0)) * 2;
+        let calls = route.calls.iter();
+        let calls = calls.map(|call| self.hold(*call, slot_time) + round_trip.as_secs_f64());
+        let calls = if route.parallel {
+            calls.fold(0.0, f64::max)
+        } else {
+            calls.sum()
+        };
+        slot_time[route.service.0] += own + calls;
+        own + calls
+    }
+
+    /// Slot time in seconds that one request of a flow takes, by service.
+    pub fn slot_time(&self, flow: usize) -> Vec<f64> {
+        let mut slot_time = vec![0.0; self.topology.services.len()];
+        self.hold(self.topology.flows[flow].route, &mut slot_time);
+        slot_time
+    }
+
+    /// Slots of each service.
+    fn slots(&self) -> Vec<f64> {
+        let slots = |service: &super::topology::Service| {
+            let endpoints = service.endpoints.iter();
+            let slots = endpoints.map(|endpoint| self.topology.endpoints[endpoint.0].slots);
+            f64::from(slots.sum::<u32>())
+        };
+        self.topology.services.iter().map(slots).collect()
+    }
+
+    /// Highest rate of the usual mix, requests a second, that the slots can serve.
+    pub fn full_rate(&self) -> f64 {
+        let mut per_request = vec![0.0; self.topology.services.len()];
+        for (flow, shape) in self.topology.flows.iter().enumerate() {
+            for (sum, time) in per_request.iter_mut().zip(self.slot_time(flow)) {
+                *sum += shape.model.share * time;
+            }
+        }
+        let rates = self.slots().into_iter().zip(per_request);
+        rates
+            .filter(|(_, time)| *time > 0.0)
+            .map(|(slots, time)| slots / time)
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// Rates by flow that maximise their sum weighted by `weights`, when `rate` requests a second
+    /// are offered in the usual mix. Weights that differ by large factors give the most important
+    /// flows all that they can use first.
+    pub fn best_rates(&self, rate: f64, weights: &[f64]) -> Vec<f64> {
+        let flows = self.topology.flows.len();
+        let times: Vec<Vec<f64>> = (0..flows).map(|flow| self.slot_time(flow)).collect();
+        let mut limits = Vec::new();
+        for (service, slots) in self.slots().into_iter().enumerate() {
+            let row = times.iter().map(|time| time[service]).collect();
+            limits.push((row, slots));
+        }
+        for (flow, shape) in self.topology.flows.iter().enumerate() {
+            let mut row = vec![0.0; flows];
+            row[flow] = 1.0;
+            limits.push((row, rate * shape.model.share));
+        }
+        maximise(weights, &limits)
+    }
+}
+
+/// Maximises `gains * x` for `x >= 0` and `row * x <= limit`, all limits being at least 0: the
+/// simplex method in its tableau form, with Bland's rule, so that it ends.
+pub fn maximise(gains: &[f64], limits: &[(Vec<f64>, f64)]) -> Vec<f64> {
+    let variables = gains.len();
+    let columns = variables + limits.len();
+    let mut tableau: Vec<Vec<f64>> = Vec::new();
+    for (number, (row, limit)) in limits.iter().enumerate() {
+        let mut line = row.clone();
+        line.resize(columns, 0.0);
+        line[variables + number] = 1.0;
+        line.push(*limit);
+        tableau.push(line);
+    }
+    let mut cost: Vec<f64> = gains.iter().map(|gain| -gain).collect();
+    cost.resize(columns + 1, 0.0);
+    let mut basis: Vec<usize> = (variables..columns).collect();
+    while let Some(entering) = cost[..columns].iter().position(|c| *c < -TOLERANCE) {
+        let Some(leaving) = leaving_row(&tableau, &basis, entering) else {
+            break;
+        };
+        pivot(&mut tableau, &mut cost, leaving, entering);
+        basis[leaving] = entering;
+    }
+    let mut solution = vec![0.0; variables];
+    for (line, variable) in tableau.iter().zip(&basis) {
+        if *variable < variables {
+            solution[*variable] = line[columns];
+        }
+    }
+    solution
+}
+
+/// The row whose limit is reached first when the entering variable grows.
+fn leaving_row(tableau: &[Vec<f64>], basis: &[usize], entering: usize) -> Option<usize> {
+    let mut best: Option<(f64, usize)> = None;
+    for (row, line) in tableau.iter().enumerate() {
+        if line[entering] <= TOLERANCE {
+            continue;
+        }
+        let ratio = line[line.len() - 1] / line[entering];
+        let is_better = best.is_none_or(|(least, at)| {
+            let is_tie = (ratio - least).abs() <= TOLERANCE;
+            ratio < least - TOLERANCE || (is_tie && basis[row] < basis[at])
+        });
+        if is_better {
+            best = Some((ratio, row));
+        }
+    }
+    best.map(|(_, row)| row)
+}
+
+fn pivot(tableau: &mut [Vec<f64>], cost: &mut [f64], leaving: usize, entering: usize) {
+    let divisor = tableau[leaving][entering];
+    for value in &mut tableau[leaving] {
+        *value /= divisor;
+    }
+    let pivot_row = tableau[leaving].clone();
+    let clear = |line: &mut [f64]| {
+        let factor = line[entering];
+        for (value, pivot_value) in line.iter_mut().zip(&pivot_row) {
+            *value -= factor * pivot_value;
+        }
+    };
+    for (row, line) in tableau.iter_mut().enumerate() {
+        if row != leaving {
+            clear(line);
+        }
+    }
+    clear(cost);
+}
+
+/// Time by which a request of a flow can be answered at best, on average.
+pub fn shortest_answer(topology: &Topology, flow: usize) -> Duration {
+    let capacity = Capacity::new(topology);
+    let mut slot_time = vec![0.0; topology.services.len()];
+    let hold = capacity.hold(topology.flows[flow].route, &mut slot_time);
+    Duration::from_secs_f64(hold) + topology.client_delay() * 2
+}
--- a/crates/bramblewheel-sim/src/requests/host.rs
+++ b/crates/bramblewheel-sim/src/requests/host.rs
@@ -8,7 +8,7 @@
 use super::record::Record;
 use super::topology::{EndpointIndex, Topology, ZoneIndex};
 use crate::kernel::{Context, ProcessId, StartCause};
-use bramblewheel_types::RequestId;
+use bramblewheel_types::{RequestId, Timestamp};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +17,8 @@
 pub struct SlotUse {
     /// The original request.
     pub request: RequestId,
+    /// When the slot became free.
+    pub ended: Timestamp,
     /// Time in a slot, own work and waiting for sub-calls alike.
     pub held: Duration,
 }
@@ -216,6 +218,7 @@
             } => {
                 self.slot_uses.push(SlotUse {
                     request: request.request,
+                    ended: context.virtual_now(),
                     held,
                 });
                 self.call_layer(context, |layer, environment| {
--- a/crates/bramblewheel-sim/src/requests/layer/mod.rs
+++ b/crates/bramblewheel-sim/src/requests/layer/mod.rs
@@ -123,7 +123,12 @@
         };
         let held = endpoint.cancel(now, run, self.context.random(), self.actions);
         if let Some(held) = held {
-            self.slot_uses.push(SlotUse { request, held });
+            let ended = self.context.virtual_now();
+            self.slot_uses.push(SlotUse {
+                request,
+                ended,
+                held,
+            });
         }
     }
 
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/measure.rs
@@ -0,0 +1,149 @@
+//! Goodput over time, and the time to recover.
+
+use super::simulation::RequestSimulation;
+use bramblewheel_types::{Criticality, Timestamp};
+use std::time::Duration;
+
+/// Length of a bucket of time.
+pub const BUCKET: Duration = Duration::from_millis(100);
+/// Share of its level before that goodput must reach again.
+const RECOVERED_SHARE: f64 = 0.95;
+/// Time for which it must stay there.
+const STAYS_FOR: Duration = Duration::from_secs(10);
+const CLASSES: usize = Criticality::ALL.len();
+
+/// A span of virtual time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Window {
+    /// Beginning.
+    pub begins: Timestamp,
+    /// End, not included.
+    pub ends: Timestamp,
+}
+
+impl Window {
+    /// Whether a time lies in the window.
+    pub fn contains(&self, at: Timestamp) -> bool {
+        at >= self.begins && at < self.ends
+    }
+
+    /// Its length in seconds.
+    pub fn seconds(&self) -> f64 {
+        self.ends.since(self.begins).as_secs_f64()
+    }
+}
+
+/// Requests of one bucket of time, by class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Bucket {
+    /// Requests first sent in this bucket.
+    pub offered: [u32; CLASSES],
+    /// Of these, those answered whole within their deadline, whenever that was.
+    pub good: [u32; CLASSES],
+    /// Whole answers within the deadline that came in this bucket.
+    pub answered: [u32; CLASSES],
+    /// Sends of the requests first sent in this bucket.
+    pub sends: u32,
+}
+
+/// Goodput of one run over time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Measurement {
+    /// Buckets in order of time, from virtual time zero.
+    pub buckets: Vec<Bucket>,
+}
+
+/// Reads a run that is over; requests first sent after `until` are left out.
+pub fn measure(run: &RequestSimulation, classes: &[Criticality], until: Timestamp) -> Measurement {
+    let count = bucket_of(until);
+    let mut buckets = vec![Bucket::default(); count];
+    let topology = run.topology();
+    for result in run.results() {
+        let class = classes[result.flow.0].rank();
+        let Some(bucket) = buckets.get_mut(bucket_of(result.began)) else {
+            continue;
+        };
+        bucket.offered[class] += 1;
+        bucket.sends += result.sends;
+        if !result.is_good(topology) {
+            continue;
+        }
+        bucket.good[class] += 1;
+        let answered = result.completed.map_or(count, bucket_of);
+        if let Some(bucket) = buckets.get_mut(answered) {
+            bucket.answered[class] += 1;
+        }
+    }
+    Measurement { buckets }
+}
+
+fn bucket_of(at: Timestamp) -> usize {
+    (at.as_millis() / BUCKET.as_millis() as u64) as usize
+}
+
+impl Measurement {
+    fn within(&self, window: Window) -> &[Bucket] {
+        let last = bucket_of(window.ends).min(self.buckets.len());
+        &self.buckets[bucket_of(window.begins).min(last)..last]
+    }
+
+    /// Whole answers a second that came in a window.
+    pub fn goodput(&self, window: Window) -> f64 {
+        let answered = self.within(window).iter().flat_map(|b| b.answered);
+        f64::from(answered.sum::<u32>()) / window.seconds()
+    }
+
+    /// Whole answers a second of one class that came in a window.
+    pub fn class_goodput(&self, window: Window, class: Criticality) -> f64 {
+        let answered = self.within(window).iter().map(|b| b.answered[class.rank()]);
+        f64::from(answered.sum::<u32>()) / window.seconds()
+    }
+
+    /// Share of the requests of a class first sent in a window that were answered whole in time;
+    /// none if there were no requests.
+    pub fn good_share(&self, window: Window, class: Criticality) -> Option<f64> {
+        let rank = class.rank();
+        let buckets = self.within(window);
+        let offered: u32 = buckets.iter().map(|b| b.offered[rank]).sum();
+        let good: u32 = buckets.iter().map(|b| b.good[rank]).sum();
+        (offered > 0).then(|| f64::from(good) / f64::from(offered))
+    }
+
+    /// Sends per request first sent in a window.
+    pub fn sends_per_request(&self, window: Window) -> f64 {
+        let buckets = self.within(window);
+        let offered: u32 = buckets.iter().flat_map(|b| b.offered).sum();
+        let sends: u32 = buckets.iter().map(|b| b.sends).sum();
+        f64::from(sends) / f64::from(offered.max(1))
+    }
+
+    /// Time from the end of the cause to the first moment from which goodput stays at 95% of its
+    /// level before for 10 s; none if there is no such moment.
+    ///
+    /// Goodput is taken relative to the requests first sent in the same bucket, so that the
+    /// randomness of arrivals does not count as a fall.
+    pub fn recovery_time(&self, before: Window, cause_ends: Timestamp) -> Option<Duration> {
+        let level = share(self.within(before));
+        let needed = (STAYS_FOR.as_millis() / BUCKET.as_millis()) as usize;
+        let after = &self.buckets[bucket_of(cause_ends).min(self.buckets.len())..];
+        let mut run = 0;
+        for (index, bucket) in after.iter().enumerate() {
+            let is_back = share(std::slice::from_ref(bucket)) >= level * RECOVERED_SHARE;
+            run = if is_back { run + 1 } else { 0 };
+            if run == needed {
+                let first = u32::try_from(index + 1 - needed).ok()?;
+                return Some(BUCKET * first);
+            }
+        }
+        None
+    }
+}
+
+fn share(buckets: &[Bucket]) -> f64 {
+    let offered: u32 = buckets.iter().flat_map(|bucket| bucket.offered).sum();
+    let good: u32 = buckets.iter().flat_map(|bucket| bucket.good).sum();
+    if offered == 0 {
+        return 1.0;
+    }
+    f64::from(good) / f64::from(offered)
+}
--- a/crates/bramblewheel-sim/src/requests/mod.rs
+++ b/crates/bramblewheel-sim/src/requests/mod.rs
@@ -5,6 +5,7 @@
 //! all three are measured by the same models.
 
 mod actor;
+pub mod bound;
 mod callers;
 mod connections;
 mod endpoint;
@@ -12,7 +13,9 @@
 mod layer;
 mod ledger;
 mod load;
+pub mod measure;
 mod message;
+pub mod overload;
 mod places;
 mod record;
 mod simulation;
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/overload.rs
@@ -0,0 +1,217 @@
+//! Overload as one experiment: a deep service slows, demand surges, callers retry hard, then the
+//! cause ends.
+
+use super::bound::Capacity;
+use super::layer::{LayerCounters, LayerKind, LayerSettings};
+use super::load::{CallerBehaviour, LoadProfile};
+use super::measure::{Measurement, Window, measure};
+use super::record::Record;
+use super::simulation::{RequestSettings, RequestSimulation};
+use super::topology::{ServiceIndex, Topology};
+use crate::kernel::Fact;
+use bramblewheel_bundle::Bundle;
+use bramblewheel_types::{Criticality, OperationKey, Timestamp};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Demand outside the surge, as a share of the highest rate that all slots could serve.
+pub const BASE_LOAD: f64 = 0.4;
+/// Factor by which the deep service is slower during the cause.
+pub const SLOWDOWN: f64 = 2.0;
+/// Until here the run settles in.
+const SETTLED: Timestamp = Timestamp::from_millis(2_000);
+/// Beginning of the cause.
+pub const CAUSE_BEGINS: Timestamp = Timestamp::from_millis(7_000);
+/// End of the cause.
+pub const CAUSE_ENDS: Timestamp = Timestamp::from_millis(17_000);
+/// No new requests from here on.
+pub const LOAD_ENDS: Timestamp = Timestamp::from_millis(37_000);
+/// By then the last request has been answered or given up.
+const RUN_ENDS: Timestamp = Timestamp::from_millis(42_000);
+/// What is remembered of the history is looked at this often.
+const STEP: Duration = Duration::from_millis(500);
+/// Factor between the weights of two classes in the bound.
+const CLASS_WEIGHT: f64 = 1e3;
+
+/// One deployment with its bundle.
+#[derive(Clone, Debug)]
+pub struct Subject {
+    /// The deployment.
+    pub topology: Arc<Topology>,
+    /// Its bundle.
+    pub bundle: Arc<Bundle>,
+}
+
+/// What is measured of one run.
+#[derive(Clone, Debug)]
+pub struct OverloadRun {
+    /// Goodput over time.
+    pub measurement: Measurement,
+    /// Share of the slot time that went to requests without a whole answer in time, from the
+    /// cause's beginning to 5 s after its end.
+    pub wasted_share: f64,
+    /// Sends and attempts per send and attempt that would have been made without any retry.
+    pub retry_amplification: f64,
+    /// Operations that ran more than once.
+    pub repeated_operations: u64,
+}
+
+impl Subject {
+    /// The service that most others call: the deep one that slows.
+    pub fn deep_service(&self) -> ServiceIndex {
+        let services = 0..self.topology.services.len();
+        let callers = |service: usize| {
+            let all = self.topology.services.iter();
+            all.filter(|other| other.callees.contains(&ServiceIndex(service)))
+                .count()
+        };
+        let deepest = services.max_by_key(|service| callers(*service));
+        ServiceIndex(deepest.expect("a deployment has services"))
+    }
+
+    /// Class of each flow's requests.
+    pub fn classes(&self) -> Vec<Criticality> {
+        let flows = self.topology.flows.iter();
+        let class = |flow: &super::topology::Flow| {
+            let resolved = self.bundle.resolve(&flow.model.service, &flow.model.path);
+            resolved.map_or_else(Criticality::default, |route| route.criticality)
+        };
+        flows.map(class).collect()
+    }
+
+    /// Demand outside the surge, in requests a second.
+    pub fn base_rate(&self) -> f64 {
+        Capacity::new(&self.topology).full_rate() * BASE_LOAD
+    }
+
+    /// Best rates by flow during the cause, the most important classes first.
+    pub fn bound(&self, surge: f64) -> Vec<f64> {
+        let weight = |class: Criticality| CLASS_WEIGHT.powi(class.rank() as i32);
+        let weights: Vec<f64> = self.classes().into_iter().map(weight).collect();
+        self.bound_weighted(surge, &weights)
+    }
+
+    /// Best rates by flow during the cause if all requests counted the same.
+    pub fn bound_any_class(&self, surge: f64) -> Vec<f64> {
+        let weights = vec![1.0; self.topology.flows.len()];
+        self.bound_weighted(surge, &weights)
+    }
+
+    fn bound_weighted(&self, surge: f64, weights: &[f64]) -> Vec<f64> {
+        Capacity::new(&self.topology)
+            .with_slowdown(self.deep_service().0, SLOWDOWN)
+            .best_rates(self.base_rate() * surge, weights)
+    }
+
+    /// The settings of a run.
+    pub fn settings(&self, kind: LayerKind, surge: f64, seed: u64) -> RequestSettings {
+        RequestSettings {
+            topology: Arc::clone(&self.topology),
+            layer: LayerSettings {
+                kind,
+                bundle: Arc::clone(&self.bundle),
+            },
+            load: LoadProfile {
+                base_rate: self.base_rate(),
+                surge,
+                surge_begins: CAUSE_BEGINS,
+                surge_ends: CAUSE_ENDS,
+                ends: LOAD_ENDS,
+            },
+            callers: CallerBehaviour::default(),
+            seed,
+        }
+    }
+
+    /// Runs the experiment once. `fault` is called at the beginning and at the end of the cause.
+    pub fn run(
+        &self,
+        kind: LayerKind,
+        surge: f64,
+        seed: u64,
+        mut fault: impl FnMut(&mut RequestSimulation, bool),
+    ) -> OverloadRun {
+        let mut run = RequestSimulation::new(&self.settings(kind, surge, seed));
+        let mut operations = BTreeMap::new();
+        advance(&mut run, CAUSE_BEGINS, &mut operations);
+        let before = run.counters();
+        run.set_slowdown(self.deep_service(), SLOWDOWN);
+        fault(&mut run, true);
+        advance(&mut run, CAUSE_ENDS, &mut operations);
+        let after = run.counters();
+        run.set_slowdown(self.deep_service(), 1.0);
+        fault(&mut run, false);
+        advance(&mut run, RUN_ENDS, &mut operations);
+        let measurement = measure(&run, &self.classes(), LOAD_ENDS);
+        OverloadRun {
+            wasted_share: wasted_share(&run),
+            retry_amplification: measurement.sends_per_request(CAUSE)
+                * attempts_per_call(before, after),
+            repeated_operations: operations.values().filter(|runs| **runs > 1).count() as u64,
+            measurement,
+        }
+    }
+}
+
+/// Before the cause.
+pub const BEFORE: Window = Window {
+    begins: SETTLED,
+    ends: CAUSE_BEGINS,
+};
+/// During the cause.
+pub const CAUSE: Window = Window {
+    begins: CAUSE_BEGINS,
+    ends: CAUSE_ENDS,
+};
+
+/// Runs on and counts how often each operation runs.
+fn advance(
+    run: &mut RequestSimulation,
+    until: Timestamp,
+    operations: &mut BTreeMap<OperationKey, u32>,
+) {
+    while run.kernel().now() < until {
+        let next = (run.kernel().now() + STEP).min(until);
+        run.run_until(next);
+        for entry in run.take_history() {
+            if let Fact::Domain(Record::Ran {
+                operation: Some(key),
+                ..
+            }) = entry.fact
+            {
+                *operations.entry(key).or_default() += 1;
+            }
+        }
+    }
+}
+
+fn attempts_per_call(before: LayerCounters, after: LayerCounters) -> f64 {
+    let calls = after.calls - before.calls;
+    let attempts = after.attempts - before.attempts;
+    attempts as f64 / calls.max(1) as f64
+}
+
+fn wasted_share(run: &RequestSimulation) -> f64 {
+    const AFTERMATH: Duration = Duration::from_secs(5);
+    let topology = run.topology();
+    let good: std::collections::BTreeSet<_> = run
+        .results()
+        .filter(|result| result.is_good(topology))
+        .map(|result| result.request)
+        .collect();
+    let window = Window {
+        begins: CAUSE_BEGINS,
+        ends: CAUSE_ENDS + AFTERMATH,
+    };
+    let mut all = 0.0;
+    let mut wasted = 0.0;
+    for slot_use in run.slot_uses().filter(|used| window.contains(used.ended)) {
+        let held = slot_use.held.as_secs_f64();
+        all += held;
+        if !good.contains(&slot_use.request) {
+            wasted += held;
+        }
+    }
+    if all > 0.0 { wasted / all } else { 0.0 }
+}
