bramblewheel-control: begin a daemon's lease with its registration

A follower passes a registration on at once and renewals once a second. In between, a leader in office for longer than a lease took the new incarnation of a restarted daemon for one that had never polled, and expired it; the daemon came back with its next poll, up to 3 s later.

Ruled out: draining marks that outlive a restart (core), stale registrations. Leases are now kept by incarnation, since the last poll of the old one may become known later than the first of the new one, and a registration counts as a poll. Two tests, both seen to fail: a restarted daemon, and one that was silent for longer than its lease.

--- a/crates/bramblewheel-control/src/node/daemons.rs
+++ b/crates/bramblewheel-control/src/node/daemons.rs
@@ -50,6 +50,7 @@
             return;
         }
         if self.is_leader() {
+            self.leases.begin(self.now.monotonic, registration);
             self.queue.register(registration.clone());
         } else if let Some(leader) = self.replica.leader() {
             let message = PeerMessage::Registrations(vec![registration.clone()]);
--- a/crates/bramblewheel-control/src/node/leases.rs
+++ b/crates/bramblewheel-control/src/node/leases.rs
@@ -8,10 +8,26 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// One run of a daemon's process. Two runs of one daemon overlap: the last poll of the old one may
+/// become known after the first of the new one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Incarnation {
+    daemon: DaemonId,
+    number: u64,
+}
+
+impl Incarnation {
+    fn of(registration: &Registration) -> Self {
+        Self {
+            daemon: registration.daemon.clone(),
+            number: registration.incarnation,
+        }
+    }
+}
+
 /// A daemon's last poll.
 #[derive(Clone, Copy, Debug)]
 struct LastPoll {
-    incarnation: u64,
     bundle_version: BundleVersion,
     at: Timestamp,
 }
@@ -19,9 +35,9 @@
 /// Leases of daemons as this replica knows them.
 #[derive(Debug, Default)]
 pub(super) struct Leases {
-    polls: BTreeMap<DaemonId, LastPoll>,
+    polls: BTreeMap<Incarnation, LastPoll>,
     /// Daemons whose renewal the leader has not been told.
-    untold: BTreeSet<DaemonId>,
+    untold: BTreeSet<Incarnation>,
     /// Term in which this replica leads, and since when.
     leading: Option<(Term, Timestamp)>,
 }
@@ -29,22 +45,36 @@
 impl Leases {
     pub(super) fn renew(&mut self, now: Timestamp, renewal: Renewal) {
         let poll = LastPoll {
-            incarnation: renewal.incarnation,
             bundle_version: renewal.bundle_version,
             at: now,
         };
-        self.untold.insert(renewal.daemon.clone());
-        self.polls.insert(renewal.daemon, poll);
+        let incarnation = Incarnation {
+            daemon: renewal.daemon,
+            number: renewal.incarnation,
+        };
+        self.untold.insert(incarnation.clone());
+        self.polls.insert(incarnation, poll);
+    }
+
+    /// Begins the lease of a daemon whose registration came before its renewal, which other
+    /// replicas pass on only now and then.
+    pub(super) fn begin(&mut self, now: Timestamp, registration: &Registration) {
+        let unknown = LastPoll {
+            bundle_version: BundleVersion::default(),
+            at: now,
+        };
+        let poll = self.polls.entry(Incarnation::of(registration));
+        poll.or_insert(unknown).at = now;
     }
 
     /// Renewals the leader is to be told.
     pub(super) fn take_untold(&mut self) -> Vec<Renewal> {
         let untold = std::mem::take(&mut self.untold);
-        let renewals = untold.into_iter().filter_map(|daemon| {
-            let poll = self.polls.get(&daemon)?;
+        let renewals = untold.into_iter().filter_map(|incarnation| {
+            let poll = self.polls.get(&incarnation)?;
             Some(Renewal {
-                daemon,
-                incarnation: poll.incarnation,
+                daemon: incarnation.daemon,
+                incarnation: incarnation.number,
                 bundle_version: poll.bundle_version,
             })
         });
@@ -85,8 +115,7 @@
     }
 
     fn last_poll(&self, registration: &Registration) -> Option<&LastPoll> {
-        let poll = self.polls.get(&registration.daemon)?;
-        (poll.incarnation == registration.incarnation).then_some(poll)
+        self.polls.get(&Incarnation::of(registration))
     }
 
     /// Bundle in force at a daemon and the time since its last poll, as far as known.
--- a/crates/bramblewheel-control/tests/group.rs
+++ b/crates/bramblewheel-control/tests/group.rs
@@ -7,7 +7,7 @@
     DaemonStatus, OperationAction, OperationReply, OperationRequest, PollReply, PollRequest,
     PublishReply, ReplaceRequest, ReplyBody, RequestBody, Unavailable,
 };
-use bramblewheel_types::BundleVersion;
+use bramblewheel_types::{BundleVersion, DaemonId};
 use std::time::Duration;
 use support::cluster::{Cluster, EPOCH, LEASE};
 use support::{answer, claim, operation, poll, registration, signed};
@@ -396,6 +396,55 @@
     );
 }
 
+/// The leader learns of a poll at a follower up to a second after the registration.
+#[test]
+fn a_restarted_daemon_is_not_expired_before_its_first_renewal_arrives() {
+    let mut cluster = Cluster::bootstrapped(13, MANY);
+    let leader = cluster.settle();
+    let [one, two] = others(leader);
+    cluster.run(LEASE * 2);
+    for round in 0..20 {
+        // The last poll of the old incarnation reaches the leader after the new registration.
+        let before = poll(registration("k-1", "kassa", 2 * round), 1, &[]);
+        cluster.send(one, poll_body(before));
+        let after = poll(registration("k-1", "kassa", 2 * round + 1), 1, &[]);
+        cluster.run(Duration::from_millis(20));
+        cluster.send(two, poll_body(after));
+        stays_registered(&mut cluster, leader, 2 * round + 1);
+    }
+}
+
+#[test]
+fn a_daemon_that_was_silent_is_not_expired_again_before_its_renewal_arrives() {
+    let mut cluster = Cluster::bootstrapped(14, MANY);
+    let leader = cluster.settle();
+    let [one, _] = others(leader);
+    for _ in 0..5 {
+        let request = poll(registration("k-1", "kassa", 1), 1, &[]);
+        cluster.send(one, poll_body(request));
+        stays_registered(&mut cluster, leader, 1);
+        cluster.run(LEASE * 2);
+        assert_eq!(incarnation_held(&cluster, leader), None, "it has expired");
+    }
+}
+
+/// Looks again and again for more than the time in which renewals are passed on.
+fn stays_registered(cluster: &mut Cluster, leader: usize, incarnation: u64) {
+    cluster.run(Duration::from_millis(80));
+    for step in 0..15 {
+        cluster.run(Duration::from_millis(90));
+        let held = incarnation_held(cluster, leader);
+        assert_eq!(held, Some(incarnation), "step {step}");
+    }
+    assert_eq!(cluster.leader(), Some(leader), "the leader has not changed");
+}
+
+fn incarnation_held(cluster: &Cluster, leader: usize) -> Option<u64> {
+    let directory = cluster.node(leader).state().directory();
+    let held = directory.daemon(&DaemonId::new("k-1").expect("valid name"));
+    held.map(|registration| registration.incarnation)
+}
+
 fn fleet(cluster: &mut Cluster, leader: usize) -> Vec<DaemonStatus> {
     match cluster.ask(leader, RequestBody::FleetStatus) {
         ReplyBody::FleetStatus(daemons) => daemons,
