--- a/crates/bramblewheel-lab/tests/fleet.rs
+++ b/crates/bramblewheel-lab/tests/fleet.rs
@@ -1,6 +1,8 @@
 //! Whole fleets as processes. Only safety is asserted: that the checkers pass, not how fast.
 
-use std::process::{Command, Output};
+use rustix::process::{Pid, Signal, kill_process};
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
 
 fn lab(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_bramblewheel-lab"))
@@ -48,3 +50,55 @@
         assert!(error.contains(expected), "{error} should say {expected}");
     }
 }
+
+/// Bound on every wait; reached only when a test fails.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+#[test]
+fn no_process_outlives_a_killed_lab() {
+    let mut fleet = Command::new(env!("CARGO_BIN_EXE_bramblewheel-lab"))
+        .args(["fleet", "museum", "--seconds", "60", "--rate", "1"])
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the lab's own program");
+    let wanted = 20;
+    until("children", || children_of(fleet.id()).len() >= wanted);
+    let children = children_of(fleet.id());
+    // One that stands still reads nothing, but must go too.
+    let first = Pid::from_raw(children[0].cast_signed()).expect("a process id");
+    kill_process(first, Signal::STOP).expect("a running child");
+    fleet.kill().expect("a running lab");
+    fleet.wait().expect("the lab's end");
+    until("the end of the children", || {
+        !children.iter().any(|pid| is_running(*pid))
+    });
+}
+
+fn until(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "waited in vain: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// State and parent of a process, from the line that the system keeps of it.
+fn state_and_parent(pid: u32) -> Option<(String, u32)> {
+    let line = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let (_, after_name) = line.rsplit_once(')')?;
+    let mut fields = after_name.split_whitespace();
+    Some((fields.next()?.to_owned(), fields.next()?.parse().ok()?))
+}
+
+fn children_of(parent: u32) -> Vec<u32> {
+    let entries = std::fs::read_dir("/proc").expect("a folder of processes");
+    let names = entries.filter_map(|entry| entry.ok()?.file_name().into_string().ok());
+    let pids = names.filter_map(|name| name.parse().ok());
+    let is_child = |pid: &u32| state_and_parent(*pid).is_some_and(|(_, found)| found == parent);
+    pids.filter(is_child).collect()
+}
+
+/// A process that has ended may stay in the list until its new parent looks.
+fn is_running(pid: u32) -> bool {
+    state_and_parent(pid).is_some_and(|(state, _)| state != "Z")
+}
