Let a poll answer carry a delta and changes of the operators

And a daemon that was away while the operators' keys changed more than once can't check the newest bundle against the keys it holds.

The messages now have room for both: news of a bundle is whole or a delta, and changes of the operators come beside it.

--- a/crates/bramblewheel-daemon/src/control/poll.rs
+++ b/crates/bramblewheel-daemon/src/control/poll.rs
@@ -9,8 +9,8 @@
 use bramblewheel_bundle::Bundle;
 use bramblewheel_core::event::{DirectoryEndpoint, DirectoryUpdate, Event};
 use bramblewheel_protocol::control::{
-    DirectoryEntry, LogPosition, PollReply, PollRequest, Registration, ReplyBody, RequestBody,
-    SignedBundle,
+    BundleNews, DirectoryEntry, LogPosition, PollReply, PollRequest, Registration, ReplyBody,
+    RequestBody, SignedBundle,
 };
 use bramblewheel_types::{Millis, ServiceName};
 use slog::Logger;
@@ -50,6 +50,8 @@
     metrics: Arc<Metrics>,
     position: LogPosition,
     directory_revision: u64,
+    /// A delta was of no use, so that the bundle must come whole.
+    needs_whole: bool,
 }
 
 impl Poller {
@@ -70,6 +72,7 @@
             metrics,
             position: LogPosition::default(),
             directory_revision: 0,
+            needs_whole: false,
         }
     }
 
@@ -112,9 +115,12 @@
             endpoint.draining = *self.config.draining.borrow();
         }
         let bundle = self.bundle.load();
+        let bundle_version = bundle.as_ref().map(|b| b.version).unwrap_or_default();
         RequestBody::Poll(Box::new(PollRequest {
             registration,
-            bundle_version: bundle.as_ref().map(|b| b.version).unwrap_or_default(),
+            bundle_version,
+            operators_version: bundle_version,
+            whole_bundle: self.needs_whole,
             position: self.position,
             directory_revision: self.directory_revision,
             services: self.config.services.clone(),
@@ -128,8 +134,16 @@
             self.metrics.control_stale.inc();
             return Err("older than an answer seen before".to_owned());
         }
-        if let Some(offered) = reply.bundle {
-            self.take_bundle(offered).await?;
+        match reply.bundle {
+            None => {}
+            Some(BundleNews::Whole(offered)) => {
+                self.take_bundle(offered).await?;
+                self.needs_whole = false;
+            }
+            Some(BundleNews::Delta(_)) => {
+                self.needs_whole = true;
+                return Err("a delta where the whole bundle is needed".to_owned());
+            }
         }
         let update = DirectoryUpdate {
             is_complete: reply.directory_is_complete,
--- a/crates/bramblewheel-daemon/tests/support/control.rs
+++ b/crates/bramblewheel-daemon/tests/support/control.rs
@@ -3,8 +3,9 @@
 use super::soon;
 use bramblewheel_protocol::codec::{MAX_CONTROL_FRAME, read_frame, write_frame};
 use bramblewheel_protocol::control::{
-    ControlReply, ControlRequest, DirectoryEntry, LogPosition, OperationAction, OperationAnswer,
-    OperationReply, OperationRequest, PollReply, PollRequest, ReplyBody, RequestBody, SignedBundle,
+    BundleNews, ControlReply, ControlRequest, DirectoryEntry, LogPosition, OperationAction,
+    OperationAnswer, OperationReply, OperationRequest, PollReply, PollRequest, ReplyBody,
+    RequestBody, SignedBundle,
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -154,7 +155,8 @@
                 index: revision,
                 term: 1,
             },
-            bundle: (bundle.version != version).then_some(bundle),
+            operator_changes: Vec::new(),
+            bundle: (bundle.version != version).then_some(BundleNews::Whole(bundle)),
             directory_revision: revision,
             directory_is_complete: true,
             live: lock(&self.directory).clone(),
--- a/crates/bramblewheel-protocol/src/control.rs
+++ b/crates/bramblewheel-protocol/src/control.rs
@@ -129,6 +129,11 @@
     pub registration: Registration,
     /// Bundle in force at the daemon; version 0 if none.
     pub bundle_version: BundleVersion,
+    /// Version whose operators the daemon trusts: that of the bundle in force, or higher once
+    /// operator changes were followed whose bundle has not arrived yet; 0 if none.
+    pub operators_version: BundleVersion,
+    /// The bundle is to come whole: a delta did not lead to the bundle it stated.
+    pub whole_bundle: bool,
     /// Highest position seen from any replica.
     pub position: LogPosition,
     /// Directory revision the daemon holds; 0 if none.
@@ -172,8 +177,12 @@
 pub struct PollReply {
     /// Position at which the reply is true.
     pub position: LogPosition,
+    /// Changes of the operators between the version whose operators the daemon trusts and the
+    /// bundle below, oldest first. When they don't fit one reply, the bundle stays away and the
+    /// daemon polls again at once.
+    pub operator_changes: Vec<OperatorChange>,
     /// A newer bundle, if there is one.
-    pub bundle: Option<SignedBundle>,
+    pub bundle: Option<BundleNews>,
     /// Revision of the directory after the changes below.
     pub directory_revision: u64,
     /// Whether `live` is all there is, rather than changes since the daemon's revision.
@@ -199,12 +208,49 @@
     pub draining: bool,
 }
 
+/// A newer bundle for a daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BundleNews {
+    /// The bundle itself.
+    Whole(SignedBundle),
+    /// What leads to it from the bundle the daemon holds.
+    Delta(SignedBundleDelta),
+}
+
+/// What leads from one bundle to a newer one, with the newer one's signatures.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SignedBundleDelta {
+    /// Version to start from.
+    pub from: BundleVersion,
+    /// Version reached.
+    pub version: BundleVersion,
+    /// Digest of the bundle reached.
+    pub digest: BundleDigest,
+    /// Encoded delta.
+    #[serde(with = "serde_bytes")]
+    pub delta: Vec<u8>,
+    /// Signatures over the digest.
+    pub signatures: Vec<BundleSignature>,
+}
+
+/// A bundle that changed who may sign the next one, without its limits and services.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperatorChange {
+    /// First section of the bundle's canonical bytes: version, deployment and operators.
+    #[serde(with = "serde_bytes")]
+    pub head: Vec<u8>,
+    /// SHA-256 of the rest of the canonical bytes; with `head` it gives the bundle's digest.
+    pub rest_digest: BundleDigest,
+    /// Signatures over the digest, by the operators before the change.
+    pub signatures: Vec<BundleSignature>,
+}
+
 /// A bundle with its detached signatures.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SignedBundle {
     /// Version, as in the bytes.
     pub version: BundleVersion,
-    /// SHA-256 of `bytes`.
+    /// Digest of `bytes`.
     pub digest: BundleDigest,
     /// Canonical bytes of the bundle.
     #[serde(with = "serde_bytes")]
