--- a/crates/bramblewheel-bundle/src/check.rs
+++ b/crates/bramblewheel-bundle/src/check.rs
@@ -2,6 +2,7 @@
 
 use crate::error::{Finding, InvalidBundle, Problem};
 use crate::model::{Bundle, OperatorPolicy, RequestLimits, RoutePolicy, ServicePolicy};
+use crate::sections::Head;
 use bramblewheel_types::{Millis, ServiceName};
 use ed25519_dalek::VerifyingKey;
 
@@ -29,7 +30,10 @@
 /// # Errors
 /// [`InvalidBundle`] with all findings.
 pub fn check(bundle: &Bundle) -> Result<(), InvalidBundle> {
-    let findings = findings(bundle);
+    refuse(findings(bundle))
+}
+
+fn refuse(findings: Vec<Finding>) -> Result<(), InvalidBundle> {
     if findings.is_empty() {
         Ok(())
     } else {
@@ -37,13 +41,19 @@
     }
 }
 
+/// Checks a bundle's head against every rule for it.
+///
+/// # Errors
+/// [`InvalidBundle`] with all findings.
+pub fn check_head(head: &Head) -> Result<(), InvalidBundle> {
+    let mut checker = Checker::default();
+    checker.head(head);
+    refuse(checker.findings)
+}
+
 pub(crate) fn findings(bundle: &Bundle) -> Vec<Finding> {
     let mut checker = Checker::default();
-    checker.range("version", bundle.version.0, 1, u64::MAX);
-    if let Err(error) = ServiceName::new(&bundle.deployment) {
-        checker.add("deployment", error.into());
-    }
-    checker.operators(&bundle.operators);
+    checker.head(&bundle.head());
     checker.limits(&bundle.limits);
     checker.at_most("service", bundle.services.len(), MAX_SERVICES);
     if bundle.services.is_empty() {
@@ -83,6 +93,14 @@
         }
     }
 
+    fn head(&mut self, head: &Head) {
+        self.range("version", head.version.0, 1, u64::MAX);
+        if let Err(error) = ServiceName::new(&head.deployment) {
+            self.add("deployment", error.into());
+        }
+        self.operators(&head.operators);
+    }
+
     fn operators(&mut self, operators: &OperatorPolicy) {
         let required = operators.required_signatures;
         let keys = operators.keys.len();
--- a/crates/bramblewheel-bundle/src/model.rs
+++ b/crates/bramblewheel-bundle/src/model.rs
@@ -1,5 +1,6 @@
 //! The bundle as the system uses it: already checked, with defaults filled in.
 
+use crate::sections::Head;
 use bramblewheel_types::{BundleVersion, Criticality, Millis, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -113,6 +114,15 @@
 }
 
 impl Bundle {
+    /// First section: which bundle it is and who may sign the next one.
+    pub fn head(&self) -> Head {
+        Head {
+            version: self.version,
+            deployment: self.deployment.clone(),
+            operators: self.operators.clone(),
+        }
+    }
+
     /// Policy of a service, if the bundle knows the service.
     pub fn service(&self, service: &ServiceName) -> Option<&ServicePolicy> {
         self.services.get(service)
--- /dev/null
+++ b/crates/bramblewheel-bundle/src/operators.rs
@@ -0,0 +1,99 @@
+//! Whose signatures count: the operators of the bundle in force, and from there, change by change,
+//! those of later bundles.
+//!
+//! A daemon that was away while the operators' keys changed several times does not hold the keys
+//! that signed the newest bundle. It follows the changes one by one: each is the head of a bundle,
+//! signed by the operators before it.
+
+use crate::canonical::DecodeError;
+use crate::digest::digest_of_sections;
+use crate::model::{Bundle, OperatorPolicy};
+use crate::sections::decode_head;
+use crate::signature::{SignatureError, verify};
+use bramblewheel_types::{BundleDigest, BundleVersion};
+use thiserror::Error;
+
+/// A later bundle or change of the operators is not authorized.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ForwardError {
+    /// The version is not above the one whose operators are trusted.
+    #[error("version {offered} is not above version {trusted}")]
+    NotNewer {
+        /// Version offered.
+        offered: BundleVersion,
+        /// Version whose operators are trusted.
+        trusted: BundleVersion,
+    },
+    /// The trusted operators did not sign it.
+    #[error("version {version}: {error}")]
+    Unsigned {
+        /// Version offered.
+        version: BundleVersion,
+        /// What is missing.
+        error: SignatureError,
+    },
+    /// A change of the operators is not the head of a bundle.
+    #[error("change of the operators: {0}")]
+    Malformed(#[from] DecodeError),
+}
+
+/// Operators whose signatures count for bundles above a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TrustedOperators {
+    version: BundleVersion,
+    policy: OperatorPolicy,
+}
+
+impl TrustedOperators {
+    /// Trusts the operators of a bundle.
+    pub fn of(bundle: &Bundle) -> Self {
+        Self {
+            version: bundle.version,
+            policy: bundle.operators.clone(),
+        }
+    }
+
+    /// Version of the bundle that named the operators.
+    pub fn version(&self) -> BundleVersion {
+        self.version
+    }
+
+    /// Checks that the trusted operators signed the bundle with this version and digest.
+    ///
+    /// # Errors
+    /// [`ForwardError::NotNewer`] or [`ForwardError::Unsigned`].
+    pub fn authorize<'a>(
+        &self,
+        version: BundleVersion,
+        digest: BundleDigest,
+        signatures: impl IntoIterator<Item = (&'a str, &'a [u8])>,
+    ) -> Result<(), ForwardError> {
+        if version <= self.version {
+            return Err(ForwardError::NotNewer {
+                offered: version,
+                trusted: self.version,
+            });
+        }
+        verify(&self.policy, digest, signatures)
+            .map_err(|error| ForwardError::Unsigned { version, error })
+    }
+
+    /// Follows a change of the operators: from here on those named in `head` are trusted.
+    ///
+    /// # Errors
+    /// [`ForwardError`] when `head` is not that of a newer bundle which the operators trusted so
+    /// far signed; then those stay trusted.
+    pub fn follow<'a>(
+        &mut self,
+        head: &[u8],
+        rest_digest: [u8; 32],
+        signatures: impl IntoIterator<Item = (&'a str, &'a [u8])>,
+    ) -> Result<(), ForwardError> {
+        let digest = digest_of_sections(head, rest_digest);
+        let head = decode_head(head)?;
+        self.authorize(head.version, digest, signatures)?;
+        self.version = head.version;
+        self.policy = head.operators;
+        Ok(())
+    }
+}
--- a/crates/bramblewheel-bundle/tests/support/mod.rs
+++ b/crates/bramblewheel-bundle/tests/support/mod.rs
@@ -17,6 +17,25 @@
     parse("torgnett.toml", TORGNETT).expect("example is valid")
 }
 
+/// 460 services with 8 routes each: the size that `CONTRIBUTING.md` names.
+pub fn bundle_of_the_size_to_come() -> Bundle {
+    const SERVICES: usize = 460;
+    const ROUTES: usize = 8;
+    let mut bundle = torgnett();
+    let mut policy = bundle.services[&service("kassa")].clone();
+    let route = policy.routes[0].clone();
+    let route = |index| RoutePolicy {
+        prefix: format!("/a-path-of-usual-length-{index}/"),
+        ..route.clone()
+    };
+    policy.routes = (0..ROUTES).map(route).collect();
+    let name = |index| service(&format!("service-of-usual-name-{index}"));
+    bundle.services = (0..SERVICES)
+        .map(|index| (name(index), policy.clone()))
+        .collect();
+    bundle
+}
+
 pub fn service(name: &str) -> ServiceName {
     ServiceName::new(name).expect("valid name")
 }
--- a/crates/bramblewheel-protocol/src/control.rs
+++ b/crates/bramblewheel-protocol/src/control.rs
@@ -240,7 +240,7 @@
     #[serde(with = "serde_bytes")]
     pub head: Vec<u8>,
     /// SHA-256 of the rest of the canonical bytes; with `head` it gives the bundle's digest.
-    pub rest_digest: BundleDigest,
+    pub rest_digest: [u8; 32],
     /// Signatures over the digest, by the operators before the change.
     pub signatures: Vec<BundleSignature>,
 }
