--- a/crates/bramblewheel-control/src/node/daemons.rs
+++ b/crates/bramblewheel-control/src/node/daemons.rs
@@ -6,7 +6,7 @@
 use super::reads::Reader;
 use crate::state::Changes;
 use bramblewheel_protocol::control::{
-    BundleNews, PollReply, PollRequest, Registration, ReplyBody, Unavailable,
+    PollReply, PollRequest, Registration, ReplyBody, Unavailable,
 };
 use bramblewheel_types::BundleVersion;
 use std::time::Duration;
@@ -74,7 +74,7 @@
 
     fn has_news(&self, poll: &PollRequest) -> bool {
         let directory = self.state.directory();
-        let bundle = self.state.bundles().next_for(poll.bundle_version);
+        let bundle = self.state.bundles().newer_than(poll.bundle_version);
         bundle.is_some() || directory.has_news(&poll.services, poll.directory_revision)
     }
 
@@ -104,11 +104,12 @@
         }
         let directory = self.state.directory();
         let delta = directory.delta(&poll.services, poll.directory_revision);
-        let bundle = self.state.bundles().next_for(poll.bundle_version);
+        let bundles = self.state.bundles();
+        let (operator_changes, bundle) = self.bundle_news.news(bundles, poll);
         let reply = PollReply {
             position: self.state.position(),
-            operator_changes: Vec::new(),
-            bundle: bundle.cloned().map(BundleNews::Whole),
+            operator_changes,
+            bundle,
             directory_revision: directory.revision(),
             directory_is_complete: delta.is_complete,
             live: delta.live,
--- a/crates/bramblewheel-control/src/state/bundles.rs
+++ b/crates/bramblewheel-control/src/state/bundles.rs
@@ -1,5 +1,6 @@
 //! Bundles accepted: the rule of acceptance, and what a daemon is given.
 
+use super::BundleHistory;
 use bramblewheel_bundle::{Bundle, verify};
 use bramblewheel_protocol::control::{LogPosition, PublishReply, SignedBundle};
 use bramblewheel_types::{BundleDigest, BundleVersion};
@@ -11,8 +12,6 @@
 /// Accepted versions remembered, so that a resend gets its first answer: 27 days at the 4,800
 /// changes a day of `CONTRIBUTING.md`, in 8 MB.
 pub const MAX_REMEMBERED: usize = 131_072;
-/// Bundles kept because they changed the operators' policy.
-pub const MAX_KEY_CHANGES: usize = 32;
 
 /// An accepted version in few bytes: digest, index and term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,9 +39,7 @@
 pub struct Bundles {
     current: Option<SignedBundle>,
     accepted: BTreeMap<BundleVersion, Accepted>,
-    /// Bundles whose operators' policy differs from that of the one before: the links by which a
-    /// daemon that was away follows a change of keys.
-    key_changes: BTreeMap<BundleVersion, SignedBundle>,
+    history: BundleHistory,
     /// `current`, decoded.
     #[serde(skip)]
     in_force: Option<Arc<Bundle>>,
@@ -103,37 +100,28 @@
     }
 
     fn accept(&mut self, signed: SignedBundle, bundle: Bundle, position: LogPosition) {
-        let before = self.in_force.as_ref();
-        if before.is_some_and(|before| before.operators != bundle.operators) {
-            self.key_changes.insert(signed.version, signed.clone());
+        if let Some(before) = &self.in_force {
+            self.history.record(before, &bundle, &signed);
         }
         let accepted = Accepted::new(signed.digest, position);
         self.accepted.insert(signed.version, accepted);
         while self.accepted.len() > MAX_REMEMBERED {
             self.accepted.pop_first();
         }
-        while self.key_changes.len() > MAX_KEY_CHANGES {
-            self.key_changes.pop_first();
-        }
         self.current = Some(signed);
         self.in_force = Some(Arc::new(bundle));
     }
 
-    /// The bundle to give to a daemon that holds `held` (0: none), if there is a newer one.
-    ///
-    /// A daemon trusts the operators of the bundle it holds, so after a change of keys it is first
-    /// given the bundle that made the change, and the next one when it asks again.
-    pub fn next_for(&self, held: BundleVersion) -> Option<&SignedBundle> {
-        let current = self.current.as_ref()?;
-        if current.version <= held {
-            return None;
-        }
-        if held == BundleVersion::default() {
-            return Some(current);
-        }
-        let after = (std::ops::Bound::Excluded(held), std::ops::Bound::Unbounded);
-        let change = self.key_changes.range(after).next();
-        Some(change.map_or(current, |(_, signed)| signed))
+    /// The bundle in force, if it is newer than `held`.
+    pub fn newer_than(&self, held: BundleVersion) -> Option<&SignedBundle> {
+        self.current
+            .as_ref()
+            .filter(|current| current.version > held)
+    }
+
+    /// What leads daemons from older bundles to the one in force.
+    pub fn history(&self) -> &BundleHistory {
+        &self.history
     }
 
     /// The bundle in force.
