Test deltas at the daemon's own poll, and bound the wait for a poll

A bundle reached by a delta must be in force after a restart too, and after a damaged delta the daemon must ask for the bundle whole.

--- a/crates/bramblewheel-daemon/tests/bundles.rs
+++ b/crates/bramblewheel-daemon/tests/bundles.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
+use bramblewheel_bundle::Delta;
+use bramblewheel_protocol::control::SignedBundleDelta;
 use bramblewheel_types::BundleVersion;
 use support::client::admin;
 use support::control::FakeControl;
-use support::{signed, start};
+use support::{bundle, signed, start};
 use tempfile::TempDir;
 
 async fn shown_version(daemon: &bramblewheel_daemon::DaemonHandle) -> String {
@@ -104,3 +106,51 @@
     let error = error.expect_err("a damaged file must not be passed over");
     assert!(error.to_string().contains("is damaged"), "{error}");
 }
+
+fn delta(from: u64, to: u64) -> SignedBundleDelta {
+    let target = signed(to);
+    SignedBundleDelta {
+        from: BundleVersion(from),
+        version: target.version,
+        digest: target.digest,
+        delta: Delta::between(&bundle(from), &bundle(to)).encode(),
+        signatures: target.signatures,
+    }
+}
+
+#[tokio::test]
+async fn a_bundle_reached_by_a_delta_is_in_force_after_a_restart_too() {
+    let folder = TempDir::new().expect("a temporary folder");
+    let mut control = FakeControl::start(signed(1)).await;
+    let daemon = start(control.address(), None, folder.path()).await;
+    control.until_known("gateway-1").await;
+    control.set_delta(delta(1, 2), signed(2));
+    control.until_known("gateway-1").await;
+    assert!(!control.has_seen(|poll| poll.whole_bundle));
+    drop(daemon);
+    let nobody = "127.0.0.1:1".parse().expect("an address");
+    let daemon = start(nobody, None, folder.path()).await;
+    assert_eq!(
+        shown_version(&daemon).await,
+        "bramblewheel_bundle_version 2"
+    );
+}
+
+#[tokio::test]
+async fn after_a_damaged_delta_the_bundle_is_asked_for_whole() {
+    let folder = TempDir::new().expect("a temporary folder");
+    let mut control = FakeControl::start(signed(1)).await;
+    let daemon = start(control.address(), None, folder.path()).await;
+    control.until_known("gateway-1").await;
+    let mut damaged = delta(1, 2);
+    damaged.delta.truncate(5);
+    control.set_delta(damaged, signed(2));
+    control
+        .until_poll("gateway-1", |poll| poll.whole_bundle)
+        .await;
+    control.until_known("gateway-1").await;
+    assert_eq!(
+        shown_version(&daemon).await,
+        "bramblewheel_bundle_version 2"
+    );
+}
--- a/crates/bramblewheel-daemon/tests/support/control.rs
+++ b/crates/bramblewheel-daemon/tests/support/control.rs
@@ -5,7 +5,7 @@
 use bramblewheel_protocol::control::{
     BundleNews, ControlReply, ControlRequest, DirectoryEntry, LogPosition, OperationAction,
     OperationAnswer, OperationReply, OperationRequest, PollReply, PollRequest, ReplyBody,
-    RequestBody, SignedBundle,
+    RequestBody, SignedBundle, SignedBundleDelta,
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -22,6 +22,7 @@
 #[derive(Debug)]
 struct Shared {
     bundle: Mutex<SignedBundle>,
+    delta: Mutex<Option<SignedBundleDelta>>,
     directory: Mutex<Vec<DirectoryEntry>>,
     ledger: Mutex<Ledger>,
     revision: watch::Sender<u64>,
@@ -46,6 +47,7 @@
         let (operations_sender, operations) = mpsc::unbounded_channel();
         let shared = Arc::new(Shared {
             bundle: Mutex::new(bundle),
+            delta: Mutex::default(),
             directory: Mutex::default(),
             ledger: Mutex::default(),
             revision: watch::Sender::new(1),
@@ -76,6 +78,12 @@
         self.shared.revision.send_modify(|revision| *revision += 1);
     }
 
+    /// From now on a delta to the bundle is sent to daemons that hold its start.
+    pub fn set_delta(&self, delta: SignedBundleDelta, bundle: SignedBundle) {
+        *lock(&self.shared.delta) = Some(delta);
+        self.set_bundle(bundle);
+    }
+
     pub fn set_bundle(&self, bundle: SignedBundle) {
         *lock(&self.shared.bundle) = bundle;
         self.shared.revision.send_modify(|revision| *revision += 1);
@@ -97,14 +105,23 @@
         if self.seen.iter().any(fits) {
             return;
         }
-        loop {
-            let poll = soon("a poll", self.polls.recv()).await;
-            let poll = poll.expect("the replica goes on");
-            self.seen.push(poll);
-            if self.seen.last().is_some_and(fits) {
-                return;
+        // Polls that don't fit keep coming, so that the bound is on all of them together.
+        let fitting = async {
+            loop {
+                let poll = self.polls.recv().await.expect("the replica goes on");
+                let is_fitting = fits(&poll);
+                self.seen.push(poll);
+                if is_fitting {
+                    return;
+                }
             }
-        }
+        };
+        soon("a poll that fits", fitting).await;
+    }
+
+    /// Whether a poll that arrived fulfils a condition.
+    pub fn has_seen(&self, is_it: impl Fn(&PollRequest) -> bool) -> bool {
+        self.seen.iter().any(is_it)
     }
 
     /// Forgets the polls that have arrived, so that only later ones count.
@@ -144,19 +161,23 @@
     async fn poll(&self, request: PollRequest) -> ReplyBody {
         let held = request.directory_revision;
         let version = request.bundle_version;
+        let wants_whole = request.whole_bundle;
         let wait = Duration::from_millis(request.wait.0);
         let _ = self.polls.send(request);
         let mut revision = self.revision.subscribe();
         let _ = tokio::time::timeout(wait, revision.wait_for(|now| *now != held)).await;
         let revision = *revision.borrow();
         let bundle = lock(&self.bundle).clone();
+        let delta = lock(&self.delta).clone();
+        let delta = delta.filter(|delta| delta.from == version && !wants_whole);
+        let news = delta.map_or(BundleNews::Whole(bundle.clone()), BundleNews::Delta);
         ReplyBody::Poll(Box::new(PollReply {
             position: LogPosition {
                 index: revision,
                 term: 1,
             },
             operator_changes: Vec::new(),
-            bundle: (bundle.version != version).then_some(BundleNews::Whole(bundle)),
+            bundle: (bundle.version != version).then_some(news),
             directory_revision: revision,
             directory_is_complete: true,
             live: lock(&self.directory).clone(),
