--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -7,6 +7,7 @@
 
 mod applying;
 mod bootstrap;
+mod bundle_news;
 pub mod config;
 mod daemons;
 pub mod durable;
@@ -33,6 +34,7 @@
     ProposalId, Replica, ReplicaConfig, ReplicaId, RestoredState, Role, Snapshot, Write,
 };
 use bramblewheel_types::Timestamp;
+use bundle_news::BundleNewsCache;
 use leases::Leases;
 use polls::HeldPolls;
 use proposals::{Proposals, Purpose, Queue};
@@ -68,6 +70,12 @@
     pub proposals: u64,
     /// Polls answered here.
     pub polls_answered: u64,
+    /// Bundle deltas computed here.
+    pub bundle_deltas_computed: u64,
+    /// Polls answered with a bundle delta.
+    pub bundle_deltas_sent: u64,
+    /// Polls answered with a whole bundle.
+    pub whole_bundles_sent: u64,
     /// Run-once requests decided by entries proposed here.
     pub operations_decided: u64,
 }
@@ -99,6 +107,7 @@
     proposals: Proposals,
     outcomes: BTreeMap<u64, Outcome>,
     polls: HeldPolls,
+    bundle_news: BundleNewsCache,
     reads: Reads,
     leases: Leases,
     replacement: Option<Replacement>,
@@ -139,6 +148,7 @@
             proposals: Proposals::default(),
             outcomes: BTreeMap::new(),
             polls: HeldPolls::default(),
+            bundle_news: BundleNewsCache::default(),
             reads: Reads::default(),
             leases: Leases::default(),
             replacement: None,
@@ -342,6 +352,9 @@
             operations_kept: self.state.ledger().len() as u64,
             proposals: self.counters.proposals,
             polls_answered: self.counters.polls_answered,
+            bundle_deltas_computed: self.bundle_news.counts.deltas_computed,
+            bundle_deltas_sent: self.bundle_news.counts.deltas_sent,
+            whole_bundles_sent: self.bundle_news.counts.whole_sent,
             operations_decided: self.counters.operations_decided,
         }
     }
--- a/crates/bramblewheel-control/tests/group.rs
+++ b/crates/bramblewheel-control/tests/group.rs
@@ -4,13 +4,13 @@
 mod support;
 
 use bramblewheel_protocol::control::{
-    DaemonStatus, OperationAction, OperationReply, OperationRequest, PollReply, PollRequest,
-    PublishReply, ReplaceRequest, ReplyBody, RequestBody, Unavailable,
+    BundleNews, DaemonStatus, OperationAction, OperationReply, OperationRequest, PollReply,
+    PollRequest, PublishReply, ReplaceRequest, ReplyBody, RequestBody, Unavailable,
 };
 use bramblewheel_types::BundleVersion;
 use std::time::Duration;
 use support::cluster::{Cluster, EPOCH, LEASE};
-use support::{answer, claim, operation, poll, registration, signed};
+use support::{answer, claim, operation, poll, reached, registration, signed};
 
 const MANY: u64 = 1_000_000;
 
@@ -241,7 +241,8 @@
     cluster.run(Duration::from_secs(1));
     let request = poll(registration("k-1", "kassa", 1), 0, &["kassa"]);
     let reply = polled(cluster.ask(follower, poll_body(request)));
-    assert_eq!(reply.bundle, Some(signed(1, 1)));
+    let whole = BundleNews::Whole(signed(1, 1));
+    assert_eq!(reply.bundle, Some(whole));
 }
 
 /// A frozen replica does not use, after it wakes, a proof from before.
@@ -279,7 +280,7 @@
         let request = poll(registration("k-1", "kassa", 1), 1, &["kassa"]);
         let id = cluster.send(frozen, poll_body(request));
         if let Some(ReplyBody::Poll(reply)) = cluster.reply(id) {
-            assert_eq!(reply.bundle, Some(signed(2, 9)));
+            assert_eq!(reached(reply.bundle, &signed(1, 1)), Some(signed(2, 9)));
         }
     }
 }
@@ -325,7 +326,7 @@
         PublishReply::Accepted { .. }
     ));
     assert_eq!(
-        polled(cluster.wait_for(watching)).bundle,
+        reached(polled(cluster.wait_for(watching)).bundle, &signed(1, 1)),
         Some(signed(2, 1))
     );
     let before = cluster.node(leader).state().position();
--- a/crates/bramblewheel-control/tests/support/mod.rs
+++ b/crates/bramblewheel-control/tests/support/mod.rs
@@ -4,10 +4,10 @@
 
 pub mod cluster;
 
-use bramblewheel_bundle::{Bundle, OperatorKey, OperatorPolicy, canonical, digest, parse};
+use bramblewheel_bundle::{Bundle, Delta, OperatorKey, OperatorPolicy, canonical, digest, parse};
 use bramblewheel_protocol::control::{
-    BundleSignature, EndpointRegistration, LogPosition, OperationAction, OperationAnswer,
-    OperationRequest, PollRequest, Registration, SignedBundle,
+    BundleNews, BundleSignature, EndpointRegistration, LogPosition, OperationAction,
+    OperationAnswer, OperationRequest, PollRequest, Registration, SignedBundle,
 };
 use bramblewheel_types::{
     BundleVersion, DaemonId, EndpointId, Millis, OperationKey, RegionName, ServiceName, ZoneName,
@@ -63,6 +63,27 @@
     sign(&bundle(version, &keys, retry_tokens), &keys[..2])
 }
 
+/// The bundle that news lead to from `held`, with its signatures.
+pub fn reached(news: Option<BundleNews>, held: &SignedBundle) -> Option<SignedBundle> {
+    match news? {
+        BundleNews::Whole(whole) => Some(whole),
+        BundleNews::Delta(news) => {
+            assert_eq!(news.from, held.version);
+            let start = canonical::decode(&held.bytes).expect("a bundle");
+            let delta = Delta::decode(&news.delta).expect("a delta");
+            let applied = delta.apply(&start, news.digest, news.version);
+            let (_, bytes) = applied.expect("it leads to the digest");
+            Some(SignedBundle {
+                version: news.version,
+                digest: news.digest,
+                bytes,
+                signatures: news.signatures,
+                expected_parent: None,
+            })
+        }
+    }
+}
+
 pub fn service(name: &str) -> ServiceName {
     ServiceName::new(name).expect("valid name")
 }
@@ -87,6 +108,8 @@
     PollRequest {
         registration,
         bundle_version: BundleVersion(bundle_version),
+        operators_version: BundleVersion(bundle_version),
+        whole_bundle: false,
         position: LogPosition::default(),
         directory_revision: 0,
         services: services.iter().map(|name| service(name)).collect(),
--- a/crates/bramblewheel-daemon/src/control/poll.rs
+++ b/crates/bramblewheel-daemon/src/control/poll.rs
@@ -109,14 +109,16 @@
     }
 
     /// Takes over an answer, or says why it is refused.
-    async fn take(&mut self, mut reply: PollReply) -> Result<(), String> {
+    async fn take(&mut self, reply: PollReply) -> Result<(), String> {
         let news = self.intake.check(&reply);
         if let Err(RefusedReply::Stale { .. }) = &news {
             self.metrics.control_stale.inc();
         }
-        let bundle = news.map_err(|e| e.to_string())?.map(Arc::new);
-        if let Some((bundle, offered)) = bundle.clone().zip(reply.bundle.take()) {
-            self.put_in_force(bundle, offered).await?;
+        let mut bundle = None;
+        if let Some(new) = news.map_err(|e| e.to_string())? {
+            let new_bundle = Arc::new(new.bundle);
+            bundle = Some(Arc::clone(&new_bundle));
+            self.put_in_force(new_bundle, new.signed).await?;
         }
         self.intake.take(&reply, bundle);
         let update = DirectoryUpdate {
@@ -133,9 +135,9 @@
     }
 
     /// Writes a bundle and only then uses it.
-    async fn put_in_force(&self, bundle: Arc<Bundle>, offered: SignedBundle) -> Result<(), String> {
+    async fn put_in_force(&self, bundle: Arc<Bundle>, signed: SignedBundle) -> Result<(), String> {
         let store = self.config.store.clone();
-        let saved = tokio::task::spawn_blocking(move || store.save(&offered)).await;
+        let saved = tokio::task::spawn_blocking(move || store.save(&signed)).await;
         saved
             .map_err(|e| e.to_string())?
             .map_err(|e| e.to_string())?;
