Count the daemons' sleeps in the latency bench, and name its quietest alternation

On a shared machine the other load moves all latencies. The quietest alternation is chosen by the direct window alone, so that the choice knows nothing of the daemons.

--- a/crates/bramblewheel-lab/src/bench/latency/alternation.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/alternation.rs
@@ -1,8 +1,8 @@
 //! Windows in alternation: one straight to the endpoint, one through the daemons.
 
-use crate::bench::latency::cpu;
 use crate::bench::latency::load::{Load, Measured, send};
 use crate::bench::latency::topology::Topology;
+use crate::bench::latency::usage::{Usage, usage};
 use crate::error::CommandError;
 use std::time::Duration;
 
@@ -31,8 +31,8 @@
     pub direct: Measured,
     /// Through the gateway and the endpoint's daemon.
     pub through: Measured,
-    /// Processor time of both daemons in the window through them.
-    pub daemon_cpu: Duration,
+    /// What both daemons used in the window through them.
+    pub daemons: Usage,
 }
 
 /// Measures one rate. Odd alternations begin with the window through the daemons.
@@ -57,11 +57,11 @@
         let seed = plan.seed.wrapping_add(number as u64);
         let direct = || send(load(topology.direct(), plan.window, seed));
         let through = || {
-            let before = daemon_cpu(topology)?;
+            let before = usage_of_daemons(topology)?;
             let measured = send(load(topology.through(), plan.window, seed))?;
-            Ok::<_, CommandError>((measured, daemon_cpu(topology)?.saturating_sub(before)))
+            Ok::<_, CommandError>((measured, usage_of_daemons(topology)? - before))
         };
-        let (direct, (through, daemon_cpu)) = if number.is_multiple_of(2) {
+        let (direct, (through, daemons)) = if number.is_multiple_of(2) {
             let direct = direct()?;
             (direct, through()?)
         } else {
@@ -71,16 +71,14 @@
         Ok(Alternation {
             direct,
             through,
-            daemon_cpu,
+            daemons,
         })
     };
     (0..plan.alternations).map(alternation).collect()
 }
 
-fn daemon_cpu(topology: &Topology) -> Result<Duration, CommandError> {
-    let mut sum = Duration::ZERO;
-    for pid in topology.daemon_pids() {
-        sum += cpu::used(pid)?;
-    }
-    Ok(sum)
+fn usage_of_daemons(topology: &Topology) -> Result<Usage, CommandError> {
+    let pids = topology.daemon_pids().into_iter();
+    pids.map(usage)
+        .try_fold(Usage::default(), |sum, used| Ok(sum + used?))
 }
--- a/crates/bramblewheel-lab/src/bench/latency/mod.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/mod.rs
@@ -7,7 +7,6 @@
 
 mod alternation;
 mod control;
-mod cpu;
 mod endpoint;
 mod load;
 mod report;
@@ -15,6 +14,7 @@
 #[cfg(test)]
 mod tests;
 mod topology;
+mod usage;
 
 use crate::error::CommandError;
 use alternation::Plan;
--- a/crates/bramblewheel-lab/src/bench/latency/report.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/report.rs
@@ -19,8 +19,15 @@
 }
 
 fn cpu_micros_per_call(alternation: &Alternation) -> f64 {
-    let calls = alternation.through.latency.len().max(1);
-    alternation.daemon_cpu.as_micros() as f64 / calls as f64
+    alternation.daemons.cpu.as_micros() as f64 / calls(alternation)
+}
+
+fn sleeps_per_call(alternation: &Alternation) -> f64 {
+    alternation.daemons.sleeps as f64 / calls(alternation)
+}
+
+fn calls(alternation: &Alternation) -> f64 {
+    alternation.through.latency.len().max(1) as f64
 }
 
 /// One alternation.
@@ -37,15 +44,17 @@
     let late = |measured: &Histogram<u64>| millis_at(measured, 0.99);
     let _ = write!(
         line,
-        " sent_late_p99_ms={:.3}/{:.3} cpu_us_per_call={:.1}",
+        " sent_late_p99_ms={:.3}/{:.3} cpu_us_per_call={:.1} sleeps_per_call={:.2}",
         late(&alternation.direct.lateness),
         late(&alternation.through.lateness),
         cpu_micros_per_call(alternation),
+        sleeps_per_call(alternation),
     );
     line
 }
 
-/// All alternations at one rate: medians, and the worst of what was added.
+/// All alternations at one rate, of which there is at least one: medians, the worst of what was
+/// added, and what was added when the machine was quietest.
 pub fn summary(rate: u32, alternations: &[Alternation]) -> String {
     let over = |value: &dyn Fn(&Alternation) -> f64| -> Vec<f64> {
         alternations.iter().map(value).collect()
@@ -59,6 +68,7 @@
         over(&|a| a.through.latency.len() as f64).iter().sum(),
         0,
     );
+    let quietest = quietest(alternations);
     for (name, quantile) in QUANTILES {
         let direct = over(&|a| millis_at(&a.direct.latency, quantile));
         let through = over(&|a| millis_at(&a.through.latency, quantile));
@@ -67,14 +77,23 @@
         line(&format!("through_{name}_ms"), median(&through), 3);
         line(&format!("added_{name}_ms"), median(&added), 3);
         line(&format!("added_{name}_ms_worst"), worst(&added), 3);
+        line(&format!("added_{name}_ms_quietest"), added[quietest], 3);
     }
     let cpu = over(&cpu_micros_per_call);
     line("cpu_us_per_call", median(&cpu), 1);
     line("cpu_us_per_call_worst", worst(&cpu), 1);
+    line("sleeps_per_call", median(&over(&sleeps_per_call)), 2);
     line("calls_per_core_second", MICROS_PER_SECOND / median(&cpu), 0);
     text
 }
 
+/// The alternation in which the rest of the machine was least in the way. It is chosen by the
+/// direct window alone, which knows nothing of the daemons.
+fn quietest(alternations: &[Alternation]) -> usize {
+    let p99 = |index: &usize| alternations[*index].direct.latency.value_at_quantile(0.99);
+    (0..alternations.len()).min_by_key(p99).unwrap_or(0)
+}
+
 /// The middle value; the mean of the two middle ones for an even count; 0 for none.
 pub(super) fn median(values: &[f64]) -> f64 {
     let mut sorted = values.to_vec();
--- a/crates/bramblewheel-lab/src/bench/latency/tests.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/tests.rs
@@ -1,7 +1,7 @@
 //! The pure parts of the bench.
 
 use super::report::{median, worst};
-use super::{cpu, parse_rates, schedule};
+use super::{parse_rates, schedule, usage};
 use std::time::Duration;
 
 #[test]
@@ -19,9 +19,11 @@
 #[test]
 fn processor_time_is_found_after_any_name() {
     let stat = "42 (a) (b c) S 1 2 3 4 5 6 7 8 9 10 150 25 0 0 20 0 3";
-    assert_eq!(cpu::parse(stat), Some(Duration::from_millis(1750)));
-    assert_eq!(cpu::parse("42 (a) S 1 2"), None);
-    assert_eq!(cpu::parse(""), None);
+    assert_eq!(usage::parse_stat(stat), Some(Duration::from_millis(1750)));
+    assert_eq!(usage::parse_stat("42 (a) S 1 2"), None);
+    assert_eq!(usage::parse_stat(""), None);
+    let status = "Threads:\t1\nvoluntary_ctxt_switches:\t17\nnonvoluntary_ctxt_switches:\t4\n";
+    assert_eq!(usage::parse_sleeps(status), Some(17));
 }
 
 #[test]
