Write context headers into shared memory and take pooled connections in order

Cause: each header value was formatted into a string of its own and then shared anew, two allocations apiece; the map grew while it was filled; an acquired connection meant a look at every idle one; and an absent body was waited for with a timer.

Now the values of one message share one buffer, fixed words are not copied at all, maps have room for what is added, the pool looks at its ends only, and an empty body is not read.

--- a/crates/bramblewheel-core/src/headers/answer.rs
+++ b/crates/bramblewheel-core/src/headers/answer.rs
@@ -3,7 +3,7 @@
 use crate::cohort::COHORT_COUNT;
 use crate::event::{AdmissionLevel, Feedback};
 use crate::headers::fields::Fields;
-use crate::headers::{HeaderError, HeaderSink};
+use crate::headers::{HeaderError, HeaderSink, SET};
 use bramblewheel_types::{AttemptId, Criticality, Millis, NotRunReason, Outcome, headers as names};
 
 /// [`Outcome::as_str`] of [`Outcome::NotRun`].
@@ -31,13 +31,13 @@
 
 /// Writes the headers that tell an application, or a caller outside, the outcome.
 pub fn write_outcome(outcome: Outcome, to: &mut impl HeaderSink) {
-    to.put(names::OUTCOME, &outcome.as_str());
+    to.put_word(names::OUTCOME, outcome.as_str());
     if let Outcome::NotRun {
         reason,
         retry_after,
     } = outcome
     {
-        to.put(names::REASON, &reason);
+        to.put_word(names::REASON, reason.as_str());
         to.put(names::RETRY_AFTER_MS, &retry_after.0);
     }
 }
@@ -57,10 +57,10 @@
     let level = format_args!("{}/{}", level.criticality, level.cohort);
     to.put(names::ADMISSION_LEVEL, &level);
     if feedback.is_final {
-        to.put(names::FINAL, &1);
+        to.put_word(names::FINAL, SET);
     }
     if feedback.draining {
-        to.put(names::DRAINING, &1);
+        to.put_word(names::DRAINING, SET);
     }
 }
 
--- a/crates/bramblewheel-core/src/headers/context.rs
+++ b/crates/bramblewheel-core/src/headers/context.rs
@@ -3,7 +3,7 @@
 use crate::context::{CallContext, Operation};
 use crate::headers::fields::Fields;
 use crate::headers::route_path::route_path;
-use crate::headers::{HeaderError, HeaderSink, MAX_TIMEOUT_MS};
+use crate::headers::{HeaderError, HeaderSink, MAX_TIMEOUT_MS, SET};
 use bramblewheel_types::{BundleVersion, OperationKey, Timestamp, headers as names};
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
     to.put(names::DEPTH, &context.depth);
     to.put(names::BUNDLE_VERSION, &context.bundle_version);
     if context.may_have_run {
-        to.put(names::MAY_HAVE_RUN, &1);
+        to.put_word(names::MAY_HAVE_RUN, SET);
     }
     if let Some(operation) = &context.operation {
         let minted = operation.minted_at_unix_millis;
@@ -31,10 +31,10 @@
     let remaining = context.deadline.since(now).as_millis();
     to.put(names::ATTEMPT, &context.attempt);
     to.put(names::REQUEST_ID, &context.request);
-    to.put(names::CRITICALITY, &context.criticality);
+    to.put_word(names::CRITICALITY, context.criticality.as_str());
     to.put(names::TIMEOUT_MS, &remaining);
     if context.in_session {
-        to.put(names::IN_SESSION, &1);
+        to.put_word(names::IN_SESSION, SET);
     }
     if let Some(operation) = &context.operation {
         to.put(names::OPERATION_KEY, &operation.key);
--- a/crates/bramblewheel-core/src/headers/mod.rs
+++ b/crates/bramblewheel-core/src/headers/mod.rs
@@ -29,8 +29,16 @@
 pub trait HeaderSink {
     /// Puts a header on the message; the value consists of visible ASCII by construction.
     fn put(&mut self, name: &'static str, value: &dyn Display);
+
+    /// Puts a header with a fixed word on the message.
+    fn put_word(&mut self, name: &'static str, word: &'static str) {
+        self.put(name, &word);
+    }
 }
 
+/// Value of a mark that is set.
+const SET: &str = "1";
+
 /// Headers to be put on a message.
 pub type HeaderList = Vec<(&'static str, String)>;
 
--- a/crates/bramblewheel-daemon/src/http/answer.rs
+++ b/crates/bramblewheel-daemon/src/http/answer.rs
@@ -29,7 +29,7 @@
     outcome: Outcome,
     body: AnswerBody,
 ) -> HttpAnswer {
-    write_outcome(outcome, &mut MapSink(&mut headers));
+    write_outcome(outcome, &mut MapSink::new(&mut headers));
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/crates/bramblewheel-daemon/src/http/fields.rs
+++ b/crates/bramblewheel-daemon/src/http/fields.rs
@@ -2,11 +2,16 @@
 
 use bramblewheel_core::headers::fields::Fields;
 use bramblewheel_core::headers::{HeaderError, HeaderSink, has_prefix};
+use bytes::BytesMut;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use std::fmt::{Display, Write};
 
 /// Room that most values need, in bytes.
 const USUAL_LENGTH: usize = 40;
+/// Room that the values of one message mostly need, in bytes.
+const USUAL_TOTAL: usize = 240;
+/// Headers of the project that are mostly put on a message besides those it has.
+const USUAL_COUNT: usize = 10;
 
 /// The project's fields of a message of a daemon, application or endpoint.
 ///
@@ -29,14 +34,39 @@
         .map(|(name, value)| (name.as_str(), value.as_bytes()))
 }
 
-/// Puts the project's headers on a message.
-pub struct MapSink<'a>(pub &'a mut HeaderMap);
+/// Puts the project's headers on a message. Their values share one piece of memory.
+pub struct MapSink<'a> {
+    map: &'a mut HeaderMap,
+    values: BytesMut,
+}
+
+impl<'a> MapSink<'a> {
+    /// A sink into a map.
+    pub fn new(map: &'a mut HeaderMap) -> Self {
+        Self {
+            map,
+            values: BytesMut::new(),
+        }
+    }
+
+    fn insert(&mut self, name: &'static str, value: HeaderValue) {
+        self.map.insert(HeaderName::from_static(name), value);
+    }
+}
 
 impl HeaderSink for MapSink<'_> {
     fn put(&mut self, name: &'static str, value: &dyn Display) {
-        let mut text = String::with_capacity(USUAL_LENGTH);
-        write!(text, "{value}").expect("a string takes all that is written");
-        set(self.0, name, text);
+        if self.values.capacity() < USUAL_LENGTH {
+            self.values.reserve(USUAL_TOTAL);
+        }
+        write!(self.values, "{value}").expect("the buffer grows as needed");
+        let value = HeaderValue::from_maybe_shared(self.values.split().freeze())
+            .expect("ids, numbers and names consist of visible ASCII");
+        self.insert(name, value);
+    }
+
+    fn put_word(&mut self, name: &'static str, word: &'static str) {
+        self.insert(name, HeaderValue::from_static(word));
     }
 }
 
@@ -57,7 +87,7 @@
         .flat_map(|list| list.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
-    let mut kept = HeaderMap::with_capacity(map.len());
+    let mut kept = HeaderMap::with_capacity(map.len() + USUAL_COUNT);
     for (name, value) in map {
         if !is_hop_by_hop(name) && !named.contains(name) {
             kept.append(name.clone(), value.clone());
--- a/crates/bramblewheel-daemon/src/http/pool.rs
+++ b/crates/bramblewheel-daemon/src/http/pool.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -63,7 +63,7 @@
 #[derive(Debug)]
 pub struct Pool {
     address: SocketAddr,
-    idle: Mutex<Vec<IdleConnection>>,
+    idle: Mutex<VecDeque<IdleConnection>>,
     open: Arc<OpenCount>,
 }
 
@@ -155,9 +155,8 @@
     fn reserve(&self, limit: usize) -> Reservation {
         let mut idle = self.lock();
         close_stale(&mut idle);
-        let ready = idle.iter().rposition(|i| i.connection.sender.is_ready());
-        if let Some(ready) = ready {
-            return Reservation::Idle(idle.swap_remove(ready).connection);
+        if let Some(connection) = take_ready(&mut idle) {
+            return Reservation::Idle(connection);
         }
         // Idle connections that aren't ready must not keep a new one out: the oldest makes room.
         let is_full = self.open.count.load(Ordering::Relaxed) >= limit.max(1);
@@ -165,7 +164,7 @@
             return Reservation::Full;
         }
         if is_full {
-            idle.swap_remove(0);
+            idle.pop_front();
         }
         self.open.count.fetch_add(1, Ordering::Relaxed);
         Reservation::MayOpen(OpenSlot(Arc::clone(&self.open)))
@@ -181,25 +180,46 @@
 
     fn give_back(&self, connection: Connection) {
         let since = Instant::now();
-        self.lock().push(IdleConnection { since, connection });
+        self.lock().push_back(IdleConnection { since, connection });
         self.open.freed.notify_one();
     }
 
     fn is_used(&self) -> bool {
-        close_stale(&mut self.lock());
+        let mut idle = self.lock();
+        idle.retain(|i| !i.connection.sender.is_closed());
+        close_stale(&mut idle);
         self.open.count.load(Ordering::Relaxed) > 0
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
+    fn lock(&self) -> MutexGuard<'_, VecDeque<IdleConnection>> {
         self.idle
             .lock()
             .expect("a panic under the lock ends the process, so the lock is never poisoned")
     }
 }
 
-fn close_stale(idle: &mut Vec<IdleConnection>) {
+/// Closes connections that have been idle for too long; they stand in front.
+fn close_stale(idle: &mut VecDeque<IdleConnection>) {
     let now = Instant::now();
-    idle.retain(|i| !i.connection.sender.is_closed() && now - i.since < MAX_IDLE);
+    while idle.front().is_some_and(|i| now - i.since >= MAX_IDLE) {
+        idle.pop_front();
+    }
+}
+
+/// Takes the connection that was used last, unless it is closed or not ready; then an earlier one.
+fn take_ready(idle: &mut VecDeque<IdleConnection>) -> Option<Connection> {
+    let mut index = idle.len();
+    while index > 0 {
+        index -= 1;
+        let sender = &idle[index].connection.sender;
+        if sender.is_ready() {
+            return idle.remove(index).map(|idle| idle.connection);
+        }
+        if sender.is_closed() {
+            idle.remove(index);
+        }
+    }
+    None
 }
 
 impl Lease {
--- a/crates/bramblewheel-daemon/src/inbound.rs
+++ b/crates/bramblewheel-daemon/src/inbound.rs
@@ -78,7 +78,7 @@
 
 /// An answer between daemons names its attempt and carries feedback.
 fn between_daemons(mut answer: HttpAnswer, attempt: AttemptId, feedback: &Feedback) -> HttpAnswer {
-    let mut sink = MapSink(answer.headers_mut());
+    let mut sink = MapSink::new(answer.headers_mut());
     answer_headers::write_feedback(attempt, feedback, &mut sink);
     answer
 }
--- a/crates/bramblewheel-daemon/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-daemon/src/inbound/dispatch.rs
@@ -101,7 +101,7 @@
                 .expect("an address consists of visible ASCII");
             fields.insert(HOST, host);
         }
-        write_for_endpoint(now, &request.context, &mut MapSink(fields));
+        write_for_endpoint(now, &request.context, &mut MapSink::new(fields));
     }
     builder
 }
--- a/crates/bramblewheel-daemon/src/outbound/attempt.rs
+++ b/crates/bramblewheel-daemon/src/outbound/attempt.rs
@@ -79,7 +79,7 @@
                 .expect("an address consists of visible ASCII");
             fields.insert(HOST, host);
         }
-        write(now, context, &mut MapSink(fields));
+        write(now, context, &mut MapSink::new(fields));
     }
     builder
 }
--- a/crates/bramblewheel-daemon/src/shared.rs
+++ b/crates/bramblewheel-daemon/src/shared.rs
@@ -11,7 +11,7 @@
 use bramblewheel_bundle::Bundle;
 use bramblewheel_types::{CallId, RequestId, ServiceName};
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -43,6 +43,9 @@
 
     /// Reads a request's body whole, or says how to refuse it.
     pub(crate) async fn read_body(&self, body: &mut Incoming) -> Result<Bytes, Box<HttpAnswer>> {
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
         let limit = self.limits.body_bytes;
         let reading = collect(body, limit);
         match tokio::time::timeout(self.limits.body_timeout(), reading).await {
