--- a/crates/bramblewheel-lab/src/bench/latency/alternation.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/alternation.rs
@@ -2,7 +2,7 @@
 
 use crate::bench::latency::load::{Load, Measured, send};
 use crate::bench::latency::topology::Topology;
-use crate::bench::latency::usage::{Usage, usage};
+use crate::bench::latency::usage::{Machine, Usage, usage};
 use crate::error::CommandError;
 use std::time::Duration;
 
@@ -33,6 +33,8 @@
     pub through: Measured,
     /// What both daemons used in the window through them.
     pub daemons: Usage,
+    /// How busy the whole machine was in both windows, in per cent.
+    pub machine_busy_percent: f64,
 }
 
 /// Measures one rate. Odd alternations begin with the window through the daemons.
@@ -55,6 +57,7 @@
     send(load(topology.through(), WARM_UP, plan.seed))?;
     let alternation = |number: usize| {
         let seed = plan.seed.wrapping_add(number as u64);
+        let machine = Machine::now()?;
         let direct = || send(load(topology.direct(), plan.window, seed));
         let through = || {
             let before = usage_of_daemons(topology)?;
@@ -72,6 +75,7 @@
             direct,
             through,
             daemons,
+            machine_busy_percent: Machine::now()?.busy_percent_since(machine),
         })
     };
     (0..plan.alternations).map(alternation).collect()
--- a/crates/bramblewheel-lab/src/bench/latency/report.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/report.rs
@@ -44,11 +44,12 @@
     let late = |measured: &Histogram<u64>| millis_at(measured, 0.99);
     let _ = write!(
         line,
-        " sent_late_p99_ms={:.3}/{:.3} cpu_us_per_call={:.1} sleeps_per_call={:.2}",
+        " sent_late_p99_ms={:.3}/{:.3} cpu_us_per_call={:.1} sleeps_per_call={:.2} machine_busy_percent={:.0}",
         late(&alternation.direct.lateness),
         late(&alternation.through.lateness),
         cpu_micros_per_call(alternation),
         sleeps_per_call(alternation),
+        alternation.machine_busy_percent,
     );
     line
 }
@@ -83,6 +84,9 @@
     line("cpu_us_per_call", median(&cpu), 1);
     line("cpu_us_per_call_worst", worst(&cpu), 1);
     line("sleeps_per_call", median(&over(&sleeps_per_call)), 2);
+    let busy = over(&|a| a.machine_busy_percent);
+    line("machine_busy_percent", median(&busy), 0);
+    line("machine_busy_percent_quietest", busy[quietest], 0);
     line("calls_per_core_second", MICROS_PER_SECOND / median(&cpu), 0);
     text
 }
--- a/crates/bramblewheel-lab/src/bench/latency/tests.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/tests.rs
@@ -26,6 +26,14 @@
     assert_eq!(usage::parse_sleeps(status), Some(17));
 }
 
+#[test]
+fn the_machine_is_busy_while_not_idle_or_waiting() {
+    let earlier = usage::Machine::parse("cpu  0 0 0 0 0 0 0 0 0 0\ncpu0 1").expect("valid");
+    let later = usage::Machine::parse("cpu  10 5 10 40 10 5 10 10 99 99\n").expect("valid");
+    assert_eq!(later.busy_percent_since(earlier), 50.0);
+    assert_eq!(usage::Machine::parse("intr 1"), None);
+}
+
 #[test]
 fn medians_and_worsts() {
     assert_eq!(median(&[3.0, 1.0, 2.0]), 2.0);
--- a/crates/bramblewheel-lab/src/bench/latency/usage.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/usage.rs
@@ -1,4 +1,4 @@
-//! What another process has used, from `/proc`.
+//! What another process has used and how busy the machine is, from `/proc`.
 
 use crate::error::CommandError;
 use std::fs;
@@ -87,3 +87,44 @@
     let system: u32 = fields.next()?.parse().ok()?;
     Some(TICK * user.checked_add(system)?)
 }
+
+/// Time that all processors of the machine have spent, in ticks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Machine {
+    busy: u64,
+    total: u64,
+}
+
+impl Machine {
+    /// Reads the machine's counters.
+    ///
+    /// # Errors
+    /// [`CommandError::Broken`] when they can't be read.
+    pub fn now() -> Result<Self, CommandError> {
+        const FILE: &str = "/proc/stat";
+        let text = read(Path::new(FILE))?;
+        Self::parse(&text).ok_or_else(|| broken(FILE, "not understood"))
+    }
+
+    /// Counters from the text of `/proc/stat`, whose first line sums up all processors: user,
+    /// nice, system, idle, waiting for disks, interrupts, soft interrupts, taken by the host.
+    pub(super) fn parse(stat: &str) -> Option<Self> {
+        const KINDS: usize = 8;
+        const IDLE: [usize; 2] = [3, 4];
+        let line = stat.lines().next()?.strip_prefix("cpu ")?;
+        let ticks = line.split_whitespace().take(KINDS).map(str::parse);
+        let ticks = ticks.collect::<Result<Vec<u64>, _>>().ok()?;
+        let total = ticks.iter().sum();
+        let idle: u64 = IDLE.iter().filter_map(|kind| ticks.get(*kind)).sum();
+        Some(Self {
+            busy: total - idle,
+            total,
+        })
+    }
+
+    /// How busy the machine was since an earlier reading, in per cent.
+    pub fn busy_percent_since(self, earlier: Self) -> f64 {
+        let total = self.total.saturating_sub(earlier.total).max(1);
+        100.0 * self.busy.saturating_sub(earlier.busy) as f64 / total as f64
+    }
+}
