--- a/crates/bramblewheel-lab/src/bench/latency/endpoint.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/endpoint.rs
@@ -1,6 +1,7 @@
 //! The endpoint of the bench: a process that works for a fixed time on each request.
 
 use crate::error::CommandError;
+use crate::stdin_commands::end_with_parent;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
@@ -22,11 +23,12 @@
 /// The endpoint's word on its load: it takes whatever comes.
 const LOAD: &[u8] = b"{\"slots\":1000,\"busy\":0,\"draining\":false}";
 
-/// Serves until the process is ended; the first line on standard output is the address.
+/// Serves until the process that started it ends; the first line on standard output is the address.
 ///
 /// # Errors
 /// [`CommandError`] when the runtime or the listener can't be set up.
 pub fn serve(service_time: Duration) -> Result<(), CommandError> {
+    end_with_parent();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
--- a/crates/bramblewheel-lab/src/bench/latency/mod.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/mod.rs
@@ -6,7 +6,6 @@
 //! Daemons and endpoint are processes of their own, on loopback.
 
 mod alternation;
-mod control;
 mod endpoint;
 mod load;
 mod report;
--- a/crates/bramblewheel-lab/src/bench/latency/topology.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/topology.rs
@@ -1,14 +1,19 @@
-//! The processes of the bench: an endpoint, its daemon, and a gateway before it.
+//! The processes of the bench: an endpoint, its daemon, a gateway before it, a control replica.
 
-use crate::bench::latency::control::StandInControl;
 use crate::bench::latency::load;
 use crate::error::CommandError;
+use crate::fleet::folder::RunFolder;
+use crate::fleet::group;
+use crate::fleet::plan::PlannedReplica;
+use crate::fleet::settings::{self, ReplicaAddresses};
+use crate::process::{LogEvent, free_port, parse as parse_log};
+use crate::runtime::block_on;
 use bramblewheel_bundle::{OperatorKey, canonical, digest, parse};
 use bramblewheel_protocol::control::{BundleSignature, SignedBundle};
+use bramblewheel_types::{RegionName, ZoneName};
 use std::fs;
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,10 +24,9 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 /// Pause between two looks whether it is.
 const PAUSE: Duration = Duration::from_millis(100);
-/// What a daemon's log says before the address of its listener for applications.
-const LISTENING: &str = "listening";
-const OUTBOUND: &str = "listener=outbound";
-const ADDRESS: &str = "address=";
+/// Where everything runs.
+const ZONE: &str = "zone-a";
+const REGION: &str = "region-a";
 
 /// The running processes; they are ended when this is dropped.
 #[derive(Debug)]
@@ -32,8 +36,8 @@
     sidecar: Process,
     gateway: Process,
     _endpoint: Process,
-    _control: StandInControl,
-    _folder: Folder,
+    _control: Process,
+    _folder: RunFolder,
 }
 
 impl Topology {
@@ -42,15 +46,15 @@
     /// # Errors
     /// [`CommandError`] when a process can't be started or no call passes in time.
     pub fn start(service_time: Duration) -> Result<Self, CommandError> {
-        let control = StandInControl::start(signed_bundle()?)?;
-        let folder = Folder::create()?;
+        let folder = RunFolder::new(None)?;
+        let (control, control_address) = start_control(&folder)?;
         let (endpoint, endpoint_address) = start_endpoint(service_time)?;
-        let daemon = |name: &str, sections: String| {
-            let settings = settings(name, &folder.0, control.address(), &sections);
-            start_daemon(&folder.0.join(name).with_extension("toml"), &settings)
+        let daemon = |name: &str, sections: &str| {
+            let settings = daemon_settings(name, &folder, control_address, sections);
+            start_daemon(name, &folder, &settings)
         };
-        let (sidecar, _) = daemon("answers-1", sidecar_sections(endpoint_address))?;
-        let (gateway, gateway_address) = daemon("gateway-1", gateway_sections())?;
+        let (sidecar, _) = daemon("answers-1", &sidecar_sections(endpoint_address))?;
+        let (gateway, gateway_address) = daemon("gateway-1", "")?;
         wait_for_a_call(gateway_address)?;
         Ok(Self {
             endpoint_address,
@@ -79,7 +83,8 @@
     }
 }
 
-/// A process that is ended when this is dropped.
+/// A process that is ended when this is dropped. It also ends when its standard input does, which
+/// this holds open.
 #[derive(Debug)]
 struct Process(Child);
 
@@ -91,23 +96,24 @@
     }
 }
 
-/// A folder of this run, removed when this is dropped.
-#[derive(Debug)]
-struct Folder(PathBuf);
-
-impl Folder {
-    fn create() -> Result<Self, CommandError> {
-        let name = format!("bramblewheel-latency-{}", std::process::id());
-        let path = std::env::temp_dir().join(name);
-        fs::create_dir_all(&path)?;
-        Ok(Self(path))
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.0);
-    }
+/// Starts a control group of one replica with its first bundle in force.
+fn start_control(folder: &RunFolder) -> Result<(Process, SocketAddr), CommandError> {
+    const NAME: &str = "control-1";
+    let addresses = ReplicaAddresses {
+        peer: free_port()?,
+        service: free_port()?,
+    };
+    let replica = PlannedReplica {
+        name: NAME.to_owned(),
+        zone: ZoneName::new(ZONE).map_err(broken)?,
+    };
+    let region = RegionName::new(REGION).map_err(broken)?;
+    let settings = settings::replica(&replica, &region, &folder.data(NAME), addresses);
+    let (process, address) =
+        start_with_settings("run-control", "service", NAME, folder, &settings)?;
+    let bundle = signed_bundle()?;
+    block_on(async { group::bootstrap(&[address], bundle).await.map_err(broken) })?;
+    Ok((process, address))
 }
 
 fn start_endpoint(service_time: Duration) -> Result<(Process, SocketAddr), CommandError> {
@@ -129,21 +135,37 @@
 }
 
 /// Starts a daemon; returns it with the address of its listener for applications.
-fn start_daemon(file: &Path, settings: &str) -> Result<(Process, SocketAddr), CommandError> {
-    fs::write(file, settings)?;
+fn start_daemon(
+    name: &str,
+    folder: &RunFolder,
+    settings: &str,
+) -> Result<(Process, SocketAddr), CommandError> {
+    start_with_settings("run-daemon", "outbound", name, folder, settings)
+}
+
+/// Starts a process of the system; returns it with the address of one of its listeners.
+fn start_with_settings(
+    command: &str,
+    listener: &str,
+    name: &str,
+    folder: &RunFolder,
+    settings: &str,
+) -> Result<(Process, SocketAddr), CommandError> {
+    let file = folder.settings(name);
+    fs::write(&file, settings)?;
     let mut child = this_program()?
-        .arg("run-daemon")
-        .arg("--settings")
+        .args([command, "--settings"])
         .arg(file)
+        .stdin(Stdio::piped())
         .stderr(Stdio::piped())
         .spawn()?;
     let stderr = child.stderr.take();
     let process = Process(child);
     let mut lines = lines_of(stderr);
-    let address = lines.by_ref().find_map(|line| outbound_address(&line));
-    let address = address.ok_or_else(|| broken("a daemon did not start"))?;
+    let address = lines.by_ref().find_map(|line| address_of(listener, &line));
+    let address = address.ok_or_else(|| broken(format!("{name} did not start")))?;
     // Its log goes on, and must be read on.
-    thread::spawn(move || lines.for_each(|line| eprintln!("{line}")));
+    thread::spawn(move || lines.for_each(drop));
     Ok((process, address))
 }
 
@@ -156,14 +178,15 @@
     streams.flat_map(|stream| stream.lines().map_while(Result::ok))
 }
 
-/// The address in a daemon's log line about its listener for applications.
-pub(super) fn outbound_address(line: &str) -> Option<SocketAddr> {
-    if !line.contains(LISTENING) || !line.contains(OUTBOUND) {
-        return None;
+/// The address in a log line about a listener.
+fn address_of(listener: &str, line: &str) -> Option<SocketAddr> {
+    match parse_log(line)? {
+        LogEvent::Listening {
+            listener: found,
+            address,
+        } if found == listener => Some(address),
+        _ => None,
     }
-    let mut words = line.split_whitespace();
-    let address = words.find_map(|word| word.strip_prefix(ADDRESS))?;
-    address.trim_matches('"').parse().ok()
 }
 
 fn wait_for_a_call(gateway: SocketAddr) -> Result<(), CommandError> {
@@ -177,15 +200,14 @@
     }
 }
 
-fn broken(text: &str) -> CommandError {
-    CommandError::Broken(text.to_owned())
+fn broken(cause: impl std::fmt::Display) -> CommandError {
+    CommandError::Broken(cause.to_string())
 }
 
 /// A bundle whose limits are above the bench's load: what is measured is the way of a call, not
 /// how long it waits where a service is full.
 fn signed_bundle() -> Result<SignedBundle, CommandError> {
-    let failed = |error: &dyn std::fmt::Display| broken(&format!("bundle: {error}"));
-    let operator = OperatorKey::from_secret("bench", &[1; 32]).map_err(|e| failed(&e))?;
+    let operator = OperatorKey::from_secret("bench", &[1; 32]).map_err(broken)?;
     let public_key = operator.public_key_hex();
     let text = format!(
         "version = 1\ndeployment = \"latency\"\n\
@@ -195,7 +217,7 @@
          [service.admission]\nqueue_length = 64\nmin_concurrency = 8\nmax_concurrency = 64\n\
          [service.routing]\nmax_connections = 64\n"
     );
-    let bundle = parse("latency.toml", &text).map_err(|e| failed(&e))?;
+    let bundle = parse("latency.toml", &text).map_err(broken)?;
     let bytes = canonical::encode(&bundle);
     let digest = digest::digest(&bytes);
     Ok(SignedBundle {
@@ -210,19 +232,15 @@
     })
 }
 
-fn settings(name: &str, folder: &Path, control: SocketAddr, sections: &str) -> String {
-    let data_folder = folder.join(name);
+fn daemon_settings(name: &str, folder: &RunFolder, control: SocketAddr, sections: &str) -> String {
+    let data_folder = folder.data(name);
     format!(
-        "name = \"{name}\"\nzone = \"zone-a\"\nregion = \"region-a\"\n\
+        "name = \"{name}\"\nzone = \"{ZONE}\"\nregion = \"{REGION}\"\n\
          data_folder = {data_folder:?}\ncontrol = [\"{control}\"]\ncalls = [\"{SERVICE}\"]\n\
          [listen]\noutbound = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n{sections}"
     )
 }
 
-fn gateway_sections() -> String {
-    String::new()
-}
-
 fn sidecar_sections(endpoint: SocketAddr) -> String {
     format!(
         "inbound = \"127.0.0.1:0\"\n\
