Measure the control group with fleets of hollow daemons

`bramblewheel-lab bench scale` runs three real control replicas and hollow daemons in one process: each with a connection, long poll, lease, directory and the daemons' own rule for taking over answers. Phases: start, rest, bundles published, restarts, a zone lost and back, a region lost and back, the leader killed. At the end of each phase every daemon must know exactly the live endpoints, or the run fails. Slopes are fitted by least squares.

--- a/crates/bramblewheel-lab/src/bench/scale/mod.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/mod.rs
@@ -1,19 +1,51 @@
-//! Work of daemons and replicas at the size to come.
+//! Work of daemons and replicas at the size to come: real replicas, hollow daemons.
 
-use crate::error::CommandError;
-use gumdrop::Options;
+mod bundles;
+mod deployment;
+mod fit;
+mod group;
+mod hollow;
+mod measure;
+mod options;
+mod real_daemon;
+mod report;
+mod usage;
 
-/// Arguments of `bench scale`.
-#[derive(Debug, Options)]
-pub struct ScaleOptions {
-    /// print help
-    pub help: bool,
-}
+#[cfg(test)]
+mod tests;
+
+pub use options::ScaleOptions;
+
+use crate::error::CommandError;
+use deployment::Deployment;
+use measure::measure;
 
 /// Runs the command.
 ///
 /// # Errors
 /// [`CommandError`] when a check fails or the run breaks.
-pub fn run(_options: ScaleOptions) -> Result<(), CommandError> {
-    Err(CommandError::NotThere("bench scale"))
+pub fn run(options: ScaleOptions) -> Result<(), CommandError> {
+    // The calling thread starts the processes and lives on: they are tied to it.
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(run_fleets(&options))
+}
+
+async fn run_fleets(options: &ScaleOptions) -> Result<(), CommandError> {
+    let sizes = options.sizes()?;
+    report::print_head(options);
+    let mut all = Vec::new();
+    for daemons in sizes {
+        let folder = tempfile::tempdir()?;
+        let deployment = Deployment::generate(daemons, options.seed);
+        let figures = measure(deployment, &options.plan(), folder.path()).await?;
+        report::print_size(&figures);
+        all.push(figures);
+    }
+    report::print_slopes(&all);
+    if let Some(folder) = &options.report {
+        report::write(folder, &all)?;
+    }
+    Ok(())
 }
--- a/crates/bramblewheel-lab/src/commands/hidden.rs
+++ b/crates/bramblewheel-lab/src/commands/hidden.rs
@@ -1,11 +1,22 @@
 //! Commands that the lab starts itself with: one daemon, one control replica.
+//!
+//! They end when their standard input ends, so that none outlives the fleet runner.
 
 use crate::error::CommandError;
+use crate::signals;
+use crate::stdin_commands::end_with_parent;
+use bramblewheel_daemon::logging;
 use gumdrop::Options;
 use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::runtime::{Builder, Runtime};
+
+/// Threads of a process, as in the daemon's and the replica's own programs.
+const WORKER_THREADS: usize = 2;
 
 /// Arguments of `run-daemon` and `run-control`.
 #[derive(Debug, Options)]
+#[options(help = "Used by the lab itself. Ends with its standard input.")]
 pub struct SettingsOptions {
     /// print help
     pub help: bool,
@@ -18,14 +29,55 @@
 ///
 /// # Errors
 /// [`CommandError`] when it can't start.
-pub fn run_daemon(_options: SettingsOptions) -> Result<(), CommandError> {
-    Err(CommandError::NotThere("run-daemon"))
+pub fn run_daemon(options: SettingsOptions) -> Result<(), CommandError> {
+    begin();
+    let overrides = bramblewheel_daemon::settings::Overrides::default();
+    let settings = bramblewheel_daemon::Settings::load(&options.settings, overrides)
+        .map_err(|error| CommandError::BadInput(error.to_string()))?;
+    runtime()?.block_on(async {
+        let log = logging::logger(settings.log.level.into());
+        let mut stop = signals::stop()?;
+        let mut daemon = bramblewheel_daemon::run(settings, log)
+            .await
+            .map_err(|error| CommandError::Broken(error.to_string()))?;
+        stop.wait().await;
+        daemon.drain();
+        daemon.stopped().await;
+        Ok(())
+    })
 }
 
 /// Runs one control replica until it is told to stop.
 ///
 /// # Errors
-/// [`CommandError`] when it can't start.
-pub fn run_control(_options: SettingsOptions) -> Result<(), CommandError> {
-    Err(CommandError::NotThere("run-control"))
+/// [`CommandError`] when it can't start or breaks.
+pub fn run_control(options: SettingsOptions) -> Result<(), CommandError> {
+    begin();
+    let overrides = bramblewheel_control::settings::Overrides::default();
+    let settings = bramblewheel_control::Settings::load(&options.settings, overrides)
+        .map_err(|error| CommandError::BadInput(error.to_string()))?;
+    let code = runtime()?.block_on(bramblewheel_control::run(settings));
+    if code == ExitCode::SUCCESS {
+        return Ok(());
+    }
+    Err(CommandError::Broken(
+        "the replica did not stop as planned".to_owned(),
+    ))
+}
+
+fn runtime() -> std::io::Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()
+}
+
+/// Ties the process to its parent, and ends it on a panic: a panic is a broken invariant.
+fn begin() {
+    end_with_parent();
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::abort();
+    }));
 }
--- a/crates/bramblewheel-lab/src/process/child.rs
+++ b/crates/bramblewheel-lab/src/process/child.rs
@@ -154,6 +154,11 @@
         })
     }
 
+    /// Its process id, for looking at what it uses; only while it has not ended.
+    pub fn id(&self) -> u32 {
+        self.pid.as_raw_nonzero().get().unsigned_abs()
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
