--- a/crates/bramblewheel-lab/src/commands/hidden.rs
+++ b/crates/bramblewheel-lab/src/commands/hidden.rs
@@ -3,9 +3,7 @@
 //! They end when their standard input ends, so that none outlives the fleet runner.
 
 use crate::error::CommandError;
-use crate::signals;
 use crate::stdin_commands::end_with_parent;
-use bramblewheel_daemon::logging;
 use gumdrop::Options;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -30,21 +28,12 @@
 /// # Errors
 /// [`CommandError`] when it can't start.
 pub fn run_daemon(options: SettingsOptions) -> Result<(), CommandError> {
-    begin();
+    end_with_parent();
     let overrides = bramblewheel_daemon::settings::Overrides::default();
     let settings = bramblewheel_daemon::Settings::load(&options.settings, overrides)
         .map_err(|error| CommandError::BadInput(error.to_string()))?;
-    runtime()?.block_on(async {
-        let log = logging::logger(settings.log.level.into());
-        let mut stop = signals::stop()?;
-        let mut daemon = bramblewheel_daemon::run(settings, log)
-            .await
-            .map_err(|error| CommandError::Broken(error.to_string()))?;
-        stop.wait().await;
-        daemon.drain();
-        daemon.stopped().await;
-        Ok(())
-    })
+    bramblewheel_daemon::process::run(settings)
+        .map_err(|error| CommandError::Broken(error.to_string()))
 }
 
 /// Runs one control replica until it is told to stop.
