--- a/crates/bramblewheel-lab/src/bench/scale/mod.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/mod.rs
@@ -1,6 +1,7 @@
 //! Work of daemons and replicas at the size to come: real replicas, hollow daemons.
 
 mod bundles;
+mod claims;
 mod deployment;
 mod fit;
 mod group;
@@ -19,6 +20,8 @@
 use crate::error::CommandError;
 use deployment::Deployment;
 use measure::measure;
+use options::Part;
+use std::time::Duration;
 
 /// Runs the command.
 ///
@@ -29,12 +32,25 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(run_fleets(&options))
+    report::print_head(&options);
+    for part in options.parts()? {
+        match part {
+            Part::Fleets => runtime.block_on(run_fleets(&options))?,
+            Part::Claims => runtime.block_on(run_claims(&options))?,
+            Part::Ledger => claims::print_kept(&claims::measure_kept()?),
+        }
+    }
+    Ok(())
+}
+
+async fn run_claims(options: &ScaleOptions) -> Result<(), CommandError> {
+    let folder = tempfile::tempdir()?;
+    let length = Duration::from_secs(options.claims);
+    claims::measure_claims(folder.path(), length, options.seed).await
 }
 
 async fn run_fleets(options: &ScaleOptions) -> Result<(), CommandError> {
     let sizes = options.sizes()?;
-    report::print_head(options);
     let mut all = Vec::new();
     for daemons in sizes {
         let folder = tempfile::tempdir()?;
--- a/crates/bramblewheel-lab/src/bench/scale/options.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/options.rs
@@ -11,10 +11,14 @@
 #[options(help = "\
 Runs three real control replicas and fleets of hollow daemons in one process, and measures
 processor time, memory and traffic of the replicas and the daemons: at rest, under changes of the
-bundle, restarts, the loss of a zone, of a region and of the leader. Ends with key=value lines.")]
+bundle, restarts, the loss of a zone, of a region and of the leader. Then claims run-once
+operations through such a group, and fills a ledger. Prints key=value lines.")]
 pub struct ScaleOptions {
     /// print help
     pub help: bool,
+    /// what to measure: fleets, claims, ledger
+    #[options(no_short, meta = "PART,...", default = "fleets,claims,ledger")]
+    pub parts: String,
     /// numbers of daemons, one fleet after the other
     #[options(no_short, meta = "N,N,...", default = "100,300,1000,3600")]
     pub daemons: String,
@@ -36,6 +40,9 @@
     /// time between two restarts, in milliseconds
     #[options(no_short, meta = "MS", default = "200")]
     pub restart_interval: u64,
+    /// seconds of each load of claims
+    #[options(no_short, meta = "SECONDS", default = "3")]
+    pub claims: u64,
     /// leave out the losses of zones, regions and the leader
     #[options(no_short)]
     pub no_losses: bool,
@@ -44,7 +51,34 @@
     pub report: Option<PathBuf>,
 }
 
+/// What the bench can measure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Replicas under fleets of hollow daemons.
+    Fleets,
+    /// Claims a second.
+    Claims,
+    /// Keeping operations.
+    Ledger,
+}
+
 impl ScaleOptions {
+    /// What to measure, in order.
+    ///
+    /// # Errors
+    /// [`CommandError::BadInput`] for an unknown name.
+    pub fn parts(&self) -> Result<Vec<Part>, CommandError> {
+        let parse = |text: &str| match text.trim() {
+            "fleets" => Ok(Part::Fleets),
+            "claims" => Ok(Part::Claims),
+            "ledger" => Ok(Part::Ledger),
+            _ => Err(CommandError::BadInput(format!(
+                "--parts: `{text}` is none of fleets, claims, ledger"
+            ))),
+        };
+        self.parts.split(',').map(parse).collect()
+    }
+
     /// Sizes of the fleets.
     ///
     /// # Errors
