--- a/crates/bramblewheel-core/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-core/src/inbound/dispatch.rs
@@ -37,6 +37,7 @@
             self.inbound.level.record_shed();
             return self.end_not_run(attempt, NotRunReason::DeadlineExceeded, actions);
         }
+        self.inbound.level.record_served();
         self.inbound.running += 1;
         if attempt.context.operation.is_some() {
             self.begin_claim(now, attempt, actions);
@@ -116,7 +117,9 @@
         let running = self.inbound.running;
         let duration = now.since(since);
         match result {
-            DispatchResult::Answered { .. } => {
+            // A failed request mostly ended early, so that its time says nothing of a whole one's.
+            DispatchResult::Answered { failed: true, .. } => {}
+            DispatchResult::Answered { failed: false, .. } => {
                 let route = self.route_number(context);
                 self.inbound.service_times.record(now, route, duration);
                 self.inbound.limit.record(now, duration, running);
--- a/crates/bramblewheel-core/src/inbound/level.rs
+++ b/crates/bramblewheel-core/src/inbound/level.rs
@@ -1,7 +1,7 @@
 //! Admission level from queueing delay, told to callers so that they shed before sending.
 //!
-//! At the end of each window the level moves: up, so that about a twentieth less of what was
-//! offered passes, while the mean queueing delay is too long; down by a small step otherwise. A
+//! At the end of each window the level moves: up, while the mean queueing delay is too long, so
+//! that what passes is what was served, or a twentieth less; down by a small step otherwise. A
 //! histogram of the offered requests over (class, cohort) says how far to move. Down is slower
 //! than up, and both are relative, so that callers do not swing between all and nothing; only
 //! when slots are clearly free does the level fall fast.
@@ -15,8 +15,10 @@
 const WINDOW: Duration = Duration::from_millis(200);
 /// Mean queueing delay from which the endpoint counts as overloaded.
 const TARGET_DELAY: Duration = Duration::from_millis(20);
-/// Share of the admitted load that is taken off in an overloaded window.
+/// Smallest share of the admitted load that is taken off in an overloaded window.
 const DECREASE: f64 = 0.05;
+/// Largest share of the admitted load that is taken off in one window.
+const MAX_DECREASE: f64 = 0.5;
 /// Share of the admitted load that is added in a window without overload.
 const INCREASE: f64 = 0.02;
 /// Positions over all classes.
@@ -25,8 +27,11 @@
 const IDLE_USE: f64 = 0.75;
 /// Steps down per window while there is no overload.
 const FALL_STEPS: u128 = COHORT_COUNT as u128 / 8;
-/// Steps down per window while there is clearly room, so that refusals end soon after a surge.
+/// Steps down in the first window with clearly room; doubled with each further one in a row, so
+/// that refusals end soon after a surge.
 const IDLE_FALL_STEPS: u128 = COHORT_COUNT as u128 / 2;
+/// Most doublings of the steps down.
+const MAX_IDLE_DOUBLINGS: u32 = 3;
 /// The level never passes this, so that some of the most important calls always come through.
 const MAX_POSITION: usize = POSITIONS - COHORT_COUNT as usize / 4;
 
@@ -38,9 +43,12 @@
     window_end: Timestamp,
     delay_sum: Duration,
     delays: u32,
+    served: u32,
     has_shed: bool,
     use_sum: f64,
     uses: u32,
+    /// Windows with clearly room in a row.
+    idle_windows: u32,
 }
 
 impl LevelController {
@@ -52,9 +60,11 @@
             window_end: Timestamp::ZERO,
             delay_sum: Duration::ZERO,
             delays: 0,
+            served: 0,
             has_shed: false,
             use_sum: 0.0,
             uses: 0,
+            idle_windows: 0,
         }
     }
 
@@ -85,6 +95,11 @@
         self.delays += 1;
     }
 
+    /// Counts a request that was taken out of the queue to run.
+    pub fn record_served(&mut self) {
+        self.served += 1;
+    }
+
     /// Notes how many of the slots were in use when a request arrived.
     pub fn record_use(&mut self, running: u32, limit: u32) {
         self.use_sum += f64::from(running) / f64::from(limit.max(1));
@@ -112,6 +127,7 @@
         self.offered.fill(0);
         self.delay_sum = Duration::ZERO;
         self.delays = 0;
+        self.served = 0;
         self.has_shed = false;
         self.use_sum = 0.0;
         self.uses = 0;
@@ -126,7 +142,12 @@
     }
 
     fn rise(&mut self) {
-        let excess = (self.admitted() as f64 * DECREASE).ceil() as u64;
+        self.idle_windows = 0;
+        let admitted = self.admitted();
+        let least = (admitted as f64 * DECREASE).ceil() as u64;
+        let most = (admitted as f64 * MAX_DECREASE).ceil() as u64;
+        let excess = admitted.saturating_sub(u64::from(self.served));
+        let excess = excess.clamp(least, most);
         let mut taken_off = 0;
         while taken_off < excess && self.position < MAX_POSITION {
             taken_off += u64::from(self.offered[self.position]);
@@ -139,10 +160,14 @@
     /// count is not needed.
     fn fall(&mut self, windows: u128) {
         if self.has_room() {
-            let steps = usize::try_from(IDLE_FALL_STEPS * windows).unwrap_or(POSITIONS);
+            let doublings = self.idle_windows.min(MAX_IDLE_DOUBLINGS);
+            let steps = (IDLE_FALL_STEPS << doublings) * windows;
+            let steps = usize::try_from(steps).unwrap_or(POSITIONS);
             self.position = self.position.saturating_sub(steps);
+            self.idle_windows += 1;
             return;
         }
+        self.idle_windows = 0;
         let room = (self.admitted() as f64 * INCREASE).ceil() as u64;
         let max_steps = FALL_STEPS * windows;
         let mut steps = 0;
--- a/crates/bramblewheel-core/src/route/choice.rs
+++ b/crates/bramblewheel-core/src/route/choice.rs
@@ -147,7 +147,7 @@
         let Some(state) = self.endpoints.get(endpoint) else {
             return false;
         };
-        if !state.takes_new_work(wanted.now) {
+        if !state.takes_new_work(wanted.now) || state.outstanding >= wanted.policy.max_connections {
             return false;
         }
         let is_tried = wanted.tried.contains(endpoint);
--- a/crates/bramblewheel-core/tests/admission.rs
+++ b/crates/bramblewheel-core/tests/admission.rs
@@ -4,7 +4,9 @@
 
 use bramblewheel_core::action::Action;
 use bramblewheel_core::cohort::shedding_position;
-use bramblewheel_core::event::{AdmissionLevel, AttemptResult, EndpointReport, Event, Feedback};
+use bramblewheel_core::event::{
+    AdmissionLevel, AttemptResult, DispatchResult, EndpointReport, Event, Feedback, StoredAnswer,
+};
 use bramblewheel_core::inbound::level::LevelController;
 use bramblewheel_core::inbound::limit::ConcurrencyLimit;
 use bramblewheel_core::inbound::queue::{AdmissionQueue, Importance, Offer, ServiceOrder};
@@ -12,8 +14,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use support::{
-    Daemon, admission, at, attempt_answer, bundle, call_answer, dispatches, for_seeds, inbound,
-    operation, reason, root_call, sent, succeeded,
+    Daemon, admission, at, attempt_answer, bundle, call_answer, context, dispatches, for_seeds,
+    inbound, operation, reason, root_call, sent, succeeded,
 };
 
 #[test]
@@ -140,6 +142,50 @@
     assert_eq!(limit.observed(), 10);
 }
 
+/// Each of the running requests takes the same time whatever the limit: sub-calls are slow.
+#[test]
+fn the_limit_stays_when_fewer_requests_would_not_be_quicker() {
+    let mut limit = ConcurrencyLimit::new(2, 40);
+    let mut now = at(0);
+    let mut lowest = 40;
+    let mut windows_lowered = 0;
+    let mut feed = |limit: &mut ConcurrencyLimit, millis: u64, samples| {
+        for _ in 0..samples {
+            let running = limit.observed();
+            now += Duration::from_micros(millis * 1_000 / u64::from(running));
+            limit.record(now, Duration::from_millis(millis), running);
+            lowest = lowest.min(running);
+            windows_lowered += u32::from(running < 40);
+        }
+    };
+    feed(&mut limit, 10, 2_000);
+    feed(&mut limit, 50, 6_000);
+    assert_eq!(limit.observed(), 40);
+    assert!(lowest >= 30, "the limit fell to {lowest}");
+    assert!(windows_lowered < 600, "low for {windows_lowered} requests");
+}
+
+#[test]
+fn requests_that_fail_early_do_not_make_whole_ones_look_slow() {
+    let bundle = bundle(&["a"], 8, admission(0, 8));
+    let mut daemon = Daemon::new("a-0", Some("a"), 1, bundle);
+    let run = |daemon: &mut Daemon, id: u64, failed: bool, takes: u64| {
+        let begins = at(id * 100);
+        let mut context = context(id, Criticality::Normal, None);
+        context.deadline = begins + Duration::from_secs(1);
+        let actions = daemon.step(begins, Event::InboundCall { context });
+        assert!(dispatches(&actions, id));
+        let attempt = AttemptId(id);
+        let stored = StoredAnswer::default();
+        let result = DispatchResult::Answered { failed, stored };
+        let ends = begins + Duration::from_millis(takes);
+        daemon.step(ends, Event::DispatchEnded { attempt, result });
+    };
+    (1..200).for_each(|id| run(&mut daemon, id, true, 1));
+    (200..600).for_each(|id| run(&mut daemon, id, false, 40));
+    assert_eq!(daemon.engine.metrics().concurrency_limit, 8);
+}
+
 #[test]
 fn the_level_rises_with_queueing_delay_and_falls_again() {
     let mut level = LevelController::new();
--- a/crates/bramblewheel-core/tests/routing.rs
+++ b/crates/bramblewheel-core/tests/routing.rs
@@ -178,3 +178,21 @@
         "{retries} retries"
     );
 }
+
+#[test]
+fn calls_beyond_the_connections_are_refused_at_once() {
+    let mut bundle = bundle(&["a"], 0, admission(9, 9));
+    for policy in bundle.services.values_mut() {
+        policy.routing.max_connections = 3;
+    }
+    let mut daemon = Daemon::new("gateway", None, 1, bundle);
+    daemon.step(at(0), update(vec![entry("a-0", "zone-a", false)]));
+    let (first, _) = call(&mut daemon, at(1), 1).expect("it is sent");
+    assert!(call(&mut daemon, at(1), 2).is_some());
+    assert!(call(&mut daemon, at(1), 3).is_some());
+    let actions = daemon.step(at(1), root_call(4, "a", "/", None));
+    let answer = call_answer(&actions).expect("no connection is free");
+    assert_eq!(reason(answer.outcome), Some(NotRunReason::Overloaded));
+    end(&mut daemon, at(2), first, completed(10));
+    assert!(call(&mut daemon, at(2), 5).is_some());
+}
--- a/crates/bramblewheel-core/tests/support/mod.rs
+++ b/crates/bramblewheel-core/tests/support/mod.rs
@@ -68,7 +68,7 @@
             spill_over_percent: 80,
             slow_start: Millis(0),
             max_ejected_percent: 50,
-            max_connections: 8,
+            max_connections: 1_024,
         },
         routes: vec![RoutePolicy {
             prefix: RUN_ONCE_PATH.to_owned(),
