--- a/crates/bramblewheel-lab/src/bench/scale/hollow/daemon.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/hollow/daemon.rs
@@ -172,7 +172,7 @@
             self.choice.next_replica();
             return false;
         };
-        let bundle = news.map(|bundle| self.shared.intern(bundle));
+        let bundle = news.map(|news| self.shared.intern(news.bundle));
         if let Some(bundle) = &bundle {
             self.shared.counters.put_in_force(bundle.version.0);
         }
