Tell the leader of daemons that start together in two messages

In a trial with 3,600 daemons that connect at one moment most first polls were told NoQuorum. A follower sent a registration and a read request to the leader for each of them: 2,400 messages for 1,200 daemons, and at most 1,024 wait for one replica. Registrations and reads that arrive together now share a message each.

--- a/crates/bramblewheel-control/src/node/daemons.rs
+++ b/crates/bramblewheel-control/src/node/daemons.rs
@@ -51,8 +51,20 @@
         }
         if self.is_leader() {
             self.queue.register(registration.clone());
-        } else if let Some(leader) = self.replica.leader() {
-            let message = PeerMessage::Registrations(vec![registration.clone()]);
+        } else {
+            self.untold_registrations.push(registration.clone());
+        }
+    }
+
+    /// Tells the leader of all daemons that said something new, in one message.
+    pub(super) fn forward_registrations(&mut self) {
+        let registrations = std::mem::take(&mut self.untold_registrations);
+        if registrations.is_empty() {
+            return;
+        }
+        // Without a leader they are found to be missing again with the next poll.
+        if let Some(leader) = self.replica.leader() {
+            let message = PeerMessage::Registrations(registrations);
             self.messages.push((leader, message));
         }
     }
--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -28,7 +28,7 @@
 pub use output::{ClientRequestId, NodeOutput};
 
 use crate::state::{ControlState, LoggedCommand, MalformedState, Outcome};
-use bramblewheel_protocol::control::{ReplicaAddress, ReplyBody, Unavailable};
+use bramblewheel_protocol::control::{Registration, ReplicaAddress, ReplyBody, Unavailable};
 use bramblewheel_replication::{
     ProposalId, Replica, ReplicaConfig, ReplicaId, RestoredState, Role, Snapshot, Write,
 };
@@ -104,6 +104,8 @@
     replacement: Option<Replacement>,
     /// Addresses that replicas stated when they connected.
     introduced: BTreeMap<u64, ReplicaAddress>,
+    /// Registrations the leader is to be told with the next output.
+    untold_registrations: Vec<Registration>,
     messages: Vec<(ReplicaId, PeerMessage)>,
     replies: Vec<(ClientRequestId, ReplyBody)>,
     bootstrap_write: Option<Write>,
@@ -143,6 +145,7 @@
             leases: Leases::default(),
             replacement: None,
             introduced,
+            untold_registrations: Vec::new(),
             messages: Vec::new(),
             replies: Vec::new(),
             bootstrap_write: None,
@@ -227,6 +230,8 @@
             };
         }
         self.propose_queued();
+        self.forward_registrations();
+        self.forward_reads();
         let output = self.replica.take_output();
         self.install(output.installed_snapshot);
         let changes = self.apply(output.committed);
--- a/crates/bramblewheel-control/src/node/reading.rs
+++ b/crates/bramblewheel-control/src/node/reading.rs
@@ -18,15 +18,37 @@
         if self.replica.read(self.now.monotonic, ReadId(id)).is_ok() {
             return self.reads.start(ReadId(id), reader);
         }
-        match self.replica.leader() {
-            Some(leader) => {
-                self.messages
-                    .push((leader, PeerMessage::ReadRequest { id }));
-                let until = self.now.monotonic + READ_TIMEOUT;
-                self.reads.forward(id, reader, until);
+        if self.replica.leader().is_some() {
+            self.reads.gather(reader);
+        } else {
+            self.fail_read(reader);
+        }
+    }
+
+    /// Asks the leader for one read that serves all that were gathered.
+    pub(super) fn forward_reads(&mut self) {
+        let readers = self.reads.take_gathered();
+        if readers.is_empty() {
+            return;
+        }
+        if self.is_leader() {
+            // Elected since they came.
+            for reader in readers {
+                self.start_read(reader);
             }
-            None => self.fail_read(reader),
+            return;
         }
+        let Some(leader) = self.replica.leader() else {
+            for reader in readers {
+                self.fail_read(reader);
+            }
+            return;
+        };
+        let id = self.fresh_id();
+        self.messages
+            .push((leader, PeerMessage::ReadRequest { id }));
+        let until = self.now.monotonic + READ_TIMEOUT;
+        self.reads.forward(id, readers, until);
     }
 
     /// Another replica asks this one as the leader; one that does not lead stays silent.
--- a/crates/bramblewheel-control/src/node/reads.rs
+++ b/crates/bramblewheel-control/src/node/reads.rs
@@ -24,10 +24,10 @@
     },
 }
 
-/// A read the leader was asked for by this follower.
+/// A read the leader was asked for by this follower, for all that came together.
 #[derive(Debug)]
 struct ForwardedRead {
-    reader: Reader,
+    readers: Vec<Reader>,
     until: Timestamp,
     /// Entry the state must include, once the leader has answered.
     index: Option<u64>,
@@ -37,6 +37,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Reads {
     own: BTreeMap<ReadId, Reader>,
+    /// To be asked of the leader with the next output.
+    gathered: Vec<Reader>,
     forwarded: BTreeMap<u64, ForwardedRead>,
 }
 
@@ -49,9 +51,17 @@
         self.own.remove(&id)
     }
 
-    pub(super) fn forward(&mut self, id: u64, reader: Reader, until: Timestamp) {
+    pub(super) fn gather(&mut self, reader: Reader) {
+        self.gathered.push(reader);
+    }
+
+    pub(super) fn take_gathered(&mut self) -> Vec<Reader> {
+        std::mem::take(&mut self.gathered)
+    }
+
+    pub(super) fn forward(&mut self, id: u64, readers: Vec<Reader>, until: Timestamp) {
         let read = ForwardedRead {
-            reader,
+            readers,
             until,
             index: None,
         };
@@ -76,6 +86,6 @@
 
     fn take_forwarded(&mut self, is_it: impl Fn(&ForwardedRead) -> bool) -> Vec<Reader> {
         let taken = self.forwarded.extract_if(.., |_, read| is_it(read));
-        taken.map(|(_, read)| read.reader).collect()
+        taken.flat_map(|(_, read)| read.readers).collect()
     }
 }
--- a/crates/bramblewheel-control/tests/group.rs
+++ b/crates/bramblewheel-control/tests/group.rs
@@ -525,3 +525,26 @@
     cluster.heal();
     assert_eq!(cluster.wait_for(waiting), ReplyBody::Done);
 }
+
+/// All daemons of a follower start at one moment: what the leader is told fits into few messages,
+/// so that none is lost for want of room between the replicas.
+#[test]
+fn daemons_that_start_together_cost_few_messages() {
+    let mut cluster = Cluster::bootstrapped(17, MANY);
+    let leader = cluster.settle();
+    let follower = others(leader)[0];
+    let body = |number: usize| {
+        let name = format!("k-{number}");
+        poll_body(poll(registration(&name, "kassa", 1), 0, &["kassa"]))
+    };
+    let (ids, messages) = cluster.send_together(follower, (0..1200).map(body).collect());
+    assert!(messages <= 4, "{messages} messages");
+    for id in ids {
+        assert_eq!(polled(cluster.wait_for(id)).bundle, Some(signed(1, 1)));
+    }
+    cluster.run(Duration::from_secs(1));
+    assert_eq!(
+        cluster.node(leader).state().directory().daemons().count(),
+        1200
+    );
+}
--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -209,6 +209,25 @@
         id
     }
 
+    /// Sends requests that arrive together; returns them and how many messages that caused.
+    pub fn send_together(
+        &mut self,
+        machine: usize,
+        bodies: Vec<RequestBody>,
+    ) -> (Vec<ClientRequestId>, usize) {
+        let before = self.network.len();
+        let now = self.clocks();
+        let mut ids = Vec::new();
+        for body in bodies {
+            self.sequence += 1;
+            let id = ClientRequestId(self.sequence);
+            ids.push(id);
+            self.node_mut(machine).request(now, id, body);
+        }
+        self.drive(machine);
+        (ids, self.network.len() - before)
+    }
+
     pub fn reply(&mut self, id: ClientRequestId) -> Option<ReplyBody> {
         self.replies.remove(&id)
     }
