--- a/crates/bramblewheel-control/src/node/daemons.rs
+++ b/crates/bramblewheel-control/src/node/daemons.rs
@@ -50,6 +50,7 @@
             return;
         }
         if self.is_leader() {
+            self.leases.begin(self.now.monotonic, registration);
             self.queue.register(registration.clone());
         } else {
             self.untold_registrations.push(registration.clone());
@@ -86,7 +87,7 @@
 
     fn has_news(&self, poll: &PollRequest) -> bool {
         let directory = self.state.directory();
-        let bundle = self.state.bundles().next_for(poll.bundle_version);
+        let bundle = self.state.bundles().newer_than(poll.bundle_version);
         bundle.is_some() || directory.has_news(&poll.services, poll.directory_revision)
     }
 
@@ -116,10 +117,12 @@
         }
         let directory = self.state.directory();
         let delta = directory.delta(&poll.services, poll.directory_revision);
-        let bundle = self.state.bundles().next_for(poll.bundle_version);
+        let bundles = self.state.bundles();
+        let (operator_changes, bundle) = self.bundle_news.news(bundles, poll);
         let reply = PollReply {
             position: self.state.position(),
-            bundle: bundle.cloned(),
+            operator_changes,
+            bundle,
             directory_revision: directory.revision(),
             directory_is_complete: delta.is_complete,
             live: delta.live,
--- a/crates/bramblewheel-core/tests/admission.rs
+++ b/crates/bramblewheel-core/tests/admission.rs
@@ -4,7 +4,10 @@
 
 use bramblewheel_core::action::Action;
 use bramblewheel_core::cohort::shedding_position;
-use bramblewheel_core::event::{AdmissionLevel, AttemptResult, EndpointReport, Event, Feedback};
+use bramblewheel_core::event::{
+    AdmissionLevel, AttemptResult, ClaimAnswer, DispatchResult, EndpointReport, Event, Feedback,
+    StoredAnswer,
+};
 use bramblewheel_core::inbound::level::LevelController;
 use bramblewheel_core::inbound::limit::ConcurrencyLimit;
 use bramblewheel_core::inbound::queue::{AdmissionQueue, Importance, Offer, ServiceOrder};
@@ -12,8 +15,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use support::{
-    Daemon, admission, at, attempt_answer, bundle, call_answer, dispatches, for_seeds, inbound,
-    operation, reason, root_call, sent, succeeded,
+    Daemon, admission, at, attempt_answer, bundle, call_answer, context, dispatches, for_seeds,
+    inbound, operation, reason, root_call, sent, sub_call, succeeded,
 };
 
 #[test]
@@ -140,6 +143,50 @@
     assert_eq!(limit.observed(), 10);
 }
 
+/// Each of the running requests takes the same time whatever the limit: sub-calls are slow.
+#[test]
+fn the_limit_stays_when_fewer_requests_would_not_be_quicker() {
+    let mut limit = ConcurrencyLimit::new(2, 40);
+    let mut now = at(0);
+    let mut lowest = 40;
+    let mut windows_lowered = 0;
+    let mut feed = |limit: &mut ConcurrencyLimit, millis: u64, samples| {
+        for _ in 0..samples {
+            let running = limit.observed();
+            now += Duration::from_micros(millis * 1_000 / u64::from(running));
+            limit.record(now, Duration::from_millis(millis), running);
+            lowest = lowest.min(running);
+            windows_lowered += u32::from(running < 40);
+        }
+    };
+    feed(&mut limit, 10, 2_000);
+    feed(&mut limit, 50, 6_000);
+    assert_eq!(limit.observed(), 40);
+    assert!(lowest >= 30, "the limit fell to {lowest}");
+    assert!(windows_lowered < 600, "low for {windows_lowered} requests");
+}
+
+#[test]
+fn requests_that_fail_early_do_not_make_whole_ones_look_slow() {
+    let bundle = bundle(&["a"], 8, admission(0, 8));
+    let mut daemon = Daemon::new("a-0", Some("a"), 1, bundle);
+    let run = |daemon: &mut Daemon, id: u64, failed: bool, takes: u64| {
+        let begins = at(id * 100);
+        let mut context = context(id, Criticality::Normal, None);
+        context.deadline = begins + Duration::from_secs(1);
+        let actions = daemon.step(begins, Event::InboundCall { context });
+        assert!(dispatches(&actions, id));
+        let attempt = AttemptId(id);
+        let stored = StoredAnswer::default();
+        let result = DispatchResult::Answered { failed, stored };
+        let ends = begins + Duration::from_millis(takes);
+        daemon.step(ends, Event::DispatchEnded { attempt, result });
+    };
+    (1..200).for_each(|id| run(&mut daemon, id, true, 1));
+    (200..600).for_each(|id| run(&mut daemon, id, false, 40));
+    assert_eq!(daemon.engine.metrics().concurrency_limit, 8);
+}
+
 #[test]
 fn the_level_rises_with_queueing_delay_and_falls_again() {
     let mut level = LevelController::new();
@@ -229,3 +276,40 @@
     let actions = daemon.step(at(3_000), Event::InboundCall { context });
     assert!(dispatches(&actions, 102));
 }
+
+#[test]
+fn the_level_below_a_route_is_told_for_that_route() {
+    let bundle = bundle(&["a", "b"], 8, admission(8, 8));
+    let mut daemon = Daemon::new("a-0", Some("a"), 1, bundle);
+    daemon.know(&["b-0"], "b");
+    daemon.step(at(1), inbound(1, Criticality::Normal, None));
+    let actions = daemon.step(at(2), sub_call(10, "b", AttemptId(1), 1));
+    let (attempt, _) = sent(&actions).expect("the sub-call is sent");
+    let below = AdmissionLevel {
+        criticality: Criticality::Normal,
+        cohort: 40,
+    };
+    let feedback = Feedback {
+        admission_level: below,
+        ..Default::default()
+    };
+    let outcome = Outcome::Completed;
+    let result = AttemptResult::Answered { outcome, feedback };
+    daemon.step(at(3), Event::AttemptEnded { attempt, result });
+    let ended = |id| Event::DispatchEnded {
+        attempt: AttemptId(id),
+        result: succeeded(),
+    };
+    let actions = daemon.step(at(4), ended(1));
+    let (_, feedback) = attempt_answer(&actions, 1).expect("it is answered");
+    assert_eq!(feedback.admission_level, below);
+
+    let once = inbound(2, Criticality::Normal, Some(operation("other-route")));
+    daemon.step(at(5), once);
+    let attempt = AttemptId(2);
+    let answer = ClaimAnswer::Granted;
+    daemon.step(at(6), Event::ClaimAnswered { attempt, answer });
+    let actions = daemon.step(at(7), ended(2));
+    let (_, feedback) = attempt_answer(&actions, 2).expect("it is answered");
+    assert_eq!(feedback.admission_level, AdmissionLevel::default());
+}
--- a/crates/bramblewheel-daemon/src/control/intake.rs
+++ b/crates/bramblewheel-daemon/src/control/intake.rs
@@ -2,10 +2,10 @@
 //!
 //! Pure: the simulator's daemons follow the same rule.
 
-use super::verify::{RefusedBundle, check_offer, decode};
-use bramblewheel_bundle::Bundle;
+use super::verify::{NewBundle, RefusedBundle, check_delta, check_whole, decode, follow};
+use bramblewheel_bundle::{Bundle, TrustedOperators};
 use bramblewheel_protocol::control::{
-    LogPosition, PollReply, PollRequest, Registration, SignedBundle,
+    BundleNews, LogPosition, PollReply, PollRequest, Registration, SignedBundle,
 };
 use bramblewheel_types::{BundleVersion, Millis, ServiceName};
 use std::sync::Arc;
@@ -43,6 +43,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Intake {
     bundle: Option<Arc<Bundle>>,
+    /// Who may sign the next bundle: at first the operators of the bundle in force. Kept in memory
+    /// only; after a restart the changes are followed again.
+    operators: Option<TrustedOperators>,
+    /// A delta did not lead to the bundle it stated.
+    needs_whole_bundle: bool,
     position: LogPosition,
     directory_revision: u64,
 }
@@ -51,6 +56,7 @@
     /// Begins with the bundle that was synced last.
     pub fn new(bundle: Option<Arc<Bundle>>) -> Self {
         Self {
+            operators: bundle.as_deref().map(TrustedOperators::of),
             bundle,
             ..Self::default()
         }
@@ -68,9 +74,12 @@
 
     /// The next question.
     pub fn request(&self, registration: Registration, services: Vec<ServiceName>) -> PollRequest {
+        let operators = self.operators.as_ref();
         PollRequest {
             registration,
             bundle_version: self.bundle.as_ref().map(|b| b.version).unwrap_or_default(),
+            operators_version: operators.map(|o| o.version()).unwrap_or_default(),
+            whole_bundle: self.needs_whole_bundle,
             position: self.position,
             directory_revision: self.directory_revision,
             services,
@@ -78,33 +87,51 @@
         }
     }
 
-    /// Checks an answer; hands back the bundle that must be synced and put in force first, if
-    /// there is a new one.
+    /// Checks an answer and follows the changes of the operators in it; hands back the bundle that
+    /// must be synced and put in force first, if there is a new one.
     ///
     /// # Errors
-    /// [`RefusedReply`]; nothing of the answer may be used.
-    pub fn check(&self, reply: &PollReply) -> Result<Option<Bundle>, RefusedReply> {
+    /// [`RefusedReply`]; nothing else of the answer may be used.
+    pub fn check(&mut self, reply: &PollReply) -> Result<Option<NewBundle>, RefusedReply> {
         if reply.position.index < self.position.index {
             return Err(RefusedReply::Stale {
                 offered: reply.position,
                 seen: self.position,
             });
         }
-        let Some(offered) = &reply.bundle else {
-            return Ok(None);
-        };
+        if let Some(operators) = &mut self.operators {
+            follow(operators, &reply.operator_changes)?;
+        }
+        match &reply.bundle {
+            None => Ok(None),
+            Some(BundleNews::Whole(offered)) => self.check_whole(offered),
+            Some(BundleNews::Delta(offered)) => {
+                let operators = self.operators.as_ref();
+                let checked = check_delta(offered, self.bundle.as_deref(), operators);
+                self.needs_whole_bundle |= matches!(
+                    checked,
+                    Err(RefusedBundle::Delta { .. } | RefusedBundle::OtherStart { .. })
+                );
+                Ok(Some(checked?))
+            }
+        }
+    }
+
+    fn check_whole(&self, offered: &SignedBundle) -> Result<Option<NewBundle>, RefusedReply> {
         let in_force = self.bundle.as_deref();
         if let Some(current) = in_force.filter(|b| b.version == offered.version) {
             confirm_same(offered, current)?;
             return Ok(None);
         }
-        Ok(Some(check_offer(offered, in_force)?))
+        Ok(Some(check_whole(offered, self.operators.as_ref())?))
     }
 
     /// Takes over an answer that was checked, with its bundle, which is synced.
     pub fn take(&mut self, reply: &PollReply, bundle: Option<Arc<Bundle>>) {
-        if bundle.is_some() {
-            self.bundle = bundle;
+        if let Some(bundle) = bundle {
+            self.operators = Some(TrustedOperators::of(&bundle));
+            self.bundle = Some(bundle);
+            self.needs_whole_bundle = false;
         }
         self.position = reply.position;
         self.directory_revision = reply.directory_revision;
--- a/crates/bramblewheel-lab/src/bench/latency/mod.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/mod.rs
@@ -6,8 +6,6 @@
 //! Daemons and endpoint are processes of their own, on loopback.
 
 mod alternation;
-mod control;
-mod cpu;
 mod endpoint;
 mod load;
 mod report;
@@ -15,6 +13,7 @@
 #[cfg(test)]
 mod tests;
 mod topology;
+mod usage;
 
 use crate::error::CommandError;
 use alternation::Plan;
