--- a/crates/bramblewheel-control/tests/group.rs
+++ b/crates/bramblewheel-control/tests/group.rs
@@ -590,7 +590,8 @@
     let (ids, messages) = cluster.send_together(follower, (0..1200).map(body).collect());
     assert!(messages <= 4, "{messages} messages");
     for id in ids {
-        assert_eq!(polled(cluster.wait_for(id)).bundle, Some(signed(1, 1)));
+        let bundle = polled(cluster.wait_for(id)).bundle;
+        assert_eq!(bundle, Some(BundleNews::Whole(signed(1, 1))));
     }
     cluster.run(Duration::from_secs(1));
     assert_eq!(
