--- a/crates/bramblewheel-lab/src/bench/latency/control.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/control.rs
@@ -5,8 +5,8 @@
 use crate::error::CommandError;
 use bramblewheel_protocol::codec::{MAX_CONTROL_FRAME, read_frame, write_frame};
 use bramblewheel_protocol::control::{
-    ControlReply, ControlRequest, DirectoryEntry, LogPosition, PollReply, PollRequest, ReplyBody,
-    RequestBody, SignedBundle, Unavailable,
+    BundleNews, ControlReply, ControlRequest, DirectoryEntry, LogPosition, PollReply, PollRequest,
+    ReplyBody, RequestBody, SignedBundle, Unavailable,
 };
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -93,7 +93,8 @@
                 index: revision,
                 term: 1,
             },
-            bundle: (!is_held).then(|| self.bundle.clone()),
+            operator_changes: Vec::new(),
+            bundle: (!is_held).then(|| BundleNews::Whole(self.bundle.clone())),
             directory_revision: revision,
             directory_is_complete: true,
             live: self.directory().clone(),
