--- a/crates/bramblewheel-daemon/src/process.rs
+++ b/crates/bramblewheel-daemon/src/process.rs
@@ -6,8 +6,8 @@
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 
-/// Threads that carry the calls. `docs/design/11-latency.md` says why two.
-const WORKER_THREADS: usize = 2;
+/// Threads that carry the calls. `docs/design/11-latency.md` says why four.
+const WORKER_THREADS: usize = 4;
 
 /// A daemon's process can't go on; the text is one line.
 #[derive(Debug, Error)]
--- a/crates/bramblewheel-lab/src/commands/hidden.rs
+++ b/crates/bramblewheel-lab/src/commands/hidden.rs
@@ -9,7 +9,7 @@
 use std::process::ExitCode;
 use tokio::runtime::{Builder, Runtime};
 
-/// Threads of a process, as in the daemon's and the replica's own programs.
+/// Threads of a replica, as in its own program.
 const WORKER_THREADS: usize = 2;
 
 /// Arguments of `run-daemon` and `run-control`.
