--- a/crates/bramblewheel-control/src/node/applying.rs
+++ b/crates/bramblewheel-control/src/node/applying.rs
@@ -7,6 +7,10 @@
 use bramblewheel_protocol::control::{LogPosition, OperationReply, ReplyBody, Unavailable};
 use bramblewheel_replication::{Entry, LogIndex, Payload, ProposalId, ProposalResult, Snapshot};
 
+/// Bytes of commands after which the log is cut by a snapshot, however few entries they are: a
+/// bundle may be an entry of hundreds of kilobytes.
+const MAX_LOG_BYTES: usize = 64 * 1024 * 1024;
+
 impl ControlNode {
     /// Replaces the state by the leader's snapshot.
     pub(super) fn install(&mut self, snapshot: Option<Snapshot>) {
@@ -102,7 +106,9 @@
     pub(super) fn compact_if_due(&mut self) {
         let applied = LogIndex(self.state.position().index);
         let last = self.replica.snapshot_index().0;
-        if applied.0 < last + self.config.snapshot_interval || self.own_snapshot.is_some() {
+        let has_many_entries = applied.0 >= last + self.config.snapshot_interval;
+        let has_many_bytes = applied.0 > last && self.replica.log_bytes() >= MAX_LOG_BYTES;
+        if self.own_snapshot.is_some() || !(has_many_entries || has_many_bytes) {
             return;
         }
         let data = self.state.encode();
--- a/crates/bramblewheel-control/tests/group.rs
+++ b/crates/bramblewheel-control/tests/group.rs
@@ -4,8 +4,8 @@
 mod support;
 
 use bramblewheel_protocol::control::{
-    DaemonStatus, OperationAction, OperationReply, OperationRequest, PollReply, PollRequest,
-    PublishReply, ReplaceRequest, ReplyBody, RequestBody, Unavailable,
+    DaemonStatus, OperationAction, OperationAnswer, OperationReply, OperationRequest, PollReply,
+    PollRequest, PublishReply, ReplaceRequest, ReplyBody, RequestBody, Unavailable,
 };
 use bramblewheel_types::BundleVersion;
 use std::time::Duration;
@@ -144,6 +144,37 @@
     }
 }
 
+/// A bundle may be an entry of hundreds of kilobytes: ten thousand of them between two snapshots
+/// would be gigabytes, in memory and on disk.
+#[test]
+fn a_few_large_entries_cut_the_log_too() {
+    const ENTRY: usize = 4 * 1024 * 1024;
+    const ENTRIES: usize = 20;
+    let mut cluster = Cluster::bootstrapped(6, MANY);
+    for number in 0..ENTRIES {
+        let answer = OperationAnswer {
+            failed: false,
+            status: 200,
+            body: Some(vec![0; ENTRY].into()),
+        };
+        let action = OperationAction::Complete(answer);
+        operate(&mut cluster, operation("order-1", number as u64, action));
+    }
+    cluster.run(Duration::from_secs(1));
+    for machine in 0..3 {
+        let replica = cluster.node(machine).replica();
+        assert!(replica.snapshot_index().0 > 1, "machine {machine}");
+        assert!(
+            replica.log_bytes() < ENTRIES * ENTRY / 2,
+            "machine {machine}"
+        );
+    }
+    cluster.restart(0);
+    cluster.settle();
+    let reply = operate(&mut cluster, claim("order-1", 1, EPOCH));
+    assert_eq!(reply, OperationReply::Granted);
+}
+
 #[test]
 fn of_two_bundles_of_one_version_one_wins_and_the_other_is_told() {
     let mut cluster = Cluster::bootstrapped(5, MANY);
--- a/crates/bramblewheel-replication/src/log.rs
+++ b/crates/bramblewheel-replication/src/log.rs
@@ -6,6 +6,9 @@
 /// Entries kept in memory below a snapshot of our own, so that a follower a little behind gets
 /// entries rather than the whole snapshot.
 const RETAINED_ENTRIES: u64 = 1024;
+/// Most bytes of commands kept below a snapshot of our own: a few large entries would otherwise
+/// outweigh the snapshot many times over.
+const RETAINED_BYTES: usize = 8 * 1024 * 1024;
 
 /// The log in memory.
 ///
@@ -18,6 +21,8 @@
     base_index: LogIndex,
     base_term: Term,
     entries: VecDeque<Entry>,
+    /// Bytes of the commands in `entries`.
+    held_bytes: usize,
     memberships: Vec<(LogIndex, Membership)>,
 }
 
@@ -78,13 +83,22 @@
         if let Payload::Membership(membership) = &entry.payload {
             self.memberships.push((entry.index, membership.clone()));
         }
+        self.held_bytes += command_bytes(&entry);
         self.entries.push_back(entry);
     }
 
+    /// Bytes of the commands held.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
     /// Removes the entries from `index` on.
     pub(crate) fn truncate_from(&mut self, index: LogIndex) {
         let keep = index.0.saturating_sub(self.base_index.0 + 1);
-        self.entries.truncate(keep as usize);
+        let removed = self
+            .entries
+            .drain((keep as usize).min(self.entries.len())..);
+        self.held_bytes -= removed.map(|entry| command_bytes(&entry)).sum::<usize>();
         self.memberships.retain(|(at, _)| *at < index);
     }
 
@@ -93,6 +107,7 @@
         self.base_index = snapshot.index;
         self.base_term = snapshot.term;
         self.entries.clear();
+        self.held_bytes = 0;
         self.memberships = vec![(snapshot.index, snapshot.membership.clone())];
         self.snapshot = Some(snapshot);
     }
@@ -108,10 +123,26 @@
             data,
         };
         self.snapshot = Some(snapshot.clone());
-        self.drop_entries_to(LogIndex(index.0.saturating_sub(RETAINED_ENTRIES)));
+        self.drop_entries_to(self.retained_after(index));
         snapshot
     }
 
+    /// The entry up to which nothing need be kept below a snapshot at `index`.
+    fn retained_after(&self, index: LogIndex) -> LogIndex {
+        let mut first_kept = index;
+        let mut bytes = 0;
+        let covered = (index.0 - self.base_index.0) as usize;
+        let newest_first = self.entries.iter().take(covered).rev();
+        for entry in newest_first.take(RETAINED_ENTRIES as usize) {
+            bytes += command_bytes(entry);
+            if bytes > RETAINED_BYTES {
+                break;
+            }
+            first_kept = LogIndex(entry.index.0 - 1);
+        }
+        first_kept
+    }
+
     fn drop_entries_to(&mut self, index: LogIndex) {
         if index <= self.base_index {
             return;
@@ -120,7 +151,8 @@
         let (_, membership) = self.membership_at(index);
         let membership = membership.clone();
         let count = (index.0 - self.base_index.0) as usize;
-        self.entries.drain(..count);
+        let dropped = self.entries.drain(..count);
+        self.held_bytes -= dropped.map(|entry| command_bytes(&entry)).sum::<usize>();
         self.memberships.retain(|(at, _)| *at > index);
         self.memberships.insert(0, (index, membership));
         self.base_index = index;
@@ -166,3 +198,10 @@
         (candidate, Term(0))
     }
 }
+
+fn command_bytes(entry: &Entry) -> usize {
+    match &entry.payload {
+        Payload::Command(command) => command.len(),
+        Payload::Empty | Payload::Membership(_) => 0,
+    }
+}
--- a/crates/bramblewheel-replication/src/replica.rs
+++ b/crates/bramblewheel-replication/src/replica.rs
@@ -276,6 +276,11 @@
         Ok(self.log.compact(index, data))
     }
 
+    /// Bytes of the commands that the log holds in memory.
+    pub fn log_bytes(&self) -> usize {
+        self.log.held_bytes()
+    }
+
     /// When [`tick`](Self::tick) is due at the latest.
     pub fn next_wakeup(&self) -> Timestamp {
         match &self.role {
