--- a/crates/bramblewheel-lab/src/process/child.rs
+++ b/crates/bramblewheel-lab/src/process/child.rs
@@ -153,6 +153,11 @@
         written.map_err(|_| not_running())
     }
 
+    /// Its process id, for looking at what it uses; only while it has not ended.
+    pub fn id(&self) -> u32 {
+        self.pid.as_raw_nonzero().get().unsigned_abs()
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
