--- a/crates/bramblewheel-lab/src/endpoint/mod.rs
+++ b/crates/bramblewheel-lab/src/endpoint/mod.rs
@@ -7,6 +7,8 @@
 mod slots;
 mod state;
 mod sub_calls;
+#[cfg(test)]
+mod tests;
 mod work;
 
 pub use command::{EndpointChange, EndpointCommand};
--- /dev/null
+++ b/crates/bramblewheel-lab/src/endpoint/tests.rs
@@ -0,0 +1,27 @@
+use super::{EndpointChange, EndpointCommand};
+
+#[test]
+fn commands_are_read_as_they_are_written() {
+    let changes = [
+        EndpointChange::Daemon(([127, 0, 0, 1], 4711).into()),
+        EndpointChange::Slow(2.5),
+        EndpointChange::Leave,
+        EndpointChange::Return,
+    ];
+    for change in changes {
+        let command = EndpointCommand {
+            endpoint: "kassa-1".to_owned(),
+            change,
+        };
+        assert_eq!(command.to_string().parse(), Ok(command));
+    }
+    for wrong in [
+        "",
+        "kassa-1",
+        "kassa-1 slow 0",
+        "kassa-1 slow NaN",
+        "kassa-1 daemon x",
+    ] {
+        assert!(wrong.parse::<EndpointCommand>().is_err(), "{wrong}");
+    }
+}
--- a/crates/bramblewheel-lab/src/process/mod.rs
+++ b/crates/bramblewheel-lab/src/process/mod.rs
@@ -3,6 +3,8 @@
 mod child;
 mod log_lines;
 mod ports;
+#[cfg(test)]
+mod tests;
 
 pub use child::{Child, ChildEvent, ProcessError, Spawn};
 pub use log_lines::{LogEvent, parse};
