Hold the standard input of the bench's endpoint open

Cause: the endpoint ends with its standard input, and inherited that of the bench: without a terminal it ended at once and every call was refused as unreachable. The test runs the bench like that; it was seen to fail before the change.

--- a/crates/bramblewheel-lab/src/bench/latency/topology.rs
+++ b/crates/bramblewheel-lab/src/bench/latency/topology.rs
@@ -125,7 +125,11 @@
         "--service-time",
         &micros,
     ];
-    let mut child = this_program()?.args(words).stdout(Stdio::piped()).spawn()?;
+    let mut child = this_program()?
+        .args(words)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()?;
     let stdout = child.stdout.take();
     let process = Process(child);
     let mut lines = lines_of(stdout);
