--- a/crates/bramblewheel-lab/src/bench/scale/claims/load.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/claims/load.rs
@@ -13,6 +13,9 @@
 /// Longest wait for one answer.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Pause after an answer that the replica can't answer.
+const PAUSE: Duration = Duration::from_millis(50);
+
 /// What came of a load.
 #[derive(Clone, Debug, Default)]
 pub struct LoadFigures {
@@ -22,6 +25,8 @@
     pub granted: u64,
     /// Claims that could not be decided.
     pub undecided: u64,
+    /// Requests that the replica could not answer.
+    pub unavailable: u64,
     /// Seconds from request to answer, sorted.
     pub latencies: Vec<f64>,
 }
@@ -49,6 +54,7 @@
         let one = ended.map_err(|error| CommandError::Broken(error.to_string()))??;
         all.granted += one.granted;
         all.undecided += one.undecided;
+        all.unavailable += one.unavailable;
         all.latencies.extend(one.latencies);
     }
     all.seconds = start.elapsed().as_secs_f64();
@@ -75,6 +81,10 @@
         let reply = client.request(body, PATIENCE).await;
         match reply.map_err(|error| broken(&error))? {
             ReplyBody::Operations(replies) => figures.count(&replies)?,
+            ReplyBody::Unavailable(_) => {
+                figures.unavailable += 1;
+                tokio::time::sleep(PAUSE).await;
+            }
             other => return Err(CommandError::CheckFailed(format!("claims: {other:?}"))),
         }
         figures.latencies.push(sent.elapsed().as_secs_f64());
--- a/crates/bramblewheel-lab/src/bench/scale/claims/mod.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/claims/mod.rs
@@ -29,16 +29,24 @@
     (16, 256),
 ];
 
-/// Measures claims at several loads, each beside the bare sync latency of the same disk.
+/// Connections and batch that fill the ledger.
+const FILL: (usize, usize) = (16, 1024);
+/// Length of each round of filling.
+const FILL_TIME: Duration = Duration::from_secs(2);
+
+/// Measures claims at several loads, each beside the bare sync latency of the same disk; then
+/// with `kept` operations in the ledger, unless that is zero.
 ///
 /// # Errors
 /// [`CommandError`] when the group breaks or a claim is refused.
 pub async fn measure_claims(
     folder: &Path,
     seconds: Duration,
+    kept: u64,
     seed: u64,
 ) -> Result<(), CommandError> {
     let group = Group::start(folder, BundleSource::new().signed()).await?;
+    let mut granted = 0;
     for (number, (connections, batch)) in LOADS.into_iter().enumerate() {
         let leader = group.leader().await?;
         let address = group.services()[leader];
@@ -49,10 +57,54 @@
         let bare = bare.finish()?;
         let after = group.usage()?;
         print_load(connections, batch, &load, &bare, leader, (&before, &after));
+        granted += load.granted;
+    }
+    if kept > 0 {
+        measure_full(&group, kept.saturating_sub(granted), seconds, seed).await?;
     }
     Ok(())
 }
 
+/// Fills the ledger, then claims one by one for as long as it takes until a snapshot was due.
+async fn measure_full(
+    group: &Group,
+    missing: u64,
+    seconds: Duration,
+    seed: u64,
+) -> Result<(), CommandError> {
+    let mut filled = 0;
+    let mut round = 0;
+    while filled < missing {
+        let address = group.services()[group.leader().await?];
+        let keys = format!("{seed:08x}-f{round:03x}");
+        let (connections, batch) = FILL;
+        let load = load::run(address, connections, batch, FILL_TIME, &keys).await?;
+        filled += load.granted;
+        round += 1;
+    }
+    let leader = group.leader().await?;
+    let term = group.term(leader).await?;
+    let address = group.services()[leader];
+    let keys = format!("{seed:08x}-last");
+    let load = load::run(address, 64, 64, seconds * 5, &keys).await?;
+    let now = group.leader().await?;
+    let quantile = |share| quantile(&load.latencies, share).unwrap_or_default() * 1e3;
+    println!(
+        "claims_full filled={filled} claims_per_s={:.0} latency_p50_ms={:.2} latency_p99_ms={:.2} \
+         latency_max_ms={:.1} undecided={} unavailable={} terms_before={term} terms_after={} \
+         leader_rss_mb={:.1}",
+        load.granted as f64 / load.seconds,
+        quantile(0.5),
+        quantile(0.99),
+        quantile(1.0),
+        load.undecided,
+        load.unavailable,
+        group.term(now).await?,
+        group.usage()?[now].map_or(0, |usage| usage.resident) as f64 / 1e6,
+    );
+    Ok(())
+}
+
 type Readings<'a> = (&'a [Option<Usage>], &'a [Option<Usage>]);
 
 fn print_load(
--- a/crates/bramblewheel-lab/src/bench/scale/group.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/group.rs
@@ -142,6 +142,14 @@
         Err(CommandError::Broken("no leader in time".to_owned()))
     }
 
+    /// Term as a replica knows it.
+    ///
+    /// # Errors
+    /// [`CommandError::Broken`] when it does not answer.
+    pub async fn term(&self, number: usize) -> Result<u64, CommandError> {
+        Ok(group_status(self.replicas[number].service).await?.term)
+    }
+
     /// Kills a replica's process at once.
     pub async fn kill(&mut self, number: usize) {
         if let Some((process, _)) = self.replicas[number].process.take() {
--- a/crates/bramblewheel-lab/src/bench/scale/mod.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/mod.rs
@@ -46,7 +46,7 @@
 async fn run_claims(options: &ScaleOptions) -> Result<(), CommandError> {
     let folder = tempfile::tempdir()?;
     let length = Duration::from_secs(options.claims);
-    claims::measure_claims(folder.path(), length, options.seed).await
+    claims::measure_claims(folder.path(), length, options.kept, options.seed).await
 }
 
 async fn run_fleets(options: &ScaleOptions) -> Result<(), CommandError> {
--- a/crates/bramblewheel-lab/src/bench/scale/options.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/options.rs
@@ -43,6 +43,9 @@
     /// seconds of each load of claims
     #[options(no_short, meta = "SECONDS", default = "3")]
     pub claims: u64,
+    /// operations in the ledger for the last load of claims; 0 leaves it out
+    #[options(no_short, meta = "N", default = "1000000")]
+    pub kept: u64,
     /// leave out the losses of zones, regions and the leader
     #[options(no_short)]
     pub no_losses: bool,
