--- a/crates/bramblewheel-lab/src/options.rs
+++ b/crates/bramblewheel-lab/src/options.rs
@@ -19,6 +19,9 @@
 
 /// Arguments of the program.
 #[derive(Debug, Options)]
+#[options(
+    help = "Runs, loads, breaks and measures bramblewheel. A test tool: never run it in production."
+)]
 pub struct Arguments {
     /// print help
     pub help: bool,
@@ -48,6 +51,7 @@
 
 /// Arguments of `bench`.
 #[derive(Debug, Options)]
+#[options(help = "Measures overload, latency and scale.")]
 pub struct BenchOptions {
     /// print help
     pub help: bool,
