Use the session tokens of the core in the daemon too

The daemon now only reads the key file and mints and verifies with the core's functions; key ids are numbers and secrets have at least 32 bytes.

--- a/crates/bramblewheel-daemon/src/daemon.rs
+++ b/crates/bramblewheel-daemon/src/daemon.rs
@@ -94,6 +94,7 @@
         pools: Pools::default(),
         limits: settings.limits.clone(),
         sessions,
+        zone: settings.zone.clone(),
         bundle: Arc::new(ArcSwapOption::new(persisted)),
         endpoint: settings.endpoint.as_ref().map(|endpoint| endpoint.address),
         metrics,
--- a/crates/bramblewheel-daemon/src/outbound.rs
+++ b/crates/bramblewheel-daemon/src/outbound.rs
@@ -9,6 +9,7 @@
 use crate::http::server::Handler;
 use crate::sessions::SessionOffer;
 use crate::shared::Shared;
+use bramblewheel_core::context::CallRequest;
 use bramblewheel_protocol::headers;
 use bramblewheel_types::Outcome;
 use bytes::Bytes;
@@ -55,9 +56,10 @@
             Ok(asked) => asked,
             Err(error) => return answer::invalid_request(&error.to_string()),
         };
+        let opened = self.opened(session, &asked);
         let request = AppRequest { head, body };
         let (mut answer, outcome) = call::run(&self.shared, asked, request).await;
-        if let (SessionOffer::Opened(token), Outcome::Completed) = (session, outcome) {
+        if let (Some(token), Outcome::Completed) = (opened, outcome) {
             set(answer.headers_mut(), headers::SESSION, token);
         }
         answer
@@ -72,6 +74,17 @@
         let token = token.and_then(|token| token.to_str().ok());
         self.shared.sessions.offer(token)
     }
+
+    /// Token of the session that a request asks to open, with the class of the request's route.
+    fn opened(&self, session: SessionOffer, asked: &CallRequest) -> Option<String> {
+        if session != SessionOffer::Open {
+            return None;
+        }
+        let bundle = self.shared.bundle.load_full()?;
+        let route = bundle.resolve(&asked.service, &asked.path)?;
+        let home_zone = self.shared.zone.clone();
+        self.shared.sessions.open(home_zone, route.criticality)
+    }
 }
 
 impl Handler for Outbound {
--- a/crates/bramblewheel-daemon/src/sessions.rs
+++ b/crates/bramblewheel-daemon/src/sessions.rs
@@ -1,24 +1,16 @@
-//! Session tokens: held by the caller, recognised by any gateway that has the key.
+//! Session tokens at a gateway: the key file, and what a caller's session header amounts to.
 //!
-//! A token is `KEY-ID.OPENED.NONCE.MAC`: when it was opened in milliseconds since the Unix epoch,
-//! a nonce that makes it unique, and an HMAC-SHA-256 over what stands before it. Nothing is
-//! stored, so no restart or loss of a zone ends a session.
+//! Nothing is stored, so no restart or loss of a zone ends a session; the tokens themselves are
+//! those of [`bramblewheel_core::session`].
 
-use hmac::{Hmac, KeyInit, Mac};
-use sha2::Sha256;
-use std::fmt;
+use bramblewheel_core::session::{self, Session, SessionKey};
+use bramblewheel_protocol::headers::SESSION_OPEN;
+use bramblewheel_types::{Criticality, ZoneName};
 use std::fs;
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 use thiserror::Error;
 
-use bramblewheel_protocol::headers::SESSION_OPEN;
-
-/// Shortest accepted secret, in bytes.
-const MIN_SECRET_LENGTH: usize = 16;
-/// Bytes of a token's nonce.
-const NONCE_LENGTH: usize = 12;
-
 /// The key file can't be used; the text is one line.
 #[derive(Debug, Error)]
 pub enum SessionKeyError {
@@ -31,7 +23,10 @@
         error: std::io::Error,
     },
     /// A line is not `key-id hex-secret`. The line itself is not shown: it may hold a secret.
-    #[error("{file}:{line}: expected `key-id hex-secret` with at least 16 bytes")]
+    #[error(
+        "{file}:{line}: expected `key-id hex-secret`, a number and at least {} bytes",
+        session::MIN_KEY_LENGTH
+    )]
     Malformed {
         /// The file.
         file: String,
@@ -40,32 +35,22 @@
     },
 }
 
-struct SessionKey {
-    id: String,
-    secret: Vec<u8>,
-}
-
-impl fmt::Debug for SessionKey {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "SessionKey({})", self.id)
-    }
-}
-
 /// Keys that mint and verify session tokens.
 #[derive(Debug, Default)]
 pub struct SessionKeys {
+    /// The first mints, all verify.
     keys: Vec<SessionKey>,
 }
 
 /// What a caller's session header amounts to.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SessionOffer {
     /// No session, or a token that no key verifies.
     None,
     /// A valid token.
     Valid,
-    /// The caller asks for a session; this is its token once its request is completed.
-    Opened(String),
+    /// The caller asks for a session; it gets its token once its request is completed.
+    Open,
 }
 
 impl SessionKeys {
@@ -95,50 +80,30 @@
     /// Judges the value of a caller's session header.
     pub fn offer(&self, value: Option<&str>) -> SessionOffer {
         match value {
-            Some(SESSION_OPEN) => self.mint().map_or(SessionOffer::None, SessionOffer::Opened),
-            Some(token) if self.verify(token) => SessionOffer::Valid,
+            Some(SESSION_OPEN) => SessionOffer::Open,
+            Some(token) if session::verify(&self.keys, token).is_ok() => SessionOffer::Valid,
             _ => SessionOffer::None,
         }
     }
 
-    fn mint(&self) -> Option<String> {
+    /// Token of a session opened now; none without a key.
+    pub fn open(&self, home_zone: ZoneName, criticality: Criticality) -> Option<String> {
         let key = self.keys.first()?;
-        let opened = SystemTime::now().duration_since(UNIX_EPOCH).ok()?;
-        let mut nonce = [0; NONCE_LENGTH];
-        getrandom::fill(&mut nonce).ok()?;
-        let claim = format!("{}.{}.{}", key.id, opened.as_millis(), hex::encode(nonce));
-        let mac = key.mac(&claim).finalize().into_bytes();
-        Some(format!("{claim}.{}", hex::encode(mac)))
-    }
-
-    fn verify(&self, token: &str) -> bool {
-        let Some((claim, mac)) = token.rsplit_once('.') else {
-            return false;
-        };
-        let Ok(mac) = hex::decode(mac) else {
-            return false;
+        let opened_at = SystemTime::now().duration_since(UNIX_EPOCH).ok()?;
+        let mut random = [0; size_of::<u128>()];
+        getrandom::fill(&mut random).ok()?;
+        let session = Session {
+            opened_at_unix_millis: u64::try_from(opened_at.as_millis()).ok()?,
+            home_zone,
+            criticality,
+            random: u128::from_be_bytes(random),
         };
-        let id = claim.split('.').next().unwrap_or_default();
-        let mut candidates = self.keys.iter().filter(|key| key.id == id);
-        candidates.any(|key| key.mac(claim).verify_slice(&mac).is_ok())
-    }
-}
-
-impl SessionKey {
-    fn mac(&self, claim: &str) -> Hmac<Sha256> {
-        let mut mac =
-            Hmac::<Sha256>::new_from_slice(&self.secret).expect("HMAC takes keys of any length");
-        mac.update(claim.as_bytes());
-        mac
+        Some(session::mint(key, &session))
     }
 }
 
 fn parse_key(line: &str) -> Option<SessionKey> {
     let (id, secret) = line.trim().split_once(char::is_whitespace)?;
     let secret = hex::decode(secret.trim()).ok()?;
-    let is_sound = !id.contains('.') && secret.len() >= MIN_SECRET_LENGTH;
-    is_sound.then(|| SessionKey {
-        id: id.to_owned(),
-        secret,
-    })
+    SessionKey::new(id.parse().ok()?, secret).ok()
 }
--- a/crates/bramblewheel-daemon/src/shared.rs
+++ b/crates/bramblewheel-daemon/src/shared.rs
@@ -9,7 +9,7 @@
 use crate::settings::LimitSettings;
 use arc_swap::ArcSwapOption;
 use bramblewheel_bundle::Bundle;
-use bramblewheel_types::{CallId, RequestId, ServiceName};
+use bramblewheel_types::{CallId, RequestId, ServiceName, ZoneName};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use std::net::SocketAddr;
@@ -25,6 +25,7 @@
     pub(crate) pools: Pools,
     pub(crate) limits: LimitSettings,
     pub(crate) sessions: SessionKeys,
+    pub(crate) zone: ZoneName,
     pub(crate) bundle: Arc<ArcSwapOption<Bundle>>,
     pub(crate) endpoint: Option<SocketAddr>,
     pub(crate) metrics: Arc<Metrics>,
--- a/crates/bramblewheel-lab/src/fleet/running.rs
+++ b/crates/bramblewheel-lab/src/fleet/running.rs
@@ -355,6 +355,6 @@
 fn write_session_keys(folder: &RunFolder) -> Result<(), FleetError> {
     let mut secret = [0; 32];
     getrandom::fill(&mut secret).map_err(std::io::Error::other)?;
-    let text = format!("trial-1 {}\n", hex::encode(secret));
+    let text = format!("1 {}\n", hex::encode(secret));
     Ok(fs::write(folder.session_keys(), text)?)
 }
