Let hollow daemons share the check of a bundle in bench scale

Cause: 3,600 hollow daemons that each decode and check a bundle need 43 s of processor time on one machine, where a fleet has a machine for each: the time to in force was that of the bench (p99 30 s at 3,600 daemons, load 50 on 12 cores), with the replicas at a tenth of a core.

--- a/crates/bramblewheel-lab/src/bench/scale/hollow/daemon.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/hollow/daemon.rs
@@ -6,9 +6,9 @@
 use bramblewheel_daemon::control::choice::ReplicaChoice;
 use bramblewheel_daemon::control::intake::{Intake, POLL_GRACE, POLL_WAIT};
 use bramblewheel_protocol::control::{
-    DirectoryEntry, PollReply, Registration, ReplyBody, RequestBody,
+    BundleNews, DirectoryEntry, PollReply, Registration, ReplyBody, RequestBody,
 };
-use bramblewheel_types::{EndpointId, ServiceName};
+use bramblewheel_types::{BundleDigest, EndpointId, ServiceName};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -31,19 +31,29 @@
 pub(super) struct Shared {
     pub(super) replicas: Vec<SocketAddr>,
     pub(super) counters: Arc<Counters>,
+    /// Whether a bundle that one daemon has decoded and checked is taken over by the others.
+    pub(super) shares_checks: bool,
     /// The latest bundle that any of them decoded, so that it is held in memory once.
-    pub(super) bundle: Mutex<Option<Arc<Bundle>>>,
+    pub(super) bundle: Mutex<Option<(BundleDigest, Arc<Bundle>)>>,
 }
 
 impl Shared {
     /// Keeps one copy of equal bundles.
-    fn intern(&self, bundle: Bundle) -> Arc<Bundle> {
+    fn intern(&self, digest: BundleDigest, bundle: Bundle) -> Arc<Bundle> {
         let mut held = self.bundle.lock().expect("nothing panics under the lock");
-        match held.as_ref().filter(|held| ***held == bundle) {
-            Some(held) => Arc::clone(held),
-            None => Arc::clone(held.insert(Arc::new(bundle))),
+        match held.as_ref().filter(|(_, held)| **held == bundle) {
+            Some((_, held)) => Arc::clone(held),
+            None => Arc::clone(&held.insert((digest, Arc::new(bundle))).1),
         }
     }
+
+    /// The bundle of this digest, if another daemon has checked it and checks are shared.
+    fn checked(&self, digest: BundleDigest) -> Option<Arc<Bundle>> {
+        let held = self.bundle.lock().expect("nothing panics under the lock");
+        let same = held.as_ref().filter(|(of, _)| *of == digest);
+        same.filter(|_| self.shares_checks)
+            .map(|(_, bundle)| Arc::clone(bundle))
+    }
 }
 
 /// One hollow daemon.
@@ -165,14 +175,21 @@
     }
 
     /// Takes over an answer by the daemons' own rule; `false` when it is refused.
-    fn take(&mut self, reply: PollReply) -> bool {
+    fn take(&mut self, mut reply: PollReply) -> bool {
+        let digest = reply.bundle.as_ref().map(digest_of);
+        let checked = digest.and_then(|digest| self.shared.checked(digest));
+        if checked.is_some() {
+            reply.bundle = None;
+        }
         let Ok(news) = self.intake.check(&reply) else {
             self.shared.counters.refused();
             self.connection = None;
             self.choice.next_replica();
             return false;
         };
-        let bundle = news.map(|news| self.shared.intern(news.bundle));
+        let own = news.zip(digest);
+        let own = own.map(|(news, digest)| self.shared.intern(digest, news.bundle));
+        let bundle = checked.or(own);
         if let Some(bundle) = &bundle {
             self.shared.counters.put_in_force(bundle.version.0);
         }
@@ -193,3 +210,10 @@
         known.extend(live.map(|entry| (entry.endpoint.clone(), entry)));
     }
 }
+
+fn digest_of(news: &BundleNews) -> BundleDigest {
+    match news {
+        BundleNews::Whole(bundle) => bundle.digest,
+        BundleNews::Delta(delta) => delta.digest,
+    }
+}
--- a/crates/bramblewheel-lab/src/bench/scale/hollow/fleet.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/hollow/fleet.rs
@@ -42,12 +42,18 @@
 }
 
 impl Fleet {
-    /// Starts all daemons of a deployment.
-    pub async fn start(deployment: Arc<Deployment>, replicas: Vec<SocketAddr>) -> Self {
+    /// Starts all daemons of a deployment. With `shares_checks` they take over a bundle that one
+    /// of them has decoded and checked, as if each had a machine of its own for that.
+    pub async fn start(
+        deployment: Arc<Deployment>,
+        replicas: Vec<SocketAddr>,
+        shares_checks: bool,
+    ) -> Self {
         let counters = Arc::new(Counters::new(&replicas));
         let shared = Arc::new(Shared {
             replicas,
             counters: Arc::clone(&counters),
+            shares_checks,
             bundle: Mutex::new(None),
         });
         let mut tasks = JoinSet::new();
--- a/crates/bramblewheel-lab/src/bench/scale/hollow/mod.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/hollow/mod.rs
@@ -2,7 +2,7 @@
 //! the daemons' own rule for taking over answers, but with no calls. All share one process.
 //!
 //! What a hollow daemon leaves out: it does not write the bundle to disk, and keeps one decoded
-//! bundle with all others after decoding and checking its own.
+//! bundle with all others after decoding and checking its own; on request, one does that for all.
 
 mod connection;
 mod counters;
--- a/crates/bramblewheel-lab/src/bench/scale/measure/phases.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/measure/phases.rs
@@ -36,6 +36,8 @@
     pub restarts: usize,
     /// From one restart to the next.
     pub restart_interval: Duration,
+    /// Whether hollow daemons take over bundles that one of them has checked.
+    pub shares_checks: bool,
     /// Whether zones, regions and the leader are lost.
     pub with_losses: bool,
 }
@@ -57,7 +59,8 @@
         ..SizeFigures::default()
     };
     let started = Instant::now();
-    let fleet = Fleet::start(Arc::clone(&deployment), group.services()).await;
+    let services = group.services();
+    let fleet = Fleet::start(Arc::clone(&deployment), services, plan.shares_checks).await;
     let mut bench = SizeBench {
         group,
         fleet,
--- a/crates/bramblewheel-lab/src/bench/scale/options.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/options.rs
@@ -46,6 +46,10 @@
     /// operations in the ledger for the last load of claims; 0 leaves it out
     #[options(no_short, meta = "N", default = "1000000")]
     pub kept: u64,
+    /// let hollow daemons take over bundles that one of them has decoded and checked: the machine
+    /// is then no bottleneck that a fleet has not, and the time to in force is that of the replicas
+    #[options(no_short)]
+    pub shared_checks: bool,
     /// leave out the losses of zones, regions and the leader
     #[options(no_short)]
     pub no_losses: bool,
@@ -104,6 +108,7 @@
             change_interval: Duration::from_millis(self.change_interval),
             restarts: self.restarts,
             restart_interval: Duration::from_millis(self.restart_interval),
+            shares_checks: self.shared_checks,
             with_losses: !self.no_losses,
         }
     }
--- a/crates/bramblewheel-lab/src/bench/scale/tests.rs
+++ b/crates/bramblewheel-lab/src/bench/scale/tests.rs
@@ -142,7 +142,7 @@
     bootstrap(&services, bundles.signed()).await;
 
     let deployment = Arc::new(Deployment::generate(40, 1));
-    let mut fleet = Fleet::start(deployment, services.clone()).await;
+    let mut fleet = Fleet::start(deployment, services.clone(), false).await;
     assert_settled(&fleet).await;
     let published = RequestBody::Publish(bundles.next());
     let reply = request_any(&services, &published, PATIENCE).await;
