Prove the control group in the simulator: scenarios, checkers, unsafe doubles

Scenarios are TOML files with topology, load, faults at moments drawn per seed, and stated outcomes. Real control nodes run over disks that lose what was not synced; hollow daemons follow the real daemon's rules (Intake, ReplicaChoice, BundleStore); operators race, lose answers, send again and replace replicas. Checkers read the history only. `bramblewheel-lab sim list` and `sim run` are thin over it.

--- a/crates/bramblewheel-lab/src/lib.rs
+++ b/crates/bramblewheel-lab/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod process;
 pub mod runtime;
 pub mod signals;
+pub mod sim;
 pub mod stdin_commands;
--- a/crates/bramblewheel-sim/src/kernel/context.rs
+++ b/crates/bramblewheel-sim/src/kernel/context.rs
@@ -41,6 +41,11 @@
         self.core.send(self.process, to, message);
     }
 
+    /// Sends a message that leaves the machine only after `delay`, such as the time of a sync.
+    pub fn send_after(&mut self, delay: Duration, to: ProcessId, message: A::Message) {
+        self.core.send_after(self.process, delay, to, message);
+    }
+
     /// Brings `timer` back after `delay` on the process's own clock, unless the process is
     /// stopped before. Timers can't be taken back: who no longer needs one ignores it.
     pub fn set_timer(&mut self, delay: Duration, timer: A::Timer) {
--- a/crates/bramblewheel-sim/src/kernel/core.rs
+++ b/crates/bramblewheel-sim/src/kernel/core.rs
@@ -59,9 +59,19 @@
     }
 
     pub(super) fn send(&mut self, from: ProcessId, to: ProcessId, message: A::Message) {
+        self.send_after(from, Duration::ZERO, to, message);
+    }
+
+    pub(super) fn send_after(
+        &mut self,
+        from: ProcessId,
+        wait: Duration,
+        to: ProcessId,
+        message: A::Message,
+    ) {
         let starts = self.processes[to.index()].starts;
         let copies = self.network.transmit(self.place(from), self.place(to));
-        let arrival = |delay: Duration| self.now + delay;
+        let arrival = |delay: Duration| self.now + wait + delay;
         match copies.map(|copy| copy.map(arrival)) {
             [Some(first), Some(second)] => {
                 self.enqueue_message(first, from, to, starts, message.clone());
--- a/crates/bramblewheel-sim/src/kernel/network.rs
+++ b/crates/bramblewheel-sim/src/kernel/network.rs
@@ -48,6 +48,7 @@
     cut_links: BTreeSet<(ProcessId, ProcessId)>,
     cut_zones: BTreeSet<(ZoneId, ZoneId)>,
     reports_undelivered: bool,
+    keeps_connections: bool,
     random: Pcg64Mcg,
 }
 
@@ -72,6 +73,7 @@
             cut_links: BTreeSet::new(),
             cut_zones: BTreeSet::new(),
             reports_undelivered: false,
+            keeps_connections: false,
             random,
         }
     }
@@ -88,13 +90,20 @@
     }
 
     /// Whether senders learn that the process they sent to is not there; off at first.
-    ///
-    /// When on, messages belong to connections: one sent to an earlier start of a process never
-    /// reaches a later one. When off, it does.
     pub fn set_reports_undelivered(&mut self, reports: bool) {
         self.reports_undelivered = reports;
     }
 
+    /// Whether messages belong to connections; off at first. If so, one sent to an earlier start of
+    /// a process never reaches a later one; otherwise it does.
+    pub fn set_keeps_connections(&mut self, keeps: bool) {
+        self.keeps_connections = keeps;
+    }
+
+    pub(super) fn keeps_connections(&self) -> bool {
+        self.keeps_connections
+    }
+
     pub(super) fn reports_undelivered(&self) -> bool {
         self.reports_undelivered
     }
--- a/crates/bramblewheel-sim/src/kernel/simulation.rs
+++ b/crates/bramblewheel-sim/src/kernel/simulation.rs
@@ -178,7 +178,7 @@
             return;
         }
         let entry = &self.core.processes[to.index()];
-        let is_same = starts == entry.starts || !self.core.network.reports_undelivered();
+        let is_same = starts == entry.starts || !self.core.network.keeps_connections();
         if entry.state == ProcessState::Stopped || !is_same {
             return self.core.bounce(from, to, message);
         }
--- a/crates/bramblewheel-sim/src/lib.rs
+++ b/crates/bramblewheel-sim/src/lib.rs
@@ -4,5 +4,8 @@
 //! One seed gives one run. The simulator drives the real decision and replication crates under
 //! virtual time; checkers read the history of events only.
 
+pub mod control;
 pub mod deployment;
 pub mod kernel;
+pub mod run;
+pub mod scenario;
--- /dev/null
+++ b/crates/bramblewheel-sim/src/run/mod.rs
@@ -0,0 +1,42 @@
+//! Runs a scenario on one seed and reports. Pure: whoever calls brings threads and files.
+
+mod excerpt;
+mod report;
+
+pub use report::{Figures, SeedReport, ViolationReport};
+
+use crate::control::{self, ControlRun, ControlScenario, check};
+use crate::scenario::{Body, Scenario};
+
+/// Runs a scenario on one seed.
+pub fn run_seed(scenario: &Scenario, seed: u64) -> SeedReport {
+    match &scenario.body {
+        Body::Control(body) => run_control(body, seed),
+    }
+}
+
+fn run_control(scenario: &ControlScenario, seed: u64) -> SeedReport {
+    let run = control::run(scenario, seed, None);
+    report_control(scenario, seed, &run)
+}
+
+/// Checks a run of kind `control`.
+pub fn report_control(scenario: &ControlScenario, seed: u64, run: &ControlRun) -> SeedReport {
+    let evidence = check::Evidence {
+        history: &run.history,
+        cast: &run.cast,
+        outcomes: &scenario.outcomes,
+    };
+    let violations = check::check(evidence).into_iter();
+    let violations = violations.map(|violation| ViolationReport {
+        promise: violation.promise.to_string(),
+        message: violation.message,
+        excerpt: excerpt::excerpt(&run.history, &run.cast, &violation.evidence),
+    });
+    SeedReport {
+        seed,
+        digest: run.digest,
+        violations: violations.collect(),
+        figures: Figures::of_control(run, &check::delays(evidence)),
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/scenario/registry.rs
@@ -0,0 +1,54 @@
+//! The scenarios that come with the program, in the order of `sim list`.
+
+use super::error::ScenarioError;
+use super::{Scenario, parse};
+
+/// A scenario that comes with the program.
+#[derive(Clone, Copy, Debug)]
+pub struct BuiltIn {
+    /// Name, as `sim run` takes it.
+    pub name: &'static str,
+    /// Name of the file in the repository.
+    pub file: &'static str,
+    /// The file.
+    pub text: &'static str,
+}
+
+macro_rules! built_in {
+    ($name:literal) => {
+        BuiltIn {
+            name: $name,
+            file: concat!("examples/scenarios/", $name, ".toml"),
+            text: include_str!(concat!("../../../../examples/scenarios/", $name, ".toml")),
+        }
+    };
+}
+
+/// All scenarios that come with the program.
+pub const BUILT_IN: &[BuiltIn] = &[
+    built_in!("operators-race"),
+    built_in!("publish-resend"),
+    built_in!("restart-after-many-changes"),
+    built_in!("replica-disk-lost"),
+    built_in!("second-loss-after-repair"),
+    built_in!("torn-write"),
+    built_in!("replica-silent-cutoff"),
+    built_in!("replica-frozen"),
+    built_in!("zone-cut"),
+    built_in!("control-chaos"),
+];
+
+impl BuiltIn {
+    /// Reads the scenario.
+    ///
+    /// # Errors
+    /// [`ScenarioError`] when the file is wrong; a test holds that none is.
+    pub fn scenario(&self) -> Result<Scenario, ScenarioError> {
+        parse(self.file, self.text)
+    }
+}
+
+/// The built-in scenario of a name.
+pub fn built_in(name: &str) -> Option<&'static BuiltIn> {
+    BUILT_IN.iter().find(|built_in| built_in.name == name)
+}
