--- a/crates/bramblewheel-control/src/server/exposition.rs
+++ b/crates/bramblewheel-control/src/server/exposition.rs
@@ -63,6 +63,21 @@
             "Polls answered here",
             metrics.polls_answered,
         ),
+        (
+            "bundle_deltas_computed",
+            "Bundle deltas computed here",
+            metrics.bundle_deltas_computed,
+        ),
+        (
+            "bundle_deltas_sent",
+            "Polls answered with a bundle delta",
+            metrics.bundle_deltas_sent,
+        ),
+        (
+            "whole_bundles_sent",
+            "Polls answered with a whole bundle",
+            metrics.whole_bundles_sent,
+        ),
         (
             "operations_decided",
             "Run-once requests decided by entries proposed here",
--- a/crates/bramblewheel-control/src/state/mod.rs
+++ b/crates/bramblewheel-control/src/state/mod.rs
@@ -3,11 +3,13 @@
 //! It reads no clock: time is that of the log, which is the latest proposal time of any entry, so
 //! that all replicas decide alike.
 
+pub mod bundle_history;
 pub mod bundles;
 pub mod command;
 pub mod directory;
 pub mod ledger;
 
+pub use bundle_history::BundleHistory;
 pub use bundles::Bundles;
 pub use command::{Command, ExpiredDaemon, LoggedCommand};
 pub use directory::{Directory, DirectoryDelta};
--- /dev/null
+++ b/crates/bramblewheel-lab/src/bench/latency/topology.rs
@@ -0,0 +1,249 @@
+//! The processes of the bench: an endpoint, its daemon, a gateway before it, a control replica.
+
+use crate::bench::latency::load;
+use crate::error::CommandError;
+use crate::fleet::folder::RunFolder;
+use crate::fleet::group;
+use crate::fleet::plan::PlannedReplica;
+use crate::fleet::settings::{self, ReplicaAddresses};
+use crate::process::{LogEvent, free_port, parse as parse_log};
+use crate::runtime::block_on;
+use bramblewheel_bundle::{OperatorKey, canonical, digest, parse};
+use bramblewheel_protocol::control::{BundleSignature, SignedBundle};
+use bramblewheel_types::{RegionName, ZoneName};
+use std::fs;
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Service called.
+pub const SERVICE: &str = "answers";
+/// Time for everything to be ready.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Pause between two looks whether it is.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Where everything runs.
+const ZONE: &str = "zone-a";
+const REGION: &str = "region-a";
+
+/// The running processes; they are ended when this is dropped.
+#[derive(Debug)]
+pub struct Topology {
+    endpoint_address: SocketAddr,
+    gateway_address: SocketAddr,
+    sidecar: Process,
+    gateway: Process,
+    _endpoint: Process,
+    _control: Process,
+    _folder: RunFolder,
+}
+
+impl Topology {
+    /// Starts everything and waits until a call passes.
+    ///
+    /// # Errors
+    /// [`CommandError`] when a process can't be started or no call passes in time.
+    pub fn start(service_time: Duration) -> Result<Self, CommandError> {
+        let folder = RunFolder::new(None)?;
+        let (control, control_address) = start_control(&folder)?;
+        let (endpoint, endpoint_address) = start_endpoint(service_time)?;
+        let daemon = |name: &str, sections: &str| {
+            let settings = daemon_settings(name, &folder, control_address, sections);
+            start_daemon(name, &folder, &settings)
+        };
+        let (sidecar, _) = daemon("answers-1", &sidecar_sections(endpoint_address))?;
+        let (gateway, gateway_address) = daemon("gateway-1", "")?;
+        wait_for_a_call(gateway_address)?;
+        Ok(Self {
+            endpoint_address,
+            gateway_address,
+            sidecar,
+            gateway,
+            _endpoint: endpoint,
+            _control: control,
+            _folder: folder,
+        })
+    }
+
+    /// Address of the endpoint itself.
+    pub fn direct(&self) -> SocketAddr {
+        self.endpoint_address
+    }
+
+    /// Address of the gateway.
+    pub fn through(&self) -> SocketAddr {
+        self.gateway_address
+    }
+
+    /// The processes whose work is counted.
+    pub fn daemon_pids(&self) -> [u32; 2] {
+        [self.gateway.0.id(), self.sidecar.0.id()]
+    }
+}
+
+/// A process that is ended when this is dropped. It also ends when its standard input does, which
+/// this holds open.
+#[derive(Debug)]
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself, which the calls have shown.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Starts a control group of one replica with its first bundle in force.
+fn start_control(folder: &RunFolder) -> Result<(Process, SocketAddr), CommandError> {
+    const NAME: &str = "control-1";
+    let addresses = ReplicaAddresses {
+        peer: free_port()?,
+        service: free_port()?,
+    };
+    let replica = PlannedReplica {
+        name: NAME.to_owned(),
+        zone: ZoneName::new(ZONE).map_err(broken)?,
+    };
+    let region = RegionName::new(REGION).map_err(broken)?;
+    let settings = settings::replica(&replica, &region, &folder.data(NAME), addresses);
+    let (process, address) =
+        start_with_settings("run-control", "service", NAME, folder, &settings)?;
+    let bundle = signed_bundle()?;
+    block_on(async { group::bootstrap(&[address], bundle).await.map_err(broken) })?;
+    Ok((process, address))
+}
+
+fn start_endpoint(service_time: Duration) -> Result<(Process, SocketAddr), CommandError> {
+    let micros = service_time.as_micros().to_string();
+    let words = [
+        "bench",
+        "latency",
+        "--be-endpoint",
+        "--service-time",
+        &micros,
+    ];
+    let mut child = this_program()?.args(words).stdout(Stdio::piped()).spawn()?;
+    let stdout = child.stdout.take();
+    let process = Process(child);
+    let mut lines = lines_of(stdout);
+    let address = lines.next().and_then(|line| line.parse().ok());
+    let address = address.ok_or_else(|| broken("the endpoint did not start"))?;
+    Ok((process, address))
+}
+
+/// Starts a daemon; returns it with the address of its listener for applications.
+fn start_daemon(
+    name: &str,
+    folder: &RunFolder,
+    settings: &str,
+) -> Result<(Process, SocketAddr), CommandError> {
+    start_with_settings("run-daemon", "outbound", name, folder, settings)
+}
+
+/// Starts a process of the system; returns it with the address of one of its listeners.
+fn start_with_settings(
+    command: &str,
+    listener: &str,
+    name: &str,
+    folder: &RunFolder,
+    settings: &str,
+) -> Result<(Process, SocketAddr), CommandError> {
+    let file = folder.settings(name);
+    fs::write(&file, settings)?;
+    let mut child = this_program()?
+        .args([command, "--settings"])
+        .arg(file)
+        .stdin(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()?;
+    let stderr = child.stderr.take();
+    let process = Process(child);
+    let mut lines = lines_of(stderr);
+    let address = lines.by_ref().find_map(|line| address_of(listener, &line));
+    let address = address.ok_or_else(|| broken(format!("{name} did not start")))?;
+    // Its log goes on, and must be read on.
+    thread::spawn(move || lines.for_each(drop));
+    Ok((process, address))
+}
+
+fn this_program() -> Result<Command, CommandError> {
+    Ok(Command::new(std::env::current_exe()?))
+}
+
+fn lines_of<R: Read>(stream: Option<R>) -> impl Iterator<Item = String> + use<R> {
+    let streams = stream.into_iter().map(BufReader::new);
+    streams.flat_map(|stream| stream.lines().map_while(Result::ok))
+}
+
+/// The address in a log line about a listener.
+fn address_of(listener: &str, line: &str) -> Option<SocketAddr> {
+    match parse_log(line)? {
+        LogEvent::Listening {
+            listener: found,
+            address,
+        } if found == listener => Some(address),
+        _ => None,
+    }
+}
+
+fn wait_for_a_call(gateway: SocketAddr) -> Result<(), CommandError> {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        match load::try_once(gateway) {
+            Ok(()) => return Ok(()),
+            Err(error) if Instant::now() > until => return Err(error),
+            Err(_) => thread::sleep(PAUSE),
+        }
+    }
+}
+
+fn broken(cause: impl std::fmt::Display) -> CommandError {
+    CommandError::Broken(cause.to_string())
+}
+
+/// A bundle whose limits are above the bench's load: what is measured is the way of a call, not
+/// how long it waits where a service is full.
+fn signed_bundle() -> Result<SignedBundle, CommandError> {
+    let operator = OperatorKey::from_secret("bench", &[1; 32]).map_err(broken)?;
+    let public_key = operator.public_key_hex();
+    let text = format!(
+        "version = 1\ndeployment = \"latency\"\n\
+         [operators]\nrequired_signatures = 1\n\
+         [[operators.key]]\nname = \"bench\"\npublic_key = \"{public_key}\"\n\
+         [[service]]\nname = \"{SERVICE}\"\n\
+         [service.admission]\nqueue_length = 64\nmin_concurrency = 8\nmax_concurrency = 64\n\
+         [service.routing]\nmax_connections = 64\n"
+    );
+    let bundle = parse("latency.toml", &text).map_err(broken)?;
+    let bytes = canonical::encode(&bundle);
+    let digest = digest::digest(&bytes);
+    Ok(SignedBundle {
+        version: bundle.version,
+        digest,
+        bytes,
+        signatures: vec![BundleSignature {
+            operator: "bench".to_owned(),
+            signature: operator.sign(digest).to_vec(),
+        }],
+        expected_parent: None,
+    })
+}
+
+fn daemon_settings(name: &str, folder: &RunFolder, control: SocketAddr, sections: &str) -> String {
+    let data_folder = folder.data(name);
+    format!(
+        "name = \"{name}\"\nzone = \"{ZONE}\"\nregion = \"{REGION}\"\n\
+         data_folder = {data_folder:?}\ncontrol = [\"{control}\"]\ncalls = [\"{SERVICE}\"]\n\
+         [listen]\noutbound = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n{sections}"
+    )
+}
+
+fn sidecar_sections(endpoint: SocketAddr) -> String {
+    format!(
+        "inbound = \"127.0.0.1:0\"\n\
+         [endpoint]\nname = \"answers-1\"\nservice = \"{SERVICE}\"\naddress = \"{endpoint}\"\n"
+    )
+}
--- a/crates/bramblewheel-sim/src/control/daemon.rs
+++ b/crates/bramblewheel-sim/src/control/daemon.rs
@@ -13,10 +13,10 @@
 use bramblewheel_daemon::control::choice::ReplicaChoice;
 use bramblewheel_daemon::control::intake::{Intake, POLL_GRACE, POLL_WAIT, RefusedReply};
 use bramblewheel_daemon::control::store::{BundleStore, StoreError};
-use bramblewheel_daemon::control::verify::decode;
+use bramblewheel_daemon::control::verify::{NewBundle, decode};
 use bramblewheel_protocol::control::{
-    ControlReply, ControlRequest, LogPosition, PollReply, Registration, ReplyBody, RequestBody,
-    SignedBundle,
+    BundleNews, ControlReply, ControlRequest, LogPosition, PollReply, Registration, ReplyBody,
+    RequestBody, SignedBundle,
 };
 use bramblewheel_types::BundleVersion;
 use rand::RngExt;
@@ -132,6 +132,7 @@
         if self.settings.double == Some(UnsafeDouble::DaemonTakesOlder) {
             poll.position = LogPosition::default();
             poll.bundle_version = BundleVersion(1);
+            poll.whole_bundle = true;
         }
         let request = ControlRequest {
             id: life.asked,
@@ -176,8 +177,8 @@
         let Some(life) = &mut self.life else {
             return;
         };
-        let bundle = match life.check(&reply, double) {
-            Ok(bundle) => bundle.map(Arc::new),
+        let news = match life.check(&reply, double) {
+            Ok(news) => news,
             Err(refused) => {
                 let reason = refused.to_string();
                 context.record(ControlRecord::DaemonRefused { reason });
@@ -185,20 +186,22 @@
                 return life.ask_later(context);
             }
         };
-        if let Some((bundle, offered)) = bundle.as_ref().zip(reply.bundle.as_ref()) {
-            if let Err(error) = life.store.save(offered) {
+        let mut in_force = None;
+        if let Some(NewBundle { bundle, signed }) = news {
+            if let Err(error) = life.store.save(&signed) {
                 let reason = error.to_string();
                 context.record(ControlRecord::StorageFailed { reason });
                 return life.ask_later(context);
             }
-            let bundle = name(bundle);
-            context.record(ControlRecord::DaemonInForce { bundle });
+            let name = name(&bundle);
+            context.record(ControlRecord::DaemonInForce { bundle: name });
+            in_force = Some(Arc::new(bundle));
         }
         if reply.position != life.intake.position() {
             let index = reply.position.index;
             context.record(ControlRecord::DaemonSeen { index });
         }
-        life.intake.take(&reply, bundle);
+        life.intake.take(&reply, in_force);
         life.choice.succeeded();
         if double == Some(UnsafeDouble::DaemonTakesOlder) {
             // It always gets an answer at once, and asks all replicas in turn.
@@ -216,12 +219,12 @@
 
 impl Life {
     fn check(
-        &self,
+        &mut self,
         reply: &PollReply,
         double: Option<UnsafeDouble>,
-    ) -> Result<Option<Bundle>, RefusedReply> {
+    ) -> Result<Option<NewBundle>, RefusedReply> {
         match &reply.bundle {
-            Some(offered) if double == Some(UnsafeDouble::DaemonTakesOlder) => {
+            Some(BundleNews::Whole(offered)) if double == Some(UnsafeDouble::DaemonTakesOlder) => {
                 Ok(Some(take_unseen(offered)?))
             }
             _ => self.intake.check(reply),
@@ -235,8 +238,11 @@
     }
 }
 
-fn take_unseen(offered: &SignedBundle) -> Result<Bundle, RefusedReply> {
-    Ok(decode(offered)?)
+fn take_unseen(offered: &SignedBundle) -> Result<NewBundle, RefusedReply> {
+    Ok(NewBundle {
+        bundle: decode(offered)?,
+        signed: offered.clone(),
+    })
 }
 
 fn name(bundle: &Bundle) -> BundleName {
--- a/crates/bramblewheel-sim/src/control/replica.rs
+++ b/crates/bramblewheel-sim/src/control/replica.rs
@@ -379,7 +379,8 @@
             (Some(own), Some(other)) => own == other,
             _ => true,
         };
-        hello.to == self.address.replica && is_same_group
+        let is_meant = hello.to == self.address.replica && hello.from.replica != hello.to;
+        is_meant && is_same_group
     }
 
     fn is_leader(&self) -> bool {
@@ -408,6 +409,7 @@
     fn no_news(&self) -> PollReply {
         PollReply {
             position: self.node.state().position(),
+            operator_changes: Vec::new(),
             bundle: None,
             directory_revision: self.node.state().directory().revision(),
             directory_is_complete: false,
--- a/crates/bramblewheel-sim/src/lib.rs
+++ b/crates/bramblewheel-sim/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod control;
 pub mod deployment;
 pub mod kernel;
+pub mod requests;
 pub mod run;
 pub mod scenario;
