--- a/crates/bramblewheel-sim/src/lib.rs
+++ b/crates/bramblewheel-sim/src/lib.rs
@@ -4,6 +4,9 @@
 //! One seed gives one run. The simulator drives the real decision and replication crates under
 //! virtual time; checkers read the history of events only.
 
+pub mod control;
 pub mod deployment;
 pub mod kernel;
 pub mod requests;
+pub mod run;
+pub mod scenario;
