Never take an answer to a read before a restart for one after it

A follower names the reads it asks of the leader by counting from 1 at each start. The leader's answer to a read before a restart that arrives after it therefore confirmed the first read after it, though no quorum had been asked since: a daemon with an empty folder could have been given a bundle older than one already in force. The names now begin at a number drawn from the seed of the start, as the tokens of contact do.

Proposals and own reads are named by the same counter and never leave the process. The test fails without the change: the read is answered at once while the leader is cut off."

--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -38,6 +38,8 @@
 use leases::Leases;
 use polls::HeldPolls;
 use proposals::{Proposals, Purpose, Queue};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use reads::Reads;
 use replacement::Replacement;
 use std::collections::BTreeMap;
@@ -138,6 +140,7 @@
         let data = restored.snapshot.as_ref().map(|s| s.data.as_slice());
         let state = ControlState::decode(data.unwrap_or_default())?;
         let introduced = group::addresses_in(&restored.entries);
+        let next_id = first_id(config.seed);
         let replica = Replica::new(replica_config(&config), restored, now.monotonic);
         let mut node = Self {
             config,
@@ -145,7 +148,7 @@
             state,
             now,
             is_stopping: false,
-            next_id: 0,
+            next_id,
             queue: Queue::default(),
             proposals: Proposals::default(),
             outcomes: BTreeMap::new(),
@@ -365,6 +368,14 @@
     }
 }
 
+/// Where the names of reads and proposals begin: at each start elsewhere, so that a late answer to a
+/// read before a restart is not taken for the answer to one after it.
+fn first_id(seed: u64) -> u64 {
+    let drawn: u64 = Pcg64Mcg::seed_from_u64(seed).random();
+    // Half of the numbers are left to count on.
+    drawn >> 1
+}
+
 fn replica_config(config: &NodeConfig) -> ReplicaConfig {
     ReplicaConfig {
         id: ReplicaId(config.address.replica),
--- a/crates/bramblewheel-control/tests/group.rs
+++ b/crates/bramblewheel-control/tests/group.rs
@@ -630,3 +630,24 @@
         1200
     );
 }
+
+#[test]
+fn an_answer_to_a_read_before_a_restart_confirms_none_after_it() {
+    let mut cluster = Cluster::bootstrapped(31, MANY);
+    let leader = cluster.settle();
+    let follower = (leader + 1) % 3;
+    for _ in 0..5 {
+        let reply = cluster.ask(follower, RequestBody::BundleStatus);
+        assert!(
+            matches!(reply, ReplyBody::BundleStatus(Some(_))),
+            "{reply:?}"
+        );
+    }
+    cluster.restart(follower);
+    cluster.run(Duration::from_millis(500));
+    cluster.cut_off(leader);
+    let read = cluster.send(follower, RequestBody::BundleStatus);
+    cluster.repeat_read_replies(follower);
+    let reply = cluster.reply(read);
+    assert_eq!(reply, None, "nobody has confirmed this read");
+}
--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -42,6 +42,8 @@
     snapshot_interval: u64,
     /// Whether replies are lost from now on.
     pub loses_replies: bool,
+    /// Answers to reads between replicas, to come once more by [`Cluster::repeat_read_replies`].
+    read_replies: Vec<(ReplicaId, ReplicaId, PeerMessage)>,
 }
 
 impl Cluster {
@@ -58,6 +60,7 @@
             replies: BTreeMap::new(),
             snapshot_interval,
             loses_replies: false,
+            read_replies: Vec::new(),
         };
         for machine in 0..count {
             cluster.machines.push(Machine {
@@ -144,6 +147,18 @@
         self.start(machine);
     }
 
+    /// Every answer to a read that a replica was sent so far comes once more, late.
+    pub fn repeat_read_replies(&mut self, machine: usize) {
+        let own = self.machines[machine].id;
+        for (from, to, message) in self.read_replies.clone() {
+            if to == own {
+                let now = self.clocks();
+                self.node_mut(machine).receive(now, from, message);
+            }
+        }
+        self.drive(machine);
+    }
+
     pub fn cut_off(&mut self, machine: usize) {
         self.cut.insert(machine);
     }
@@ -296,6 +311,9 @@
             let delay = Duration::from_micros(self.random.random_range(200..4_000));
             self.sequence += 1;
             let key = (self.now + delay, self.sequence);
+            if matches!(message, PeerMessage::ReadReply { .. }) {
+                self.read_replies.push((from, to, message.clone()));
+            }
             self.network.insert(key, (from, to, message));
         }
         if !self.loses_replies {
