--- a/crates/bramblewheel-bundle/tests/support/mod.rs
+++ b/crates/bramblewheel-bundle/tests/support/mod.rs
@@ -10,7 +10,8 @@
 use bramblewheel_types::{BundleVersion, Criticality, Millis, ServiceName};
 use std::collections::BTreeMap;
 
-/// A bundle with every kind of entry that stays as it is, unlike the examples: tests count its lines and know its digest.
+/// A bundle with every kind of entry. It stays as it is, unlike the examples: tests count its
+/// lines and know its digest.
 pub const TORGNETT: &str = include_str!("known.toml");
 
 pub fn torgnett() -> Bundle {
