--- a/crates/bramblewheel-core/src/route/choice.rs
+++ b/crates/bramblewheel-core/src/route/choice.rs
@@ -1,7 +1,9 @@
-//! Choice of an endpoint: the cheaper of two random ones, own zone first.
+//! Choice of an endpoint: the cheapest of a few random ones, own zone first.
 //!
-//! Two random choices bring nearly all of the gain of knowing every load, without the herd that
-//! goes to the one endpoint that looked idle a moment ago.
+//! A few random choices bring nearly all of the gain of knowing every load, without the herd that
+//! goes to the one endpoint that looked idle a moment ago. Two are enough while there is room;
+//! near saturation, where a parent's slot waits for each sub-call, four wait clearly less
+//! (`docs/design/05-admission.md`).
 
 use crate::event::AdmissionLevel;
 use crate::route::directory::{Directory, ServiceEndpoints};
@@ -11,6 +13,8 @@
 use rand::{Rng, RngExt};
 use std::time::Duration;
 
+/// Endpoints among which the cheapest is chosen.
+const CHOICES: usize = 4;
 /// Random picks after which the list is searched from a random place.
 const MAX_PICKS: usize = 4;
 
@@ -105,19 +109,23 @@
         random: &mut impl Rng,
     ) -> Option<&'a EndpointId> {
         let local = self.pick(&service.local, None, wanted, strictness, random);
-        let Some(first) = local else {
-            let first = self.pick(&service.remote, None, wanted, strictness, random)?;
-            let second = self.pick(&service.remote, Some(first), wanted, strictness, random);
-            return Some(self.cheaper(first, second, wanted));
-        };
-        // Once the own zone is loaded, the second choice comes from outside; the first stays
-        // local, so that the own zone goes on being measured.
-        let second = if is_spilling_over(service, wanted.policy) {
-            self.pick(&service.remote, None, wanted, strictness, random)
+        // Once the own zone is loaded, further choices come from outside; the first stays local,
+        // so that the own zone goes on being measured.
+        let stays_local = local.is_some() && !is_spilling_over(service, wanted.policy);
+        let list = if stays_local {
+            &service.local
         } else {
-            self.pick(&service.local, Some(first), wanted, strictness, random)
+            &service.remote
+        };
+        let mut best = match local {
+            Some(local) => local,
+            None => self.pick(list, None, wanted, strictness, random)?,
         };
-        Some(self.cheaper(first, second, wanted))
+        for _ in 1..CHOICES {
+            let other = self.pick(list, Some(best), wanted, strictness, random);
+            best = self.cheaper(best, other, wanted);
+        }
+        Some(best)
     }
 
     fn pick<'a>(
--- a/crates/bramblewheel-lab/src/bench/overload/summary.rs
+++ b/crates/bramblewheel-lab/src/bench/overload/summary.rs
@@ -57,9 +57,7 @@
     let bound: f64 = subject.bound(surge).iter().sum();
     let gain = |value: &dyn Fn(&TrialResult) -> f64| gain_spread(runs, value);
     let cost = |value: &dyn Fn(&TrialResult) -> f64| cost_spread(runs, value);
-    let mut classes = subject.classes();
-    classes.sort_unstable_by(|one, other| other.cmp(one));
-    classes.dedup();
+    let classes = subject.used_classes();
     let goodput = |result: &TrialResult| result.run.measurement.goodput(CAUSE);
     let class_goodput = classes.iter().map(|class| {
         let value = |r: &TrialResult| r.run.measurement.class_goodput(CAUSE, *class);
