--- a/crates/bramblewheel-core/src/outbound/send.rs
+++ b/crates/bramblewheel-core/src/outbound/send.rs
@@ -42,7 +42,7 @@
         let lent = self.pool_of(&mut call).map_or(0, TokenPool::lend);
         let context = self.context_of(now, id, &call, attempt, lent);
         self.outbound.attempts.insert(attempt, id);
-        self.directory.record_sent(&target.endpoint);
+        self.directory.record_sent(now, &target.endpoint);
         self.metrics.attempts_sent += 1;
         if !call.tried.contains(&target.endpoint) {
             call.tried.push(target.endpoint.clone());
--- a/crates/bramblewheel-core/src/route/directory.rs
+++ b/crates/bramblewheel-core/src/route/directory.rs
@@ -116,16 +116,16 @@
     }
 
     /// An attempt was sent.
-    pub(crate) fn record_sent(&mut self, endpoint: &EndpointId) {
+    pub(crate) fn record_sent(&mut self, now: Timestamp, endpoint: &EndpointId) {
         if let Some(state) = self.endpoints.get_mut(endpoint) {
-            state.outstanding += 1;
+            state.record_sent(now);
         }
     }
 
     /// An attempt was ended without news of the endpoint.
     pub(crate) fn record_given_up(&mut self, endpoint: &EndpointId) {
         if let Some(state) = self.endpoints.get_mut(endpoint) {
-            state.outstanding = state.outstanding.saturating_sub(1);
+            state.record_over();
         }
     }
 
--- a/crates/bramblewheel-core/tests/routing.rs
+++ b/crates/bramblewheel-core/tests/routing.rs
@@ -196,3 +196,29 @@
     end(&mut daemon, at(2), first, completed(10));
     assert!(call(&mut daemon, at(2), 5).is_some());
 }
+
+/// A cut-off endpoint answers nothing, so that it never looks slow; the other takes 20 ms.
+#[test]
+fn a_silent_endpoint_gets_no_more_calls_while_another_answers() {
+    let live = vec![entry("a-0", "zone-a", false), entry("a-1", "zone-a", false)];
+    let mut daemon = gateway(0, live);
+    let mut running = std::collections::VecDeque::new();
+    let mut unanswered = Vec::new();
+    for id in 1..900 {
+        let now = at(id);
+        while running.front().is_some_and(|(ends, _)| *ends <= now) {
+            let (_, attempt) = running.pop_front().expect("it was just looked at");
+            end(&mut daemon, now, attempt, completed(10));
+        }
+        let (attempt, to) = call(&mut daemon, now, id).expect("it is sent");
+        if to == endpoint("a-0") {
+            unanswered.push(now);
+        } else {
+            running.push_back((at(id + 20), attempt));
+        }
+    }
+    let last = unanswered
+        .last()
+        .expect("it had some before it was found out");
+    assert!(*last < at(200), "a call went there at {last:?}");
+}
--- a/crates/bramblewheel-sim/src/run/mod.rs
+++ b/crates/bramblewheel-sim/src/run/mod.rs
@@ -12,6 +12,7 @@
 pub fn run_seed(scenario: &Scenario, seed: u64) -> SeedReport {
     match &scenario.body {
         Body::Control(body) => run_control(body, seed),
+        Body::Overload(body) => body.run(seed),
     }
 }
 
--- a/crates/bramblewheel-sim/src/scenario/mod.rs
+++ b/crates/bramblewheel-sim/src/scenario/mod.rs
@@ -16,6 +16,7 @@
 pub use value::{MillisRange, Range};
 
 use crate::control::ControlScenario;
+use crate::requests::scenario::OverloadScenario;
 use serde::Deserialize;
 
 /// What a scenario simulates.
@@ -24,6 +25,8 @@
 pub enum Kind {
     /// The control group with hollow daemons and operators.
     Control,
+    /// A deployment under a surge while a deep service is slow.
+    Overload,
 }
 
 /// The keys that every scenario file has; the kind's own keys are not looked at.
@@ -42,6 +45,8 @@
 pub enum Body {
     /// The control group.
     Control(Box<ControlScenario>),
+    /// A deployment under a surge.
+    Overload(Box<OverloadScenario>),
 }
 
 /// A scenario, read and checked.
@@ -62,6 +67,7 @@
     let header: Header = source.deserialize()?;
     let body = match header.kind {
         Kind::Control => Body::Control(Box::new(ControlScenario::parse(&source)?)),
+        Kind::Overload => Body::Overload(Box::new(OverloadScenario::parse(&source)?)),
     };
     Ok(Scenario { header, body })
 }
--- a/crates/bramblewheel-sim/src/scenario/registry.rs
+++ b/crates/bramblewheel-sim/src/scenario/registry.rs
@@ -36,6 +36,9 @@
     built_in!("replica-frozen"),
     built_in!("zone-cut"),
     built_in!("control-chaos"),
+    built_in!("torgnett-metastable"),
+    built_in!("museum-metastable"),
+    built_in!("double-fault"),
 ];
 
 impl BuiltIn {
--- a/crates/bramblewheel-sim/src/scenario/tests.rs
+++ b/crates/bramblewheel-sim/src/scenario/tests.rs
@@ -39,7 +39,9 @@
 #[test]
 fn a_good_file_is_read() {
     let scenario = parse("trial.toml", GOOD).expect("valid");
-    let Body::Control(body) = scenario.body;
+    let Body::Control(body) = scenario.body else {
+        panic!("read as another kind");
+    };
     assert_eq!(body.topology.replicas, 3);
     assert_eq!(body.faults[0].at_ms, MillisRange::between(0, 100));
 }
--- a/crates/bramblewheel-sim/tests/unsafe_doubles.rs
+++ b/crates/bramblewheel-sim/tests/unsafe_doubles.rs
@@ -34,7 +34,9 @@
 /// Seeds of a scenario on which a double makes the checker of a promise report.
 fn reported(text: &str, double: UnsafeDouble, promise: Promise) -> Vec<u64> {
     let scenario = parse("scenario.toml", text).expect("the file is valid");
-    let Body::Control(scenario) = scenario.body;
+    let Body::Control(scenario) = scenario.body else {
+        panic!("the scenario is of another kind");
+    };
     let wanted = promise.to_string();
     let is_reported = |seed: &u64| {
         let run = control::run(&scenario, *seed, Some(double));
