Carry a replacement on after a change of leader

Cause: the replacement in progress was known to its leader only. After a restart or a change of leader a group of three stayed with a learner, or with two voters, until the operator repeated the command.

What is to be replaced is now an entry of the log (begin, end). Any leader that has applied an entry of its own term takes the next step, derived from the membership in force; the end is proposed once the new voter has all that is committed. A replacement whose new machine is lost too is changed by naming that machine as the lost one; this was not needed before, as a restart of the leader forgot the replacement.

Ruled out: going on from the membership alone, since a learner does not say which voter it stands in for.

--- a/crates/bramblewheel-control/src/node/applying.rs
+++ b/crates/bramblewheel-control/src/node/applying.rs
@@ -81,7 +81,13 @@
             (Purpose::Publish(_) | Purpose::Operations(_), outcome) => {
                 unreachable!("entry {} came to {outcome:?}", index.0)
             }
-            (Purpose::Directory | Purpose::Address(_) | Purpose::Membership, _) => {}
+            (
+                Purpose::Directory
+                | Purpose::Address(_)
+                | Purpose::Membership
+                | Purpose::Replacement,
+                _,
+            ) => {}
         }
     }
 
@@ -94,6 +100,7 @@
                 }
             }
             Purpose::Directory | Purpose::Address(_) | Purpose::Membership => {}
+            Purpose::Replacement => self.replacement_undecided(),
         }
     }
 
--- a/crates/bramblewheel-control/src/node/group.rs
+++ b/crates/bramblewheel-control/src/node/group.rs
@@ -24,7 +24,11 @@
     });
     let addresses = commands.filter_map(|logged| match logged.command {
         Command::Address(address) => Some((address.replica, address)),
-        Command::Publish(_) | Command::Operations(_) | Command::Directory { .. } => None,
+        Command::Publish(_)
+        | Command::Operations(_)
+        | Command::Directory { .. }
+        | Command::BeginReplacement(_)
+        | Command::EndReplacement(_) => None,
     });
     addresses.collect()
 }
--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -39,7 +39,7 @@
 use polls::HeldPolls;
 use proposals::{Proposals, Purpose, Queue};
 use reads::Reads;
-use replacement::Replacement;
+use replacement::WaitingClients;
 use std::collections::BTreeMap;
 
 /// Entries in one message between replicas.
@@ -110,7 +110,7 @@
     bundle_news: BundleNewsCache,
     reads: Reads,
     leases: Leases,
-    replacement: Option<Replacement>,
+    replacement_clients: WaitingClients,
     /// Addresses that replicas stated when they connected.
     introduced: BTreeMap<u64, ReplicaAddress>,
     /// Registrations the leader is to be told with the next output.
@@ -153,7 +153,7 @@
             bundle_news: BundleNewsCache::default(),
             reads: Reads::default(),
             leases: Leases::default(),
-            replacement: None,
+            replacement_clients: WaitingClients::default(),
             introduced,
             untold_registrations: Vec::new(),
             messages: Vec::new(),
@@ -297,6 +297,7 @@
             }
             // Found to be missing again with the next poll.
             Purpose::Directory | Purpose::Address(_) | Purpose::Membership => {}
+            Purpose::Replacement => self.replacement_undecided(),
         }
     }
 
--- a/crates/bramblewheel-control/src/node/proposals.rs
+++ b/crates/bramblewheel-control/src/node/proposals.rs
@@ -3,7 +3,7 @@
 use super::output::ClientRequestId;
 use crate::state::{Command, ExpiredDaemon};
 use bramblewheel_protocol::control::{
-    OperationRequest, Registration, ReplicaAddress, SignedBundle,
+    OperationRequest, Registration, ReplaceRequest, ReplicaAddress, SignedBundle,
 };
 use bramblewheel_replication::ProposalId;
 use bramblewheel_types::DaemonId;
@@ -27,6 +27,8 @@
     Address(u64),
     /// A change of the membership.
     Membership,
+    /// Begin or end of a replacement.
+    Replacement,
 }
 
 /// What is to be proposed with the next output, so that one sync serves it all.
@@ -37,6 +39,7 @@
     registrations: BTreeMap<DaemonId, Registration>,
     expired: BTreeSet<ExpiredDaemon>,
     addresses: BTreeMap<u64, ReplicaAddress>,
+    replacement: Option<Command>,
 }
 
 impl Queue {
@@ -61,6 +64,18 @@
         self.addresses.insert(address.replica, address);
     }
 
+    pub(super) fn begin_replacement(&mut self, request: ReplaceRequest) {
+        self.replacement = Some(Command::BeginReplacement(request));
+    }
+
+    pub(super) fn end_replacement(&mut self, new: u64) {
+        self.replacement = Some(Command::EndReplacement(new));
+    }
+
+    pub(super) fn has_replacement(&self) -> bool {
+        self.replacement.is_some()
+    }
+
     /// All that waits, as commands.
     pub(super) fn take(&mut self) -> Vec<(Purpose, Command)> {
         let queue = std::mem::take(self);
@@ -78,6 +93,9 @@
         for (replica, address) in queue.addresses {
             commands.push((Purpose::Address(replica), Command::Address(address)));
         }
+        if let Some(command) = queue.replacement {
+            commands.push((Purpose::Replacement, command));
+        }
         commands
     }
 }
@@ -126,7 +144,10 @@
                 self.expired
                     .extend(expired.iter().map(|gone| (gone.clone(), id)));
             }
-            Command::Publish(_) | Command::Address(_) => {}
+            Command::Publish(_)
+            | Command::Address(_)
+            | Command::BeginReplacement(_)
+            | Command::EndReplacement(_) => {}
         }
         self.open.insert(id, purpose);
     }
@@ -147,7 +168,10 @@
                     .retain(|_, (proposal, _)| *proposal != id);
                 self.expired.retain(|_, proposal| *proposal != id);
             }
-            Purpose::Publish(_) | Purpose::Address(_) | Purpose::Membership => {}
+            Purpose::Publish(_)
+            | Purpose::Address(_)
+            | Purpose::Membership
+            | Purpose::Replacement => {}
         }
         Some(purpose)
     }
@@ -173,6 +197,12 @@
             .any(|purpose| *purpose == Purpose::Membership)
     }
 
+    pub(super) fn has_replacement(&self) -> bool {
+        self.open
+            .values()
+            .any(|purpose| *purpose == Purpose::Replacement)
+    }
+
     pub(super) fn has_room(&self, operations: usize) -> bool {
         self.operations + operations <= MAX_OPERATIONS_WAITING
     }
--- a/crates/bramblewheel-control/src/node/replacement.rs
+++ b/crates/bramblewheel-control/src/node/replacement.rs
@@ -4,9 +4,13 @@
 //! The lost one goes first because until then it counts in the quorum: with the new voter added
 //! to it, a group of three would have to reach three of four, so that a new replica which fails at
 //! once would stop the group.
+//!
+//! What is to be replaced stands in the log, and each step follows from the membership in force,
+//! so that the next leader goes on where the last one stopped.
 
 use super::output::ClientRequestId;
 use super::{ControlNode, group};
+use crate::state::Replacement;
 use bramblewheel_protocol::control::{ReplaceRequest, ReplyBody, Unavailable};
 use bramblewheel_replication::{LogIndex, MembershipChange, ReplicaId};
 use bramblewheel_types::Timestamp;
@@ -18,16 +22,21 @@
 /// own.
 const SMALL_LAG: u64 = 64;
 
-/// A replacement that this leader carries out.
+/// Clients that wait for the end of a replacement.
+#[derive(Debug, Default)]
+pub(super) struct WaitingClients(Vec<WaitingClient>);
+
 #[derive(Debug)]
-pub(super) struct Replacement {
+struct WaitingClient {
+    id: ClientRequestId,
     request: ReplaceRequest,
-    waiting: Vec<(ClientRequestId, Timestamp)>,
+    until: Timestamp,
 }
 
 /// What is next.
 enum Step {
     Change(MembershipChange),
+    HandOver,
     Wait,
     Done,
 }
@@ -45,12 +54,13 @@
             let _ = self.replica.transfer_leadership(self.now.monotonic);
             return self.not_leader(id);
         }
+        let current = self.state.replacement();
+        if !current.is_some_and(|current| current.is_same(&request)) {
+            self.queue.begin_replacement(request.clone());
+        }
         let until = self.now.monotonic + WAIT;
-        let waiting = Vec::new();
-        let fresh = Replacement { request, waiting };
-        let current = self.replacement.get_or_insert(fresh);
-        current.waiting.push((id, until));
-        self.advance_replacement();
+        let client = WaitingClient { id, request, until };
+        self.replacement_clients.0.push(client);
     }
 
     fn check_replacement(&self, request: &ReplaceRequest) -> Result<(), String> {
@@ -58,15 +68,17 @@
             ReplicaId(request.lost),
             ReplicaId(request.replacement.replica),
         );
-        if lost == new {
-            return Err("the replacement is the lost replica itself".to_owned());
-        }
-        let current = self.replacement.as_ref().map(|current| &current.request);
-        if current.is_some_and(|current| current != request) {
+        Replacement::requested(self.state.replacement(), request)?;
+        // One that is on its way into the log is not in the state yet.
+        let mut waiting = self.replacement_clients.0.iter();
+        if waiting.any(|client| client.request != *request && self.is_undecided(&client.request)) {
             return Err("another replacement is in progress".to_owned());
         }
         let membership = self.replica.membership();
-        if !membership.contains(lost) && !membership.contains(new) {
+        let is_known = self.state.replacement().is_some()
+            || membership.contains(lost)
+            || membership.contains(new);
+        if !is_known {
             return Err(format!("replica {:016x} is not a member", lost.0));
         }
         let is_taken = |member: ReplicaId| {
@@ -82,50 +94,67 @@
         Ok(())
     }
 
+    /// Whether a request that was accepted here is neither in the state nor carried out.
+    fn is_undecided(&self, request: &ReplaceRequest) -> bool {
+        let current = self.state.replacement();
+        let is_begun = current.is_some_and(|current| current.is_same(request));
+        !is_begun && (self.queue.has_replacement() || self.proposals.has_replacement())
+    }
+
     /// Takes the next step of the replacement in progress, if there is one.
     pub(super) fn advance_replacement(&mut self) {
-        let Some(mut current) = self.replacement.take() else {
-            return;
-        };
         if !self.is_leader() {
-            for (id, _) in current.waiting {
-                self.unavailable(id, Unavailable::Undecided);
+            for client in std::mem::take(&mut self.replacement_clients.0) {
+                self.unavailable(client.id, Unavailable::Undecided);
             }
             return;
         }
-        match self.next_step(&current.request) {
-            Step::Done => {
-                for (id, _) in current.waiting {
-                    self.reply(id, ReplyBody::Done);
-                }
-                return;
-            }
+        if self.knows_all_before_its_term() {
+            self.take_replacement_step();
+        }
+        self.answer_replacement_clients();
+    }
+
+    /// Whether all that was committed before this leader's term is applied, so that the state
+    /// shows no replacement that has ended or changed since.
+    fn knows_all_before_its_term(&self) -> bool {
+        self.state.position().term == self.replica.term().0
+    }
+
+    fn take_replacement_step(&mut self) {
+        let is_changing = self.queue.has_replacement() || self.proposals.has_replacement();
+        let Some(current) = self.state.replacement().filter(|_| !is_changing) else {
+            return;
+        };
+        let new = current.new_replica().replica;
+        match self.next_step(current) {
             Step::Change(change) => self.change_membership(change),
+            Step::HandOver => {
+                // Refused while nobody can take over: tried again with the next step.
+                let _ = self.replica.transfer_leadership(self.now.monotonic);
+            }
+            Step::Done => self.queue.end_replacement(new),
             Step::Wait => {}
         }
-        let now = self.now.monotonic;
-        for (id, _) in current.waiting.extract_if(.., |(_, until)| *until <= now) {
-            self.unavailable(id, Unavailable::Undecided);
-        }
-        self.replacement = Some(current);
     }
 
-    fn next_step(&self, request: &ReplaceRequest) -> Step {
-        let (lost, new) = (
-            ReplicaId(request.lost),
-            ReplicaId(request.replacement.replica),
-        );
+    fn next_step(&self, current: &Replacement) -> Step {
+        let new = ReplicaId(current.new_replica().replica);
         let membership = self.replica.membership();
         if !self.replica.membership_is_committed() || self.proposals.has_membership() {
             return Step::Wait;
         }
+        if current.lost().contains(&self.replica.id().0) {
+            return Step::HandOver;
+        }
         if !membership.contains(new) {
             return Step::Change(MembershipChange::AddLearner {
                 replica: new,
-                description: group::describe(&request.replacement),
+                description: group::describe(current.new_replica()),
             });
         }
-        if membership.contains(lost) {
+        let mut lost = current.lost().iter().map(|lost| ReplicaId(*lost));
+        if let Some(lost) = lost.find(|lost| membership.contains(*lost)) {
             return if self.lag_of(new) <= SMALL_LAG {
                 Step::Change(MembershipChange::Remove(lost))
             } else {
@@ -164,4 +193,45 @@
             self.proposals.opened_membership(id);
         }
     }
+
+    /// Answers the clients whose replacement has ended, and those that have waited long.
+    fn answer_replacement_clients(&mut self) {
+        let is_changing = self.queue.has_replacement() || self.proposals.has_replacement();
+        for client in std::mem::take(&mut self.replacement_clients.0) {
+            let current = self.state.replacement();
+            let is_current = current.is_some_and(|current| current.is_same(&client.request));
+            if !is_current && !is_changing {
+                let reply = self.end_of(&client.request);
+                self.reply(client.id, reply);
+            } else if client.until <= self.now.monotonic {
+                self.unavailable(client.id, Unavailable::Undecided);
+            } else {
+                self.replacement_clients.0.push(client);
+            }
+        }
+    }
+
+    /// An entry that begins or ends a replacement may not be in the log: who waits for its begin
+    /// must ask again.
+    pub(super) fn replacement_undecided(&mut self) {
+        for client in std::mem::take(&mut self.replacement_clients.0) {
+            let current = self.state.replacement();
+            if current.is_some_and(|current| current.is_same(&client.request)) {
+                self.replacement_clients.0.push(client);
+            } else {
+                self.unavailable(client.id, Unavailable::Undecided);
+            }
+        }
+    }
+
+    /// What became of a request that is not in progress any more.
+    fn end_of(&self, request: &ReplaceRequest) -> ReplyBody {
+        let membership = self.replica.membership();
+        let new = ReplicaId(request.replacement.replica);
+        let is_in_place = membership.voters.contains(&new);
+        if is_in_place && !membership.contains(ReplicaId(request.lost)) {
+            return ReplyBody::Done;
+        }
+        ReplyBody::Rejected("another replacement was begun in its place".to_owned())
+    }
 }
--- a/crates/bramblewheel-control/src/state/command.rs
+++ b/crates/bramblewheel-control/src/state/command.rs
@@ -2,7 +2,7 @@
 
 use super::MalformedState;
 use bramblewheel_protocol::control::{
-    OperationRequest, Registration, ReplicaAddress, SignedBundle,
+    OperationRequest, Registration, ReplaceRequest, ReplicaAddress, SignedBundle,
 };
 use bramblewheel_types::DaemonId;
 use serde::{Deserialize, Serialize};
@@ -32,6 +32,10 @@
     },
     /// A replica is reached at other addresses than before.
     Address(ReplicaAddress),
+    /// Begins a replacement, or changes the one in progress.
+    BeginReplacement(ReplaceRequest),
+    /// The replacement by this replica is finished.
+    EndReplacement(u64),
 }
 
 /// A daemon whose lease is over.
--- a/crates/bramblewheel-control/src/state/mod.rs
+++ b/crates/bramblewheel-control/src/state/mod.rs
@@ -8,12 +8,14 @@
 pub mod command;
 pub mod directory;
 pub mod ledger;
+pub mod replacement;
 
 pub use bundle_history::BundleHistory;
 pub use bundles::Bundles;
 pub use command::{Command, ExpiredDaemon, LoggedCommand};
 pub use directory::{Directory, DirectoryDelta};
 pub use ledger::Ledger;
+pub use replacement::Replacement;
 
 use bramblewheel_protocol::control::{
     LogPosition, OperationReply, PublishReply, ReplicaAddress, SignedBundle,
@@ -66,6 +68,9 @@
     ledger: Ledger,
     directory: Directory,
     addresses: BTreeMap<u64, ReplicaAddress>,
+    /// Absent in snapshots of before it was in the log.
+    #[serde(default)]
+    replacement: Option<Replacement>,
 }
 
 impl ControlState {
@@ -129,6 +134,19 @@
                 self.addresses.insert(address.replica, address);
                 Outcome::Nothing
             }
+            Command::BeginReplacement(request) => {
+                // Refused when another one was begun before it; its client finds that out.
+                let current = self.replacement.as_ref();
+                if let Ok(next) = Replacement::requested(current, &request) {
+                    self.replacement = Some(next);
+                }
+                Outcome::Nothing
+            }
+            Command::EndReplacement(new) => {
+                let is_current = |current: &mut Replacement| current.new_replica().replica == new;
+                self.replacement.take_if(is_current);
+                Outcome::Nothing
+            }
         };
         Ok((outcome, changes))
     }
@@ -206,6 +224,11 @@
         &self.directory
     }
 
+    /// The replacement in progress.
+    pub fn replacement(&self) -> Option<&Replacement> {
+        self.replacement.as_ref()
+    }
+
     /// Where a replica said it can be reached, if that differs from its admission.
     pub fn address(&self, replica: u64) -> Option<&ReplicaAddress> {
         self.addresses.get(&replica)
--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -74,7 +74,12 @@
 
     /// Three machines in one group with bundle version 1, all with a quorum proven.
     pub fn bootstrapped(seed: u64, snapshot_interval: u64) -> Self {
-        let mut cluster = Self::new(3, seed, snapshot_interval);
+        Self::bootstrapped_of(3, seed, snapshot_interval)
+    }
+
+    /// Like [`bootstrapped`](Self::bootstrapped), with more machines that stay empty.
+    pub fn bootstrapped_of(machines: usize, seed: u64, snapshot_interval: u64) -> Self {
+        let mut cluster = Self::new(machines, seed, snapshot_interval);
         let request = cluster.bootstrap_request(3);
         for machine in 0..3 {
             let body = RequestBody::Bootstrap(request.clone());
