Bound the connections of the admin listener

Cause: `axum::serve` has neither a cap on connections nor a time for a message head, so that clients that connect and say nothing could use up the file descriptors of a replica.

The admin listener is now accepted by the same loop as the other two, with a cap (`admin.connections`, 256) and a time for message heads (`admin.header_timeout_ms`, the daemon's 10 s, also for idle connections). The daemon's limits on header lines and bytes apply.

Ruled out: sharing the daemon's server. No crate below both has I/O, and its refusal carries the daemon's own headers; the replica's accept loop was there.

--- a/crates/bramblewheel-control/src/server/admin.rs
+++ b/crates/bramblewheel-control/src/server/admin.rs
@@ -2,16 +2,67 @@
 
 use super::exposition;
 use super::input::{Input, Inputs, Inspection};
+use super::listener::{CAP_LOG_NOTE, Limits};
+use crate::settings::AdminSettings;
 use axum::Router;
 use axum::extract::State;
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
-use tokio::sync::oneshot;
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use slog::Logger;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{oneshot, watch};
 
+/// Header lines of one request, as at the daemon.
+const MAX_HEADERS: usize = 64;
+/// Bytes of one message head, as at the daemon.
+const MAX_HEADER_BYTES: usize = 16 * 1024;
 const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+pub(super) fn limits(settings: AdminSettings) -> Limits {
+    Limits {
+        connections: settings.connections,
+        note: CAP_LOG_NOTE,
+    }
+}
+
+/// Serves one connection until it ends or `stop`, after the request in progress.
+pub(super) async fn serve(
+    stream: TcpStream,
+    peer: SocketAddr,
+    router: Router,
+    header_timeout: Duration,
+    mut stop: watch::Receiver<bool>,
+    log: Logger,
+) {
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(header_timeout)
+        .max_headers(MAX_HEADERS)
+        .max_header_size(MAX_HEADER_BYTES)
+        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
+    let mut connection = std::pin::pin!(connection);
+    let told = async move {
+        let _ = stop.wait_for(|stop| *stop).await;
+    };
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = told => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        slog::debug!(log, "admin connection ended"; "peer" => %peer, "error" => %error);
+    }
+}
+
 pub(super) fn router(inputs: Inputs) -> Router {
     Router::new()
         .route("/healthz", get(async || "live\n"))
--- a/crates/bramblewheel-control/src/server/start.rs
+++ b/crates/bramblewheel-control/src/server/start.rs
@@ -8,7 +8,7 @@
 use crate::clock::Clock;
 use crate::logging;
 use crate::node::{ControlNode, Durable, NodeConfig};
-use crate::settings::Settings;
+use crate::settings::{AdminSettings, Settings};
 use crate::state::MalformedState;
 use bramblewheel_protocol::control::ReplicaAddress;
 use bramblewheel_replication::{ReplicaId, RestoredState};
@@ -210,7 +210,8 @@
     let mut tasks = JoinSet::new();
     spawn_peer(&mut tasks, peer.0, &inputs, &stop, &log);
     spawn_service(&mut tasks, service.0, &inputs, &stop, &log);
-    spawn_admin(&mut tasks, admin.0, &inputs, &stop);
+    let limits = settings.admin;
+    spawn_admin(&mut tasks, admin.0, limits, &inputs, &stop, &log);
     Ok(ControlHandle {
         replica,
         addresses,
@@ -348,18 +349,30 @@
 fn spawn_admin(
     tasks: &mut JoinSet<()>,
     listener: TcpListener,
+    settings: AdminSettings,
     inputs: &Inputs,
     stop: &watch::Sender<bool>,
+    log: &Logger,
 ) {
     let router = admin::router(inputs.clone());
-    let mut stop = stop.subscribe();
-    tasks.spawn(async move {
-        let told = async move {
-            let _ = stop.wait_for(|stop| *stop).await;
-        };
-        // Serving ends by `told` alone; failed accepts are retried within.
-        let _ = axum::serve(listener, router)
-            .with_graceful_shutdown(told)
-            .await;
-    });
+    let (stopped, serve_log) = (stop.subscribe(), log.clone());
+    let header_timeout = settings.header_timeout();
+    let serve = move |stream, peer| {
+        let (router, stop) = (router.clone(), stopped.clone());
+        admin::serve(
+            stream,
+            peer,
+            router,
+            header_timeout,
+            stop,
+            serve_log.clone(),
+        )
+    };
+    tasks.spawn(accept(
+        listener,
+        admin::limits(settings),
+        stop.subscribe(),
+        log.clone(),
+        serve,
+    ));
 }
--- a/crates/bramblewheel-control/src/settings.rs
+++ b/crates/bramblewheel-control/src/settings.rs
@@ -57,6 +57,9 @@
     /// Log and snapshots on disk.
     #[serde(default)]
     pub storage: StorageSettings,
+    /// Limits of the admin listener.
+    #[serde(default)]
+    pub admin: AdminSettings,
     /// Log of events.
     #[serde(default)]
     pub log: LogSettings,
@@ -133,6 +136,33 @@
     }
 }
 
+/// Limits of the admin listener.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdminSettings {
+    /// Connections open at one time; further ones are closed at once.
+    pub connections: usize,
+    /// Time for a message head to arrive, in milliseconds; also ends idle connections.
+    pub header_timeout_ms: u64,
+}
+
+impl Default for AdminSettings {
+    /// Room for every prober and collector of a site; the time is the daemon's.
+    fn default() -> Self {
+        Self {
+            connections: 256,
+            header_timeout_ms: 10_000,
+        }
+    }
+}
+
+impl AdminSettings {
+    /// Time for a message head to arrive.
+    pub fn header_timeout(&self) -> Duration {
+        Duration::from_millis(self.header_timeout_ms)
+    }
+}
+
 /// Log settings.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -230,7 +260,9 @@
 
     /// The first fault that the types can't express: key and reason.
     fn fault(&self) -> Option<(&'static str, String)> {
-        self.address_fault().or_else(|| self.timing_fault())
+        self.address_fault()
+            .or_else(|| self.timing_fault())
+            .or_else(|| self.admin_fault())
     }
 
     fn address_fault(&self) -> Option<(&'static str, String)> {
@@ -252,6 +284,15 @@
         })
     }
 
+    fn admin_fault(&self) -> Option<(&'static str, String)> {
+        let above_zero = [
+            ("connections", self.admin.connections as u64),
+            ("header_timeout_ms", self.admin.header_timeout_ms),
+        ];
+        let zero = above_zero.iter().find(|(_, value)| *value == 0);
+        zero.map(|(key, _)| (*key, "must be above zero".to_owned()))
+    }
+
     fn timing_fault(&self) -> Option<(&'static str, String)> {
         let TimingSettings {
             heartbeat_ms,
--- a/crates/bramblewheel-control/tests/server.rs
+++ b/crates/bramblewheel-control/tests/server.rs
@@ -28,11 +28,16 @@
 }
 
 async fn start(folder: &Path, number: usize) -> Result<ControlHandle, StartError> {
+    start_with(folder, number, "").await
+}
+
+/// Starts with more settings at the end of the file.
+async fn start_with(folder: &Path, number: usize, more: &str) -> Result<ControlHandle, StartError> {
     let text = format!(
         "name = \"control-{number}\"\nzone = \"hall-a\"\nregion = \"north\"\n\
          data_folder = \"{}\"\n[listen]\npeer = \"127.0.0.1:0\"\nservice = \"127.0.0.1:0\"\n\
          admin = \"127.0.0.1:0\"\n[timing]\nheartbeat_ms = 50\nelection_ms = 400\n\
-         daemon_lease_ms = 3000\n[storage]\nsnapshot_interval = 8\n",
+         daemon_lease_ms = 3000\n[storage]\nsnapshot_interval = 8\n{more}",
         folder.display()
     );
     let settings = Settings::parse(Path::new("s.toml"), &text, Overrides::default());
@@ -296,6 +301,64 @@
     assert_eq!(reply, ReplyBody::Unavailable(Unavailable::NoQuorum));
 }
 
+/// A client that never ends its message head, one that never begins it, and one that is idle after
+/// an answer all lose their connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_clients_of_the_admin_listener_are_let_go() {
+    let folder = TempDir::new().expect("a temporary folder");
+    let more = "[admin]\nheader_timeout_ms = 300\n";
+    let replica = start_with(folder.path(), 0, more).await.expect("starts");
+    let admin = replica.addresses().admin;
+    let whole = "GET /healthz HTTP/1.1\r\nhost: replica\r\n\r\n";
+    for sent in ["GET /healthz HTTP/1.1\r\nhost: rep", "", whole] {
+        let mut stream = TcpStream::connect(admin).await.expect("connects");
+        stream.write_all(sent.as_bytes()).await.expect("sent");
+        let mut answer = Vec::new();
+        let ended = timeout(PATIENCE / 6, stream.read_to_end(&mut answer)).await;
+        assert!(ended.is_ok(), "still open after {sent:?}");
+        let is_answered = answer.starts_with(b"HTTP/1.1 200");
+        assert_eq!(is_answered, sent == whole, "{sent:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_to_the_admin_listener_are_capped() {
+    let folder = TempDir::new().expect("a temporary folder");
+    let more = "[admin]\nconnections = 2\n";
+    let replica = start_with(folder.path(), 0, more).await.expect("starts");
+    let admin = replica.addresses().admin;
+    let mut open = Vec::new();
+    for _ in 0..2 {
+        let mut stream = TcpStream::connect(admin).await.expect("connects");
+        let request = b"GET /healthz HTTP/1.1\r\nhost: replica\r\n\r\n";
+        stream.write_all(request).await.expect("sent");
+        let mut byte = [0];
+        stream.read_exact(&mut byte).await.expect("an answer");
+        open.push(stream);
+    }
+    let mut third = TcpStream::connect(admin).await.expect("connects");
+    let mut answer = Vec::new();
+    let ended = timeout(PATIENCE / 6, third.read_to_end(&mut answer)).await;
+    assert!(ended.is_ok(), "a third connection stays open");
+    assert_eq!(answer, b"");
+    drop(open);
+    let served = async {
+        loop {
+            let mut stream = TcpStream::connect(admin).await.expect("connects");
+            let request = b"GET /healthz HTTP/1.1\r\nhost: r\r\nconnection: close\r\n\r\n";
+            // One that is closed at once may refuse the bytes.
+            let _ = stream.write_all(request).await;
+            let mut answer = Vec::new();
+            let _ = stream.read_to_end(&mut answer).await;
+            if answer.starts_with(b"HTTP/1.1 200") {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(PATIENCE, served).await.expect("room again");
+}
+
 async fn until_ready(admin: SocketAddr) {
     until(admin, "/readyz", (200, "ready\n")).await;
 }
--- a/crates/bramblewheel-control/tests/settings.rs
+++ b/crates/bramblewheel-control/tests/settings.rs
@@ -18,6 +18,9 @@
 daemon_lease_ms = 6000
 [storage]
 snapshot_interval = 10000
+[admin]
+connections = 256
+header_timeout_ms = 10000
 [log]
 level = "info"
 "#;
@@ -101,8 +104,14 @@
             "= 0",
             "s.toml:14: snapshot_interval: must be above zero",
         ),
-        ("\"info\"", "\"loud\"", "s.toml:16: level: unknown variant"),
-        ("[log]", "[log", "s.toml:15: "),
+        ("= 256", "= 0", "s.toml:16: connections: must be above zero"),
+        (
+            "header_timeout_ms = 10000",
+            "header_timeout_ms = 0",
+            "s.toml:17: header_timeout_ms: must be above zero",
+        ),
+        ("\"info\"", "\"loud\"", "s.toml:19: level: unknown variant"),
+        ("[log]", "[log", "s.toml:18: "),
     ];
     for (from, to, expected) in cases {
         assert!(VALID.contains(from), "{from}");
