Test failed syncs and full disks at the node and the process

The node's thread is generic in the file layer, so that its own loop runs on a file system in memory with faults (`start_on`); the end by a failed disk is logged with the operation and the file.

Scenarios (tests/disk_faults.rs): syncs that fail and disks that fill up while claims are made, with and without a spare replica, then a loss of power of all three: every granted claim is there; a vote that can't be synced elects nobody; a replica does not start on a full disk and names the file; a running replica of a group of one acknowledges nothing and ends by `RunError::Storage`.

No fault was found in the code. Seen to fail: with an error of the write passed over in `Durable::apply` three of the four tests failed ("Sync(3), spare: false: key-3" was lost); passed over in the node's thread, the publish was acknowledged. Both trials undone.

Noted: connections of clients end when `ControlHandle::stopped` is awaited, as the process does; a program that does not await it leaves them open.

--- a/crates/bramblewheel-control/src/lib.rs
+++ b/crates/bramblewheel-control/src/lib.rs
@@ -11,5 +11,5 @@
 pub mod settings;
 pub mod state;
 
-pub use server::{BoundAddresses, ControlHandle, RunError, StartError, run, start};
+pub use server::{BoundAddresses, ControlHandle, RunError, StartError, run, start, start_on};
 pub use settings::{Settings, SettingsError};
--- a/crates/bramblewheel-control/src/server/mod.rs
+++ b/crates/bramblewheel-control/src/server/mod.rs
@@ -10,4 +10,4 @@
 mod service;
 mod start;
 
-pub use start::{BoundAddresses, ControlHandle, RunError, StartError, run, start};
+pub use start::{BoundAddresses, ControlHandle, RunError, StartError, run, start, start_on};
--- a/crates/bramblewheel-control/src/server/node_thread.rs
+++ b/crates/bramblewheel-control/src/server/node_thread.rs
@@ -6,7 +6,7 @@
 use crate::node::{ClientRequestId, ControlNode, Durable, Hello, NodeOutput};
 use bramblewheel_protocol::control::{ControlReply, ReplyBody};
 use bramblewheel_replication::ReplicaId;
-use bramblewheel_storage::{DiskFileSystem, StorageError};
+use bramblewheel_storage::{FileSystem, StorageError};
 use bramblewheel_types::Timestamp;
 use slog::Logger;
 use std::collections::{BTreeSet, HashMap};
@@ -27,9 +27,9 @@
 }
 
 /// The driver of a node.
-pub(super) struct NodeThread {
+pub(super) struct NodeThread<F: FileSystem> {
     pub(super) node: ControlNode,
-    pub(super) durable: Durable<DiskFileSystem>,
+    pub(super) durable: Durable<F>,
     pub(super) inputs: Receiver<Input>,
     pub(super) clock: Clock,
     pub(super) peers: PeerSenders,
@@ -81,7 +81,7 @@
     }
 }
 
-impl NodeThread {
+impl<F: FileSystem> NodeThread<F> {
     /// Runs until a planned stop is complete or everybody has gone.
     pub(super) fn run(mut self) -> Result<(), StorageError> {
         let mut clients = Clients::default();
--- a/crates/bramblewheel-control/src/server/start.rs
+++ b/crates/bramblewheel-control/src/server/start.rs
@@ -12,7 +12,7 @@
 use crate::state::MalformedState;
 use bramblewheel_protocol::control::ReplicaAddress;
 use bramblewheel_replication::{ReplicaId, RestoredState};
-use bramblewheel_storage::{DiskFileSystem, StorageConfig, StorageError};
+use bramblewheel_storage::{DiskFileSystem, FileSystem, StorageConfig, StorageError};
 use slog::Logger;
 use std::fs::File;
 use std::io;
@@ -180,11 +180,28 @@
 /// # Errors
 /// [`StartError`] when a listener or the data folder can't be used.
 pub async fn start(settings: Settings, log: Logger) -> Result<ControlHandle, StartError> {
+    start_on(DiskFileSystem, settings, log).await
+}
+
+/// Starts a replica on another file layer than the disk; the data folder on disk only holds the
+/// lock.
+///
+/// # Errors
+/// [`StartError`] when a listener or the data folder can't be used.
+pub async fn start_on<F>(
+    files: F,
+    settings: Settings,
+    log: Logger,
+) -> Result<ControlHandle, StartError>
+where
+    F: FileSystem + Send + 'static,
+    F::File: Send,
+{
     let lock = lock_folder(&settings.data_folder)?;
     let fresh = ReplicaId(getrandom::u64()?);
     let storage = StorageConfig::new(&settings.data_folder);
     let name = settings.name.as_str();
-    let (durable, restored) = Durable::open(DiskFileSystem, storage, name, fresh)?;
+    let (durable, restored) = Durable::open(files, storage, name, fresh)?;
     let peer = bind("peer", settings.listen.peer, &log).await?;
     let service = bind("service", settings.listen.service, &log).await?;
     let admin = bind("admin", settings.listen.admin, &log).await?;
@@ -200,7 +217,11 @@
     std::thread::Builder::new()
         .name("node".to_owned())
         .spawn(move || {
+            let log = thread.log.clone();
             let result = thread.run();
+            if let Err(error) = &result {
+                slog::error!(log, "replica stopped"; "reason" => "storage", "error" => %error);
+            }
             drop(lock);
             // Nobody waits when the handle was dropped.
             let _ = ended_sender.send(result);
@@ -251,14 +272,14 @@
     Ok((socket, bound))
 }
 
-fn assemble(
+fn assemble<F: FileSystem>(
     settings: &Settings,
     addresses: BoundAddresses,
-    durable: Durable<DiskFileSystem>,
+    durable: Durable<F>,
     restored: RestoredState,
     inputs: blocking::Receiver<Input>,
     log: &Logger,
-) -> Result<NodeThread, StartError> {
+) -> Result<NodeThread<F>, StartError> {
     let own = durable.identity().replica;
     let address = ReplicaAddress {
         replica: own.0,
--- /dev/null
+++ b/crates/bramblewheel-control/tests/disk_faults.rs
@@ -0,0 +1,218 @@
+//! A sync that fails and a full disk stop the replica, with the file in the error; nothing that is
+//! not synced is acknowledged.
+
+mod support;
+
+use bramblewheel_control::node::Durable;
+use bramblewheel_control::settings::Overrides;
+use bramblewheel_control::{ControlHandle, RunError, Settings, logging, start_on};
+use bramblewheel_protocol::control::{
+    BootstrapRequest, GroupStatus, OperationAction, OperationReply, PublishReply, ReplyBody,
+    RequestBody,
+};
+use bramblewheel_protocol::{ControlClient, request_any};
+use bramblewheel_replication::ReplicaId;
+use bramblewheel_storage::{MemoryFileSystem, StorageConfig};
+use std::path::Path;
+use std::time::Duration;
+use support::cluster::{Cluster, EPOCH};
+use support::{claim, operation, signed};
+use tempfile::TempDir;
+use tokio::time::timeout;
+
+const MANY: u64 = 1_000_000;
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A fault of one machine's disk.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// The sync after so many others fails.
+    Sync(u64),
+    /// So many bytes fit on the disk.
+    Full(usize),
+}
+
+impl Fault {
+    fn inject(self, files: &MemoryFileSystem) {
+        match self {
+            Self::Sync(count) => files.fail_sync_after(count),
+            Self::Full(bytes) => files.set_capacity(Some(bytes)),
+        }
+    }
+
+    /// Whether an error says what failed and where.
+    fn is_named_by(self, error: &str) -> bool {
+        let operation = match self {
+            Self::Sync(_) => "sync /data/",
+            Self::Full(_) => "append to /data/",
+        };
+        error.starts_with(operation)
+    }
+}
+
+/// Claims of other keys, one after the other; returns the granted ones.
+fn claim_many(cluster: &mut Cluster, count: u64) -> Vec<u64> {
+    let mut granted = Vec::new();
+    for number in 0..count {
+        let Some(leader) = cluster.leader() else {
+            cluster.run(Duration::from_millis(200));
+            continue;
+        };
+        let request = claim(&format!("key-{number}"), number + 1, EPOCH);
+        let id = cluster.send(leader, RequestBody::Operations(vec![request]));
+        cluster.run(Duration::from_millis(100));
+        if cluster.reply(id) == Some(ReplyBody::Operations(vec![OperationReply::Granted])) {
+            granted.push(number);
+        }
+    }
+    granted
+}
+
+/// Every claim that was granted is there after all machines have lost their power.
+fn all_are_kept(cluster: &mut Cluster, granted: &[u64], context: &str) {
+    for machine in 0..3 {
+        cluster.files(machine).set_capacity(None);
+        cluster.crash(machine);
+    }
+    for machine in 0..3 {
+        cluster.start(machine);
+    }
+    cluster.settle();
+    for number in granted {
+        let key = format!("key-{number}");
+        let body = RequestBody::Operations(vec![operation(&key, 1, OperationAction::Status)]);
+        let kept = ReplyBody::Operations(vec![OperationReply::Held]);
+        assert_eq!(cluster.ask_leader(&body), kept, "{context}: {key}");
+    }
+}
+
+/// One machine's disk fails at any moment, with the other two up or one of them down.
+#[test]
+fn no_claim_is_granted_that_a_failed_disk_has_lost() {
+    let syncs = (0..4).map(|step| Fault::Sync(3 * step));
+    let sizes = (0..4).map(|step| Fault::Full(3_000 + 700 * step));
+    let mut stopped = 0;
+    let mut grants = 0;
+    for (case, fault) in syncs.chain(sizes).enumerate() {
+        for has_spare in [true, false] {
+            let context = format!("{fault:?}, spare: {has_spare}");
+            let mut cluster = Cluster::bootstrapped(41, MANY);
+            let leader = cluster.settle();
+            let victim = (leader + case) % 3;
+            if !has_spare {
+                cluster.crash((victim + 1) % 3);
+            }
+            fault.inject(cluster.files(victim));
+            let granted = claim_many(&mut cluster, 10);
+            if let Some(error) = cluster.failure(victim) {
+                assert!(fault.is_named_by(error), "{context}: {error}");
+                stopped += 1;
+            }
+            grants += granted.len();
+            all_are_kept(&mut cluster, &granted, &context);
+        }
+    }
+    assert!(stopped >= 12, "{stopped} of 16 disks failed in time");
+    assert!(grants >= 40, "{grants} claims were granted");
+}
+
+/// Of two replicas that are left, one can't sync its vote: nobody leads until it can.
+#[test]
+fn a_vote_that_is_not_synced_elects_nobody() {
+    for fault in [Fault::Sync(0), Fault::Full(0)] {
+        let mut cluster = Cluster::bootstrapped(42, MANY);
+        let leader = cluster.settle();
+        let [voter, other] = [(leader + 1) % 3, (leader + 2) % 3];
+        cluster.crash(leader);
+        fault.inject(cluster.files(voter));
+        cluster.run(Duration::from_secs(5));
+        let error = cluster.failure(voter).expect("its disk has failed");
+        assert!(fault.is_named_by(error), "{error}");
+        assert_eq!(cluster.leader(), None, "{fault:?}");
+        let alone = cluster.node(other).replica();
+        assert_ne!(alone.role(), bramblewheel_replication::Role::Leader);
+        cluster.files(voter).set_capacity(None);
+        cluster.restart(voter);
+        cluster.settle();
+    }
+}
+
+/// While the disk is full the replica does not start, and says which file can't be written.
+#[test]
+fn a_replica_does_not_start_on_a_full_disk() {
+    let mut cluster = Cluster::bootstrapped(43, MANY);
+    cluster.crash(0);
+    let files = cluster.files(0).clone();
+    files.set_capacity(Some(0));
+    let config = StorageConfig::new("/data");
+    let opened = Durable::open(files, config, "control", ReplicaId(1));
+    let error = opened
+        .map(|_| ())
+        .expect_err("the disk is full")
+        .to_string();
+    assert!(Fault::Full(0).is_named_by(&error), "{error}");
+}
+
+async fn start(files: &MemoryFileSystem, folder: &TempDir) -> ControlHandle {
+    let text = format!(
+        "name = \"control-1\"\nzone = \"hall-a\"\nregion = \"north\"\ndata_folder = \"{}\"\n\
+         [listen]\npeer = \"127.0.0.1:0\"\nservice = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n",
+        folder.path().display()
+    );
+    let settings = Settings::parse(Path::new("s.toml"), &text, Overrides::default());
+    let log = logging::logger(slog::Level::Error);
+    let started = start_on(files.clone(), settings.expect("valid"), log).await;
+    started.expect("starts")
+}
+
+async fn ask(replica: &ControlHandle, body: RequestBody) -> ReplyBody {
+    let reply = request_any(&[replica.addresses().service], &body, PATIENCE).await;
+    reply.expect("an answer in time")
+}
+
+async fn status(replica: &ControlHandle) -> GroupStatus {
+    match ask(replica, RequestBody::GroupStatus).await {
+        ReplyBody::GroupStatus(status) => status,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The process's own driver: a group of one, so that every acknowledgement is by its own disk.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_ends_when_its_disk_fails() {
+    for fault in [Fault::Sync(0), Fault::Full(0)] {
+        let folder = TempDir::new().expect("a temporary folder");
+        let files = MemoryFileSystem::new();
+        let mut replica = start(&files, &folder).await;
+        let request = BootstrapRequest {
+            group: 7,
+            voters: vec![status(&replica).await.replica],
+            bundle: signed(1, 1),
+        };
+        let done = ask(&replica, RequestBody::Bootstrap(request)).await;
+        assert_eq!(done, ReplyBody::Done);
+        let reply = ask(&replica, RequestBody::Publish(signed(2, 1))).await;
+        assert!(is_accepted(&reply), "{reply:?}");
+        fault.inject(&files);
+        let service = replica.addresses().service;
+        let mut client = ControlClient::connect(service).await.expect("connects");
+        let asked = client.request(RequestBody::Publish(signed(3, 1)), PATIENCE);
+        // As the process does it: its end closes the connections.
+        let (answer, ended) = tokio::join!(asked, timeout(PATIENCE, replica.stopped()));
+        assert!(answer.is_err(), "acknowledged: {answer:?}");
+        let error = ended.expect("it ends").expect_err("by a failure");
+        assert!(matches!(error, RunError::Storage(_)), "{error}");
+        let text = error.to_string();
+        let path = folder.path().display().to_string();
+        assert!(text.contains(&path) && text.contains("/log-"), "{text}");
+        files.crash(1);
+        files.set_capacity(None);
+        let restarted = start(&files, &folder).await;
+        let reply = ask(&restarted, RequestBody::Publish(signed(2, 1))).await;
+        assert!(is_accepted(&reply), "what was accepted stays: {reply:?}");
+    }
+}
+
+fn is_accepted(reply: &ReplyBody) -> bool {
+    matches!(reply, ReplyBody::Publish(PublishReply::Accepted { .. }))
+}
--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -26,6 +26,8 @@
     files: MemoryFileSystem,
     running: Option<(ControlNode, Durable<MemoryFileSystem>)>,
     is_frozen: bool,
+    /// Why its disk stopped it.
+    failure: Option<String>,
     waiting: Vec<(ReplicaId, PeerMessage)>,
 }
 
@@ -40,6 +42,7 @@
     fresh_ids: u64,
     replies: BTreeMap<ClientRequestId, ReplyBody>,
     snapshot_interval: u64,
+    injects_faults: bool,
     /// Whether replies are lost from now on.
     pub loses_replies: bool,
 }
@@ -57,6 +60,7 @@
             fresh_ids: seed << 16,
             replies: BTreeMap::new(),
             snapshot_interval,
+            injects_faults: false,
             loses_replies: false,
         };
         for machine in 0..count {
@@ -65,6 +69,7 @@
                 files: MemoryFileSystem::new(),
                 running: None,
                 is_frozen: false,
+                failure: None,
                 waiting: Vec::new(),
             });
             cluster.start(machine);
@@ -129,10 +134,22 @@
         self.drive(machine);
     }
 
+    /// The disk of a machine, to inject faults.
+    pub fn files(&mut self, machine: usize) -> &MemoryFileSystem {
+        self.injects_faults = true;
+        &self.machines[machine].files
+    }
+
+    /// Why the machine's disk stopped it since its last start, if it did.
+    pub fn failure(&self, machine: usize) -> Option<&str> {
+        self.machines[machine].failure.as_deref()
+    }
+
     /// Cuts power: what was not synced is lost.
     pub fn crash(&mut self, machine: usize) {
         self.machines[machine].running = None;
         self.machines[machine].is_frozen = false;
+        self.machines[machine].failure = None;
         self.machines[machine].waiting.clear();
         self.machines[machine].files.crash(self.sequence);
     }
@@ -289,7 +306,13 @@
             if output.is_empty() {
                 return;
             }
-            durable.apply(&output).expect("the disk works");
+            if let Err(error) = durable.apply(&output) {
+                assert!(self.injects_faults, "the disk works: {error}");
+                // Nothing of the output may leave the machine.
+                self.machines[machine].running = None;
+                self.machines[machine].failure = Some(error.to_string());
+                return;
+            }
             node.persisted(now);
             self.carry_out(machine, output);
         }
