Take the log's time from the clocks of a majority

Cause: a leader stamped its entries with its own wall clock. One a year ahead moved the log's time ahead for good, so that every operation key counted as expired until real time caught up; one that was more than an hour behind refused new keys as minted too far ahead.

Voters tell their leader what their clocks show, once a second and at once when it is new. A stamp is the latest time that a majority of the voters' clocks has reached. Until a leader knows enough clocks it proposes no operations; the wait is one message. How entries are applied is unchanged.

Replicas of an older version do not know the new message and close the connection that brought it: upgrade a group from before it as a whole.

--- /dev/null
+++ b/crates/bramblewheel-control/src/node/clocks.rs
@@ -0,0 +1,64 @@
+//! Wall clocks of the voters, as a leader knows them.
+
+use bramblewheel_replication::ReplicaId;
+use bramblewheel_types::Timestamp;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a replica's wall clock showed, and when that was heard.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    unix_millis: u64,
+    heard_at: Timestamp,
+}
+
+impl Reading {
+    /// What the clock shows now, at least; the way to the leader is not counted.
+    fn shows(self, now: Timestamp) -> u64 {
+        let passed = u64::try_from(now.since(self.heard_at).as_millis()).unwrap_or(u64::MAX);
+        self.unix_millis.saturating_add(passed)
+    }
+}
+
+/// Wall clocks of other replicas.
+#[derive(Debug, Default)]
+pub(super) struct Clocks {
+    readings: BTreeMap<ReplicaId, Reading>,
+}
+
+impl Clocks {
+    /// A replica said what its clock shows.
+    pub(super) fn heard(&mut self, replica: ReplicaId, unix_millis: u64, now: Timestamp) {
+        let reading = Reading {
+            unix_millis,
+            heard_at: now,
+        };
+        self.readings.insert(replica, reading);
+    }
+
+    /// Forgets who is not a voter.
+    pub(super) fn keep(&mut self, voters: &BTreeSet<ReplicaId>) {
+        self.readings.retain(|replica, _| voters.contains(replica));
+    }
+
+    /// Latest time that the clocks of a majority of the voters have reached, in milliseconds since
+    /// the Unix epoch; none while the clocks of too few are known.
+    ///
+    /// No minority can move it ahead, and none can hold it back as long as a majority beside it is
+    /// known.
+    pub(super) fn majority_time(
+        &self,
+        own: (ReplicaId, u64),
+        voters: &BTreeSet<ReplicaId>,
+        now: Timestamp,
+    ) -> Option<u64> {
+        let shown = voters.iter().filter_map(|voter| {
+            if *voter == own.0 {
+                return Some(own.1);
+            }
+            self.readings.get(voter).map(|reading| reading.shows(now))
+        });
+        let mut shown: Vec<u64> = shown.collect();
+        shown.sort_unstable_by(|one, other| other.cmp(one));
+        shown.get(voters.len() / 2).copied()
+    }
+}
--- a/crates/bramblewheel-control/src/node/config.rs
+++ b/crates/bramblewheel-control/src/node/config.rs
@@ -9,7 +9,8 @@
 pub struct Now {
     /// Monotonic clock; all waits and leases go by it. It must go on while the process is frozen.
     pub monotonic: Timestamp,
-    /// Wall clock, in milliseconds since the Unix epoch; only a leader's proposals carry it.
+    /// Wall clock, in milliseconds since the Unix epoch; a leader stamps its proposals with what the
+    /// clocks of a majority show.
     pub unix_millis: u64,
 }
 
--- a/crates/bramblewheel-control/src/node/housekeeping.rs
+++ b/crates/bramblewheel-control/src/node/housekeeping.rs
@@ -53,12 +53,14 @@
         if self.is_leader() {
             self.expire_daemons();
             self.record_addresses();
+            self.clocks.keep(&self.replica.membership().voters);
         } else if let Some(leader) = self.replica.leader() {
             let renewals = self.leases.take_untold();
             if !renewals.is_empty() {
                 let message = PeerMessage::Renewals(renewals);
                 self.messages.push((leader, message));
             }
+            self.tell_clock();
         }
         let remembered = self.config.daemon_lease * REMEMBERED_LEASES;
         let age = self.now.monotonic.since(Timestamp::ZERO);
--- a/crates/bramblewheel-control/src/node/message.rs
+++ b/crates/bramblewheel-control/src/node/message.rs
@@ -27,6 +27,11 @@
     Registrations(Vec<Registration>),
     /// To the leader: daemons that polled the sender since its last such message.
     Renewals(Vec<Renewal>),
+    /// To the leader: what the sender's wall clock shows, in milliseconds since the Unix epoch.
+    Clock {
+        /// The reading.
+        unix_millis: u64,
+    },
     /// To the leader: asks for a quorum-checked read.
     ReadRequest {
         /// Names the answer.
--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod applying;
 mod bootstrap;
 mod bundle_news;
+mod clocks;
 pub mod config;
 mod daemons;
 pub mod durable;
@@ -35,6 +36,7 @@
 };
 use bramblewheel_types::Timestamp;
 use bundle_news::BundleNewsCache;
+use clocks::Clocks;
 use leases::Leases;
 use polls::HeldPolls;
 use proposals::{Proposals, Purpose, Queue};
@@ -110,6 +112,9 @@
     bundle_news: BundleNewsCache,
     reads: Reads,
     leases: Leases,
+    clocks: Clocks,
+    /// Leader that was told of this replica's clock, and its term.
+    told_clock: Option<(ReplicaId, u64)>,
     replacement_clients: WaitingClients,
     /// Addresses that replicas stated when they connected.
     introduced: BTreeMap<u64, ReplicaAddress>,
@@ -153,6 +158,8 @@
             bundle_news: BundleNewsCache::default(),
             reads: Reads::default(),
             leases: Leases::default(),
+            clocks: Clocks::default(),
+            told_clock: None,
             replacement_clients: WaitingClients::default(),
             introduced,
             untold_registrations: Vec::new(),
@@ -189,6 +196,9 @@
                     self.leases.renew(now.monotonic, renewal);
                 }
             }
+            PeerMessage::Clock { unix_millis } => {
+                self.clocks.heard(from, unix_millis, now.monotonic);
+            }
             PeerMessage::ReadRequest { id } => self.read_for(from, id),
             PeerMessage::ReadReply { id, index } => {
                 self.reads.confirmed(id, index);
@@ -240,6 +250,7 @@
             };
         }
         self.propose_queued();
+        self.tell_clock_to_new_leader();
         self.forward_registrations();
         self.forward_reads();
         let output = self.replica.take_output();
@@ -268,10 +279,17 @@
 
     /// Proposes what was queued; one entry for all operations and one for all daemons.
     fn propose_queued(&mut self) {
-        for (purpose, command) in self.queue.take() {
+        let time = self.proposal_time();
+        // Decided by a time that stands still, claims would be refused for no reason. A follower's
+        // are refused below.
+        let may_operate = time.is_some() || !self.is_leader();
+        let proposed_at = time
+            .unwrap_or_default()
+            .max(self.state.log_time_unix_millis());
+        for (purpose, command) in self.queue.take(may_operate) {
             let id = self.fresh_proposal();
             let logged = LoggedCommand {
-                proposed_at_unix_millis: self.now.unix_millis,
+                proposed_at_unix_millis: proposed_at,
                 command,
             };
             let proposed = self
@@ -287,6 +305,34 @@
         }
     }
 
+    /// Time that the clocks of a majority have reached.
+    fn proposal_time(&self) -> Option<u64> {
+        let own = (self.replica.id(), self.now.unix_millis);
+        let voters = &self.replica.membership().voters;
+        self.clocks.majority_time(own, voters, self.now.monotonic)
+    }
+
+    /// At once, since a leader's first claims wait for it.
+    fn tell_clock_to_new_leader(&mut self) {
+        let leader = self.replica.leader();
+        let leader = leader.map(|leader| (leader, self.replica.term().0));
+        if leader != self.told_clock {
+            self.told_clock = leader;
+            self.tell_clock();
+        }
+    }
+
+    /// Tells the leader what this replica's clock shows.
+    fn tell_clock(&mut self) {
+        let leader = self.replica.leader();
+        let Some(leader) = leader.filter(|leader| *leader != self.replica.id()) else {
+            return;
+        };
+        let unix_millis = self.now.unix_millis;
+        self.messages
+            .push((leader, PeerMessage::Clock { unix_millis }));
+    }
+
     fn refuse_as_follower(&mut self, purpose: &Purpose) {
         match purpose {
             Purpose::Publish(id) => self.not_leader(*id),
--- a/crates/bramblewheel-control/src/node/proposals.rs
+++ b/crates/bramblewheel-control/src/node/proposals.rs
@@ -36,6 +36,8 @@
 pub(super) struct Queue {
     publishes: Vec<(ClientRequestId, SignedBundle)>,
     operations: Vec<(ClientRequestId, Vec<OperationRequest>)>,
+    /// How many requests `operations` has.
+    operation_count: usize,
     registrations: BTreeMap<DaemonId, Registration>,
     expired: BTreeSet<ExpiredDaemon>,
     addresses: BTreeMap<u64, ReplicaAddress>,
@@ -48,6 +50,7 @@
     }
 
     pub(super) fn operate(&mut self, id: ClientRequestId, requests: Vec<OperationRequest>) {
+        self.operation_count += requests.len();
         self.operations.push((id, requests));
     }
 
@@ -76,9 +79,18 @@
         self.replacement.is_some()
     }
 
-    /// All that waits, as commands.
-    pub(super) fn take(&mut self) -> Vec<(Purpose, Command)> {
-        let queue = std::mem::take(self);
+    /// Operations that wait to be proposed.
+    pub(super) fn operation_count(&self) -> usize {
+        self.operation_count
+    }
+
+    /// All that waits, as commands; operations only if `may_operate`.
+    pub(super) fn take(&mut self, may_operate: bool) -> Vec<(Purpose, Command)> {
+        let mut queue = std::mem::take(self);
+        if !may_operate {
+            self.operations = std::mem::take(&mut queue.operations);
+            self.operation_count = queue.operation_count;
+        }
         let mut commands = batches(queue.operations);
         for (id, signed) in queue.publishes {
             commands.push((Purpose::Publish(id), Command::Publish(signed)));
--- a/crates/bramblewheel-control/src/node/requests.rs
+++ b/crates/bramblewheel-control/src/node/requests.rs
@@ -79,7 +79,10 @@
         let only_asks = |request: &OperationRequest| request.action == OperationAction::Status;
         if requests.iter().all(only_asks) {
             self.start_read(Reader::Operations(id, requests));
-        } else if self.proposals.has_room(requests.len()) {
+        } else if self
+            .proposals
+            .has_room(self.queue.operation_count() + requests.len())
+        {
             self.queue.operate(id, requests);
         } else {
             self.all_undecided(id, requests.len());
--- a/crates/bramblewheel-control/src/state/command.rs
+++ b/crates/bramblewheel-control/src/state/command.rs
@@ -7,10 +7,11 @@
 use bramblewheel_types::DaemonId;
 use serde::{Deserialize, Serialize};
 
-/// A command with the time at which a leader proposed it.
+/// A command with the time at which a leader proposed it, by the clocks of a majority.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoggedCommand {
-    /// The leader's clock, in milliseconds since the Unix epoch.
+    /// Latest time that the wall clocks of a majority had reached, as far as the leader knew; in
+    /// milliseconds since the Unix epoch.
     pub proposed_at_unix_millis: u64,
     /// The command.
     pub command: Command,
--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -26,6 +26,8 @@
     files: MemoryFileSystem,
     running: Option<(ControlNode, Durable<MemoryFileSystem>)>,
     is_frozen: bool,
+    /// Milliseconds by which its wall clock is ahead.
+    clock_ahead: i64,
     /// Why its disk stopped it.
     failure: Option<String>,
     waiting: Vec<(ReplicaId, PeerMessage)>,
@@ -43,6 +45,8 @@
     replies: BTreeMap<ClientRequestId, ReplyBody>,
     snapshot_interval: u64,
     injects_faults: bool,
+    /// Milliseconds on the wall since the start that were skipped.
+    skipped: i64,
     /// Whether replies are lost from now on.
     pub loses_replies: bool,
 }
@@ -61,6 +65,7 @@
             replies: BTreeMap::new(),
             snapshot_interval,
             injects_faults: false,
+            skipped: 0,
             loses_replies: false,
         };
         for machine in 0..count {
@@ -69,6 +74,7 @@
                 files: MemoryFileSystem::new(),
                 running: None,
                 is_frozen: false,
+                clock_ahead: 0,
                 failure: None,
                 waiting: Vec::new(),
             });
@@ -129,7 +135,8 @@
             snapshot_interval: self.snapshot_interval,
             seed: self.fresh_ids,
         };
-        let node = ControlNode::new(config, restored, self.clocks()).expect("a state of ours");
+        let node =
+            ControlNode::new(config, restored, self.clocks(machine)).expect("a state of ours");
         self.machines[machine].running = Some((node, durable));
         self.drive(machine);
     }
@@ -181,7 +188,7 @@
     pub fn thaw(&mut self, machine: usize) {
         self.machines[machine].is_frozen = false;
         for (from, message) in std::mem::take(&mut self.machines[machine].waiting) {
-            let now = self.clocks();
+            let now = self.clocks(machine);
             self.node_mut(machine).receive(now, from, message);
         }
         self.drive(machine);
@@ -196,7 +203,7 @@
     }
 
     pub fn stop(&mut self, machine: usize) {
-        let now = self.clocks();
+        let now = self.clocks(machine);
         self.node_mut(machine).stop(now);
         self.drive(machine);
     }
@@ -213,8 +220,8 @@
     }
 
     pub fn leader(&self) -> Option<usize> {
-        let now = self.clocks();
         (0..self.machines.len()).find(|machine| {
+            let now = self.clocks(*machine);
             let running = self.machines[*machine].running.as_ref();
             let metrics = running.map(|(node, _)| node.metrics(now));
             metrics.is_some_and(|m| m.is_leader && m.has_quorum && m.applied_index > 1)
@@ -225,7 +232,7 @@
     pub fn send(&mut self, machine: usize, body: RequestBody) -> ClientRequestId {
         self.sequence += 1;
         let id = ClientRequestId(self.sequence);
-        let now = self.clocks();
+        let now = self.clocks(machine);
         self.node_mut(machine).request(now, id, body);
         self.drive(machine);
         id
@@ -238,7 +245,7 @@
         bodies: Vec<RequestBody>,
     ) -> (Vec<ClientRequestId>, usize) {
         let before = self.network.len();
-        let now = self.clocks();
+        let now = self.clocks(machine);
         let mut ids = Vec::new();
         for body in bodies {
             self.sequence += 1;
@@ -288,17 +295,33 @@
         panic!("undecided for long");
     }
 
-    fn clocks(&self) -> Now {
+    fn clocks(&self, machine: usize) -> Now {
+        let ahead = self.machines[machine].clock_ahead;
         Now {
             monotonic: self.now,
-            unix_millis: EPOCH + self.now.as_millis(),
+            unix_millis: self.true_time().saturating_add_signed(ahead),
         }
     }
 
+    /// What a right wall clock shows, in milliseconds since the Unix epoch.
+    pub fn true_time(&self) -> u64 {
+        (EPOCH + self.now.as_millis()).saturating_add_signed(self.skipped)
+    }
+
+    /// Sets a machine's wall clock ahead of the right one, or behind it, in milliseconds.
+    pub fn set_clock(&mut self, machine: usize, ahead: i64) {
+        self.machines[machine].clock_ahead = ahead;
+    }
+
+    /// Moves all wall clocks on, as after a time in which nothing happened.
+    pub fn pass_on_clocks(&mut self, millis: i64) {
+        self.skipped += millis;
+    }
+
     /// The driver's loop, as the crate's documentation asks for.
     fn drive(&mut self, machine: usize) {
         loop {
-            let now = self.clocks();
+            let now = self.clocks(machine);
             let Some((node, durable)) = self.machines[machine].running.as_mut() else {
                 return;
             };
@@ -346,7 +369,7 @@
                 let (_, (from, to, message)) = self.network.pop_first().expect("one is due");
                 self.deliver(from, to, message);
             } else if let Some((_, machine)) = wakeup {
-                let now = self.clocks();
+                let now = self.clocks(machine);
                 self.node_mut(machine).tick(now);
                 self.drive(machine);
             }
@@ -375,7 +398,7 @@
         if self.machines[receiver].is_frozen {
             self.machines[receiver].waiting.push((from, message));
         } else if self.machines[receiver].running.is_some() {
-            let now = self.clocks();
+            let now = self.clocks(receiver);
             self.node_mut(receiver).receive(now, from, message);
             self.drive(receiver);
         }
