Split the longest modules of the control replica by job

settings.rs (364 lines), server/start.rs (399), node/mod.rs (425) and state/directory.rs (263) held several jobs each. Settings are parted into the sections, their rules and the place of a fault; the server into errors, handle, process, listeners and assembly; the node into inputs, proposing and metrics; the directory into its state and what is news to a daemon. Public paths, behaviour and tests are unchanged.

--- a/crates/bramblewheel-control/src/node/clocks.rs
+++ b/crates/bramblewheel-control/src/node/clocks.rs
@@ -1,5 +1,7 @@
 //! Wall clocks of the voters, as a leader knows them.
 
+use super::ControlNode;
+use super::message::PeerMessage;
 use bramblewheel_replication::ReplicaId;
 use bramblewheel_types::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
@@ -62,3 +64,26 @@
         shown.get(voters.len() / 2).copied()
     }
 }
+
+impl ControlNode {
+    /// At once, since a leader's first claims wait for it.
+    pub(super) fn tell_clock_to_new_leader(&mut self) {
+        let leader = self.replica.leader();
+        let leader = leader.map(|leader| (leader, self.replica.term().0));
+        if leader != self.told_clock {
+            self.told_clock = leader;
+            self.tell_clock();
+        }
+    }
+
+    /// Tells the leader what this replica's clock shows.
+    pub(super) fn tell_clock(&mut self) {
+        let leader = self.replica.leader();
+        let Some(leader) = leader.filter(|leader| *leader != self.replica.id()) else {
+            return;
+        };
+        let unix_millis = self.now.unix_millis;
+        self.messages
+            .push((leader, PeerMessage::Clock { unix_millis }));
+    }
+}
--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -14,11 +14,14 @@
 pub mod durable;
 mod group;
 mod housekeeping;
+mod inputs;
 mod leases;
 pub mod message;
+mod metrics;
 mod output;
 mod polls;
 mod proposals;
+mod proposing;
 mod reading;
 mod reads;
 mod replacement;
@@ -27,9 +30,10 @@
 pub use config::{NodeConfig, Now};
 pub use durable::Durable;
 pub use message::{Hello, PeerMessage, Renewal};
+pub use metrics::NodeMetrics;
 pub use output::{ClientRequestId, NodeOutput};
 
-use crate::state::{ControlState, LoggedCommand, MalformedState, Outcome};
+use crate::state::{ControlState, MalformedState, Outcome};
 use bramblewheel_protocol::control::{Registration, ReplicaAddress, ReplyBody, Unavailable};
 use bramblewheel_replication::{
     ProposalId, Replica, ReplicaConfig, ReplicaId, RestoredState, Role, Snapshot, Write,
@@ -38,8 +42,9 @@
 use bundle_news::BundleNewsCache;
 use clocks::Clocks;
 use leases::Leases;
+use metrics::Counters;
 use polls::HeldPolls;
-use proposals::{Proposals, Purpose, Queue};
+use proposals::{Proposals, Queue};
 use reads::Reads;
 use replacement::WaitingClients;
 use std::collections::BTreeMap;
@@ -47,49 +52,6 @@
 /// Entries in one message between replicas.
 const MAX_ENTRIES_PER_MESSAGE: usize = 256;
 
-/// Counts and sizes for the metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct NodeMetrics {
-    /// Whether this replica leads.
-    pub is_leader: bool,
-    /// Whether contact with a quorum is proven within the lease.
-    pub has_quorum: bool,
-    /// Current term.
-    pub term: u64,
-    /// Last entry applied.
-    pub applied_index: u64,
-    /// Entry of the latest snapshot.
-    pub snapshot_index: u64,
-    /// Bundle version in force.
-    pub bundle_version: u64,
-    /// Daemons registered.
-    pub daemons: u64,
-    /// Polls held.
-    pub polls_held: u64,
-    /// Run-once operations not forgotten.
-    pub operations_kept: u64,
-    /// Entries proposed here.
-    pub proposals: u64,
-    /// Polls answered here.
-    pub polls_answered: u64,
-    /// Bundle deltas computed here.
-    pub bundle_deltas_computed: u64,
-    /// Polls answered with a bundle delta.
-    pub bundle_deltas_sent: u64,
-    /// Polls answered with a whole bundle.
-    pub whole_bundles_sent: u64,
-    /// Run-once requests decided by entries proposed here.
-    pub operations_decided: u64,
-}
-
-/// Counters of [`NodeMetrics`].
-#[derive(Clone, Copy, Debug, Default)]
-struct Counters {
-    proposals: u64,
-    polls_answered: u64,
-    operations_decided: u64,
-}
-
 /// A control replica without any input or output of its own.
 ///
 /// Invariants:
@@ -176,68 +138,6 @@
         Ok(node)
     }
 
-    /// Takes in a message of another replica.
-    pub fn receive(&mut self, now: Now, from: ReplicaId, message: PeerMessage) {
-        self.now = now;
-        match message {
-            PeerMessage::Replication(message) => {
-                self.replica.receive(now.monotonic, from, *message);
-            }
-            PeerMessage::Announcement => {}
-            PeerMessage::Registrations(registrations) => {
-                // Never passed on: two replicas could send it to and fro.
-                let registrations = registrations.into_iter().filter(|_| self.is_leader());
-                for registration in registrations.collect::<Vec<_>>() {
-                    self.note_registration(&registration);
-                }
-            }
-            PeerMessage::Renewals(renewals) => {
-                for renewal in renewals {
-                    self.leases.renew(now.monotonic, renewal);
-                }
-            }
-            PeerMessage::Clock { unix_millis } => {
-                self.clocks.heard(from, unix_millis, now.monotonic);
-            }
-            PeerMessage::ReadRequest { id } => self.read_for(from, id),
-            PeerMessage::ReadReply { id, index } => {
-                self.reads.confirmed(id, index);
-                self.finish_forwarded_reads();
-            }
-        }
-    }
-
-    /// A replica said where it is reached.
-    pub fn introduce(&mut self, now: Now, address: ReplicaAddress) {
-        self.now = now;
-        self.introduced.insert(address.replica, address);
-        if self.is_leader() {
-            self.record_addresses();
-        }
-    }
-
-    /// A client went away: its request needs no reply any more.
-    pub fn forget(&mut self, id: ClientRequestId) {
-        self.polls.remove(id);
-    }
-
-    /// Begins a planned stop: hands leadership over and sends waiting daemons to other replicas.
-    pub fn stop(&mut self, now: Now) {
-        self.now = now;
-        self.is_stopping = true;
-        // Without a target the others elect one after their timeout.
-        let _ = self.replica.transfer_leadership(now.monotonic);
-        for id in self.polls.all() {
-            self.polls.remove(id);
-            self.unavailable(id, Unavailable::Stopping);
-        }
-    }
-
-    /// Whether the process may end without cutting anything short.
-    pub fn has_handed_over(&self) -> bool {
-        self.is_stopping && !self.is_leader() && self.proposals.is_empty()
-    }
-
     /// What the driver must do now. Call until it is empty.
     pub fn take_output(&mut self, now: Now) -> NodeOutput {
         self.now = now;
@@ -277,76 +177,6 @@
         self.compact_if_due();
     }
 
-    /// Proposes what was queued; one entry for all operations and one for all daemons.
-    fn propose_queued(&mut self) {
-        let time = self.proposal_time();
-        // Decided by a time that stands still, claims would be refused for no reason. A follower's
-        // are refused below.
-        let may_operate = time.is_some() || !self.is_leader();
-        let proposed_at = time
-            .unwrap_or_default()
-            .max(self.state.log_time_unix_millis());
-        for (purpose, command) in self.queue.take(may_operate) {
-            let id = self.fresh_proposal();
-            let logged = LoggedCommand {
-                proposed_at_unix_millis: proposed_at,
-                command,
-            };
-            let proposed = self
-                .replica
-                .propose(self.now.monotonic, id, logged.encode());
-            match proposed {
-                Ok(()) => {
-                    self.counters.proposals += 1;
-                    self.proposals.opened(id, purpose, &logged.command);
-                }
-                Err(_) => self.refuse_as_follower(&purpose),
-            }
-        }
-    }
-
-    /// Time that the clocks of a majority have reached.
-    fn proposal_time(&self) -> Option<u64> {
-        let own = (self.replica.id(), self.now.unix_millis);
-        let voters = &self.replica.membership().voters;
-        self.clocks.majority_time(own, voters, self.now.monotonic)
-    }
-
-    /// At once, since a leader's first claims wait for it.
-    fn tell_clock_to_new_leader(&mut self) {
-        let leader = self.replica.leader();
-        let leader = leader.map(|leader| (leader, self.replica.term().0));
-        if leader != self.told_clock {
-            self.told_clock = leader;
-            self.tell_clock();
-        }
-    }
-
-    /// Tells the leader what this replica's clock shows.
-    fn tell_clock(&mut self) {
-        let leader = self.replica.leader();
-        let Some(leader) = leader.filter(|leader| *leader != self.replica.id()) else {
-            return;
-        };
-        let unix_millis = self.now.unix_millis;
-        self.messages
-            .push((leader, PeerMessage::Clock { unix_millis }));
-    }
-
-    fn refuse_as_follower(&mut self, purpose: &Purpose) {
-        match purpose {
-            Purpose::Publish(id) => self.not_leader(*id),
-            Purpose::Operations(parts) => {
-                for (id, _) in parts {
-                    self.not_leader(*id);
-                }
-            }
-            // Found to be missing again with the next poll.
-            Purpose::Directory | Purpose::Address(_) | Purpose::Membership => {}
-            Purpose::Replacement => self.replacement_undecided(),
-        }
-    }
-
     fn fresh_id(&mut self) -> u64 {
         self.next_id += 1;
         self.next_id
@@ -389,27 +219,6 @@
     pub fn replica(&self) -> &Replica {
         &self.replica
     }
-
-    /// Counts and sizes for the metrics.
-    pub fn metrics(&self, now: Now) -> NodeMetrics {
-        NodeMetrics {
-            is_leader: self.is_leader(),
-            has_quorum: self.replica.has_quorum(now.monotonic),
-            term: self.replica.term().0,
-            applied_index: self.state.position().index,
-            snapshot_index: self.replica.snapshot_index().0,
-            bundle_version: self.state.bundles().version().0,
-            daemons: self.state.directory().daemons().count() as u64,
-            polls_held: self.polls.len() as u64,
-            operations_kept: self.state.ledger().len() as u64,
-            proposals: self.counters.proposals,
-            polls_answered: self.counters.polls_answered,
-            bundle_deltas_computed: self.bundle_news.counts.deltas_computed,
-            bundle_deltas_sent: self.bundle_news.counts.deltas_sent,
-            whole_bundles_sent: self.bundle_news.counts.whole_sent,
-            operations_decided: self.counters.operations_decided,
-        }
-    }
 }
 
 fn replica_config(config: &NodeConfig) -> ReplicaConfig {
--- /dev/null
+++ b/crates/bramblewheel-control/src/server/handle.rs
@@ -0,0 +1,64 @@
+//! A running replica, as its process sees it.
+
+use super::error::RunError;
+use super::input::{Input, Inputs};
+use bramblewheel_storage::StorageError;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+/// Time for connections to end once the node has.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Addresses that a replica listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct BoundAddresses {
+    /// Messages of the other replicas.
+    pub peer: SocketAddr,
+    /// Daemons and operators.
+    pub service: SocketAddr,
+    /// Health and metrics.
+    pub admin: SocketAddr,
+}
+
+/// A running replica.
+#[derive(Debug)]
+pub struct ControlHandle {
+    pub(super) replica: u64,
+    pub(super) addresses: BoundAddresses,
+    pub(super) inputs: Inputs,
+    pub(super) ended: oneshot::Receiver<Result<(), StorageError>>,
+    pub(super) stop: watch::Sender<bool>,
+    pub(super) tasks: JoinSet<()>,
+}
+
+impl ControlHandle {
+    /// Identity of the replica, as its data folder holds it.
+    pub fn replica(&self) -> u64 {
+        self.replica
+    }
+
+    /// Addresses that the replica listens on.
+    pub fn addresses(&self) -> BoundAddresses {
+        self.addresses
+    }
+
+    /// Begins a planned stop: leadership is handed over, waiting daemons are sent elsewhere.
+    pub fn stop(&self) {
+        // The thread may have ended already, which `stopped` reports.
+        let _ = self.inputs.send(Input::Stop);
+    }
+
+    /// Waits until the replica has ended.
+    ///
+    /// # Errors
+    /// [`RunError`] when it did not end by a planned stop.
+    pub async fn stopped(&mut self) -> Result<(), RunError> {
+        let result = (&mut self.ended).await.map_err(|_| RunError::Ended);
+        self.stop.send_replace(true);
+        let all_ended = async { while self.tasks.join_next().await.is_some() {} };
+        let _ = timeout(CLOSE_TIMEOUT, all_ended).await;
+        Ok(result??)
+    }
+}
--- a/crates/bramblewheel-control/src/server/mod.rs
+++ b/crates/bramblewheel-control/src/server/mod.rs
@@ -1,13 +1,20 @@
 //! The shell around a node: sockets, clock, disk.
 
 mod admin;
+mod error;
 mod exposition;
+mod handle;
 mod input;
 mod listener;
+mod listeners;
 mod node_thread;
 mod peer_in;
 mod peer_out;
+mod run;
 mod service;
 mod start;
 
-pub use start::{BoundAddresses, ControlHandle, RunError, StartError, run, start, start_on};
+pub use error::{RunError, StartError};
+pub use handle::{BoundAddresses, ControlHandle};
+pub use run::run;
+pub use start::{start, start_on};
--- /dev/null
+++ b/crates/bramblewheel-control/src/server/run.rs
@@ -0,0 +1,42 @@
+//! Runs a replica as a process.
+
+use super::start::start;
+use crate::logging;
+use crate::settings::Settings;
+use slog::Logger;
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Runs a replica until the process is told to stop (SIGTERM or Ctrl-C); returns the process's
+/// exit code. Other programs may run a replica by this.
+pub async fn run(settings: Settings) -> ExitCode {
+    let log = logging::logger(settings.log.level.into());
+    match run_until_signal(settings, log).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("bramblewheel-control: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run_until_signal(
+    settings: Settings,
+    log: Logger,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut handle = start(settings, log.clone()).await?;
+    let told = async {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = tokio::signal::ctrl_c() => {}
+        }
+    };
+    tokio::select! {
+        ended = handle.stopped() => return Ok(ended?),
+        () = told => {}
+    }
+    slog::info!(log, "stopping"; "reason" => "signal");
+    handle.stop();
+    Ok(handle.stopped().await?)
+}
--- /dev/null
+++ b/crates/bramblewheel-control/src/settings/mod.rs
@@ -0,0 +1,129 @@
+//! The settings file: TOML, checked as a whole before anything is opened.
+
+mod check;
+mod sections;
+mod source;
+
+pub use sections::{
+    AdminSettings, ListenSettings, LogLevel, LogSettings, StorageSettings, TimingSettings,
+};
+
+use bramblewheel_types::{RegionName, ZoneName};
+use serde::Deserialize;
+use source::Source;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// The settings can't be used; the text is one line.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("{file}: {error}")]
+    Unreadable {
+        /// The file.
+        file: PathBuf,
+        /// What the operating system says.
+        error: std::io::Error,
+    },
+    /// A line of the file is wrong.
+    #[error("{file}:{line}: {key}: {reason}")]
+    Invalid {
+        /// The file.
+        file: PathBuf,
+        /// Line, counted from 1.
+        line: usize,
+        /// Key on that line.
+        key: String,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// What a control replica is told at its start.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Stable name of the replica.
+    pub name: ReplicaName,
+    /// Zone it runs in.
+    pub zone: ZoneName,
+    /// Region it runs in.
+    pub region: RegionName,
+    /// Folder for the log, the snapshots and the identity; belongs to this replica alone.
+    pub data_folder: PathBuf,
+    /// Addresses to listen on.
+    pub listen: ListenSettings,
+    /// Times of the group; the same at all replicas.
+    #[serde(default)]
+    pub timing: TimingSettings,
+    /// Log and snapshots on disk.
+    #[serde(default)]
+    pub storage: StorageSettings,
+    /// Limits of the admin listener.
+    #[serde(default)]
+    pub admin: AdminSettings,
+    /// Log of events.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Stable name of a replica, such as `control-1`; follows the rules for names.
+pub type ReplicaName = bramblewheel_types::DaemonId;
+
+/// Values from the command line that win over the file.
+#[derive(Clone, Debug, Default)]
+pub struct Overrides {
+    /// Replaces `data_folder`.
+    pub data_folder: Option<PathBuf>,
+    /// Replaces `listen.peer`.
+    pub listen_peer: Option<SocketAddr>,
+    /// Replaces `listen.service`.
+    pub listen_service: Option<SocketAddr>,
+    /// Replaces `listen.admin`.
+    pub listen_admin: Option<SocketAddr>,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// [`SettingsError`] with the file, line and key at fault.
+    pub fn load(file: &Path, overrides: Overrides) -> Result<Self, SettingsError> {
+        let text = fs::read_to_string(file).map_err(|error| SettingsError::Unreadable {
+            file: file.to_owned(),
+            error,
+        })?;
+        Self::parse(file, &text, overrides)
+    }
+
+    /// Checks the text of a settings file; `file` is only named in errors.
+    ///
+    /// # Errors
+    /// [`SettingsError::Invalid`] with the line and key at fault.
+    pub fn parse(file: &Path, text: &str, overrides: Overrides) -> Result<Self, SettingsError> {
+        let source = Source { file, text };
+        let mut settings: Self = toml::from_str(text).map_err(|error| source.syntax(&error))?;
+        settings.apply(overrides);
+        match settings.fault() {
+            Some((key, reason)) => Err(source.fault(key, reason)),
+            None => Ok(settings),
+        }
+    }
+
+    fn apply(&mut self, overrides: Overrides) {
+        if let Some(folder) = overrides.data_folder {
+            self.data_folder = folder;
+        }
+        if let Some(address) = overrides.listen_peer {
+            self.listen.peer = address;
+        }
+        if let Some(address) = overrides.listen_service {
+            self.listen.service = address;
+        }
+        if let Some(address) = overrides.listen_admin {
+            self.listen.admin = address;
+        }
+    }
+}
--- a/crates/bramblewheel-control/src/state/directory.rs
+++ b/crates/bramblewheel-control/src/state/directory/mod.rs
@@ -1,5 +1,9 @@
 //! Daemons and the endpoints beside them, with a revision so that changes can be told apart.
 
+mod news;
+
+pub use news::DirectoryDelta;
+
 use super::command::ExpiredDaemon;
 use bramblewheel_protocol::control::{DirectoryEntry, Registration};
 use bramblewheel_types::{DaemonId, EndpointId, ServiceName};
@@ -30,17 +34,6 @@
     last_change: u64,
 }
 
-/// News for a daemon.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct DirectoryDelta {
-    /// Whether `live` is all there is.
-    pub is_complete: bool,
-    /// Endpoints that are live or changed.
-    pub live: Vec<DirectoryEntry>,
-    /// Endpoints that are gone.
-    pub removed: Vec<EndpointId>,
-}
-
 /// Daemons and the endpoints beside them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Directory {
@@ -70,7 +63,7 @@
 
 impl Directory {
     /// Takes over registrations and expiries; returns the services whose endpoints changed.
-    pub(super) fn apply(
+    pub(in crate::state) fn apply(
         &mut self,
         registered: Vec<Registration>,
         expired: &[ExpiredDaemon],
@@ -183,54 +176,6 @@
         }
     }
 
-    /// Whether a daemon that holds `revision` has something to learn about its services.
-    pub fn has_news(&self, services: &[ServiceName], revision: u64) -> bool {
-        let changed_after = |service: &ServiceName| {
-            let index = self.by_service.get(service);
-            index.is_some_and(|index| index.last_change > revision)
-        };
-        !self.knows(revision) || services.iter().any(changed_after)
-    }
-
-    /// What a daemon that holds `revision` has to learn about its services.
-    pub fn delta(&self, services: &[ServiceName], revision: u64) -> DirectoryDelta {
-        let is_complete = !self.knows(revision);
-        let since = if is_complete { 0 } else { revision };
-        let services: BTreeSet<&ServiceName> = services.iter().collect();
-        let indexed = services
-            .iter()
-            .filter_map(|name| self.by_service.get(*name));
-        let changed = indexed.filter(|index| is_complete || index.last_change > since);
-        let names = changed.flat_map(|index| &index.endpoints);
-        let endpoints = names.filter_map(|name| self.endpoints.get(name));
-        let live = endpoints.filter(|endpoint| endpoint.revision > since);
-        DirectoryDelta {
-            is_complete,
-            live: live.map(|endpoint| endpoint.entry.clone()).collect(),
-            removed: if is_complete {
-                Vec::new()
-            } else {
-                self.removed_since(&services, since)
-            },
-        }
-    }
-
-    fn removed_since(&self, services: &BTreeSet<&ServiceName>, since: u64) -> Vec<EndpointId> {
-        // What came back since, for a service the daemon asks for, is among the live ones.
-        let is_live = |endpoint: &EndpointId| {
-            let held = self.endpoints.get(endpoint);
-            held.is_some_and(|held| services.contains(&held.entry.service))
-        };
-        let removals = self.removals.range(since.saturating_add(1)..);
-        let mine = removals.filter(|(_, r)| services.contains(&r.service) && !is_live(&r.endpoint));
-        let removed: BTreeSet<EndpointId> = mine.map(|(_, r)| r.endpoint.clone()).collect();
-        removed.into_iter().collect()
-    }
-
-    fn knows(&self, revision: u64) -> bool {
-        (self.oldest_known..=self.revision).contains(&revision)
-    }
-
     /// Revision after the last change.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -247,7 +192,7 @@
     }
 
     /// Rebuilds the index after the rest was read back.
-    pub(super) fn restore(&mut self) {
+    pub(in crate::state) fn restore(&mut self) {
         self.by_service.clear();
         for (revision, removal) in &self.removals {
             let index = self.by_service.entry(removal.service.clone()).or_default();
