--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -26,6 +26,10 @@
     files: MemoryFileSystem,
     running: Option<(ControlNode, Durable<MemoryFileSystem>)>,
     is_frozen: bool,
+    /// Milliseconds by which its wall clock is ahead.
+    clock_ahead: i64,
+    /// Why its disk stopped it.
+    failure: Option<String>,
     waiting: Vec<(ReplicaId, PeerMessage)>,
 }
 
@@ -40,6 +44,9 @@
     fresh_ids: u64,
     replies: BTreeMap<ClientRequestId, ReplyBody>,
     snapshot_interval: u64,
+    injects_faults: bool,
+    /// Milliseconds on the wall since the start that were skipped.
+    skipped: i64,
     /// Whether replies are lost from now on.
     pub loses_replies: bool,
     /// Answers to reads between replicas, to come once more by [`Cluster::repeat_read_replies`].
@@ -59,6 +66,8 @@
             fresh_ids: seed << 16,
             replies: BTreeMap::new(),
             snapshot_interval,
+            injects_faults: false,
+            skipped: 0,
             loses_replies: false,
             read_replies: Vec::new(),
         };
@@ -68,6 +77,8 @@
                 files: MemoryFileSystem::new(),
                 running: None,
                 is_frozen: false,
+                clock_ahead: 0,
+                failure: None,
                 waiting: Vec::new(),
             });
             cluster.start(machine);
@@ -77,7 +88,12 @@
 
     /// Three machines in one group with bundle version 1, all with a quorum proven.
     pub fn bootstrapped(seed: u64, snapshot_interval: u64) -> Self {
-        let mut cluster = Self::new(3, seed, snapshot_interval);
+        Self::bootstrapped_of(3, seed, snapshot_interval)
+    }
+
+    /// Like [`bootstrapped`](Self::bootstrapped), with more machines that stay empty.
+    pub fn bootstrapped_of(machines: usize, seed: u64, snapshot_interval: u64) -> Self {
+        let mut cluster = Self::new(machines, seed, snapshot_interval);
         let request = cluster.bootstrap_request(3);
         for machine in 0..3 {
             let body = RequestBody::Bootstrap(request.clone());
@@ -122,15 +138,28 @@
             snapshot_interval: self.snapshot_interval,
             seed: self.fresh_ids,
         };
-        let node = ControlNode::new(config, restored, self.clocks()).expect("a state of ours");
+        let node =
+            ControlNode::new(config, restored, self.clocks(machine)).expect("a state of ours");
         self.machines[machine].running = Some((node, durable));
         self.drive(machine);
     }
 
+    /// The disk of a machine, to inject faults.
+    pub fn files(&mut self, machine: usize) -> &MemoryFileSystem {
+        self.injects_faults = true;
+        &self.machines[machine].files
+    }
+
+    /// Why the machine's disk stopped it since its last start, if it did.
+    pub fn failure(&self, machine: usize) -> Option<&str> {
+        self.machines[machine].failure.as_deref()
+    }
+
     /// Cuts power: what was not synced is lost.
     pub fn crash(&mut self, machine: usize) {
         self.machines[machine].running = None;
         self.machines[machine].is_frozen = false;
+        self.machines[machine].failure = None;
         self.machines[machine].waiting.clear();
         self.machines[machine].files.crash(self.sequence);
     }
@@ -152,7 +181,7 @@
         let own = self.machines[machine].id;
         for (from, to, message) in self.read_replies.clone() {
             if to == own {
-                let now = self.clocks();
+                let now = self.clocks(machine);
                 self.node_mut(machine).receive(now, from, message);
             }
         }
@@ -174,7 +203,7 @@
     pub fn thaw(&mut self, machine: usize) {
         self.machines[machine].is_frozen = false;
         for (from, message) in std::mem::take(&mut self.machines[machine].waiting) {
-            let now = self.clocks();
+            let now = self.clocks(machine);
             self.node_mut(machine).receive(now, from, message);
         }
         self.drive(machine);
@@ -189,7 +218,7 @@
     }
 
     pub fn stop(&mut self, machine: usize) {
-        let now = self.clocks();
+        let now = self.clocks(machine);
         self.node_mut(machine).stop(now);
         self.drive(machine);
     }
@@ -206,8 +235,8 @@
     }
 
     pub fn leader(&self) -> Option<usize> {
-        let now = self.clocks();
         (0..self.machines.len()).find(|machine| {
+            let now = self.clocks(*machine);
             let running = self.machines[*machine].running.as_ref();
             let metrics = running.map(|(node, _)| node.metrics(now));
             metrics.is_some_and(|m| m.is_leader && m.has_quorum && m.applied_index > 1)
@@ -218,7 +247,7 @@
     pub fn send(&mut self, machine: usize, body: RequestBody) -> ClientRequestId {
         self.sequence += 1;
         let id = ClientRequestId(self.sequence);
-        let now = self.clocks();
+        let now = self.clocks(machine);
         self.node_mut(machine).request(now, id, body);
         self.drive(machine);
         id
@@ -231,7 +260,7 @@
         bodies: Vec<RequestBody>,
     ) -> (Vec<ClientRequestId>, usize) {
         let before = self.network.len();
-        let now = self.clocks();
+        let now = self.clocks(machine);
         let mut ids = Vec::new();
         for body in bodies {
             self.sequence += 1;
@@ -281,17 +310,33 @@
         panic!("undecided for long");
     }
 
-    fn clocks(&self) -> Now {
+    fn clocks(&self, machine: usize) -> Now {
+        let ahead = self.machines[machine].clock_ahead;
         Now {
             monotonic: self.now,
-            unix_millis: EPOCH + self.now.as_millis(),
+            unix_millis: self.true_time().saturating_add_signed(ahead),
         }
     }
 
+    /// What a right wall clock shows, in milliseconds since the Unix epoch.
+    pub fn true_time(&self) -> u64 {
+        (EPOCH + self.now.as_millis()).saturating_add_signed(self.skipped)
+    }
+
+    /// Sets a machine's wall clock ahead of the right one, or behind it, in milliseconds.
+    pub fn set_clock(&mut self, machine: usize, ahead: i64) {
+        self.machines[machine].clock_ahead = ahead;
+    }
+
+    /// Moves all wall clocks on, as after a time in which nothing happened.
+    pub fn pass_on_clocks(&mut self, millis: i64) {
+        self.skipped += millis;
+    }
+
     /// The driver's loop, as the crate's documentation asks for.
     fn drive(&mut self, machine: usize) {
         loop {
-            let now = self.clocks();
+            let now = self.clocks(machine);
             let Some((node, durable)) = self.machines[machine].running.as_mut() else {
                 return;
             };
@@ -299,7 +344,13 @@
             if output.is_empty() {
                 return;
             }
-            durable.apply(&output).expect("the disk works");
+            if let Err(error) = durable.apply(&output) {
+                assert!(self.injects_faults, "the disk works: {error}");
+                // Nothing of the output may leave the machine.
+                self.machines[machine].running = None;
+                self.machines[machine].failure = Some(error.to_string());
+                return;
+            }
             node.persisted(now);
             self.carry_out(machine, output);
         }
@@ -336,7 +387,7 @@
                 let (_, (from, to, message)) = self.network.pop_first().expect("one is due");
                 self.deliver(from, to, message);
             } else if let Some((_, machine)) = wakeup {
-                let now = self.clocks();
+                let now = self.clocks(machine);
                 self.node_mut(machine).tick(now);
                 self.drive(machine);
             }
@@ -365,7 +416,7 @@
         if self.machines[receiver].is_frozen {
             self.machines[receiver].waiting.push((from, message));
         } else if self.machines[receiver].running.is_some() {
-            let now = self.clocks();
+            let now = self.clocks(receiver);
             self.node_mut(receiver).receive(now, from, message);
             self.drive(receiver);
         }
