--- a/crates/bramblewheel-sim/src/kernel/context.rs
+++ b/crates/bramblewheel-sim/src/kernel/context.rs
@@ -3,7 +3,7 @@
 use super::actor::Actor;
 use super::core::Core;
 use super::history::Fact;
-use super::process::ProcessId;
+use super::process::{ProcessId, ProcessState};
 use bramblewheel_types::Timestamp;
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
@@ -36,6 +36,13 @@
         self.core.processes[self.process.index()].starts
     }
 
+    /// Number of starts of another process so far, none while it is not there: what the closing
+    /// of its connections tells, with no time on the way.
+    pub fn starts_of(&self, process: ProcessId) -> Option<u32> {
+        let other = &self.core.processes[process.index()];
+        (other.state != ProcessState::Stopped).then_some(other.starts)
+    }
+
     /// Sends a message.
     pub fn send(&mut self, to: ProcessId, message: A::Message) {
         self.core.send(self.process, to, message);
--- a/crates/bramblewheel-sim/src/kernel/simulation.rs
+++ b/crates/bramblewheel-sim/src/kernel/simulation.rs
@@ -238,6 +238,11 @@
         self.core.processes[process.index()].state
     }
 
+    /// Number of starts of a process so far.
+    pub fn starts(&self, process: ProcessId) -> u32 {
+        self.core.processes[process.index()].starts
+    }
+
     /// The actor of a process.
     pub fn actor(&self, process: ProcessId) -> &A {
         &self.actors[process.index()]
--- a/crates/bramblewheel-sim/src/requests/callers.rs
+++ b/crates/bramblewheel-sim/src/requests/callers.rs
@@ -53,6 +53,8 @@
     session: Option<usize>,
     operation: Option<Operation>,
     resend: u32,
+    /// Where it was sent last.
+    last: Option<ProcessId>,
 }
 
 #[derive(Debug)]
@@ -112,6 +114,11 @@
         self.results.iter().chain(open)
     }
 
+    /// Requests that are not over.
+    pub fn open(&self) -> usize {
+        self.people.len()
+    }
+
     pub(super) fn start(&mut self, context: &mut Context<'_, RequestActor>) {
         self.wait_for_arrival(context);
     }
@@ -175,6 +182,7 @@
             session: has_token.then(|| random.random_range(0..sessions)),
             operation,
             resend: 0,
+            last: None,
         };
         self.people.insert(number, person);
         self.send(context, number);
@@ -205,9 +213,10 @@
             session: session_claim(&self.sessions, person),
             operation: person.operation.clone(),
         };
+        let last = person.last;
         let open = OpenSend {
             person: number,
-            to: self.destination(context, request.flow, is_resend),
+            to: self.destination(context, request.flow, last),
             request: request.request,
             resend: request.resend,
         };
@@ -216,11 +225,15 @@
             person: number,
             to: open.to,
             flow: request.flow,
+            has_token: matches!(request.session, SessionClaim::Token(_)),
             request: request.request,
             resend: request.resend,
             operation: request.operation.as_ref().map(|o| o.key.clone()),
         });
         context.send(open.to, Message::Request(Box::new(request)));
+        if let Some(person) = self.people.get_mut(&number) {
+            person.last = Some(open.to);
+        }
         context.set_timer(timeout + self.behaviour.patience, Timer::GiveUp(send));
         self.sends.insert(send, open);
     }
@@ -230,15 +243,14 @@
         &self,
         context: &mut Context<'_, RequestActor>,
         flow: FlowIndex,
-        is_resend: bool,
+        last: Option<ProcessId>,
     ) -> ProcessId {
         if self.layer.has_gateways() {
-            let zone = if is_resend && self.behaviour.roams {
-                ZoneIndex(context.random().random_range(0..self.topology.zones.len()))
-            } else {
-                self.zone
+            let roams = self.behaviour.roams && self.topology.zones.len() > 1;
+            return match last {
+                Some(last) if roams => self.another_gateway(context, last),
+                _ => self.places.gateway(self.zone),
             };
-            return self.places.gateway(zone);
         }
         let route = self.topology.flows[flow.0].route;
         let service = self.topology.routes[route.0].service;
@@ -247,6 +259,17 @@
         self.places.host(endpoints[position])
     }
 
+    fn another_gateway(
+        &self,
+        context: &mut Context<'_, RequestActor>,
+        last: ProcessId,
+    ) -> ProcessId {
+        let zones = (0..self.topology.zones.len()).map(ZoneIndex);
+        let gateways = zones.map(|zone| self.places.gateway(zone));
+        let others: Vec<ProcessId> = gateways.filter(|gateway| *gateway != last).collect();
+        others[context.random().random_range(0..others.len())]
+    }
+
     pub(super) fn receive(&mut self, context: &mut Context<'_, RequestActor>, message: Message) {
         if let Message::Answer(answer) = message {
             self.answered(context, *answer);
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/check/facts.rs
@@ -0,0 +1,253 @@
+//! A history sorted by request, run and process.
+
+use super::super::content::{Content, RunId};
+use super::super::faults::FaultRecord;
+use super::super::message::SendId;
+use super::super::record::Record;
+use super::super::topology::{EndpointIndex, FlowIndex};
+use crate::kernel::{Entry, Fact, ProcessId};
+use bramblewheel_types::{OperationKey, Outcome, RequestId, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A send of a caller.
+#[derive(Debug)]
+pub(super) struct Send {
+    pub(super) at: Timestamp,
+    pub(super) index: usize,
+    pub(super) person: u64,
+    pub(super) to: ProcessId,
+    pub(super) flow: FlowIndex,
+    pub(super) request: RequestId,
+    pub(super) operation: Option<OperationKey>,
+    pub(super) end: Option<SendEnd>,
+}
+
+/// How a send ended for its caller.
+#[derive(Debug)]
+pub(super) struct SendEnd {
+    pub(super) at: Timestamp,
+    pub(super) index: usize,
+    pub(super) told: Told,
+}
+
+/// What a caller learnt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Told {
+    /// The answer.
+    Answer(Outcome, Option<Content>),
+    /// No connection could be opened.
+    NotReached,
+    /// Nothing, for as long as it waited.
+    Nothing,
+}
+
+/// A run at an endpoint.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) at: Timestamp,
+    pub(super) index: usize,
+    pub(super) endpoint: EndpointIndex,
+    pub(super) content: Content,
+    pub(super) request: RequestId,
+    pub(super) operation: Option<OperationKey>,
+    /// When it ended by itself, and whether it succeeded.
+    pub(super) ended: Option<(Timestamp, bool)>,
+    /// When it was stopped.
+    pub(super) stopped: Option<Timestamp>,
+}
+
+/// What an endpoint was told of its sub-call.
+#[derive(Debug)]
+pub(super) struct SubCallTold {
+    pub(super) index: usize,
+    pub(super) content: Content,
+    pub(super) outcome: Outcome,
+    pub(super) answered: Option<Content>,
+}
+
+/// Times during which something held.
+#[derive(Debug, Default)]
+pub(super) struct Spans(Vec<(Timestamp, Timestamp)>);
+
+impl Spans {
+    fn begin(&mut self, at: Timestamp) {
+        let is_on = |span: &(Timestamp, Timestamp)| span.1 == Timestamp::NEVER;
+        if !self.0.last().is_some_and(is_on) {
+            self.0.push((at, Timestamp::NEVER));
+        }
+    }
+
+    fn end(&mut self, at: Timestamp) {
+        if let Some((_, end)) = self.0.last_mut()
+            && *end == Timestamp::NEVER
+        {
+            *end = at;
+        }
+    }
+
+    pub(super) fn overlap(&self, from: Timestamp, to: Timestamp) -> bool {
+        self.0
+            .iter()
+            .any(|(begin, end)| *begin <= to && *end >= from)
+    }
+}
+
+/// A history sorted by request, run and process.
+#[derive(Debug, Default)]
+pub(super) struct Facts {
+    pub(super) sends: BTreeMap<SendId, Send>,
+    pub(super) runs: BTreeMap<RunId, Run>,
+    pub(super) sub_calls: Vec<SubCallTold>,
+    pub(super) told_again: Vec<(usize, SendId)>,
+    /// Times during which a process was frozen or not there.
+    pub(super) absent: BTreeMap<ProcessId, Spans>,
+    /// Times during which any zone was cut off.
+    pub(super) cut: Spans,
+    /// Runs by what they were asked for.
+    by_content: BTreeMap<Content, BTreeSet<RunId>>,
+}
+
+impl Facts {
+    pub(super) fn new(history: &[Entry<Record>]) -> Self {
+        let mut facts = Self::default();
+        for (index, entry) in history.iter().enumerate() {
+            facts.add(index, entry);
+        }
+        facts
+    }
+
+    fn add(&mut self, index: usize, entry: &Entry<Record>) {
+        let at = entry.at;
+        match (&entry.fact, entry.process) {
+            (Fact::Domain(record), _) => self.add_record(index, at, record),
+            (Fact::Stopped(_) | Fact::Frozen, Some(process)) => {
+                self.absent.entry(process).or_default().begin(at);
+            }
+            (Fact::Started(_) | Fact::Thawed, Some(process)) => {
+                self.absent.entry(process).or_default().end(at);
+            }
+            _ => {}
+        }
+    }
+
+    fn add_record(&mut self, index: usize, at: Timestamp, record: &Record) {
+        match record {
+            Record::Sent {
+                send,
+                person,
+                to,
+                flow,
+                request,
+                operation,
+                ..
+            } => {
+                let sent = Send {
+                    at,
+                    index,
+                    person: *person,
+                    to: *to,
+                    flow: *flow,
+                    request: *request,
+                    operation: operation.clone(),
+                    end: None,
+                };
+                self.sends.insert(*send, sent);
+            }
+            Record::Told {
+                send,
+                outcome,
+                answered,
+                ..
+            } => self.end_send(index, at, *send, Told::Answer(*outcome, *answered)),
+            Record::NotReached { send } => self.end_send(index, at, *send, Told::NotReached),
+            Record::GaveUp { send, .. } => self.end_send(index, at, *send, Told::Nothing),
+            Record::ToldAgain { send } => self.told_again.push((index, *send)),
+            Record::SubCallTold {
+                run,
+                position,
+                outcome,
+                answered,
+            } => self.sub_calls.push(SubCallTold {
+                index,
+                content: Content::SubCall {
+                    run: *run,
+                    position: *position,
+                },
+                outcome: *outcome,
+                answered: *answered,
+            }),
+            Record::Fault(FaultRecord::ZoneCut { .. }) => self.cut.begin(at),
+            Record::Fault(FaultRecord::Healed) => self.cut.end(at),
+            _ => self.add_run(index, at, record),
+        }
+    }
+
+    fn add_run(&mut self, index: usize, at: Timestamp, record: &Record) {
+        match record {
+            Record::Ran {
+                endpoint,
+                run,
+                content,
+                request,
+                operation,
+                ..
+            } => {
+                self.by_content.entry(*content).or_default().insert(*run);
+                let begun = Run {
+                    at,
+                    index,
+                    endpoint: *endpoint,
+                    content: *content,
+                    request: *request,
+                    operation: operation.clone(),
+                    ended: None,
+                    stopped: None,
+                };
+                self.runs.insert(*run, begun);
+            }
+            Record::Ended {
+                run, is_success, ..
+            } => {
+                if let Some(run) = self.runs.get_mut(run) {
+                    run.ended = Some((at, *is_success));
+                }
+            }
+            Record::Stopped { run, .. } => {
+                if let Some(run) = self.runs.get_mut(run) {
+                    run.stopped = Some(at);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn end_send(&mut self, index: usize, at: Timestamp, send: SendId, told: Told) {
+        if let Some(sent) = self.sends.get_mut(&send) {
+            sent.end = Some(SendEnd { at, index, told });
+        }
+    }
+
+    /// Runs that were asked for the same.
+    pub(super) fn runs_of(&self, content: Content) -> impl Iterator<Item = &Run> {
+        let runs = self.by_content.get(&content).into_iter().flatten();
+        runs.map(|run| &self.runs[run])
+    }
+
+    /// The send at the root of a run's call tree.
+    pub(super) fn root_of(&self, run: &Run) -> Option<SendId> {
+        let mut content = run.content;
+        loop {
+            match content {
+                Content::Root(send) => return Some(send),
+                Content::SubCall { run, .. } => content = self.runs.get(&run)?.content,
+            }
+        }
+    }
+
+    /// Whether a process was frozen or not there at any moment of a time.
+    pub(super) fn was_absent(&self, process: ProcessId, from: Timestamp, to: Timestamp) -> bool {
+        self.absent
+            .get(&process)
+            .is_some_and(|spans| spans.overlap(from, to))
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/check/sessions.rs
@@ -0,0 +1,19 @@
+//! No session ends but by its caller's wish: each daemon that is asked knows each session.
+
+use super::super::record::Record;
+use super::{Promise, Violation};
+use crate::kernel::{Entry, Fact};
+
+pub(super) fn check(history: &[Entry<Record>]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (index, entry) in history.iter().enumerate() {
+        if let Fact::Domain(Record::SessionRefused { send }) = &entry.fact {
+            violations.push(Violation {
+                promise: Promise::SessionsKept,
+                message: format!("send {} was told that its session is none", send.0),
+                evidence: vec![index],
+            });
+        }
+    }
+    violations
+}
--- a/crates/bramblewheel-sim/src/requests/host.rs
+++ b/crates/bramblewheel-sim/src/requests/host.rs
@@ -8,7 +8,10 @@
 use super::record::Record;
 use super::topology::{EndpointIndex, Topology, ZoneIndex};
 use crate::kernel::{Context, ProcessId, StartCause};
-use bramblewheel_types::RequestId;
+use bramblewheel_bundle::Bundle;
+use bramblewheel_core::event::{DirectoryEndpoint, DirectoryUpdate};
+use bramblewheel_types::{EndpointId, RequestId};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,6 +42,8 @@
     failing: f64,
     report_fault: Option<ReportFault>,
     options: LayerOptions,
+    /// What the directory says beside what the topology does.
+    listed: BTreeMap<EndpointId, DirectoryEndpoint>,
 }
 
 /// Runs that one endpoint may begin in a simulation.
@@ -68,6 +73,7 @@
             failing: 0.0,
             report_fault: None,
             options: LayerOptions::default(),
+            listed: BTreeMap::new(),
         }
     }
 
@@ -77,6 +83,16 @@
         self
     }
 
+    /// What the next start hears of an endpoint; the layer that runs is told apart.
+    pub fn set_listed(&mut self, entry: DirectoryEndpoint) {
+        self.listed.insert(entry.endpoint.clone(), entry);
+    }
+
+    /// The bundle that the next start begins with; the layer that runs is told apart.
+    pub fn set_bundle(&mut self, bundle: Arc<Bundle>) {
+        self.settings.bundle = bundle;
+    }
+
     /// Share of the endpoint's runs that end in an error, also after a restart.
     pub fn set_failing(&mut self, share: f64) {
         self.failing = share;
@@ -170,6 +186,14 @@
             context,
         ));
         self.with_layer(context, |layer, environment| layer.start(environment));
+        if !self.listed.is_empty() {
+            let update = DirectoryUpdate {
+                is_complete: false,
+                live: self.listed.values().cloned().collect(),
+                removed: Vec::new(),
+            };
+            self.instruct(context, Instruction::Directory(update));
+        }
     }
 
     pub(super) fn stop(&mut self) {
--- a/crates/bramblewheel-sim/src/requests/layer/daemon.rs
+++ b/crates/bramblewheel-sim/src/requests/layer/daemon.rs
@@ -32,6 +32,8 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two looks at the endpoint's load report; that of the daemon.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between a complete drain and the end of the process; that of the daemon.
+const DRAIN_LINGER: Duration = Duration::from_secs(1);
 /// HTTP status of a success, as stored for run-once operations.
 const STATUS_SUCCESS: u16 = 200;
 /// HTTP status of an error, as stored for run-once operations.
@@ -98,6 +100,8 @@
     next_call: u64,
     attempts: HashMap<AttemptId, OutAttempt>,
     connections: Connections<ProcessId, AttemptId>,
+    /// Start of each other process when it was last called.
+    known_starts: HashMap<ProcessId, Option<u32>>,
     /// Inbound attempts that are not answered yet: who waits, and what is called.
     inbound: HashMap<AttemptId, (ProcessId, RunRequest)>,
     runs: HashMap<AttemptId, RunKey>,
@@ -154,6 +158,7 @@
             next_call: 0,
             attempts: HashMap::new(),
             connections: Connections::default(),
+            known_starts: HashMap::new(),
             inbound: HashMap::new(),
             runs: HashMap::new(),
             ledger: LedgerClient::new(options.replicas, context.random().next_u64()),
@@ -235,13 +240,13 @@
             Action::Ledger { attempt, request } => {
                 self.ask_ledger(environment, attempt, request);
             }
-            Action::Drained => self.exit_if_stopping(environment),
+            Action::Drained => self.linger_if_stopping(environment),
         }
     }
 
-    fn exit_if_stopping(&mut self, environment: &mut Environment<'_, '_>) {
-        if let Some(down) = self.restarts_after.take() {
-            environment.context.exit(Some(down));
+    fn linger_if_stopping(&mut self, environment: &mut Environment<'_, '_>) {
+        if self.restarts_after.is_some() {
+            environment.context.set_timer(DRAIN_LINGER, Timer::Lingered);
         }
     }
 
@@ -297,10 +302,19 @@
                 state: OutState::WaitsForConnection,
             },
         );
+        self.drop_closed_connections(environment, to);
         let acquired = self.connections.acquire(to, limit, attempt);
         self.use_connection(environment, attempt, acquired);
     }
 
+    /// A process that ended closed its connections; idle ones to it are not used again.
+    fn drop_closed_connections(&mut self, environment: &Environment<'_, '_>, to: ProcessId) {
+        let starts = environment.context.starts_of(to);
+        if self.known_starts.insert(to, starts) != Some(starts) {
+            self.connections.reset(&to);
+        }
+    }
+
     fn use_connection(
         &mut self,
         environment: &mut Environment<'_, '_>,
@@ -768,6 +782,7 @@
             Timer::Report => self.report(environment),
             Timer::Connected(attempt) => self.write_attempt(environment, attempt),
             Timer::RepeatLedger => self.ledger.repeat(environment),
+            Timer::Lingered => environment.context.exit(self.restarts_after),
             Timer::Parked(number) => self.answer_parked(environment, number),
             _ => {}
         }
@@ -783,6 +798,10 @@
             return;
         };
         self.connections.reset(&to);
+        let request = context.request;
+        environment
+            .context
+            .record(Record::ConnectionRefused { request });
         let attempt = context.attempt;
         let is_fresh = self.attempts.get(&attempt).is_some_and(|out| out.is_fresh);
         let result = if is_fresh {
--- a/crates/bramblewheel-sim/src/requests/message.rs
+++ b/crates/bramblewheel-sim/src/requests/message.rs
@@ -186,6 +186,8 @@
     LedgerReady(u64),
     /// A control replica may have something to do.
     Replica,
+    /// A planned stop is complete, and late requests had time to be refused.
+    Lingered,
     /// A refusal that an unsafe double held back is given.
     Parked(u64),
 }
--- a/crates/bramblewheel-sim/src/requests/mod.rs
+++ b/crates/bramblewheel-sim/src/requests/mod.rs
@@ -6,6 +6,7 @@
 
 mod actor;
 mod callers;
+pub mod check;
 mod connections;
 mod content;
 mod double;
@@ -19,6 +20,7 @@
 mod places;
 mod record;
 mod replica;
+pub mod scenario;
 mod simulation;
 mod slab;
 mod topology;
--- a/crates/bramblewheel-sim/src/requests/record.rs
+++ b/crates/bramblewheel-sim/src/requests/record.rs
@@ -27,6 +27,8 @@
         resend: u32,
         /// Set when the request must not run twice.
         operation: Option<OperationKey>,
+        /// Whether the token of a session comes with it.
+        has_token: bool,
     },
     /// An endpoint began to run a request.
     Ran {
@@ -154,6 +156,11 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// On the wire: no connection could be opened for an attempt.
+    ConnectionRefused {
+        /// The original request.
+        request: RequestId,
+    },
     /// A fault began or ended.
     Fault(FaultRecord),
 }
--- a/crates/bramblewheel-sim/src/requests/replica.rs
+++ b/crates/bramblewheel-sim/src/requests/replica.rs
@@ -5,17 +5,19 @@
 use super::message::{Message, PeerEnvelope, Timer};
 use super::places::Places;
 use crate::kernel::{Context, ProcessId, StopCause};
-use bramblewheel_bundle::{Bundle, OperatorKey, OperatorPolicy, canonical, defaults, digest};
+use bramblewheel_bundle::{
+    Bundle, OperatorKey, OperatorPolicy, ServicePolicy, canonical, defaults, digest,
+};
 use bramblewheel_control::node::{
     ClientRequestId, ControlNode, Durable, Hello, NodeConfig, NodeOutput, Now,
 };
 use bramblewheel_protocol::control::{
-    BootstrapRequest, BundleSignature, ControlReply, ControlRequest, ReplicaAddress, RequestBody,
-    SignedBundle,
+    BootstrapRequest, BundleSignature, ControlReply, ControlRequest, ReplicaAddress, ReplyBody,
+    RequestBody, SignedBundle,
 };
 use bramblewheel_replication::{ReplicaId, Role};
 use bramblewheel_storage::{MemoryFileSystem, StorageConfig};
-use bramblewheel_types::{BundleVersion, Timestamp};
+use bramblewheel_types::{BundleVersion, Criticality, ServiceName, Timestamp};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
@@ -252,6 +254,7 @@
                 continue;
             };
             if to == context.process() {
+                assert_eq!(body, ReplyBody::Done, "the group is made of valid parts");
                 continue;
             }
             let reply = ControlReply { id, body };
@@ -281,6 +284,14 @@
 /// A bundle for the group; the daemons of this simulation get theirs from the scenario.
 fn first_bundle() -> SignedBundle {
     let key = OperatorKey::from_secret(OPERATOR, &[1; 32]).expect("a valid name");
+    let service = ServiceName::new("service").expect("a valid name");
+    let policy = ServicePolicy {
+        criticality: Criticality::Normal,
+        deadline: defaults::DEADLINE,
+        admission: defaults::ADMISSION,
+        routing: defaults::ROUTING,
+        routes: Vec::new(),
+    };
     let bundle = Bundle {
         version: BundleVersion(1),
         deployment: "simulated".to_owned(),
@@ -289,7 +300,7 @@
             keys: BTreeMap::from([(OPERATOR.to_owned(), key.public_key())]),
         },
         limits: defaults::LIMITS,
-        services: BTreeMap::new(),
+        services: BTreeMap::from([(service, policy)]),
     };
     let bytes = canonical::encode(&bundle);
     let digest = digest(&bytes);
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/scenario/builtin.rs
@@ -0,0 +1,59 @@
+//! The scenarios of kind `requests` that come with the program.
+
+use super::file::RequestScenario;
+use crate::scenario::ScenarioError;
+
+/// A scenario that comes with the program.
+#[derive(Clone, Copy, Debug)]
+pub struct BuiltIn {
+    /// Its name.
+    pub name: &'static str,
+    /// Name of the file in the repository.
+    pub file: &'static str,
+    /// The file.
+    pub text: &'static str,
+}
+
+macro_rules! built_in {
+    ($name:literal) => {
+        BuiltIn {
+            name: $name,
+            file: concat!("examples/scenarios/", $name, ".toml"),
+            text: include_str!(concat!(
+                "../../../../../examples/scenarios/",
+                $name,
+                ".toml"
+            )),
+        }
+    };
+}
+
+/// All scenarios of this kind that come with the program.
+pub const BUILT_IN: &[BuiltIn] = &[
+    built_in!("not-run-truth"),
+    built_in!("run-once-resend"),
+    built_in!("retry-bound-deep"),
+    built_in!("daemon-killed-mid-call"),
+    built_in!("late-reordered-answers"),
+    built_in!("priority-under-surge"),
+    built_in!("sessions-through-surge"),
+    built_in!("endpoint-leaving-lagging-list"),
+    built_in!("planned-stop"),
+    built_in!("misleading-load-reports"),
+    built_in!("request-chaos"),
+];
+
+impl BuiltIn {
+    /// Reads the scenario.
+    ///
+    /// # Errors
+    /// [`ScenarioError`] when the file is wrong; a test holds that none is.
+    pub fn scenario(&self) -> Result<RequestScenario, ScenarioError> {
+        RequestScenario::parse(self.file, self.text)
+    }
+}
+
+/// The scenario of a name.
+pub fn built_in(name: &str) -> Option<&'static BuiltIn> {
+    BUILT_IN.iter().find(|built_in| built_in.name == name)
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/scenario/mod.rs
@@ -0,0 +1,14 @@
+//! Scenarios of kind `requests`: a deployment under load and faults, held to the promises.
+
+mod builtin;
+mod file;
+mod plan;
+mod run;
+mod world;
+
+pub use builtin::{BUILT_IN, BuiltIn, built_in};
+pub use file::{
+    CallersTable, Direction, Fault, FaultKind, LoadTable, MachineKind, Outcomes, RequestScenario,
+    SeenOn, WorldTable,
+};
+pub use run::{RequestRun, run};
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/scenario/run.rs
@@ -0,0 +1,242 @@
+//! Runs a scenario on one seed, and checks it.
+
+use super::super::check::{Bounds, Evidence, Promise, Violation, check};
+use super::super::double::UnsafeDouble;
+use super::super::layer::{LayerKind, LayerOptions, LayerSettings};
+use super::super::load::{CallerBehaviour, LoadProfile};
+use super::super::record::Record;
+use super::super::simulation::{RequestSettings, RequestSimulation};
+use super::super::topology::Topology;
+use super::file::{Outcomes, RequestScenario};
+use super::plan;
+use super::world::{World, files_of};
+use crate::kernel::{Entry, Fact, HistoryDigest, Purpose, Streams};
+use bramblewheel_types::{Outcome, Timestamp};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long is waited at most for the last requests to end.
+const MAX_SETTLING: Duration = Duration::from_secs(120);
+/// How often it is looked whether they have.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// Number of the stream of randomness that chooses the targets of faults.
+const TARGETS: u32 = 1 << 16;
+
+/// What a run of one seed came to.
+#[derive(Clone, Debug)]
+pub struct RequestRun {
+    /// All that happened.
+    pub history: Vec<Entry<Record>>,
+    /// Digest of the history: the same seed gives the same.
+    pub digest: HistoryDigest,
+    /// Promises that were broken.
+    pub violations: Vec<Violation>,
+    /// Counts, by name.
+    pub figures: BTreeMap<&'static str, u64>,
+}
+
+/// Runs a scenario on one seed, with unsafe daemons if a double is named.
+///
+/// # Panics
+/// When the example files that it names are not valid; a test holds that they are.
+pub fn run(scenario: &RequestScenario, seed: u64, double: Option<UnsafeDouble>) -> RequestRun {
+    let settings = settings(scenario, seed);
+    let topology = Arc::clone(&settings.topology);
+    let bundle = Arc::clone(&settings.layer.bundle);
+    let replicas = scenario.world.control_replicas;
+    let options = LayerOptions { double, replicas };
+    let simulation = RequestSimulation::with_options(&settings, options);
+    let streams = Streams::new(seed);
+    let faults = scenario.fault.iter().map(|fault| fault.get_ref().clone());
+    let mut world = World::new(
+        simulation,
+        faults.collect(),
+        replicas,
+        Arc::clone(&bundle),
+        streams.stream(Purpose::Other(TARGETS)),
+    );
+    for occurrence in plan::draw(scenario, &mut streams.stream(Purpose::Faults)) {
+        world.plan(occurrence);
+    }
+    settle(&mut world, Timestamp::from_millis(scenario.load.run_ms));
+    let handled = world.simulation.kernel().handled();
+    let digest = world.simulation.kernel().digest();
+    let history = world.simulation.take_history();
+    let evidence = Evidence {
+        history: &history,
+        topology: &topology,
+        bundle: &bundle,
+        bounds: bounds(&scenario.outcomes),
+    };
+    let mut violations = check(&evidence);
+    let mut figures = figures(&history, &topology);
+    figures.insert("events", handled);
+    violations.extend(stated_outcomes(&scenario.outcomes, &figures));
+    RequestRun {
+        history,
+        digest,
+        violations,
+        figures,
+    }
+}
+
+/// Runs until no request is open and no fault is to come.
+fn settle(world: &mut World, load_ends: Timestamp) {
+    let latest = load_ends + MAX_SETTLING;
+    let mut until = load_ends;
+    loop {
+        let has_steps = world.run_until(until);
+        let is_over = !has_steps && world.simulation.open_requests() == 0;
+        if is_over || until >= latest {
+            return;
+        }
+        until += LOOK_EVERY;
+    }
+}
+
+fn settings(scenario: &RequestScenario, seed: u64) -> RequestSettings {
+    let name = &scenario.world.deployment;
+    let (deployment, bundle) = files_of(name).expect("the scenario was checked");
+    let deployment = crate::deployment::parse(name, deployment).expect("example deployment");
+    let bundle = bramblewheel_bundle::parse(name, bundle).expect("example bundle");
+    let load = scenario.load;
+    let callers = scenario.callers;
+    let surge_begins = Timestamp::from_millis(load.surge_at_ms);
+    RequestSettings {
+        topology: Arc::new(Topology::new(&deployment)),
+        layer: LayerSettings {
+            kind: LayerKind::Bramblewheel,
+            bundle: Arc::new(bundle),
+        },
+        load: LoadProfile {
+            base_rate: load.rate,
+            surge: load.surge,
+            surge_begins,
+            surge_ends: surge_begins + Duration::from_millis(load.surge_for_ms),
+            ends: Timestamp::from_millis(load.run_ms),
+        },
+        callers: CallerBehaviour {
+            max_sends: callers.max_sends,
+            pause: Duration::from_millis(callers.pause_ms),
+            with_id: f64::from(callers.with_id_percent) / 100.0,
+            patience: Duration::from_millis(callers.patience_ms),
+            roams: callers.roams,
+            sessions_per_zone: callers.sessions_per_zone,
+            ..CallerBehaviour::default()
+        },
+        seed,
+    }
+}
+
+fn bounds(outcomes: &Outcomes) -> Bounds {
+    Bounds {
+        leave_within: Duration::from_millis(outcomes.leave_within_ms),
+        answer_within: Duration::from_millis(outcomes.answer_within_ms),
+        stop_within: Duration::from_millis(outcomes.stop_within_ms),
+        compare_classes: outcomes.compare_classes,
+    }
+}
+
+/// Counts of what the run shows.
+fn figures(history: &[Entry<Record>], topology: &Topology) -> BTreeMap<&'static str, u64> {
+    let mut figures = BTreeMap::new();
+    let mut count = |name| *figures.entry(name).or_default() += 1;
+    let mut people = BTreeMap::new();
+    let mut contents = BTreeMap::new();
+    let mut sends = BTreeMap::new();
+    for entry in history {
+        let record = match &entry.fact {
+            Fact::Domain(record) => record,
+            Fact::Stopped(_) => {
+                count("stops");
+                continue;
+            }
+            _ => continue,
+        };
+        match record {
+            Record::Sent {
+                send,
+                person,
+                resend,
+                operation,
+                has_token,
+                ..
+            } => {
+                count("sends");
+                if *has_token {
+                    count("session_sends");
+                }
+                sends.insert(*send, *person);
+                people.entry(*person).or_insert(false);
+                if *resend > 0 {
+                    count("resends");
+                }
+                if operation.is_some() {
+                    count("operation_sends");
+                }
+            }
+            Record::Ran { content, .. } => {
+                count("runs");
+                if contents.insert(*content, ()).is_some() {
+                    count("extra_runs");
+                }
+            }
+            Record::Told {
+                send,
+                outcome,
+                answered,
+                ..
+            } => {
+                count(match outcome {
+                    Outcome::Completed => "told_completed",
+                    Outcome::NotRun { .. } => "told_not_run",
+                    Outcome::Failed => "told_failed",
+                    Outcome::Unknown => "told_unknown",
+                });
+                if *outcome == Outcome::Completed {
+                    people.insert(sends[send], true);
+                    let is_stored = *answered != Some(super::super::content::Content::Root(*send));
+                    if is_stored {
+                        count("stored_answers");
+                    }
+                }
+            }
+            Record::GaveUp { .. } => count("gave_up"),
+            Record::NotReached { .. } => count("not_reached"),
+            Record::Stopped { .. } => count("runs_stopped"),
+            Record::Replied { outcome, .. } if outcome.is_not_run() => count("attempts_refused"),
+            Record::Fault(_) => count("faults"),
+            _ => {}
+        }
+    }
+    let completed = people.values().filter(|completed| **completed).count();
+    figures.insert("requests", people.len() as u64);
+    figures.insert("requests_completed", completed as u64);
+    figures.insert("endpoints", topology.endpoints.len() as u64);
+    figures
+}
+
+/// Outcomes of the scenario beside the promises.
+fn stated_outcomes(outcomes: &Outcomes, figures: &BTreeMap<&'static str, u64>) -> Vec<Violation> {
+    let figure = |name| figures.get(name).copied().unwrap_or(0);
+    let mut violations = Vec::new();
+    let mut missed = |message: String| {
+        violations.push(Violation {
+            promise: Promise::Meaningful,
+            message,
+            evidence: Vec::new(),
+        });
+    };
+    let (all, completed) = (figure("requests"), figure("requests_completed"));
+    if completed * 100 < all * outcomes.min_completed_percent {
+        missed(format!("{completed} of {all} requests were completed"));
+    }
+    let unknown = figure("told_unknown") + figure("told_failed") + figure("gave_up");
+    if !outcomes.allow_unknown && unknown > 0 {
+        missed(format!(
+            "{unknown} sends ended unknown, failed or unanswered"
+        ));
+    }
+    violations
+}
--- a/crates/bramblewheel-sim/src/requests/simulation.rs
+++ b/crates/bramblewheel-sim/src/requests/simulation.rs
@@ -180,12 +180,21 @@
 
     /// Cuts a zone off from the others and from their callers; its own callers still reach it.
     pub fn cut_zone(&mut self, zone: ZoneIndex) {
+        self.cut_ways(zone, true, true);
+    }
+
+    /// Cuts the ways into a zone, out of it, or both, as [`cut_zone`](Self::cut_zone) does.
+    pub fn cut_ways(&mut self, zone: ZoneIndex, into: bool, out_of: bool) {
         let others = self.other_zones(zone);
         let inside = [Places::zone(zone), self.places.caller_zone(zone)];
         for outside in others {
             for own in inside {
-                self.simulation.network_mut().cut_zone(own, outside);
-                self.simulation.network_mut().cut_zone(outside, own);
+                if out_of {
+                    self.simulation.network_mut().cut_zone(own, outside);
+                }
+                if into {
+                    self.simulation.network_mut().cut_zone(outside, own);
+                }
             }
         }
     }
@@ -258,6 +267,18 @@
         })
     }
 
+    /// Requests of callers that are not over.
+    pub fn open_requests(&self) -> usize {
+        let zones = (0..self.topology.zones.len()).map(ZoneIndex);
+        let callers = zones.map(|zone| self.simulation.actor(self.places.callers(zone)));
+        callers
+            .map(|actor| match actor {
+                RequestActor::Callers(callers) => callers.open(),
+                _ => 0,
+            })
+            .sum()
+    }
+
     /// What became of each person's request.
     pub fn results(&self) -> impl Iterator<Item = &RequestResult> {
         let zones = (0..self.topology.zones.len()).map(ZoneIndex);
