--- a/crates/bramblewheel-sim/src/requests/scenario/mod.rs
+++ b/crates/bramblewheel-sim/src/requests/scenario/mod.rs
@@ -9,4 +9,4 @@
     CallersTable, Direction, Fault, FaultKind, LoadTable, MachineKind, Outcomes, RequestScenario,
     SeenOn, WorldTable,
 };
-pub use run::{RequestRun, run};
+pub use run::{RequestRun, held_to, run};
--- a/crates/bramblewheel-sim/src/requests/scenario/run.rs
+++ b/crates/bramblewheel-sim/src/requests/scenario/run.rs
@@ -11,6 +11,7 @@
 use super::plan;
 use super::world::{World, files_of};
 use crate::kernel::{Entry, Fact, HistoryDigest, Purpose, Streams};
+use bramblewheel_bundle::Bundle;
 use bramblewheel_types::{Outcome, Timestamp};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -81,6 +82,16 @@
     }
 }
 
+/// The deployment and the bundle of a scenario, and the bounds that its runs are held to.
+///
+/// # Panics
+/// As [`run`].
+pub fn held_to(scenario: &RequestScenario) -> (Arc<Topology>, Bundle, Bounds) {
+    let settings = settings(scenario, 0);
+    let bundle = Bundle::clone(&settings.layer.bundle);
+    (settings.topology, bundle, bounds(&scenario.outcomes))
+}
+
 /// Runs until no request is open and no fault is to come.
 fn settle(world: &mut World, load_ends: Timestamp) {
     let latest = load_ends + MAX_SETTLING;
--- a/crates/bramblewheel-sim/tests/request_doubles.rs
+++ b/crates/bramblewheel-sim/tests/request_doubles.rs
@@ -1,9 +1,11 @@
 //! Each checker reports the unsafe daemon that breaks its promise.
 
+use bramblewheel_bundle::Bundle;
 use bramblewheel_sim::requests::UnsafeDouble;
-use bramblewheel_sim::requests::check::Promise;
-use bramblewheel_sim::requests::scenario::{RequestScenario, run};
+use bramblewheel_sim::requests::check::{Evidence, Promise, check};
+use bramblewheel_sim::requests::scenario::{RequestScenario, held_to, run};
 use bramblewheel_sim::scenario::{Body, built_in, parse as parse_scenario};
+use bramblewheel_types::Criticality;
 
 /// Seeds of which at least one must show the violation.
 const SEEDS: u64 = 10;
@@ -137,3 +139,50 @@
     let name = "endpoint-leaving-lagging-list";
     is_caught_in(name, double, Promise::LeavingLeftAlone);
 }
+
+#[test]
+fn classes_the_other_way_round_are_not_served_best() {
+    let scenario = parse(
+        r#"
+        name = "test"
+        kind = "requests"
+        summary = "Far more requests than the endpoints can run."
+        [world]
+        deployment = "small"
+        [load]
+        rate = 300
+        run_ms = 1500
+        surge = 5
+        surge_at_ms = 200
+        surge_for_ms = 1200
+        [callers]
+        max_sends = 1
+        [outcomes]
+        compare_classes = true
+        "#,
+    );
+    let run = run(&scenario, 1, None);
+    assert_eq!(run.violations, Vec::new());
+    let (topology, mut bundle, bounds) = held_to(&scenario);
+    let promises = |bundle: &Bundle| {
+        let evidence = Evidence {
+            history: &run.history,
+            topology: &topology,
+            bundle,
+            bounds,
+        };
+        let violations = check(&evidence).into_iter();
+        violations.map(|found| found.promise).collect::<Vec<_>>()
+    };
+    assert_eq!(promises(&bundle), Vec::new());
+    for service in bundle.services.values_mut() {
+        for route in &mut service.routes {
+            route.criticality = match route.criticality {
+                Some(Criticality::Critical) => Some(Criticality::Low),
+                Some(Criticality::Low) => Some(Criticality::Critical),
+                other => other,
+            };
+        }
+    }
+    assert!(promises(&bundle).contains(&Promise::ImportantLast));
+}
