--- a/crates/bramblewheel-sim/src/requests/mod.rs
+++ b/crates/bramblewheel-sim/src/requests/mod.rs
@@ -7,8 +7,12 @@
 mod actor;
 pub mod bound;
 mod callers;
+pub mod check;
 mod connections;
+mod content;
+mod double;
 mod endpoint;
+mod faults;
 mod host;
 mod layer;
 mod ledger;
@@ -16,8 +20,10 @@
 pub mod measure;
 mod message;
 pub mod overload;
+pub mod overload_scenario;
 mod places;
 mod record;
+mod replica;
 pub mod scenario;
 mod simulation;
 mod slab;
@@ -27,15 +33,21 @@
 pub use actor::RequestActor;
 pub use callers::{Callers, RequestResult};
 pub use connections::{Acquired, Connections};
-pub use endpoint::{EndpointAction, EndpointModel, Run, RunKey, RunRequest};
+pub use content::{Content, RunId};
+pub use double::UnsafeDouble;
+pub use endpoint::{EndpointAction, EndpointModel, ReportFault, Run, RunKey, RunRequest};
+pub use faults::{DrainSeenOn, FaultRecord};
 pub use host::{Host, SlotUse};
 pub use layer::direct::{OutCall, OutCallKey};
-pub use layer::{Environment, Layer, LayerCounters, LayerKind, LayerSettings};
+pub use layer::{
+    Environment, Instruction, Layer, LayerCounters, LayerKind, LayerOptions, LayerSettings,
+};
 pub use ledger::LedgerService;
 pub use load::{CallerBehaviour, LoadProfile};
-pub use message::{Message, RootRequest, SendId, Timer};
+pub use message::{CallerAnswer, Message, PeerEnvelope, RootRequest, SendId, SessionClaim, Timer};
 pub use places::Places;
 pub use record::Record;
+pub use replica::Replica;
 pub use simulation::{RequestSettings, RequestSimulation};
 pub use slab::{Key, Slab};
 pub use topology::{
--- a/crates/bramblewheel-sim/src/run/excerpt.rs
+++ b/crates/bramblewheel-sim/src/run/excerpt.rs
@@ -3,6 +3,7 @@
 
 use crate::control::{Cast, ControlRecord};
 use crate::kernel::{Entry, Fact};
+use crate::requests::Record;
 
 /// Most lines of an excerpt.
 const MAX_LINES: usize = 40;
@@ -23,6 +24,29 @@
     shorten(lines)
 }
 
+/// The same of a run of kind `requests`, in which processes have numbers only.
+pub(super) fn of_requests(history: &[Entry<Record>], evidence: &[usize]) -> Vec<String> {
+    let (Some(&first), Some(&last)) = (evidence.iter().min(), evidence.iter().max()) else {
+        return Vec::new();
+    };
+    let useful = (first..=last).filter(|index| {
+        let is_background = match &history[*index].fact {
+            Fact::Domain(record) => matches!(record, Record::Fault(_)),
+            _ => true,
+        };
+        evidence.contains(index) || is_background
+    });
+    let lines = useful.map(|index| {
+        let entry = &history[index];
+        let who = match entry.process {
+            Some(process) => process.0.to_string(),
+            None => "-".to_owned(),
+        };
+        line_of(entry, &who)
+    });
+    shorten(lines.collect())
+}
+
 fn is_background(fact: &Fact<ControlRecord>) -> bool {
     match fact {
         Fact::Domain(record) => matches!(
@@ -43,6 +67,10 @@
         Some(process) => cast.name(process),
         None => "-".to_owned(),
     };
+    line_of(entry, &who)
+}
+
+fn line_of<R: std::fmt::Debug>(entry: &Entry<R>, who: &str) -> String {
     let seconds = entry.at.0 / 1_000_000;
     let micros = entry.at.0 % 1_000_000;
     let what = match &entry.fact {
--- a/crates/bramblewheel-sim/src/scenario/mod.rs
+++ b/crates/bramblewheel-sim/src/scenario/mod.rs
@@ -16,7 +16,8 @@
 pub use value::{MillisRange, Range};
 
 use crate::control::ControlScenario;
-use crate::requests::scenario::OverloadScenario;
+use crate::requests::overload_scenario::OverloadScenario;
+use crate::requests::scenario::RequestScenario;
 use serde::Deserialize;
 
 /// What a scenario simulates.
@@ -27,6 +28,9 @@
     Control,
     /// A deployment under a surge while a deep service is slow.
     Overload,
+    /// A deployment under load: callers, gateways, endpoints with their daemons, and the control
+    /// replicas that keep the ledger.
+    Requests,
 }
 
 /// The keys that every scenario file has; the kind's own keys are not looked at.
@@ -47,6 +51,8 @@
     Control(Box<ControlScenario>),
     /// A deployment under a surge.
     Overload(Box<OverloadScenario>),
+    /// Requests through a deployment.
+    Requests(Box<RequestScenario>),
 }
 
 /// A scenario, read and checked.
@@ -68,6 +74,7 @@
     let body = match header.kind {
         Kind::Control => Body::Control(Box::new(ControlScenario::parse(&source)?)),
         Kind::Overload => Body::Overload(Box::new(OverloadScenario::parse(&source)?)),
+        Kind::Requests => Body::Requests(Box::new(RequestScenario::parse(&source)?)),
     };
     Ok(Scenario { header, body })
 }
