Test how a replacement is given up and handed over

Seen to fail: without the step that hands over the old leader stayed; with the replica that is taken back still among the lost ones the command never ended. A first form of the second test passed without the step, since its restarts moved leadership anyway; it now waits for the old leader to lead.

Not pinned by a test: that a leader takes no step before an entry of its own term is applied (the five tests pass without that condition too).

--- a/crates/bramblewheel-control/tests/replacement.rs
+++ b/crates/bramblewheel-control/tests/replacement.rs
@@ -154,3 +154,76 @@
         "{members:?}"
     );
 }
+
+/// The lost machine is found to be well while its replacement can't be reached: naming each in the
+/// other's place gives the replacement up.
+#[test]
+fn a_replacement_that_is_not_needed_any_more_is_given_up() {
+    let mut cluster = Cluster::bootstrapped_of(4, 34, MANY);
+    let leader = cluster.settle();
+    let cut = (leader + 1) % 3;
+    let before = membership(&cluster, leader);
+    let request = ReplaceRequest {
+        lost: cluster.address(cut).replica,
+        replacement: cluster.address(3),
+    };
+    cluster.cut_off(cut);
+    cluster.cut_off(3);
+    cluster.send(leader, RequestBody::Replace(request.clone()));
+    cluster.run(Duration::from_secs(1));
+    assert_eq!(membership(&cluster, leader).learners.len(), 1);
+    cluster.heal();
+    cluster.cut_off(3);
+    let back = ReplaceRequest {
+        lost: request.replacement.replica,
+        replacement: cluster.address(cut),
+    };
+    let reply = cluster.ask_leader(&RequestBody::Replace(back));
+    assert_eq!(reply, ReplyBody::Done);
+    let leader = cluster.settle();
+    assert_eq!(membership(&cluster, leader).voters, before.voters);
+    assert!(membership(&cluster, leader).learners.is_empty());
+    assert_eq!(cluster.node(leader).state().replacement(), None);
+    // Another one may be begun.
+    cluster.heal();
+    let reply = cluster.ask_leader(&RequestBody::Replace(request.clone()));
+    assert_eq!(reply, ReplyBody::Done);
+    let leader = cluster.settle();
+    assert!(is_replaced(&cluster, leader, &request));
+}
+
+/// A healthy replica is moved to another machine, and leads while that is to be done.
+#[test]
+fn a_leader_that_is_to_be_replaced_hands_over() {
+    let mut cluster = Cluster::bootstrapped_of(4, 35, MANY);
+    let old = cluster.settle();
+    let request = ReplaceRequest {
+        lost: cluster.address(old).replica,
+        replacement: cluster.address(3),
+    };
+    cluster.cut_off(3);
+    let reply = cluster.ask(old, RequestBody::Replace(request.clone()));
+    assert!(matches!(reply, ReplyBody::Unavailable(_)), "{reply:?}");
+    cluster.run(Duration::from_secs(1));
+    let next = cluster.settle();
+    assert_ne!(next, old);
+    cluster.send(next, RequestBody::Replace(request.clone()));
+    cluster.run(Duration::from_secs(1));
+    // Restarts until the old one leads again.
+    let leads_again = (0..100).any(|_| {
+        let leader = cluster.settle();
+        if leader != old {
+            cluster.restart(leader);
+        }
+        leader == old
+    });
+    assert!(leads_again, "the old leader never came to lead again");
+    cluster.run(Duration::from_secs(2));
+    let leader = cluster.settle();
+    assert_ne!(leader, old, "it has handed over");
+    assert!(!is_replaced(&cluster, leader, &request));
+    cluster.heal();
+    cluster.run(Duration::from_secs(3));
+    let leader = cluster.settle();
+    assert!(is_replaced(&cluster, leader, &request));
+}
