Replace a silent voter by a configured spare

Cause: a group of three that has lost one replica has none to spare until an operator gives the command.

A replica without a group and with `spare.offer_to` asks those addresses for the members and offers itself every few seconds. A leader with `spare.replace_after_ms` begins the same replacement as an operator would, for one voter that has been silent towards it for that long, while all others are in contact, no replacement is in progress and `spare.period_ms` has passed since any was begun; that moment stands in the log.

Ruled out: removing a silent voter without a spare, which shrinks the group.

The replacement itself was not run with real processes, for its least silence is five minutes; the offers were (tests/server.rs).

--- a/crates/bramblewheel-control/src/node/housekeeping.rs
+++ b/crates/bramblewheel-control/src/node/housekeeping.rs
@@ -19,6 +19,7 @@
         self.replica.tick(now.monotonic);
         let term = self.is_leader().then(|| self.replica.term());
         self.leases.note_leadership(now.monotonic, term);
+        self.spares.note_leadership(now.monotonic, term);
         if self.housekeeping_due <= now.monotonic {
             self.housekeeping_due = now.monotonic + self.config.heartbeat;
             self.keep_house();
@@ -53,6 +54,7 @@
         if self.is_leader() {
             self.expire_daemons();
             self.record_addresses();
+            self.consider_spare();
             self.clocks.keep(&self.replica.membership().voters);
         } else if let Some(leader) = self.replica.leader() {
             let renewals = self.leases.take_untold();
--- a/crates/bramblewheel-control/src/node/inputs.rs
+++ b/crates/bramblewheel-control/src/node/inputs.rs
@@ -10,6 +10,7 @@
     /// Takes in a message of another replica.
     pub fn receive(&mut self, now: Now, from: ReplicaId, message: PeerMessage) {
         self.now = now;
+        self.spares.heard_from(from, now.monotonic);
         match message {
             PeerMessage::Replication(message) => {
                 self.replica.receive(now.monotonic, from, *message);
@@ -30,6 +31,11 @@
             PeerMessage::Clock { unix_millis } => {
                 self.clocks.heard(from, unix_millis, now.monotonic);
             }
+            PeerMessage::SpareOffer(address) => {
+                if address.replica == from.0 && self.is_leader() {
+                    self.spares.offered(address, now.monotonic);
+                }
+            }
             PeerMessage::ReadRequest { id } => self.read_for(from, id),
             PeerMessage::ReadReply { id, index } => {
                 self.reads.confirmed(id, index);
--- a/crates/bramblewheel-control/src/node/message.rs
+++ b/crates/bramblewheel-control/src/node/message.rs
@@ -32,6 +32,8 @@
         /// The reading.
         unix_millis: u64,
     },
+    /// From a replica without a group: it may take the place of a lost one.
+    SpareOffer(ReplicaAddress),
     /// To the leader: asks for a quorum-checked read.
     ReadRequest {
         /// Names the answer.
--- a/crates/bramblewheel-control/src/node/metrics.rs
+++ b/crates/bramblewheel-control/src/node/metrics.rs
@@ -35,6 +35,8 @@
     pub whole_bundles_sent: u64,
     /// Run-once requests decided by entries proposed here.
     pub operations_decided: u64,
+    /// Spares that offered themselves lately to this leader.
+    pub spares: u64,
 }
 
 /// Counters of [`NodeMetrics`].
@@ -64,6 +66,7 @@
             bundle_deltas_sent: self.bundle_news.counts.deltas_sent,
             whole_bundles_sent: self.bundle_news.counts.whole_sent,
             operations_decided: self.counters.operations_decided,
+            spares: self.spares.fresh_offers(now.monotonic).count() as u64,
         }
     }
 }
--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -26,12 +26,14 @@
 mod reads;
 mod replacement;
 mod requests;
+mod spares;
 
 pub use config::{NodeConfig, Now};
 pub use durable::Durable;
 pub use message::{Hello, PeerMessage, Renewal};
 pub use metrics::NodeMetrics;
 pub use output::{ClientRequestId, NodeOutput};
+pub use spares::SparePolicy;
 
 use crate::state::{ControlState, MalformedState, Outcome};
 use bramblewheel_protocol::control::{Registration, ReplicaAddress, ReplyBody, Unavailable};
@@ -47,6 +49,7 @@
 use proposals::{Proposals, Queue};
 use reads::Reads;
 use replacement::WaitingClients;
+use spares::Spares;
 use std::collections::BTreeMap;
 
 /// Entries in one message between replicas.
@@ -78,6 +81,7 @@
     /// Leader that was told of this replica's clock, and its term.
     told_clock: Option<(ReplicaId, u64)>,
     replacement_clients: WaitingClients,
+    spares: Spares,
     /// Addresses that replicas stated when they connected.
     introduced: BTreeMap<u64, ReplicaAddress>,
     /// Registrations the leader is to be told with the next output.
@@ -123,6 +127,7 @@
             clocks: Clocks::default(),
             told_clock: None,
             replacement_clients: WaitingClients::default(),
+            spares: Spares::default(),
             introduced,
             untold_registrations: Vec::new(),
             messages: Vec::new(),
--- a/crates/bramblewheel-control/src/node/proposing.rs
+++ b/crates/bramblewheel-control/src/node/proposing.rs
@@ -34,7 +34,7 @@
     }
 
     /// Time that the clocks of a majority have reached.
-    fn proposal_time(&self) -> Option<u64> {
+    pub(super) fn proposal_time(&self) -> Option<u64> {
         let own = (self.replica.id(), self.now.unix_millis);
         let voters = &self.replica.membership().voters;
         self.clocks.majority_time(own, voters, self.now.monotonic)
--- a/crates/bramblewheel-control/src/node/replacement.rs
+++ b/crates/bramblewheel-control/src/node/replacement.rs
@@ -117,7 +117,7 @@
 
     /// Whether all that was committed before this leader's term is applied, so that the state
     /// shows no replacement that has ended or changed since.
-    fn knows_all_before_its_term(&self) -> bool {
+    pub(super) fn knows_all_before_its_term(&self) -> bool {
         self.state.position().term == self.replica.term().0
     }
 
--- /dev/null
+++ b/crates/bramblewheel-control/src/node/spares.rs
@@ -0,0 +1,142 @@
+//! Replacement of a silent voter by a spare replica, without an operator.
+
+use super::message::PeerMessage;
+use super::{ControlNode, Now};
+use bramblewheel_protocol::control::{ReplaceRequest, ReplicaAddress};
+use bramblewheel_replication::{ReplicaId, Term};
+use bramblewheel_types::Timestamp;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Age up to which an offer counts. The driver makes one every 5 to 10 s.
+const OFFER_LIFETIME: Duration = Duration::from_secs(30);
+/// Silence up to which a voter counts as in contact. Followers answer every heartbeat.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// When a silent voter is replaced by a spare.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SparePolicy {
+    /// Silence after which a voter is taken for lost, counted by one leader without a break.
+    pub silence: Duration,
+    /// Least time from the begin of any replacement to the next one by a spare.
+    pub period: Duration,
+}
+
+/// What a leader knows of spares, and of who is silent.
+#[derive(Debug, Default)]
+pub(super) struct Spares {
+    policy: Option<SparePolicy>,
+    offers: BTreeMap<ReplicaId, (ReplicaAddress, Timestamp)>,
+    heard: BTreeMap<ReplicaId, Timestamp>,
+    /// Term in which this replica leads, and since when.
+    leading: Option<(Term, Timestamp)>,
+}
+
+impl Spares {
+    pub(super) fn heard_from(&mut self, replica: ReplicaId, now: Timestamp) {
+        self.heard.insert(replica, now);
+    }
+
+    pub(super) fn offered(&mut self, address: ReplicaAddress, now: Timestamp) {
+        let replica = ReplicaId(address.replica);
+        self.offers
+            .retain(|_, (_, at)| now.since(*at) <= OFFER_LIFETIME);
+        self.offers.insert(replica, (address, now));
+    }
+
+    /// What was not heard before this replica led says nothing.
+    pub(super) fn note_leadership(&mut self, now: Timestamp, term: Option<Term>) {
+        if self.leading.map(|(term, _)| term) != term {
+            self.leading = term.map(|term| (term, now));
+        }
+    }
+
+    /// How long a replica has been silent towards this leader.
+    fn silence_of(&self, replica: ReplicaId, now: Timestamp) -> Duration {
+        let heard = self.heard.get(&replica).copied();
+        let since = self.leading.map(|(_, since)| since);
+        let last = heard.max(since);
+        last.map_or(Duration::ZERO, |last| now.since(last))
+    }
+
+    /// Spares that offered themselves lately.
+    pub(super) fn fresh_offers(&self, now: Timestamp) -> impl Iterator<Item = &ReplicaAddress> {
+        let offers = self.offers.values();
+        let fresh = offers.filter(move |(_, at)| now.since(*at) <= OFFER_LIFETIME);
+        fresh.map(|(address, _)| address)
+    }
+}
+
+impl ControlNode {
+    /// Lets this replica, when it leads, replace a silent voter by a spare.
+    pub fn replace_silent_voters(&mut self, policy: SparePolicy) {
+        self.spares.policy = Some(policy);
+    }
+
+    /// Offers this replica, as long as it has no group, to the members of one as a spare; call
+    /// every few seconds.
+    pub fn offer_as_spare(&mut self, now: Now, members: Vec<ReplicaAddress>) {
+        self.now = now;
+        if self.state.group().is_some() {
+            return;
+        }
+        for member in members {
+            let offer = PeerMessage::SpareOffer(self.config.address.clone());
+            self.messages.push((ReplicaId(member.replica), offer));
+            self.introduced.insert(member.replica, member);
+        }
+    }
+
+    /// Begins a replacement if the policy asks for one.
+    pub(super) fn consider_spare(&mut self) {
+        let Some(policy) = self.spares.policy.filter(|_| self.may_begin_replacement()) else {
+            return;
+        };
+        let begun = self.state.replacement_begun_unix_millis();
+        let period = u64::try_from(policy.period.as_millis()).unwrap_or(u64::MAX);
+        let is_in_period = |time| begun > 0 && time < begun.saturating_add(period);
+        if self.proposal_time().is_none_or(is_in_period) {
+            return;
+        }
+        let Some(lost) = self.only_silent_voter(policy.silence) else {
+            return;
+        };
+        let membership = self.replica.membership();
+        let mut spares = self.spares.fresh_offers(self.now.monotonic);
+        let Some(spare) = spares.find(|spare| !membership.contains(ReplicaId(spare.replica)))
+        else {
+            return;
+        };
+        let request = ReplaceRequest {
+            lost: lost.0,
+            replacement: spare.clone(),
+        };
+        self.queue.begin_replacement(request);
+    }
+
+    fn may_begin_replacement(&self) -> bool {
+        let is_busy = self.state.replacement().is_some()
+            || self.queue.has_replacement()
+            || self.proposals.has_replacement();
+        let membership = self.replica.membership();
+        !is_busy
+            && self.has_quorum()
+            && self.knows_all_before_its_term()
+            && self.replica.membership_is_committed()
+            && membership.learners.is_empty()
+    }
+
+    /// The voter that has been silent for long, if all the others are in contact. Two that are
+    /// silent are more likely cut off than lost.
+    fn only_silent_voter(&self, silence: Duration) -> Option<ReplicaId> {
+        let own = self.replica.id();
+        let now = self.now.monotonic;
+        let voters = self.replica.membership().voters.iter();
+        let others = voters.copied().filter(|voter| *voter != own);
+        let mut silent = others.filter(|voter| self.spares.silence_of(*voter, now) > CONTACT);
+        let lost = silent.next()?;
+        let is_only = silent.next().is_none();
+        let is_long = self.spares.silence_of(lost, now) >= silence;
+        (is_only && is_long).then_some(lost)
+    }
+}
--- a/crates/bramblewheel-control/src/server/exposition.rs
+++ b/crates/bramblewheel-control/src/server/exposition.rs
@@ -47,6 +47,11 @@
             "Run-once operations not forgotten",
             metrics.operations_kept,
         ),
+        (
+            "spares",
+            "Spares that offered themselves lately to this leader",
+            metrics.spares,
+        ),
     ];
     for (name, help, value) in gauges {
         let gauge: Gauge = Gauge::default();
--- a/crates/bramblewheel-control/src/server/input.rs
+++ b/crates/bramblewheel-control/src/server/input.rs
@@ -1,7 +1,7 @@
 //! What the tasks hand to the node's thread.
 
 use crate::node::{Hello, NodeMetrics, PeerMessage};
-use bramblewheel_protocol::control::{ControlReply, ControlRequest};
+use bramblewheel_protocol::control::{ControlReply, ControlRequest, ReplicaAddress};
 use bramblewheel_replication::ReplicaId;
 use std::sync::mpsc as blocking;
 use tokio::sync::{mpsc, oneshot};
@@ -27,6 +27,8 @@
     Closed(ConnectionId),
     /// The admin listener asks for counts.
     Inspect(oneshot::Sender<Inspection>),
+    /// Members of a group to which this replica is to be offered as a spare.
+    OfferSpare(Vec<ReplicaAddress>),
     /// A planned stop begins.
     Stop,
 }
--- a/crates/bramblewheel-control/src/server/mod.rs
+++ b/crates/bramblewheel-control/src/server/mod.rs
@@ -12,6 +12,7 @@
 mod peer_out;
 mod run;
 mod service;
+mod spare_offers;
 mod start;
 
 pub use error::{RunError, StartError};
--- a/crates/bramblewheel-control/src/server/start.rs
+++ b/crates/bramblewheel-control/src/server/start.rs
@@ -6,6 +6,7 @@
 use super::listeners::{spawn_admin, spawn_peer, spawn_service};
 use super::node_thread::NodeThread;
 use super::peer_out::PeerSenders;
+use super::spare_offers::spawn_spare_offers;
 use crate::clock::Clock;
 use crate::node::{ControlNode, Durable, NodeConfig};
 use crate::settings::Settings;
@@ -84,6 +85,8 @@
     spawn_peer(&mut tasks, peer.0, &inputs, &stop, &log);
     spawn_service(&mut tasks, service.0, &inputs, &stop, &log);
     let limits = settings.admin;
+    let offer_to = settings.spare.offer_to;
+    spawn_spare_offers(&mut tasks, offer_to, &inputs, &stop);
     spawn_admin(&mut tasks, admin.0, limits, &inputs, &stop, &log);
     Ok(ControlHandle {
         replica,
@@ -148,7 +151,10 @@
         seed: getrandom::u64()?,
     };
     let clock = Clock::start();
-    let node = ControlNode::new(config, restored, clock.now())?;
+    let mut node = ControlNode::new(config, restored, clock.now())?;
+    if let Some(policy) = settings.spare.policy() {
+        node.replace_silent_voters(policy);
+    }
     slog::info!(log, "replica opened"; "replica" => format!("{:016x}", own.0),
         "group" => durable.identity().group.map(|group| format!("{group:016x}")),
         "index" => node.replica().last_index().0);
--- a/crates/bramblewheel-control/src/settings/check.rs
+++ b/crates/bramblewheel-control/src/settings/check.rs
@@ -7,12 +7,17 @@
 /// and one may be lost.
 const LEAST_HEARTBEATS_PER_ELECTION: u64 = 4;
 
+/// Least silence after which a voter may be replaced by a spare: a machine that reboots is back
+/// within it.
+const LEAST_SILENCE_MS: u64 = 300_000;
+
 impl Settings {
     /// The first fault that the types can't express: key and reason.
     pub(super) fn fault(&self) -> Option<(&'static str, String)> {
         self.address_fault()
             .or_else(|| self.timing_fault())
             .or_else(|| self.admin_fault())
+            .or_else(|| self.spare_fault())
     }
 
     fn address_fault(&self) -> Option<(&'static str, String)> {
@@ -34,6 +39,19 @@
         })
     }
 
+    fn spare_fault(&self) -> Option<(&'static str, String)> {
+        let given = self.spare.replace_after_ms;
+        if (1..LEAST_SILENCE_MS).contains(&given) {
+            let reason = format!("{given} is below {LEAST_SILENCE_MS}, and not 0 for never");
+            return Some(("replace_after_ms", reason));
+        }
+        if self.spare.period_ms < given {
+            let reason = format!("{} is below replace_after_ms", self.spare.period_ms);
+            return Some(("period_ms", reason));
+        }
+        None
+    }
+
     fn admin_fault(&self) -> Option<(&'static str, String)> {
         let above_zero = [
             ("connections", self.admin.connections as u64),
--- a/crates/bramblewheel-control/src/settings/mod.rs
+++ b/crates/bramblewheel-control/src/settings/mod.rs
@@ -5,7 +5,8 @@
 mod source;
 
 pub use sections::{
-    AdminSettings, ListenSettings, LogLevel, LogSettings, StorageSettings, TimingSettings,
+    AdminSettings, ListenSettings, LogLevel, LogSettings, SpareSettings, StorageSettings,
+    TimingSettings,
 };
 
 use bramblewheel_types::{RegionName, ZoneName};
@@ -61,6 +62,9 @@
     /// Log and snapshots on disk.
     #[serde(default)]
     pub storage: StorageSettings,
+    /// Spare replicas.
+    #[serde(default)]
+    pub spare: SpareSettings,
     /// Limits of the admin listener.
     #[serde(default)]
     pub admin: AdminSettings,
--- a/crates/bramblewheel-control/src/settings/sections.rs
+++ b/crates/bramblewheel-control/src/settings/sections.rs
@@ -1,5 +1,6 @@
 //! Sections of the settings file.
 
+use crate::node::SparePolicy;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -72,6 +73,41 @@
     }
 }
 
+/// Spare replicas.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SpareSettings {
+    /// Service addresses of members of a group. A replica without a group offers itself to them;
+    /// empty when it is no spare.
+    pub offer_to: Vec<SocketAddr>,
+    /// Silence after which the leader replaces a voter by a spare, in milliseconds; 0 for never.
+    pub replace_after_ms: u64,
+    /// Least time from the begin of any replacement to the next one by a spare, in milliseconds.
+    pub period_ms: u64,
+}
+
+impl Default for SpareSettings {
+    /// Off. Four hours are beyond the longest cut between regions that is planned for.
+    fn default() -> Self {
+        Self {
+            offer_to: Vec::new(),
+            replace_after_ms: 0,
+            period_ms: 14_400_000,
+        }
+    }
+}
+
+impl SpareSettings {
+    /// When the leader replaces a silent voter by a spare, if at all.
+    pub fn policy(&self) -> Option<SparePolicy> {
+        let policy = SparePolicy {
+            silence: Duration::from_millis(self.replace_after_ms),
+            period: Duration::from_millis(self.period_ms),
+        };
+        (self.replace_after_ms > 0).then_some(policy)
+    }
+}
+
 /// Limits of the admin listener.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/bramblewheel-control/src/state/mod.rs
+++ b/crates/bramblewheel-control/src/state/mod.rs
@@ -71,6 +71,9 @@
     /// Absent in snapshots of before it was in the log.
     #[serde(default)]
     replacement: Option<Replacement>,
+    /// Log time at which the latest replacement was begun; 0 for none.
+    #[serde(default)]
+    replacement_begun_unix_millis: u64,
 }
 
 impl ControlState {
@@ -139,6 +142,7 @@
                 let current = self.replacement.as_ref();
                 if let Ok(next) = Replacement::requested(current, &request) {
                     self.replacement = Some(next);
+                    self.replacement_begun_unix_millis = self.log_time_unix_millis;
                 }
                 Outcome::Nothing
             }
@@ -229,6 +233,12 @@
         self.replacement.as_ref()
     }
 
+    /// Log time at which the latest replacement was begun, in milliseconds since the Unix epoch; 0
+    /// for none.
+    pub fn replacement_begun_unix_millis(&self) -> u64 {
+        self.replacement_begun_unix_millis
+    }
+
     /// Where a replica said it can be reached, if that differs from its admission.
     pub fn address(&self, replica: u64) -> Option<&ReplicaAddress> {
         self.addresses.get(&replica)
--- a/crates/bramblewheel-control/tests/server.rs
+++ b/crates/bramblewheel-control/tests/server.rs
@@ -301,6 +301,31 @@
     assert_eq!(reply, ReplyBody::Unavailable(Unavailable::NoQuorum));
 }
 
+/// A replica with an empty folder and the addresses of a group offers itself to the leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_spare_makes_itself_known_to_the_leader() {
+    let group = Group::bootstrapped().await;
+    let folder = TempDir::new().expect("a temporary folder");
+    let addresses = group.addresses();
+    let quoted: Vec<String> = addresses.iter().map(|a| format!("\"{a}\"")).collect();
+    let more = format!("[spare]\noffer_to = [{}]\n", quoted.join(", "));
+    let spare = start_with(folder.path(), 3, &more).await.expect("starts");
+    let known = async {
+        loop {
+            for replica in group.replicas.iter().flatten() {
+                let (_, text) = get(replica.addresses().admin, "/metrics").await;
+                if text.contains("bramblewheel_control_spares 1\n") {
+                    return;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(PATIENCE, known).await.expect("the leader knows it");
+    let status = group_status(spare.addresses().service).await;
+    assert_eq!(status.group, None, "it joins nothing by itself");
+}
+
 /// A client that never ends its message head, one that never begins it, and one that is idle after
 /// an answer all lose their connections.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/bramblewheel-control/tests/settings.rs
+++ b/crates/bramblewheel-control/tests/settings.rs
@@ -18,6 +18,9 @@
 daemon_lease_ms = 6000
 [storage]
 snapshot_interval = 10000
+[spare]
+replace_after_ms = 900000
+period_ms = 14400000
 [admin]
 connections = 256
 header_timeout_ms = 10000
@@ -104,14 +107,24 @@
             "= 0",
             "s.toml:14: snapshot_interval: must be above zero",
         ),
-        ("= 256", "= 0", "s.toml:16: connections: must be above zero"),
+        (
+            "= 900000",
+            "= 299999",
+            "s.toml:16: replace_after_ms: 299999 is below 300000",
+        ),
+        (
+            "= 14400000",
+            "= 899999",
+            "s.toml:17: period_ms: 899999 is below replace_after_ms",
+        ),
+        ("= 256", "= 0", "s.toml:19: connections: must be above zero"),
         (
             "header_timeout_ms = 10000",
             "header_timeout_ms = 0",
-            "s.toml:17: header_timeout_ms: must be above zero",
+            "s.toml:20: header_timeout_ms: must be above zero",
         ),
-        ("\"info\"", "\"loud\"", "s.toml:19: level: unknown variant"),
-        ("[log]", "[log", "s.toml:18: "),
+        ("\"info\"", "\"loud\"", "s.toml:22: level: unknown variant"),
+        ("[log]", "[log", "s.toml:21: "),
     ];
     for (from, to, expected) in cases {
         assert!(VALID.contains(from), "{from}");
--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -3,7 +3,7 @@
 
 use super::signed;
 use bramblewheel_control::node::{
-    ClientRequestId, ControlNode, Durable, NodeConfig, NodeOutput, Now, PeerMessage,
+    ClientRequestId, ControlNode, Durable, NodeConfig, NodeOutput, Now, PeerMessage, SparePolicy,
 };
 use bramblewheel_protocol::control::{
     BootstrapRequest, ReplicaAddress, ReplyBody, RequestBody, Unavailable,
@@ -45,6 +45,10 @@
     replies: BTreeMap<ClientRequestId, ReplyBody>,
     snapshot_interval: u64,
     injects_faults: bool,
+    spare_policy: Option<SparePolicy>,
+    /// Machines that offer themselves as spares.
+    spares: Vec<usize>,
+    offers_due: Timestamp,
     /// Milliseconds on the wall since the start that were skipped.
     skipped: i64,
     /// Whether replies are lost from now on.
@@ -65,6 +69,9 @@
             replies: BTreeMap::new(),
             snapshot_interval,
             injects_faults: false,
+            spare_policy: None,
+            spares: Vec::new(),
+            offers_due: Timestamp::ZERO,
             skipped: 0,
             loses_replies: false,
         };
@@ -135,8 +142,11 @@
             snapshot_interval: self.snapshot_interval,
             seed: self.fresh_ids,
         };
-        let node =
+        let mut node =
             ControlNode::new(config, restored, self.clocks(machine)).expect("a state of ours");
+        if let Some(policy) = self.spare_policy {
+            node.replace_silent_voters(policy);
+        }
         self.machines[machine].running = Some((node, durable));
         self.drive(machine);
     }
@@ -152,6 +162,29 @@
         self.machines[machine].failure.as_deref()
     }
 
+    /// Gives all machines a policy; the spares offer themselves to the others from now on.
+    pub fn set_spares(&mut self, policy: SparePolicy, spares: Vec<usize>) {
+        self.spare_policy = Some(policy);
+        self.spares = spares;
+        for machine in &mut self.machines {
+            let running = machine.running.as_mut();
+            running.expect("runs").0.replace_silent_voters(policy);
+        }
+    }
+
+    fn make_offers(&mut self) {
+        self.offers_due = self.now + Duration::from_secs(5);
+        let addresses = (0..self.machines.len()).map(|machine| self.address(machine));
+        let addresses: Vec<ReplicaAddress> = addresses.collect();
+        for spare in self.spares.clone() {
+            let now = self.clocks(spare);
+            let mut members = addresses.clone();
+            members.remove(spare);
+            self.node_mut(spare).offer_as_spare(now, members);
+            self.drive(spare);
+        }
+    }
+
     /// Cuts power: what was not synced is lost.
     pub fn crash(&mut self, machine: usize) {
         self.machines[machine].running = None;
@@ -365,6 +398,9 @@
                 break;
             };
             self.now = next;
+            if self.offers_due <= self.now {
+                self.make_offers();
+            }
             if message_at == Some(next) {
                 let (_, (from, to, message)) = self.network.pop_first().expect("one is due");
                 self.deliver(from, to, message);
