--- a/crates/bramblewheel-core/src/route/endpoint.rs
+++ b/crates/bramblewheel-core/src/route/endpoint.rs
@@ -21,6 +21,11 @@
 const DRAINING_LIFETIME: Duration = Duration::from_secs(5);
 /// Consecutive failures after which an endpoint is ejected.
 const FAILURES_TO_EJECT: u32 = 5;
+/// Shortest time without any answer, while answers are awaited, from which an endpoint counts as
+/// silent.
+const MIN_SILENCE: Duration = Duration::from_millis(100);
+/// The same as a multiple of the observed latency.
+const SILENCE_FACTOR: f64 = 4.0;
 /// First ejection time; doubled with each ejection that follows without a success.
 const BASE_EJECTION: Duration = Duration::from_secs(1);
 /// Most doublings of the ejection time.
@@ -47,6 +52,8 @@
     failures: u32,
     ejections: u32,
     ejected_until: Timestamp,
+    /// Since when answers are awaited and none has come.
+    unanswered_since: Option<Timestamp>,
 }
 
 impl Endpoint {
@@ -67,9 +74,33 @@
             failures: 0,
             ejections: 0,
             ejected_until: Timestamp::ZERO,
+            unanswered_since: None,
         }
     }
 
+    /// Counts an attempt that is sent.
+    pub(crate) fn record_sent(&mut self, now: Timestamp) {
+        self.outstanding += 1;
+        self.unanswered_since.get_or_insert(now);
+    }
+
+    /// Counts an attempt that is over, answered or not.
+    pub(crate) fn record_over(&mut self) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        if self.outstanding == 0 {
+            self.unanswered_since = None;
+        }
+    }
+
+    /// Whether nothing has come back for suspiciously long: a cut-off endpoint refuses nothing,
+    /// and each call sent there would keep its caller's slot until its deadline.
+    pub(crate) fn is_silent(&self, now: Timestamp) -> bool {
+        let by_latency = Duration::from_micros((self.latency(now) * SILENCE_FACTOR) as u64);
+        let longest = by_latency.max(MIN_SILENCE);
+        self.unanswered_since
+            .is_some_and(|since| now.since(since) > longest)
+    }
+
     /// Takes over what the directory says; own observation stays.
     pub(crate) fn update(&mut self, now: Timestamp, entry: &DirectoryEndpoint) {
         if self.address != entry.address || (self.is_draining && !entry.draining) {
@@ -164,6 +195,7 @@
         self.record_level(now, route, feedback.admission_level);
         self.failures = 0;
         self.ejections = 0;
+        self.unanswered_since = (self.outstanding > 0).then_some(now);
         if feedback.draining {
             self.draining_until = now + DRAINING_LIFETIME;
         }
@@ -172,7 +204,8 @@
     /// Counts a failure; returns whether the endpoint should be ejected.
     pub(crate) fn record_failure(&mut self, now: Timestamp) -> bool {
         self.failures += 1;
-        self.failures >= FAILURES_TO_EJECT && !self.is_ejected(now)
+        let is_bad = self.failures >= FAILURES_TO_EJECT || self.is_silent(now);
+        is_bad && !self.is_ejected(now)
     }
 
     /// Ejects the endpoint; it comes back with slow start.
--- a/crates/bramblewheel-sim/src/requests/mod.rs
+++ b/crates/bramblewheel-sim/src/requests/mod.rs
@@ -18,6 +18,7 @@
 pub mod overload;
 mod places;
 mod record;
+pub mod scenario;
 mod simulation;
 mod slab;
 mod topology;
