Let simulated requests be scripted and their endpoints' draws be taped

A replay must depend on the engines' decisions alone. Work times are known by their place in the call tree, so that they fit also when an attempt goes to another endpoint; daemons may have seeds of their own, so that what endpoints draw does not change them. Without a tape nothing changes: the draws are the same and in the same order.

--- a/crates/bramblewheel-sim/src/requests/actor.rs
+++ b/crates/bramblewheel-sim/src/requests/actor.rs
@@ -6,6 +6,7 @@
 use super::message::{Message, Timer};
 use super::record::Record;
 use super::replica::Replica;
+use super::scripted::ScriptedCallers;
 use crate::kernel::{Actor, Context, ProcessId, StartCause, StopCause};
 
 /// One process.
@@ -16,6 +17,8 @@
     Ledger(LedgerService),
     /// The callers of one zone.
     Callers(Box<Callers>),
+    /// The callers of one zone, who do what they are told.
+    Scripted(Box<ScriptedCallers>),
     /// A control replica that keeps the ledger.
     Replica(Box<Replica>),
 }
@@ -29,6 +32,7 @@
         match self {
             Self::Host(host) => host.start(context, cause),
             Self::Callers(callers) => callers.start(context),
+            Self::Scripted(callers) => callers.start(context),
             Self::Replica(replica) => replica.start(context),
             Self::Ledger(_) => {}
         }
@@ -38,7 +42,7 @@
         match self {
             Self::Host(host) => host.stop(),
             Self::Replica(replica) => replica.stop(cause),
-            Self::Ledger(_) | Self::Callers(_) => {}
+            Self::Ledger(_) | Self::Callers(_) | Self::Scripted(_) => {}
         }
     }
 
@@ -50,6 +54,7 @@
         match self {
             Self::Host(host) => host.receive(context, from, message),
             Self::Callers(callers) => callers.receive(context, message),
+            Self::Scripted(callers) => callers.receive(context, message),
             Self::Ledger(ledger) => ledger.receive(context, from, message),
             Self::Replica(replica) => replica.receive(context, from, message),
         }
@@ -59,6 +64,7 @@
         match self {
             Self::Host(host) => host.timer(context, timer),
             Self::Callers(callers) => callers.timer(context, timer),
+            Self::Scripted(callers) => callers.timer(context, timer),
             Self::Ledger(ledger) => ledger.timer(context, &timer),
             Self::Replica(replica) => replica.wake(context),
         }
@@ -68,6 +74,7 @@
         match self {
             Self::Host(host) => host.undelivered(context, to, message),
             Self::Callers(callers) => callers.undelivered(context, message),
+            Self::Scripted(callers) => callers.undelivered(context, message),
             Self::Ledger(_) | Self::Replica(_) => {}
         }
     }
--- a/crates/bramblewheel-sim/src/requests/callers.rs
+++ b/crates/bramblewheel-sim/src/requests/callers.rs
@@ -202,9 +202,11 @@
             route: flow.route,
             caller: person.caller.clone(),
             timeout,
+            criticality: None,
             session: session_claim(&self.sessions, person),
             operation: person.operation.clone(),
         };
+        let in_session = person.in_session;
         let open = OpenSend {
             person: number,
             to: self.destination(context, request.flow, is_resend),
@@ -216,6 +218,8 @@
             person: number,
             to: open.to,
             flow: request.flow,
+            caller: request.caller.clone(),
+            in_session,
             request: request.request,
             resend: request.resend,
             operation: request.operation.as_ref().map(|o| o.key.clone()),
--- a/crates/bramblewheel-sim/src/requests/endpoint.rs
+++ b/crates/bramblewheel-sim/src/requests/endpoint.rs
@@ -5,6 +5,7 @@
 
 use super::content::{Content, RunId};
 use super::slab::{Key, Slab};
+use super::tape::Tape;
 use super::topology::{Endpoint, RouteIndex, Topology};
 use super::work::log_normal;
 use bramblewheel_core::event::EndpointReport;
@@ -94,6 +95,7 @@
     says_draining: bool,
     fails: f64,
     report_fault: Option<ReportFault>,
+    tape: Option<Tape>,
     next_run: u64,
     running: u32,
     queue: VecDeque<RunKey>,
@@ -114,6 +116,7 @@
             says_draining: false,
             fails: 0.0,
             report_fault: None,
+            tape: None,
             next_run,
             running: 0,
             queue: VecDeque::new(),
@@ -147,6 +150,11 @@
         self.report_fault = fault;
     }
 
+    /// Writes what it draws to a tape, or takes it from there.
+    pub(super) fn set_tape(&mut self, tape: Option<Tape>) {
+        self.tape = tape;
+    }
+
     /// Number of the next run.
     pub fn next_run(&self) -> u64 {
         self.next_run
@@ -211,15 +219,28 @@
         let request = run.request.clone();
         let route = request.route;
         let id = run.id;
+        if let Some(tape) = &self.tape {
+            tape.begin(id, request.content);
+        }
         actions.push(EndpointAction::Started { id, request });
-        let takes = self.part_of_work(now, route, random);
+        let takes = self.part_of_work(now, id, route, random);
         actions.push(EndpointAction::Work { run: key, takes });
     }
 
     /// The whole work, or half of it when there are sub-calls in the middle.
-    fn part_of_work(&self, now: Timestamp, route: RouteIndex, random: &mut impl Rng) -> Duration {
+    fn part_of_work(
+        &self,
+        now: Timestamp,
+        run: RunId,
+        route: RouteIndex,
+        random: &mut impl Rng,
+    ) -> Duration {
         let route = &self.topology.routes[route.0];
-        let whole = log_normal(route.work, route.work_sigma, random);
+        let drawn = log_normal(route.work, route.work_sigma, random);
+        let whole = match &self.tape {
+            Some(tape) => tape.work(run, route.work, drawn),
+            None => drawn,
+        };
         let parts = if route.calls.is_empty() { 1.0 } else { 2.0 };
         whole.mul_f64(self.slowdown * self.cold_factor(now) / parts)
     }
@@ -247,8 +268,12 @@
         };
         let route = &self.topology.routes[run.request.route.0];
         if run.next_call >= route.calls.len() {
-            let is_success = !random.random_bool(self.fails);
-            return self.end(now, key, is_success, random, actions);
+            let drawn = random.random_bool(self.fails);
+            let fails = match &self.tape {
+                Some(tape) => tape.fails(run.id, drawn),
+                None => drawn,
+            };
+            return self.end(now, key, !fails, random, actions);
         }
         let last = if route.parallel {
             route.calls.len()
@@ -282,6 +307,7 @@
             return;
         }
         let route = run.request.route;
+        let id = run.id;
         let calls = self.topology.routes[route.0].calls.len();
         if run.next_call < calls {
             let position = run.next_call;
@@ -289,7 +315,7 @@
             run.next_call += 1;
             return actions.push(EndpointAction::SubCall { run: key, position });
         }
-        let takes = self.part_of_work(now, route, random);
+        let takes = self.part_of_work(now, id, route, random);
         actions.push(EndpointAction::Work { run: key, takes });
     }
 
--- a/crates/bramblewheel-sim/src/requests/host.rs
+++ b/crates/bramblewheel-sim/src/requests/host.rs
@@ -6,6 +6,7 @@
 use super::message::{Message, Timer};
 use super::places::Places;
 use super::record::Record;
+use super::tape::Tape;
 use super::topology::{EndpointIndex, Topology, ZoneIndex};
 use crate::kernel::{Context, ProcessId, StartCause};
 use bramblewheel_types::{RequestId, Timestamp};
@@ -41,6 +42,7 @@
     failing: f64,
     report_fault: Option<ReportFault>,
     options: LayerOptions,
+    tape: Option<Tape>,
 }
 
 /// Runs that one endpoint may begin in a simulation.
@@ -70,6 +72,7 @@
             failing: 0.0,
             report_fault: None,
             options: LayerOptions::default(),
+            tape: None,
         }
     }
 
@@ -79,6 +82,12 @@
         self
     }
 
+    /// A machine whose endpoint draws with a tape.
+    pub(super) fn with_tape(mut self, tape: Option<Tape>) -> Self {
+        self.tape = tape;
+        self
+    }
+
     /// Share of the endpoint's runs that end in an error, also after a restart.
     pub fn set_failing(&mut self, share: f64) {
         self.failing = share;
@@ -160,6 +169,7 @@
             endpoint.set_slowdown(self.slowdown);
             endpoint.set_failing(self.failing);
             endpoint.set_report_fault(self.report_fault);
+            endpoint.set_tape(self.tape.clone());
             if cause == StartCause::First {
                 endpoint.warm_up();
             }
--- a/crates/bramblewheel-sim/src/requests/layer/daemon.rs
+++ b/crates/bramblewheel-sim/src/requests/layer/daemon.rs
@@ -11,7 +11,7 @@
 use super::ledger_client::LedgerClient;
 use super::sessions::Sessions;
 use super::{Environment, Instruction, Layer, LayerOptions};
-use crate::kernel::{Context, ProcessId};
+use crate::kernel::{Context, ProcessId, Purpose, Streams};
 use bramblewheel_bundle::Bundle;
 use bramblewheel_bundle::defaults::ROUTING;
 use bramblewheel_core::action::{Action, Answer, AnswerBody};
@@ -136,11 +136,12 @@
         let daemon = DaemonId::new(&name).expect("endpoint and zone names make a valid name");
         let is_tied = options.double == Some(UnsafeDouble::SessionTiedToDaemon);
         let sessions = Sessions::new(zone_name.clone(), is_tied);
+        let [engine_seed, ledger_seed] = seeds(options, context);
         let config = EngineConfig {
             daemon,
             zone: zone_name,
             endpoint: local,
-            seed: context.random().next_u64(),
+            seed: engine_seed,
             claim_timeout: CLAIM_TIMEOUT,
         };
         Self {
@@ -156,7 +157,7 @@
             connections: Connections::default(),
             inbound: HashMap::new(),
             runs: HashMap::new(),
-            ledger: LedgerClient::new(options.replicas, context.random().next_u64()),
+            ledger: LedgerClient::new(options.replicas, ledger_seed),
             sessions,
             bodies: HashMap::new(),
             double: options.double,
@@ -557,7 +558,7 @@
                 request: root.request,
                 resend: root.resend,
                 caller: root.caller,
-                criticality: None,
+                criticality: root.criticality,
                 in_session: is_known,
             },
             timeout: Some(root.timeout),
@@ -654,6 +655,18 @@
     environment.context.send(to, message);
 }
 
+/// Seeds of a daemon's engine and of its ledger client.
+fn seeds(options: &LayerOptions, context: &mut Context<'_, super::RequestActor>) -> [u64; 2] {
+    let Some(seed) = options.seed else {
+        return [context.random().next_u64(), context.random().next_u64()];
+    };
+    let start = Purpose::Other(context.starts());
+    let of_start = Streams::new(seed).stream(start).next_u64();
+    let process = Purpose::Process(context.process().0);
+    let mut random = Streams::new(of_start).stream(process);
+    [random.next_u64(), random.next_u64()]
+}
+
 /// The route that a context names; it was made from this topology.
 fn route_of(topology: &Topology, context: &CallContext) -> RouteIndex {
     let service = topology.service_index(&context.service);
--- a/crates/bramblewheel-sim/src/requests/layer/mod.rs
+++ b/crates/bramblewheel-sim/src/requests/layer/mod.rs
@@ -91,6 +91,8 @@
     pub double: Option<UnsafeDouble>,
     /// Control replicas that keep the ledger; 0 for the single process that stands for them.
     pub replicas: u32,
+    /// Seed of the daemons' own draws, if they must not depend on those of their endpoints.
+    pub seed: Option<u64>,
 }
 
 /// Something that happens to a layer from outside of the simulated world.
--- a/crates/bramblewheel-sim/src/requests/message.rs
+++ b/crates/bramblewheel-sim/src/requests/message.rs
@@ -8,7 +8,7 @@
 use bramblewheel_core::context::{CallContext, Operation};
 use bramblewheel_core::event::{ClaimAnswer, Feedback, LedgerRequest};
 use bramblewheel_protocol::control::{ControlReply, ControlRequest};
-use bramblewheel_types::{AttemptId, OperationKey, Outcome, RequestId};
+use bramblewheel_types::{AttemptId, Criticality, OperationKey, Outcome, RequestId};
 use std::time::Duration;
 
 /// One send of a request by a caller; unique in a run.
@@ -32,6 +32,8 @@
     pub caller: String,
     /// How long the caller waits.
     pub timeout: Duration,
+    /// Class that the caller asks for; that of the bundle if none.
+    pub criticality: Option<Criticality>,
     /// What it says of its session.
     pub session: SessionClaim,
     /// Present when the request must not run twice.
--- a/crates/bramblewheel-sim/src/requests/mod.rs
+++ b/crates/bramblewheel-sim/src/requests/mod.rs
@@ -22,8 +22,10 @@
 mod places;
 mod record;
 mod replica;
+mod scripted;
 mod simulation;
 mod slab;
+mod tape;
 mod topology;
 mod work;
 
@@ -45,8 +47,10 @@
 pub use places::Places;
 pub use record::Record;
 pub use replica::Replica;
-pub use simulation::{RequestSettings, RequestSimulation};
+pub use scripted::{ScriptedCallers, ScriptedSend};
+pub use simulation::{RequestSettings, RequestSimulation, Script};
 pub use slab::{Key, Slab};
+pub use tape::{CallPath, Draws, RunDraws, Tape};
 pub use topology::{
     Endpoint, EndpointIndex, Flow, FlowIndex, Route, RouteIndex, Service, ServiceIndex, Topology,
     ZoneIndex,
--- a/crates/bramblewheel-sim/src/requests/record.rs
+++ b/crates/bramblewheel-sim/src/requests/record.rs
@@ -21,6 +21,10 @@
         to: ProcessId,
         /// Kind of request.
         flow: FlowIndex,
+        /// Name of the caller.
+        caller: String,
+        /// Whether it belongs to a session.
+        in_session: bool,
         /// The original request.
         request: RequestId,
         /// Number of the send under this id, from 0.
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/scripted.rs
@@ -0,0 +1,178 @@
+//! Callers of one zone that do what they are told, and try nothing again by themselves.
+
+use super::actor::RequestActor;
+use super::message::{CallerAnswer, Message, RootRequest, SendId, SessionClaim, Timer};
+use super::places::Places;
+use super::record::Record;
+use super::topology::{FlowIndex, Topology, ZoneIndex};
+use crate::kernel::{Context, ProcessId};
+use bramblewheel_core::context::Operation;
+use bramblewheel_types::{Criticality, Outcome, RequestId, Timestamp};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// One send of a request, at a stated time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScriptedSend {
+    /// This send.
+    pub send: SendId,
+    /// The request that it is a send of.
+    pub person: u64,
+    /// When it is sent.
+    pub at: Timestamp,
+    /// Where the caller is.
+    pub zone: ZoneIndex,
+    /// Whose gateway it is sent to.
+    pub gateway: ZoneIndex,
+    /// Id of the original request.
+    pub request: RequestId,
+    /// Number of the resend under the same id.
+    pub resend: u32,
+    /// Kind of request.
+    pub flow: FlowIndex,
+    /// Name of the caller.
+    pub caller: String,
+    /// How long the caller waits for the whole answer.
+    pub timeout: Duration,
+    /// Class that the caller asks for; that of the bundle if none.
+    pub criticality: Option<Criticality>,
+    /// Whether it belongs to a session.
+    pub in_session: bool,
+    /// Present when the request must not run twice.
+    pub operation: Option<Operation>,
+}
+
+#[derive(Debug)]
+struct OpenSend {
+    to: ProcessId,
+    position: usize,
+}
+
+/// Callers of one zone that send what a script says.
+#[derive(Debug)]
+pub struct ScriptedCallers {
+    places: Places,
+    topology: Arc<Topology>,
+    patience: Duration,
+    script: Vec<ScriptedSend>,
+    open: HashMap<SendId, OpenSend>,
+    told: BTreeMap<SendId, Outcome>,
+}
+
+impl ScriptedCallers {
+    /// Callers with their sends; they wait for `patience` beyond their deadlines.
+    pub fn new(topology: Arc<Topology>, patience: Duration, script: Vec<ScriptedSend>) -> Self {
+        Self {
+            places: Places::new(&topology),
+            topology,
+            patience,
+            script,
+            open: HashMap::new(),
+            told: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn start(&mut self, context: &mut Context<'_, RequestActor>) {
+        for (position, send) in self.script.iter().enumerate() {
+            context.set_timer_at(send.at, Timer::Resend(position as u64));
+        }
+    }
+
+    pub(super) fn timer(&mut self, context: &mut Context<'_, RequestActor>, timer: Timer) {
+        match timer {
+            Timer::Resend(position) => self.send(context, position),
+            Timer::GiveUp(send) => self.give_up(context, send),
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, context: &mut Context<'_, RequestActor>, position: u64) {
+        let position = usize::try_from(position).expect("a script fits into memory");
+        let scripted = &self.script[position];
+        let send = scripted.send;
+        let to = self.places.gateway(scripted.gateway);
+        let request = RootRequest {
+            send,
+            request: scripted.request,
+            resend: scripted.resend,
+            flow: scripted.flow,
+            route: self.topology.flows[scripted.flow.0].route,
+            caller: scripted.caller.clone(),
+            timeout: scripted.timeout,
+            criticality: scripted.criticality,
+            session: match scripted.in_session {
+                true => SessionClaim::Assumed,
+                false => SessionClaim::None,
+            },
+            operation: scripted.operation.clone(),
+        };
+        context.record(Record::Sent {
+            send,
+            person: scripted.person,
+            to,
+            flow: request.flow,
+            caller: request.caller.clone(),
+            in_session: scripted.in_session,
+            request: request.request,
+            resend: request.resend,
+            operation: request.operation.as_ref().map(|o| o.key.clone()),
+        });
+        context.send(to, Message::Request(Box::new(request)));
+        context.set_timer(scripted.timeout + self.patience, Timer::GiveUp(send));
+        self.open.insert(send, OpenSend { to, position });
+    }
+
+    pub(super) fn receive(&mut self, context: &mut Context<'_, RequestActor>, message: Message) {
+        if let Message::Answer(answer) = message {
+            self.answered(context, *answer);
+        }
+    }
+
+    fn answered(&mut self, context: &mut Context<'_, RequestActor>, answer: CallerAnswer) {
+        let CallerAnswer { send, outcome, .. } = answer;
+        let Some(open) = self.open.remove(&send) else {
+            if self.told.contains_key(&send) {
+                context.record(Record::ToldAgain { send });
+            }
+            return;
+        };
+        self.told.insert(send, outcome);
+        let scripted = &self.script[open.position];
+        context.record(Record::Told {
+            send,
+            answered: answer.body,
+            request: scripted.request,
+            resend: scripted.resend,
+            operation: scripted.operation.as_ref().map(|o| o.key.clone()),
+            outcome,
+        });
+    }
+
+    pub(super) fn undelivered(
+        &mut self,
+        context: &mut Context<'_, RequestActor>,
+        message: Message,
+    ) {
+        if let Message::Request(request) = message
+            && self.open.remove(&request.send).is_some()
+        {
+            let send = request.send;
+            context.record(Record::NotReached { send });
+        }
+    }
+
+    fn give_up(&mut self, context: &mut Context<'_, RequestActor>, send: SendId) {
+        let Some(open) = self.open.remove(&send) else {
+            return;
+        };
+        let scripted = &self.script[open.position];
+        context.record(Record::GaveUp {
+            send,
+            request: scripted.request,
+            resend: scripted.resend,
+            operation: scripted.operation.as_ref().map(|o| o.key.clone()),
+        });
+        context.send(open.to, Message::GiveUp(send));
+    }
+}
--- a/crates/bramblewheel-sim/src/requests/simulation.rs
+++ b/crates/bramblewheel-sim/src/requests/simulation.rs
@@ -9,6 +9,8 @@
 use super::places::Places;
 use super::record::Record;
 use super::replica::{Replica, bootstrap_request};
+use super::scripted::{ScriptedCallers, ScriptedSend};
+use super::tape::Tape;
 use super::topology::{EndpointIndex, ServiceIndex, Topology, ZoneIndex};
 use crate::kernel::{Clock, Delay, Entry, Network, ProcessId, Purpose, Simulation, Streams};
 use bramblewheel_types::Timestamp;
@@ -33,6 +35,15 @@
     pub seed: u64,
 }
 
+/// What a run takes from outside instead of drawing it.
+#[derive(Clone, Debug, Default)]
+pub struct Script {
+    /// Where endpoints write or find what they draw.
+    pub tape: Option<Tape>,
+    /// What callers send; they draw it if there is none.
+    pub sends: Option<Vec<ScriptedSend>>,
+}
+
 /// A run of a deployment under load.
 pub struct RequestSimulation {
     topology: Arc<Topology>,
@@ -48,6 +59,11 @@
 
     /// As [`new`](Self::new), with control replicas or an unsafe layer.
     pub fn with_options(settings: &RequestSettings, options: LayerOptions) -> Self {
+        Self::with_script(settings, options, &Script::default())
+    }
+
+    /// As [`with_options`](Self::with_options), with draws written down or taken from a script.
+    pub fn with_script(settings: &RequestSettings, options: LayerOptions, script: &Script) -> Self {
         let streams = Streams::new(settings.seed);
         let topology = Arc::clone(&settings.topology);
         let network = network(&topology, streams);
@@ -58,9 +74,12 @@
             topology,
             simulation,
         };
-        run.add_hosts(&settings.layer, options);
+        run.add_hosts(&settings.layer, options, script.tape.as_ref());
         run.add_ledger();
-        run.add_callers(settings);
+        match &script.sends {
+            Some(sends) => run.add_scripted(settings.callers.patience, sends),
+            None => run.add_callers(settings),
+        }
         run.add_replicas(options.replicas);
         run
     }
@@ -70,7 +89,7 @@
         self.simulation.start(process);
     }
 
-    fn add_hosts(&mut self, layer: &LayerSettings, options: LayerOptions) {
+    fn add_hosts(&mut self, layer: &LayerSettings, options: LayerOptions, tape: Option<&Tape>) {
         let topology = Arc::clone(&self.topology);
         let zones = (0..topology.zones.len()).map(ZoneIndex);
         let endpoints = topology.endpoints.iter().enumerate();
@@ -78,7 +97,7 @@
         let gateways = zones.map(|zone| (zone, None));
         for (zone, endpoint) in hosts.chain(gateways) {
             let host = Host::new(Arc::clone(&topology), zone, endpoint, layer.clone());
-            let host = host.with_options(options);
+            let host = host.with_options(options).with_tape(tape.cloned());
             self.add(RequestActor::Host(Box::new(host)), Places::zone(zone));
         }
     }
@@ -105,6 +124,16 @@
         }
     }
 
+    fn add_scripted(&mut self, patience: Duration, sends: &[ScriptedSend]) {
+        for zone in (0..self.topology.zones.len()).map(ZoneIndex) {
+            let own = sends.iter().filter(|send| send.zone == zone);
+            let own = own.cloned().collect();
+            let callers = ScriptedCallers::new(Arc::clone(&self.topology), patience, own);
+            let place = self.places.caller_zone(zone);
+            self.add(RequestActor::Scripted(Box::new(callers)), place);
+        }
+    }
+
     /// The control replicas, one zone after the other, as one group.
     fn add_replicas(&mut self, count: u32) {
         let zones = self.topology.zones.len();
