Replay recorded traces against their stated outcomes

The users ask for proof by replay. A trace holds all that a run would draw: arrivals, resends, work times by place in the call tree, faults, seed. bramblewheel replay sends it through the real engines in the simulator and names each request whose outcome differs; bramblewheel-lab sim record makes traces from plans and writes only those whose replay brings what the run brought.

--- a/crates/bramblewheel-lab/src/commands/mod.rs
+++ b/crates/bramblewheel-lab/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod endpoint;
 pub mod fleet;
 pub mod hidden;
+pub mod record;
 pub mod sim;
 
 use crate::bench;
--- a/crates/bramblewheel-lab/src/commands/sim.rs
+++ b/crates/bramblewheel-lab/src/commands/sim.rs
@@ -1,5 +1,6 @@
 //! The deterministic simulator from the command line.
 
+use crate::commands::record::{self, RecordOptions};
 use crate::error::CommandError;
 use gumdrop::Options;
 
@@ -20,6 +21,8 @@
     List(SimListOptions),
     /// run a scenario
     Run(SimRunOptions),
+    /// run a plan and record it as a trace to be replayed
+    Record(RecordOptions),
 }
 
 /// Arguments of `sim list`.
@@ -47,6 +50,7 @@
     match options.command {
         Some(SimCommand::List(_)) => Err(CommandError::NotThere("sim list")),
         Some(SimCommand::Run(_)) => Err(CommandError::NotThere("sim run")),
+        Some(SimCommand::Record(options)) => record::run(&options),
         None => Err(CommandError::BadInput(
             "no command given; see `sim --help`".to_owned(),
         )),
--- a/crates/bramblewheel-sim/src/lib.rs
+++ b/crates/bramblewheel-sim/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod deployment;
 pub mod kernel;
 pub mod requests;
+pub mod trace;
--- a/crates/bramblewheel-sim/src/requests/tape.rs
+++ b/crates/bramblewheel-sim/src/requests/tape.rs
@@ -61,7 +61,8 @@
 /// What one run drew.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunDraws {
-    /// Place in the call tree. A tree may hold several runs of one place, the first one first.
+    /// Place in the call tree. A tree may hold several runs of one place, the first one first;
+    /// the last one stands for all further runs.
     pub path: CallPath,
     /// Whole work time as drawn for each part of the work, in whole microseconds. The last one
     /// stands for all further parts.
@@ -192,8 +193,9 @@
             return Some(draws.len() - 1);
         }
         let draws = self.draws.get(&send)?.iter().enumerate();
-        let mut same = draws.filter(|(_, draws)| draws.path == *path);
-        same.nth(repeat).map(|(index, _)| index)
+        let same = draws.filter(|(_, draws)| draws.path == *path);
+        let same = same.map(|(index, _)| index);
+        same.take(repeat + 1).last()
     }
 
     fn next_part(&mut self, run: RunId) -> Option<(usize, &mut RunDraws)> {
--- /dev/null
+++ b/crates/bramblewheel-sim/src/trace/fault.rs
@@ -0,0 +1,128 @@
+//! Faults at stated times, for the run that is recorded and for its replay alike.
+
+use crate::kernel::{ProcessId, StopCause};
+use crate::requests::{
+    EndpointIndex, Instruction, Places, RequestSimulation, ServiceIndex, ZoneIndex,
+};
+use bramblewheel_types::Timestamp;
+use std::time::Duration;
+
+/// A fault at a stated time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// When it begins.
+    pub begins: Timestamp,
+    /// How long it lasts; a stopped process stays down for as long.
+    pub lasts: Duration,
+    /// What fails.
+    pub action: FaultAction,
+}
+
+/// What fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultAction {
+    /// All work of a service takes longer.
+    Slow {
+        /// The service.
+        service: ServiceIndex,
+        /// Time that work takes, in percent of the usual.
+        percent: u64,
+    },
+    /// A process is killed, and started again.
+    Kill(Machine),
+    /// A process is frozen.
+    Freeze(Machine),
+    /// A planned stop; the process is started again.
+    StopPlanned(Machine),
+    /// A zone is cut off from the others.
+    CutZone(ZoneIndex),
+}
+
+/// A process that faults concern.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Machine {
+    /// An endpoint with its daemon.
+    Endpoint(EndpointIndex),
+    /// The gateway of a zone.
+    Gateway(ZoneIndex),
+    /// A control replica.
+    Replica(u32),
+}
+
+impl Machine {
+    fn process(self, places: Places) -> ProcessId {
+        match self {
+            Self::Endpoint(endpoint) => places.host(endpoint),
+            Self::Gateway(zone) => places.gateway(zone),
+            Self::Replica(number) => places.replica(number),
+        }
+    }
+}
+
+/// Runs on to a time, with all faults that begin or end until then.
+pub(super) fn run_until(run: &mut RequestSimulation, faults: &[Fault], ends: Timestamp) {
+    let mut steps = Vec::new();
+    for fault in faults {
+        steps.push((fault.begins, true, fault));
+        steps.push((fault.begins + fault.lasts, false, fault));
+    }
+    steps.sort_by_key(|(at, ..)| *at);
+    let mut cuts = Vec::new();
+    for (at, is_begin, fault) in steps {
+        if at > ends {
+            break;
+        }
+        run.run_until(at);
+        match (is_begin, fault.action) {
+            (true, FaultAction::CutZone(zone)) => {
+                cuts.push(zone);
+                set_cuts(run, &cuts);
+            }
+            (false, FaultAction::CutZone(zone)) => {
+                cuts.retain(|cut| *cut != zone);
+                set_cuts(run, &cuts);
+            }
+            (true, _) => begin(run, fault),
+            (false, _) => end(run, fault),
+        }
+    }
+    run.run_until(ends);
+}
+
+fn set_cuts(run: &mut RequestSimulation, cuts: &[ZoneIndex]) {
+    run.heal();
+    for zone in cuts {
+        run.cut_zone(*zone);
+    }
+}
+
+fn begin(run: &mut RequestSimulation, fault: &Fault) {
+    let places = run.places();
+    match fault.action {
+        FaultAction::Slow { service, percent } => {
+            run.set_slowdown(service, percent as f64 / 100.0);
+        }
+        FaultAction::Kill(machine) => {
+            let process = machine.process(places);
+            run.kernel_mut().stop(process, StopCause::Killed);
+            run.kernel_mut().start_after(process, fault.lasts);
+        }
+        FaultAction::Freeze(machine) => run.kernel_mut().freeze(machine.process(places)),
+        FaultAction::StopPlanned(machine) => {
+            let down = fault.lasts;
+            let stop = Instruction::StopPlanned { down };
+            run.instruct(machine.process(places), stop);
+        }
+        FaultAction::CutZone(_) => {}
+    }
+}
+
+fn end(run: &mut RequestSimulation, fault: &Fault) {
+    let places = run.places();
+    match fault.action {
+        FaultAction::Slow { service, .. } => run.set_slowdown(service, 1.0),
+        FaultAction::Freeze(machine) => run.kernel_mut().thaw(machine.process(places)),
+        // Started again by the kernel.
+        FaultAction::Kill(_) | FaultAction::StopPlanned(_) | FaultAction::CutZone(_) => {}
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/trace/mod.rs
@@ -0,0 +1,32 @@
+//! Recorded traces: what callers sent, what endpoints drew, which faults came, and the outcomes
+//! that are stated for it; see `docs/TRACES.md`.
+//!
+//! A trace is replayed through the real engines in the request simulation. It holds everything
+//! that a run would otherwise draw, so that its outcomes depend on the engines' decisions alone.
+
+mod ends;
+mod error;
+mod expect;
+mod fault;
+mod file;
+mod model;
+mod outcome;
+mod plan;
+mod promises;
+mod read;
+mod record;
+mod replay;
+mod source;
+mod write;
+
+pub use ends::{Ends, SendEnd};
+pub use error::{Difference, RecordError, TraceError};
+pub use expect::{Completed, Expect, Recovery, Subject};
+pub use fault::{Fault, FaultAction, Machine};
+pub use model::{Embedded, Head, Request, Send, Trace};
+pub use outcome::{StatedOutcome, UnknownOutcome};
+pub use plan::Plan;
+pub use read::{Files, parse, parse_plan};
+pub use record::{record, state_outcomes};
+pub use replay::{Replay, Verdict, play, replay, replay_with_double};
+pub use write::to_toml;
--- /dev/null
+++ b/crates/bramblewheel-sim/src/trace/promises.rs
@@ -0,0 +1,82 @@
+//! The promises that a trace may state to hold in its replay.
+
+use super::ends::Ends;
+use super::error::Difference;
+use super::model::Trace;
+use super::outcome::StatedOutcome;
+use std::collections::BTreeMap;
+
+pub(super) fn check(trace: &Trace, ends: &Ends) -> Vec<Difference> {
+    let expect = &trace.head.expect;
+    let mut differences = Vec::new();
+    if expect.operations_run_once {
+        differences.extend(run_once(ends));
+    }
+    if expect.retries_within_bound {
+        let bound = trace.head.bundle.value.limits.retry_tokens as usize;
+        differences.extend(retries(ends, bound));
+    }
+    if expect.not_run_is_true {
+        differences.extend(not_run(trace, ends));
+    }
+    differences
+}
+
+fn run_once(ends: &Ends) -> Vec<Difference> {
+    let mut runs: BTreeMap<_, (_, usize)> = BTreeMap::new();
+    for run in &ends.runs {
+        if let Some(operation) = &run.operation {
+            let (_, times) = runs.entry(operation).or_insert((run.request, 0));
+            *times += 1;
+        }
+    }
+    let several = runs.into_iter().filter(|(_, (_, times))| *times > 1);
+    several
+        .map(|(operation, (request, times))| Difference::RanTwice {
+            operation: operation.to_string(),
+            request,
+            times,
+        })
+        .collect()
+}
+
+/// A call is what was asked for, so each send of a caller is a call of its own.
+fn retries(ends: &Ends, bound: usize) -> Vec<Difference> {
+    let mut requests: BTreeMap<_, BTreeMap<_, usize>> = BTreeMap::new();
+    for run in &ends.runs {
+        let calls = requests.entry(run.request).or_default();
+        *calls.entry(run.content).or_default() += 1;
+    }
+    let mut differences = Vec::new();
+    for (request, calls) in requests {
+        let extra = calls.values().map(|runs| runs - 1).sum();
+        if extra > bound {
+            differences.push(Difference::Retries {
+                request,
+                extra,
+                bound,
+            });
+        }
+    }
+    differences
+}
+
+fn not_run(trace: &Trace, ends: &Ends) -> Vec<Difference> {
+    let mut runs: BTreeMap<_, usize> = BTreeMap::new();
+    for root in ends.runs.iter().filter_map(|run| run.root) {
+        *runs.entry(root).or_default() += 1;
+    }
+    let mut differences = Vec::new();
+    for (id, position, send) in trace.sends() {
+        let told = ends.sends.get(&id).map(|end| end.outcome);
+        let (Some(StatedOutcome::NotRun(_)), Some(runs)) = (told, runs.get(&id)) else {
+            continue;
+        };
+        differences.push(Difference::NotRunUntrue {
+            request: trace.requests[position].id,
+            send: send + 1,
+            runs: *runs,
+        });
+    }
+    differences
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/trace/record.rs
@@ -0,0 +1,179 @@
+//! The recording of traces from simulated runs.
+
+use super::ends::Ends;
+use super::error::RecordError;
+use super::fault;
+use super::model::{Request, Send, Trace};
+use super::plan::Plan;
+use super::replay::{play, replay};
+use crate::kernel::{Entry, Fact, ProcessId};
+use crate::requests::{
+    Draws, LayerKind, LayerOptions, LayerSettings, Places, Record, RequestSettings,
+    RequestSimulation, Script, SendId, Tape, Topology, ZoneIndex,
+};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Runs a plan and records it: what was sent, what endpoints drew, and how each send ended. The
+/// trace is replayed at once, since one that does not replay is of no use.
+///
+/// # Errors
+/// [`RecordError`] when the replay brings other outcomes than the run, or than the plan states.
+pub fn record(plan: &Plan) -> Result<Trace, RecordError> {
+    let head = &plan.head;
+    let settings = RequestSettings {
+        topology: Arc::clone(&head.deployment.value),
+        layer: LayerSettings {
+            kind: LayerKind::Bramblewheel,
+            bundle: Arc::clone(&head.bundle.value),
+        },
+        load: plan.load.clone(),
+        callers: plan.callers,
+        seed: head.seed,
+    };
+    let tape = Tape::recording();
+    let script = Script {
+        tape: Some(tape.clone()),
+        sends: None,
+    };
+    let options = LayerOptions {
+        double: None,
+        replicas: head.control_replicas,
+        seed: Some(head.seed),
+    };
+    let mut run = RequestSimulation::with_script(&settings, options, &script);
+    fault::run_until(&mut run, &head.faults, head.ends);
+    let history = run.take_history();
+    let recording = Recording {
+        ends: Ends::new(&history),
+        draws: tape.draws(),
+        topology: &head.deployment.value,
+        places: run.places(),
+    };
+    let trace = Trace {
+        head: head.clone(),
+        requests: recording.requests(&history),
+    };
+    let differences = replay(&trace).differences;
+    match differences.first() {
+        None => Ok(trace),
+        Some(first) => Err(RecordError::Differs {
+            count: differences.len(),
+            first: Box::new(first.clone()),
+        }),
+    }
+}
+
+struct Recording<'a> {
+    ends: Ends,
+    draws: Draws,
+    topology: &'a Topology,
+    places: Places,
+}
+
+impl Recording<'_> {
+    /// The requests in the order of their first sends.
+    fn requests(&self, history: &[Entry<Record>]) -> Vec<Request> {
+        let mut requests: Vec<Request> = Vec::new();
+        let mut positions: BTreeMap<u64, usize> = BTreeMap::new();
+        for entry in history {
+            let Fact::Domain(record) = &entry.fact else {
+                continue;
+            };
+            let Record::Sent { person, .. } = record else {
+                continue;
+            };
+            if let Some(position) = positions.get(person) {
+                let request = &mut requests[*position];
+                let mut send = self.send(entry, record);
+                send.id = send.id.filter(|id| *id != request.id);
+                request.sends.push(send);
+            } else if let Some(request) = self.request(entry, record) {
+                positions.insert(*person, requests.len());
+                requests.push(request);
+            }
+        }
+        requests
+    }
+
+    fn request(&self, entry: &Entry<Record>, record: &Record) -> Option<Request> {
+        let Record::Sent {
+            flow,
+            caller,
+            in_session,
+            request,
+            operation,
+            ..
+        } = record
+        else {
+            return None;
+        };
+        let mut send = self.send(entry, record);
+        send.id = None;
+        Some(Request {
+            id: *request,
+            flow: *flow,
+            caller: caller.clone(),
+            deadline: None,
+            criticality: None,
+            in_session: *in_session,
+            operation: operation.clone(),
+            sends: vec![send],
+        })
+    }
+
+    fn send(&self, entry: &Entry<Record>, record: &Record) -> Send {
+        let Record::Sent {
+            send, to, request, ..
+        } = record
+        else {
+            unreachable!("only sends are looked at");
+        };
+        let gateway = self.zone_of(*to, Places::gateway);
+        let caller = entry
+            .process
+            .map(|from| self.zone_of(from, Places::callers));
+        Send {
+            at: entry.at,
+            gateway,
+            from: caller.filter(|zone| *zone != gateway),
+            id: Some(*request),
+            resend: None,
+            deadline: None,
+            outcome: self.ends.sends.get(send).map(|end| end.outcome),
+            recorded: None,
+            runs: self.draws_of(*send),
+        }
+    }
+
+    fn draws_of(&self, send: SendId) -> Vec<crate::requests::RunDraws> {
+        self.draws.get(&send).cloned().unwrap_or_default()
+    }
+
+    /// The zone whose process of a kind this is.
+    fn zone_of(&self, process: ProcessId, of: fn(&Places, ZoneIndex) -> ProcessId) -> ZoneIndex {
+        let mut zones = (0..self.topology.zones.len()).map(ZoneIndex);
+        let found = zones.find(|zone| of(&self.places, *zone) == process);
+        found.expect("callers send to the gateways of zones")
+    }
+}
+
+/// States the recorded outcomes of those sends that end alike in the replay, and leaves the others
+/// as a note. Returns how many are stated, and how many are not.
+pub fn state_outcomes(trace: &mut Trace) -> (usize, usize) {
+    let ends = play(trace, None).ends;
+    let sends: Vec<_> = trace.sends().collect();
+    let (mut stated, mut noted) = (0, 0);
+    for (id, request, number) in sends {
+        let send = &mut trace.requests[request].sends[number];
+        let replayed = ends.sends.get(&id).map(|end| end.outcome);
+        let is_alike = send.recorded.is_some() && send.recorded == replayed;
+        if is_alike {
+            send.outcome = send.recorded.take();
+            stated += 1;
+        } else {
+            noted += 1;
+        }
+    }
+    (stated, noted)
+}
--- a/crates/bramblewheel/src/commands.rs
+++ b/crates/bramblewheel/src/commands.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod keys;
 mod publish;
+mod replay;
 
 use crate::error::CommandError;
 use crate::help;
@@ -43,6 +44,7 @@
             ControlCommand::Bootstrap(options) => block_on(control::bootstrap(&options)),
             ControlCommand::Replace(options) => block_on(control::replace(&options)),
         },
+        Command::Replay(options) => replay::replay(&options),
     }
 }
 
--- a/crates/bramblewheel/src/help.rs
+++ b/crates/bramblewheel/src/help.rs
@@ -4,7 +4,7 @@
 use crate::options::{
     Arguments, BootstrapGroup, BundleArguments, CheckBundle, ControlArguments, ControlQuery,
     DiffBundles, FleetArguments, KeysArguments, NewBundle, NewKey, PublishBundle, ReplaceReplica,
-    SignBundle,
+    ReplayTrace, SignBundle,
 };
 use crate::output;
 use gumdrop::Options;
@@ -185,6 +185,19 @@
            --lost 00c0ffee00c0ffee --with 10.0.0.4:7100"
         ]
     ),
+    page!(
+        ReplayTrace,
+        ["replay"],
+        "TRACE [OPTIONS]",
+        "Replay a recorded trace through the real engines under virtual time, and compare what\n\
+         happens with the outcomes that the trace states. Prints a line for each that differs,\n\
+         with the id of the request, then the verdict. The same trace gives the same verdict.\n\
+         A trace that can't be used is reported as FILE:LINE: FIELD: PROBLEM.",
+        &[
+            "bramblewheel replay examples/traces/torgnett-surge.toml",
+            "bramblewheel replay incident.toml --report verdict.txt"
+        ]
+    ),
 ];
 
 impl Page {
--- a/crates/bramblewheel/src/options.rs
+++ b/crates/bramblewheel/src/options.rs
@@ -30,6 +30,8 @@
     Fleet(FleetArguments),
     #[options(help = "look at, start and repair the control group")]
     Control(ControlArguments),
+    #[options(help = "replay a recorded trace against its stated outcomes")]
+    Replay(ReplayTrace),
 }
 
 /// Arguments of `bundle`.
@@ -305,3 +307,19 @@
     )]
     pub timeout: Seconds,
 }
+
+/// Arguments of `replay`.
+#[derive(Debug, Options)]
+#[options(help = "")]
+pub struct ReplayTrace {
+    #[options(help = "print help")]
+    pub help: bool,
+    #[options(free, required, help = "trace, see docs/TRACES.md")]
+    pub trace: PathBuf,
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "write what is printed to a file as well"
+    )]
+    pub report: Option<PathBuf>,
+}
--- a/crates/bramblewheel/src/output.rs
+++ b/crates/bramblewheel/src/output.rs
@@ -44,9 +44,14 @@
         }
     }
 
+    /// The line with its end.
+    pub fn into_text(self) -> String {
+        self.0 + "\n"
+    }
+
     /// Writes the line to standard output.
     pub fn print(self) {
-        print(&(self.0 + "\n"));
+        print(&self.into_text());
     }
 }
 
--- a/crates/bramblewheel/tests/bundle.rs
+++ b/crates/bramblewheel/tests/bundle.rs
@@ -159,7 +159,7 @@
 
 #[test]
 fn every_level_has_help_and_its_flag_and_command_agree() {
-    let paths: [&[&str]; 16] = [
+    let paths: [&[&str]; 17] = [
         &[],
         &["bundle"],
         &["bundle", "new"],
@@ -176,6 +176,7 @@
         &["control", "status"],
         &["control", "bootstrap"],
         &["control", "replace"],
+        &["replay"],
     ];
     for path in paths {
         let flag = run_in(Path::new("."), &[path, &["--help"]].concat());
