Record traces from the journals of a fleet run

Arrivals, work times and faults come from the journals. A process fleet hangs on the machine's clock, so the trace states the promises and the outcomes of those sends that the replay ends as the run did; the others stand there as notes. Calls find their place in the tree by the lab's own call numbers; sub-calls of one service and path stand for each other.

--- a/crates/bramblewheel-lab/src/client.rs
+++ b/crates/bramblewheel-lab/src/client.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 /// Wait beyond the deadline before a caller holds a daemon for silent.
-const SILENCE_GRACE: Duration = Duration::from_secs(2);
+pub const SILENCE_GRACE: Duration = Duration::from_secs(2);
 /// Idle connections older than this are closed; well below the daemons' own limit, so that a
 /// request does not meet a connection that is just being closed.
 const MAX_IDLE: Duration = Duration::from_secs(5);
--- a/crates/bramblewheel-lab/src/commands/fleet.rs
+++ b/crates/bramblewheel-lab/src/commands/fleet.rs
@@ -13,6 +13,7 @@
 use crate::journal::read_folder;
 use crate::runtime::block_on;
 use crate::signals;
+use crate::trace;
 use bramblewheel_sim::deployment::Deployment;
 use gumdrop::Options;
 use std::fs;
@@ -48,6 +49,9 @@
     /// empty folder for data, logs and journals, which stay there
     #[options(no_short, meta = "FOLDER")]
     pub keep: Option<PathBuf>,
+    /// record the run as a trace for `bramblewheel replay`, see docs/TRACES.md
+    #[options(no_short, meta = "FILE")]
+    pub record: Option<PathBuf>,
     /// run nothing, but check the journals that an earlier run kept in this folder
     #[options(no_short, meta = "FOLDER")]
     pub recheck: Option<PathBuf>,
@@ -77,7 +81,8 @@
         let deployment = example.deployment();
         let journal = kept.join("journal");
         let (summary, text) = check(example, &deployment, &journal, String::new())?;
-        return report(&summary, &text, &options);
+        report(&summary, &text, &options)?;
+        return record(example, &journal, &options);
     }
     let script = load_script(&options)?;
     let folder = RunFolder::new(options.keep.as_deref())?;
@@ -89,7 +94,9 @@
             Ok(text) => check(example, &deployment, &folder.journal(), text),
             Err(error) => Err(error.into()),
         };
-        let passed = summary.and_then(|(summary, text)| report(&summary, &text, &options));
+        let passed = summary
+            .and_then(|(summary, text)| report(&summary, &text, &options))
+            .and_then(|()| record(example, &folder.journal(), &options));
         if passed.is_err() {
             folder.keep();
             eprintln!("bramblewheel-lab: see {}", folder.path().display());
@@ -207,3 +214,37 @@
     }
     Err(CommandError::CheckFailed("a check failed".to_owned()))
 }
+
+/// Writes the trace of a run whose checks have passed, if one is asked for.
+fn record(example: &Example, journal: &Path, options: &FleetOptions) -> Result<(), CommandError> {
+    let Some(file) = &options.record else {
+        return Ok(());
+    };
+    let records = read_folder(journal).map_err(FleetError::from)?;
+    let command = command_line(options);
+    let recorded = trace::record(example, &records, &command, options.seed)?;
+    fs::write(file, recorded.text).map_err(|error| CommandError::file(file, error))?;
+    println!(
+        "trace={} sends_stated={} sends_noted={}",
+        file.display(),
+        recorded.stated,
+        recorded.noted
+    );
+    Ok(())
+}
+
+/// The command that a trace was recorded with, for its readers.
+fn command_line(options: &FleetOptions) -> String {
+    let mut command = format!("bramblewheel-lab fleet {}", options.deployment);
+    if let Some(script) = &options.script {
+        let name = script.file_name().unwrap_or_default();
+        command += &format!(" --script {}", name.to_string_lossy());
+    }
+    if let Some(seconds) = options.seconds {
+        command += &format!(" --seconds {seconds}");
+    }
+    if let Some(rate) = options.rate {
+        command += &format!(" --rate {rate}");
+    }
+    command + &format!(" --seed {}", options.seed)
+}
--- a/crates/bramblewheel-lab/src/deployments.rs
+++ b/crates/bramblewheel-lab/src/deployments.rs
@@ -86,6 +86,16 @@
         parse(self.name, self.deployment).expect("the examples are valid")
     }
 
+    /// Text of the deployment.
+    pub fn deployment_text(&self) -> &'static str {
+        self.deployment
+    }
+
+    /// Text of its first bundle.
+    pub fn bundle_text(&self) -> &'static str {
+        self.bundle
+    }
+
     /// Its bundle, with another version number.
     ///
     /// # Panics
--- a/crates/bramblewheel-lab/src/lib.rs
+++ b/crates/bramblewheel-lab/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod runtime;
 pub mod signals;
 pub mod stdin_commands;
+pub mod trace;
--- /dev/null
+++ b/crates/bramblewheel-lab/src/trace/runs.rs
@@ -0,0 +1,172 @@
+//! Work times of the runs at endpoints, from their journals.
+
+use crate::journal::{CallContext, Event, Record};
+use bramblewheel_sim::requests::{CallPath, RouteIndex, RunDraws, Topology};
+use bramblewheel_types::ServiceName;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+/// A request at an endpoint.
+struct Arrival<'a> {
+    context: &'a CallContext,
+    ran_at: Option<u64>,
+    /// When it ended or was cancelled.
+    over_at: Option<u64>,
+    sub_calls: Vec<SubCall<'a>>,
+}
+
+struct SubCall<'a> {
+    call: u64,
+    service: &'a ServiceName,
+    ended_at: u64,
+}
+
+/// Arrivals by their numbers, and what is known of calls.
+struct Journals<'a> {
+    topology: &'a Topology,
+    arrivals: BTreeMap<u64, Arrival<'a>>,
+    /// Arrival for which a sub-call was made.
+    parents: HashMap<u64, u64>,
+    /// When a call first arrived anywhere, and for which path.
+    received: HashMap<u64, (u64, &'a str)>,
+}
+
+/// What the runs for each send drew, in the order in which they began.
+pub(super) fn draws(records: &[Record], topology: &Topology) -> BTreeMap<u64, Vec<RunDraws>> {
+    let journals = Journals::new(records, topology);
+    let mut ran: Vec<(u64, u64)> = journals
+        .arrivals
+        .iter()
+        .filter_map(|(number, arrival)| Some((arrival.ran_at?, *number)))
+        .collect();
+    ran.sort_unstable();
+    let mut draws: BTreeMap<u64, Vec<RunDraws>> = BTreeMap::new();
+    for (_, number) in ran {
+        let arrival = &journals.arrivals[&number];
+        let Some(path) = journals.path(arrival) else {
+            continue;
+        };
+        let work = journals.work(arrival).map(Duration::from_micros);
+        draws
+            .entry(arrival.context.send)
+            .or_default()
+            .push(RunDraws {
+                path,
+                work: work.into_iter().collect(),
+                fails: false,
+            });
+    }
+    draws
+}
+
+impl<'a> Journals<'a> {
+    fn new(records: &'a [Record], topology: &'a Topology) -> Self {
+        let mut journals = Self {
+            topology,
+            arrivals: BTreeMap::new(),
+            parents: HashMap::new(),
+            received: HashMap::new(),
+        };
+        for record in records {
+            journals.add(record);
+        }
+        journals
+    }
+
+    fn add(&mut self, record: &'a Record) {
+        let at = record.at_us;
+        match &record.event {
+            Event::Received { arrival, context } => {
+                let first = (at, context.path.as_str());
+                self.received.entry(context.call).or_insert(first);
+                let begun = Arrival {
+                    context,
+                    ran_at: None,
+                    over_at: None,
+                    sub_calls: Vec::new(),
+                };
+                self.arrivals.insert(*arrival, begun);
+            }
+            Event::Ran { arrival } => {
+                if let Some(arrival) = self.arrivals.get_mut(arrival) {
+                    arrival.ran_at = Some(at);
+                }
+            }
+            Event::Ended { arrival, .. } | Event::Cancelled { arrival } => {
+                if let Some(arrival) = self.arrivals.get_mut(arrival) {
+                    arrival.over_at = Some(at);
+                }
+            }
+            Event::SubCall(end) => {
+                self.parents.insert(end.call, end.arrival);
+                if let Some(arrival) = self.arrivals.get_mut(&end.arrival) {
+                    arrival.sub_calls.push(SubCall {
+                        call: end.call,
+                        service: &end.service,
+                        ended_at: at,
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn route(&self, context: &CallContext) -> Option<RouteIndex> {
+        let service = self.topology.service_index(&context.service)?;
+        let mut routes = self.topology.routes.iter();
+        let position =
+            routes.position(|route| route.service == service && route.path == context.path);
+        position.map(RouteIndex)
+    }
+
+    /// Place in the call tree; none if the run that made the call left no word of its end.
+    fn path(&self, arrival: &Arrival<'_>) -> Option<CallPath> {
+        let context = arrival.context;
+        if context.call == context.send {
+            return Some(CallPath::default());
+        }
+        let parent = self.arrivals.get(self.parents.get(&context.call)?)?;
+        let position = self.position(parent, context.call)?;
+        Some(self.path(parent)?.sub_call(position))
+    }
+
+    /// Position of a sub-call: they are numbered in the order in which they are made, and those
+    /// of one service and path stand for each other.
+    fn position(&self, parent: &Arrival<'_>, call: u64) -> Option<u32> {
+        let route = &self.topology.routes[self.route(parent.context)?.0];
+        let mut free: Vec<u32> = (0u32..).take(route.calls.len()).collect();
+        let mut sub_calls: Vec<&SubCall<'_>> = parent.sub_calls.iter().collect();
+        sub_calls.sort_unstable_by_key(|sub_call| sub_call.call);
+        for sub_call in sub_calls {
+            let fits = |position: &u32| {
+                let called = &self.topology.routes[route.calls[*position as usize].0];
+                let service = &self.topology.services[called.service.0].name;
+                let received = self.received.get(&sub_call.call);
+                let is_path = received.is_none_or(|(_, path)| *path == called.path);
+                service == sub_call.service && is_path
+            };
+            let taken = free.iter().position(fits).map(|index| free.remove(index));
+            if sub_call.call == call {
+                return taken;
+            }
+        }
+        None
+    }
+
+    /// Whole work time in microseconds. Half of it lies before the first sub-call and half behind
+    /// the last one; a run that ended early worked for no less than it was seen to.
+    fn work(&self, arrival: &Arrival<'_>) -> Option<u64> {
+        let ran_at = arrival.ran_at?;
+        let route = &self.topology.routes[self.route(arrival.context)?.0];
+        if route.calls.is_empty() {
+            return Some(arrival.over_at?.saturating_sub(ran_at));
+        }
+        let ended = arrival.sub_calls.iter().map(|sub_call| sub_call.ended_at);
+        if arrival.sub_calls.len() == route.calls.len() {
+            return Some(2 * arrival.over_at?.saturating_sub(ended.max()?));
+        }
+        let calls = arrival.sub_calls.iter().map(|sub_call| sub_call.call);
+        let received = calls.filter_map(|call| Some(self.received.get(&call)?.0));
+        Some(2 * received.min()?.saturating_sub(ran_at))
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-lab/src/trace/tests.rs
@@ -0,0 +1,174 @@
+//! Journals of one request, and the trace that comes of them.
+
+use super::record;
+use crate::deployments::Deployments;
+use crate::journal::{
+    CallContext, Event, FaultKind, Record, ReplyFromDaemon, RootSend, SubCallEnd, Told,
+};
+use bramblewheel_sim::trace::{self, FaultAction, StatedOutcome, Trace};
+use bramblewheel_types::{
+    AttemptId, Criticality, NotRunReason, OperationKey, RequestId, ServiceName,
+};
+
+const SEND: u64 = 7;
+/// Journal time of the send.
+const BEGIN: u64 = 5_000_000;
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::new(name).expect("valid")
+}
+
+fn at(at_us: u64, source: &str, event: Event) -> Record {
+    Record {
+        at_us: BEGIN + at_us,
+        source: source.to_owned(),
+        event,
+    }
+}
+
+fn reply(told: Told) -> ReplyFromDaemon {
+    ReplyFromDaemon {
+        told,
+        status: None,
+        own_whole: None,
+    }
+}
+
+/// A run of a call: received and begun at once, ended after `takes` microseconds.
+fn run(arrival: u64, call: u64, route: (&str, &str), began: u64, takes: u64) -> [Record; 3] {
+    let context = CallContext {
+        send: SEND,
+        call,
+        depth: 1,
+        request: RequestId(1),
+        attempt: AttemptId(arrival),
+        service: service(route.0),
+        path: route.1.to_owned(),
+        criticality: Criticality::Critical,
+        in_session: true,
+        operation: None,
+        timeout_ms: 1_000,
+    };
+    [
+        at(began, route.0, Event::Received { arrival, context }),
+        at(began, route.0, Event::Ran { arrival }),
+        at(
+            began + takes,
+            route.0,
+            Event::Ended {
+                arrival,
+                failed: false,
+            },
+        ),
+    ]
+}
+
+fn sub_call(ended: u64, arrival: u64, call: u64, called: &str) -> Record {
+    let end = SubCallEnd {
+        arrival,
+        call,
+        service: service(called),
+        criticality: Criticality::Critical,
+        told: reply(Told::Completed),
+    };
+    at(ended, "kassa-1", Event::SubCall(end))
+}
+
+/// A basket: the stock list, called last, ends first; of two price checks one is tried twice.
+fn basket(told: Told) -> Vec<Record> {
+    let sent = RootSend {
+        send: SEND,
+        request: RequestId(1),
+        resend: 0,
+        flow: "basket".to_owned(),
+        service: service("kassa"),
+        criticality: Criticality::Critical,
+        operation: Some(OperationKey::new("receipt").expect("valid")),
+        session: Some(3),
+        gateway: "gateway-molde-hall".to_owned(),
+        timeout_ms: 900,
+        due_us: BEGIN,
+    };
+    let mut records = vec![at(0, "caller-bergen-hall", Event::Sent(sent))];
+    records.extend(run(100, SEND, ("kassa", "/basket"), 1_000, 20_000));
+    records.extend(run(101, 51, ("prisskilt", "/price"), 5_000, 6_000));
+    records.extend(run(102, 52, ("prisskilt", "/price"), 5_000, 3_000));
+    records.extend(run(103, 52, ("prisskilt", "/price"), 9_000, 7_000));
+    records.extend(run(104, 53, ("beholdning", "/stock"), 5_000, 2_000));
+    records.push(sub_call(7_500, 100, 53, "beholdning"));
+    records.push(sub_call(11_500, 100, 51, "prisskilt"));
+    records.push(sub_call(16_500, 100, 52, "prisskilt"));
+    let told = reply(told);
+    records.push(at(
+        22_000,
+        "caller-bergen-hall",
+        Event::Told { send: SEND, told },
+    ));
+    records.sort_by_key(|record| record.at_us);
+    records
+}
+
+fn traced(records: &[Record]) -> (Trace, usize, usize) {
+    let example = Deployments::example("torgnett").expect("example");
+    let recorded = record(example, records, "a run", 1).expect("promises are kept");
+    let trace = trace::parse("t", &recorded.text, &|_| Err("no files".to_owned()));
+    let trace = trace.expect("what is recorded can be read");
+    (trace, recorded.stated, recorded.noted)
+}
+
+#[test]
+fn a_request_is_taken_from_the_journals() {
+    let (trace, stated, noted) = traced(&basket(Told::Completed));
+    assert_eq!((stated, noted), (1, 0));
+    let [request] = &trace.requests[..] else {
+        panic!("{} requests", trace.requests.len());
+    };
+    assert!(request.in_session);
+    assert_eq!(request.caller, "caller-bergen-hall");
+    let send = &request.sends[0];
+    assert_eq!(send.outcome, Some(StatedOutcome::Completed));
+    assert_eq!(send.from.map(|zone| zone.0), Some(0));
+    assert_eq!(send.gateway.0, 3);
+    let runs = send.runs.iter().map(|run| {
+        let work: Vec<_> = run.work.iter().map(|part| part.as_micros()).collect();
+        (run.path.to_string(), work)
+    });
+    let expected = [
+        ("root", 9_000),
+        ("1", 6_000),
+        ("2", 3_000),
+        ("3", 2_000),
+        ("2", 7_000),
+    ];
+    let expected = expected.map(|(path, work)| (path.to_owned(), vec![work]));
+    assert_eq!(runs.collect::<Vec<_>>(), expected);
+}
+
+#[test]
+fn an_outcome_that_does_not_come_again_is_noted_and_not_stated() {
+    let refused = Told::NotRun {
+        reason: NotRunReason::Overloaded,
+    };
+    let (trace, stated, noted) = traced(&basket(refused));
+    assert_eq!((stated, noted), (0, 1));
+    let send = &trace.requests[0].sends[0];
+    assert_eq!(send.outcome, None);
+    let recorded = Some(StatedOutcome::NotRun(Some(NotRunReason::Overloaded)));
+    assert_eq!(send.recorded, recorded);
+}
+
+#[test]
+fn kills_and_freezes_are_faults_of_the_trace() {
+    let mut records = basket(Told::Completed);
+    for (at_us, kind) in [(30_000, FaultKind::Killed), (730_000, FaultKind::Started)] {
+        let process = "daemon-kassa-2".to_owned();
+        records.push(at(at_us, "fleet", Event::Fault { process, kind }));
+    }
+    let (trace, ..) = traced(&records);
+    let [fault] = &trace.head.faults[..] else {
+        panic!("{:?}", trace.head.faults);
+    };
+    assert!(matches!(fault.action, FaultAction::Kill(_)));
+    assert_eq!(fault.begins.as_millis(), 40);
+    assert_eq!(fault.lasts.as_millis(), 700);
+}
--- a/crates/bramblewheel-lab/tests/fleet.rs
+++ b/crates/bramblewheel-lab/tests/fleet.rs
@@ -1,5 +1,6 @@
 //! Whole fleets as processes. Only safety is asserted: that the checkers pass, not how fast.
 
+use bramblewheel_sim::trace;
 use std::process::{Command, Output};
 
 fn lab(arguments: &[&str]) -> Output {
@@ -28,6 +29,22 @@
     }
 }
 
+#[test]
+fn a_run_is_recorded_as_a_trace_that_replays() {
+    let file = concat!(env!("CARGO_TARGET_TMPDIR"), "/recorded.toml");
+    let load = ["--seconds", "2", "--rate", "30", "--record", file];
+    let output = lab(&[&["fleet", "museum"][..], &load].concat());
+    let report = text(&output.stdout);
+    assert!(output.status.success(), "{report}{}", text(&output.stderr));
+    let trace = std::fs::read_to_string(file).expect("a trace");
+    let trace = trace::parse(file, &trace, &|_| Err("no files".to_owned()));
+    let verdict = trace::replay(&trace.expect("what is recorded can be read"));
+    assert!(verdict.passed(), "{:?}", verdict.differences);
+    let noted = verdict.sends - verdict.stated;
+    let line = format!("sends_stated={} sends_noted={noted}\n", verdict.stated);
+    assert!(report.ends_with(&line), "{report} should end with {line}");
+}
+
 #[test]
 fn wrong_input_is_told_from_a_failed_check() {
     let script = concat!(env!("CARGO_TARGET_TMPDIR"), "/wrong.toml");
--- a/crates/bramblewheel-sim/src/requests/tape.rs
+++ b/crates/bramblewheel-sim/src/requests/tape.rs
@@ -21,7 +21,7 @@
 
 impl CallPath {
     /// The sub-call at a position, counted from 0.
-    fn sub_call(&self, position: u32) -> Self {
+    pub fn sub_call(&self, position: u32) -> Self {
         let mut path = self.0.clone();
         path.push(NonZeroU32::MIN.saturating_add(position));
         Self(path)
