--- a/crates/bramblewheel-lab/src/lib.rs
+++ b/crates/bramblewheel-lab/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod process;
 pub mod runtime;
 pub mod signals;
+pub mod sim;
 pub mod stdin_commands;
 pub mod trace;
--- a/crates/bramblewheel-sim/src/requests/mod.rs
+++ b/crates/bramblewheel-sim/src/requests/mod.rs
@@ -22,6 +22,7 @@
 mod places;
 mod record;
 mod replica;
+pub mod scenario;
 mod scripted;
 mod simulation;
 mod slab;
