--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -8,16 +8,20 @@
 mod applying;
 mod bootstrap;
 mod bundle_news;
+mod clocks;
 pub mod config;
 mod daemons;
 pub mod durable;
 mod group;
 mod housekeeping;
+mod inputs;
 mod leases;
 pub mod message;
+mod metrics;
 mod output;
 mod polls;
 mod proposals;
+mod proposing;
 mod reading;
 mod reads;
 mod replacement;
@@ -26,70 +30,30 @@
 pub use config::{NodeConfig, Now};
 pub use durable::Durable;
 pub use message::{Hello, PeerMessage, Renewal};
+pub use metrics::NodeMetrics;
 pub use output::{ClientRequestId, NodeOutput};
 
-use crate::state::{ControlState, LoggedCommand, MalformedState, Outcome};
+use crate::state::{ControlState, MalformedState, Outcome};
 use bramblewheel_protocol::control::{Registration, ReplicaAddress, ReplyBody, Unavailable};
 use bramblewheel_replication::{
     ProposalId, Replica, ReplicaConfig, ReplicaId, RestoredState, Role, Snapshot, Write,
 };
 use bramblewheel_types::Timestamp;
 use bundle_news::BundleNewsCache;
+use clocks::Clocks;
 use leases::Leases;
+use metrics::Counters;
 use polls::HeldPolls;
-use proposals::{Proposals, Purpose, Queue};
+use proposals::{Proposals, Queue};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use reads::Reads;
-use replacement::Replacement;
+use replacement::WaitingClients;
 use std::collections::BTreeMap;
 
 /// Entries in one message between replicas.
 const MAX_ENTRIES_PER_MESSAGE: usize = 256;
 
-/// Counts and sizes for the metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct NodeMetrics {
-    /// Whether this replica leads.
-    pub is_leader: bool,
-    /// Whether contact with a quorum is proven within the lease.
-    pub has_quorum: bool,
-    /// Current term.
-    pub term: u64,
-    /// Last entry applied.
-    pub applied_index: u64,
-    /// Entry of the latest snapshot.
-    pub snapshot_index: u64,
-    /// Bundle version in force.
-    pub bundle_version: u64,
-    /// Daemons registered.
-    pub daemons: u64,
-    /// Polls held.
-    pub polls_held: u64,
-    /// Run-once operations not forgotten.
-    pub operations_kept: u64,
-    /// Entries proposed here.
-    pub proposals: u64,
-    /// Polls answered here.
-    pub polls_answered: u64,
-    /// Bundle deltas computed here.
-    pub bundle_deltas_computed: u64,
-    /// Polls answered with a bundle delta.
-    pub bundle_deltas_sent: u64,
-    /// Polls answered with a whole bundle.
-    pub whole_bundles_sent: u64,
-    /// Run-once requests decided by entries proposed here.
-    pub operations_decided: u64,
-}
-
-/// Counters of [`NodeMetrics`].
-#[derive(Clone, Copy, Debug, Default)]
-struct Counters {
-    proposals: u64,
-    polls_answered: u64,
-    operations_decided: u64,
-}
-
 /// A control replica without any input or output of its own.
 ///
 /// Invariants:
@@ -112,7 +76,10 @@
     bundle_news: BundleNewsCache,
     reads: Reads,
     leases: Leases,
-    replacement: Option<Replacement>,
+    clocks: Clocks,
+    /// Leader that was told of this replica's clock, and its term.
+    told_clock: Option<(ReplicaId, u64)>,
+    replacement_clients: WaitingClients,
     /// Addresses that replicas stated when they connected.
     introduced: BTreeMap<u64, ReplicaAddress>,
     /// Registrations the leader is to be told with the next output.
@@ -156,7 +123,9 @@
             bundle_news: BundleNewsCache::default(),
             reads: Reads::default(),
             leases: Leases::default(),
-            replacement: None,
+            clocks: Clocks::default(),
+            told_clock: None,
+            replacement_clients: WaitingClients::default(),
             introduced,
             untold_registrations: Vec::new(),
             messages: Vec::new(),
@@ -172,65 +141,6 @@
         Ok(node)
     }
 
-    /// Takes in a message of another replica.
-    pub fn receive(&mut self, now: Now, from: ReplicaId, message: PeerMessage) {
-        self.now = now;
-        match message {
-            PeerMessage::Replication(message) => {
-                self.replica.receive(now.monotonic, from, *message);
-            }
-            PeerMessage::Announcement => {}
-            PeerMessage::Registrations(registrations) => {
-                // Never passed on: two replicas could send it to and fro.
-                let registrations = registrations.into_iter().filter(|_| self.is_leader());
-                for registration in registrations.collect::<Vec<_>>() {
-                    self.note_registration(&registration);
-                }
-            }
-            PeerMessage::Renewals(renewals) => {
-                for renewal in renewals {
-                    self.leases.renew(now.monotonic, renewal);
-                }
-            }
-            PeerMessage::ReadRequest { id } => self.read_for(from, id),
-            PeerMessage::ReadReply { id, index } => {
-                self.reads.confirmed(id, index);
-                self.finish_forwarded_reads();
-            }
-        }
-    }
-
-    /// A replica said where it is reached.
-    pub fn introduce(&mut self, now: Now, address: ReplicaAddress) {
-        self.now = now;
-        self.introduced.insert(address.replica, address);
-        if self.is_leader() {
-            self.record_addresses();
-        }
-    }
-
-    /// A client went away: its request needs no reply any more.
-    pub fn forget(&mut self, id: ClientRequestId) {
-        self.polls.remove(id);
-    }
-
-    /// Begins a planned stop: hands leadership over and sends waiting daemons to other replicas.
-    pub fn stop(&mut self, now: Now) {
-        self.now = now;
-        self.is_stopping = true;
-        // Without a target the others elect one after their timeout.
-        let _ = self.replica.transfer_leadership(now.monotonic);
-        for id in self.polls.all() {
-            self.polls.remove(id);
-            self.unavailable(id, Unavailable::Stopping);
-        }
-    }
-
-    /// Whether the process may end without cutting anything short.
-    pub fn has_handed_over(&self) -> bool {
-        self.is_stopping && !self.is_leader() && self.proposals.is_empty()
-    }
-
     /// What the driver must do now. Call until it is empty.
     pub fn take_output(&mut self, now: Now) -> NodeOutput {
         self.now = now;
@@ -243,6 +153,7 @@
             };
         }
         self.propose_queued();
+        self.tell_clock_to_new_leader();
         self.forward_registrations();
         self.forward_reads();
         let output = self.replica.take_output();
@@ -269,40 +180,6 @@
         self.compact_if_due();
     }
 
-    /// Proposes what was queued; one entry for all operations and one for all daemons.
-    fn propose_queued(&mut self) {
-        for (purpose, command) in self.queue.take() {
-            let id = self.fresh_proposal();
-            let logged = LoggedCommand {
-                proposed_at_unix_millis: self.now.unix_millis,
-                command,
-            };
-            let proposed = self
-                .replica
-                .propose(self.now.monotonic, id, logged.encode());
-            match proposed {
-                Ok(()) => {
-                    self.counters.proposals += 1;
-                    self.proposals.opened(id, purpose, &logged.command);
-                }
-                Err(_) => self.refuse_as_follower(&purpose),
-            }
-        }
-    }
-
-    fn refuse_as_follower(&mut self, purpose: &Purpose) {
-        match purpose {
-            Purpose::Publish(id) => self.not_leader(*id),
-            Purpose::Operations(parts) => {
-                for (id, _) in parts {
-                    self.not_leader(*id);
-                }
-            }
-            // Found to be missing again with the next poll.
-            Purpose::Directory | Purpose::Address(_) | Purpose::Membership => {}
-        }
-    }
-
     fn fresh_id(&mut self) -> u64 {
         self.next_id += 1;
         self.next_id
@@ -345,27 +222,6 @@
     pub fn replica(&self) -> &Replica {
         &self.replica
     }
-
-    /// Counts and sizes for the metrics.
-    pub fn metrics(&self, now: Now) -> NodeMetrics {
-        NodeMetrics {
-            is_leader: self.is_leader(),
-            has_quorum: self.replica.has_quorum(now.monotonic),
-            term: self.replica.term().0,
-            applied_index: self.state.position().index,
-            snapshot_index: self.replica.snapshot_index().0,
-            bundle_version: self.state.bundles().version().0,
-            daemons: self.state.directory().daemons().count() as u64,
-            polls_held: self.polls.len() as u64,
-            operations_kept: self.state.ledger().len() as u64,
-            proposals: self.counters.proposals,
-            polls_answered: self.counters.polls_answered,
-            bundle_deltas_computed: self.bundle_news.counts.deltas_computed,
-            bundle_deltas_sent: self.bundle_news.counts.deltas_sent,
-            whole_bundles_sent: self.bundle_news.counts.whole_sent,
-            operations_decided: self.counters.operations_decided,
-        }
-    }
 }
 
 /// Where the names of reads and proposals begin: at each start elsewhere, so that a late answer to a
--- a/crates/bramblewheel-control/src/node/proposals.rs
+++ b/crates/bramblewheel-control/src/node/proposals.rs
@@ -3,7 +3,7 @@
 use super::output::ClientRequestId;
 use crate::state::{Command, ExpiredDaemon};
 use bramblewheel_protocol::control::{
-    OperationRequest, Registration, ReplicaAddress, SignedBundle,
+    OperationRequest, Registration, ReplaceRequest, ReplicaAddress, SignedBundle,
 };
 use bramblewheel_replication::ProposalId;
 use bramblewheel_types::DaemonId;
@@ -27,6 +27,8 @@
     Address(u64),
     /// A change of the membership.
     Membership,
+    /// Begin or end of a replacement.
+    Replacement,
 }
 
 /// What is to be proposed with the next output, so that one sync serves it all.
@@ -34,9 +36,12 @@
 pub(super) struct Queue {
     publishes: Vec<(ClientRequestId, SignedBundle)>,
     operations: Vec<(ClientRequestId, Vec<OperationRequest>)>,
+    /// How many requests `operations` has.
+    operation_count: usize,
     registrations: BTreeMap<DaemonId, Registration>,
     expired: BTreeSet<ExpiredDaemon>,
     addresses: BTreeMap<u64, ReplicaAddress>,
+    replacement: Option<Command>,
 }
 
 impl Queue {
@@ -45,6 +50,7 @@
     }
 
     pub(super) fn operate(&mut self, id: ClientRequestId, requests: Vec<OperationRequest>) {
+        self.operation_count += requests.len();
         self.operations.push((id, requests));
     }
 
@@ -61,9 +67,30 @@
         self.addresses.insert(address.replica, address);
     }
 
-    /// All that waits, as commands.
-    pub(super) fn take(&mut self) -> Vec<(Purpose, Command)> {
-        let queue = std::mem::take(self);
+    pub(super) fn begin_replacement(&mut self, request: ReplaceRequest) {
+        self.replacement = Some(Command::BeginReplacement(request));
+    }
+
+    pub(super) fn end_replacement(&mut self, new: u64) {
+        self.replacement = Some(Command::EndReplacement(new));
+    }
+
+    pub(super) fn has_replacement(&self) -> bool {
+        self.replacement.is_some()
+    }
+
+    /// Operations that wait to be proposed.
+    pub(super) fn operation_count(&self) -> usize {
+        self.operation_count
+    }
+
+    /// All that waits, as commands; operations only if `may_operate`.
+    pub(super) fn take(&mut self, may_operate: bool) -> Vec<(Purpose, Command)> {
+        let mut queue = std::mem::take(self);
+        if !may_operate {
+            self.operations = std::mem::take(&mut queue.operations);
+            self.operation_count = queue.operation_count;
+        }
         let mut commands = batches(queue.operations);
         for (id, signed) in queue.publishes {
             commands.push((Purpose::Publish(id), Command::Publish(signed)));
@@ -78,6 +105,9 @@
         for (replica, address) in queue.addresses {
             commands.push((Purpose::Address(replica), Command::Address(address)));
         }
+        if let Some(command) = queue.replacement {
+            commands.push((Purpose::Replacement, command));
+        }
         commands
     }
 }
@@ -126,7 +156,10 @@
                 self.expired
                     .extend(expired.iter().map(|gone| (gone.clone(), id)));
             }
-            Command::Publish(_) | Command::Address(_) => {}
+            Command::Publish(_)
+            | Command::Address(_)
+            | Command::BeginReplacement(_)
+            | Command::EndReplacement(_) => {}
         }
         self.open.insert(id, purpose);
     }
@@ -147,7 +180,10 @@
                     .retain(|_, (proposal, _)| *proposal != id);
                 self.expired.retain(|_, proposal| *proposal != id);
             }
-            Purpose::Publish(_) | Purpose::Address(_) | Purpose::Membership => {}
+            Purpose::Publish(_)
+            | Purpose::Address(_)
+            | Purpose::Membership
+            | Purpose::Replacement => {}
         }
         Some(purpose)
     }
@@ -173,6 +209,12 @@
             .any(|purpose| *purpose == Purpose::Membership)
     }
 
+    pub(super) fn has_replacement(&self) -> bool {
+        self.open
+            .values()
+            .any(|purpose| *purpose == Purpose::Replacement)
+    }
+
     pub(super) fn has_room(&self, operations: usize) -> bool {
         self.operations + operations <= MAX_OPERATIONS_WAITING
     }
--- a/crates/bramblewheel-control/src/state/command.rs
+++ b/crates/bramblewheel-control/src/state/command.rs
@@ -2,15 +2,16 @@
 
 use super::MalformedState;
 use bramblewheel_protocol::control::{
-    OperationRequest, Registration, ReplicaAddress, SignedBundle,
+    OperationRequest, Registration, ReplaceRequest, ReplicaAddress, SignedBundle,
 };
 use bramblewheel_types::DaemonId;
 use serde::{Deserialize, Serialize};
 
-/// A command with the time at which a leader proposed it.
+/// A command with the time at which a leader proposed it, by the clocks of a majority.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoggedCommand {
-    /// The leader's clock, in milliseconds since the Unix epoch.
+    /// Latest time that the wall clocks of a majority had reached, as far as the leader knew; in
+    /// milliseconds since the Unix epoch.
     pub proposed_at_unix_millis: u64,
     /// The command.
     pub command: Command,
@@ -32,6 +33,10 @@
     },
     /// A replica is reached at other addresses than before.
     Address(ReplicaAddress),
+    /// Begins a replacement, or changes the one in progress.
+    BeginReplacement(ReplaceRequest),
+    /// The replacement by this replica is finished.
+    EndReplacement(u64),
 }
 
 /// A daemon whose lease is over.
--- a/crates/bramblewheel-sim/src/requests/callers.rs
+++ b/crates/bramblewheel-sim/src/requests/callers.rs
@@ -53,6 +53,10 @@
     session: Option<usize>,
     operation: Option<Operation>,
     resend: u32,
+    /// Whether no connection could be opened for the last send.
+    is_unsent: bool,
+    /// Where it was sent last.
+    last: Option<ProcessId>,
 }
 
 #[derive(Debug)]
@@ -112,6 +116,11 @@
         self.results.iter().chain(open)
     }
 
+    /// Requests that are not over.
+    pub fn open(&self) -> usize {
+        self.people.len()
+    }
+
     pub(super) fn start(&mut self, context: &mut Context<'_, RequestActor>) {
         self.wait_for_arrival(context);
     }
@@ -175,6 +184,8 @@
             session: has_token.then(|| random.random_range(0..sessions)),
             operation,
             resend: 0,
+            is_unsent: false,
+            last: None,
         };
         self.people.insert(number, person);
         self.send(context, number);
@@ -187,7 +198,9 @@
         };
         person.result.sends += 1;
         let is_resend = person.result.sends > 1;
-        if is_resend && person.has_id {
+        if std::mem::take(&mut person.is_unsent) {
+            // Nobody took the last send, so this one is no resend.
+        } else if is_resend && person.has_id {
             person.resend += 1;
         } else if is_resend {
             person.result.request = draw_id(context.random());
@@ -207,9 +220,10 @@
             operation: person.operation.clone(),
         };
         let in_session = person.in_session;
+        let last = person.last;
         let open = OpenSend {
             person: number,
-            to: self.destination(context, request.flow, is_resend),
+            to: self.destination(context, request.flow, last),
             request: request.request,
             resend: request.resend,
         };
@@ -220,11 +234,15 @@
             flow: request.flow,
             caller: request.caller.clone(),
             in_session,
+            has_token: matches!(request.session, SessionClaim::Token(_)),
             request: request.request,
             resend: request.resend,
             operation: request.operation.as_ref().map(|o| o.key.clone()),
         });
         context.send(open.to, Message::Request(Box::new(request)));
+        if let Some(person) = self.people.get_mut(&number) {
+            person.last = Some(open.to);
+        }
         context.set_timer(timeout + self.behaviour.patience, Timer::GiveUp(send));
         self.sends.insert(send, open);
     }
@@ -234,15 +252,14 @@
         &self,
         context: &mut Context<'_, RequestActor>,
         flow: FlowIndex,
-        is_resend: bool,
+        last: Option<ProcessId>,
     ) -> ProcessId {
         if self.layer.has_gateways() {
-            let zone = if is_resend && self.behaviour.roams {
-                ZoneIndex(context.random().random_range(0..self.topology.zones.len()))
-            } else {
-                self.zone
+            let roams = self.behaviour.roams && self.topology.zones.len() > 1;
+            return match last {
+                Some(last) if roams => self.another_gateway(context, last),
+                _ => self.places.gateway(self.zone),
             };
-            return self.places.gateway(zone);
         }
         let route = self.topology.flows[flow.0].route;
         let service = self.topology.routes[route.0].service;
@@ -251,6 +268,17 @@
         self.places.host(endpoints[position])
     }
 
+    fn another_gateway(
+        &self,
+        context: &mut Context<'_, RequestActor>,
+        last: ProcessId,
+    ) -> ProcessId {
+        let zones = (0..self.topology.zones.len()).map(ZoneIndex);
+        let gateways = zones.map(|zone| self.places.gateway(zone));
+        let others: Vec<ProcessId> = gateways.filter(|gateway| *gateway != last).collect();
+        others[context.random().random_range(0..others.len())]
+    }
+
     pub(super) fn receive(&mut self, context: &mut Context<'_, RequestActor>, message: Message) {
         if let Message::Answer(answer) = message {
             self.answered(context, *answer);
@@ -305,6 +333,9 @@
             return;
         };
         context.record(Record::NotReached { send });
+        if let Some(person) = self.people.get_mut(&open.person) {
+            person.is_unsent = true;
+        }
         self.try_again(context, open.person);
     }
 
--- a/crates/bramblewheel-sim/src/requests/mod.rs
+++ b/crates/bramblewheel-sim/src/requests/mod.rs
@@ -7,6 +7,7 @@
 mod actor;
 pub mod bound;
 mod callers;
+pub mod check;
 mod connections;
 mod content;
 mod double;
@@ -19,6 +20,7 @@
 pub mod measure;
 mod message;
 pub mod overload;
+pub mod overload_scenario;
 mod places;
 mod record;
 mod replica;
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/scenario/mod.rs
@@ -0,0 +1,12 @@
+//! Scenarios of kind `requests`: a deployment under load and faults, held to the promises.
+
+mod file;
+mod plan;
+mod run;
+mod world;
+
+pub use file::{
+    CallersTable, Direction, Fault, FaultKind, LoadTable, MachineKind, Outcomes, RequestScenario,
+    SeenOn, WorldTable,
+};
+pub use run::{RequestRun, held_to, run};
--- a/crates/bramblewheel-sim/src/requests/scripted.rs
+++ b/crates/bramblewheel-sim/src/requests/scripted.rs
@@ -114,6 +114,7 @@
             flow: request.flow,
             caller: request.caller.clone(),
             in_session: scripted.in_session,
+            has_token: false,
             request: request.request,
             resend: request.resend,
             operation: request.operation.as_ref().map(|o| o.key.clone()),
--- a/crates/bramblewheel-sim/src/run/mod.rs
+++ b/crates/bramblewheel-sim/src/run/mod.rs
@@ -6,6 +6,7 @@
 pub use report::{Figures, SeedReport, ViolationReport};
 
 use crate::control::{self, ControlRun, ControlScenario, check};
+use crate::requests::scenario::{self as requests, RequestRun, RequestScenario};
 use crate::scenario::{Body, Scenario};
 
 /// Runs a scenario on one seed.
@@ -13,6 +14,7 @@
     match &scenario.body {
         Body::Control(body) => run_control(body, seed),
         Body::Overload(body) => body.run(seed),
+        Body::Requests(body) => run_requests(body, seed),
     }
 }
 
@@ -21,6 +23,25 @@
     report_control(scenario, seed, &run)
 }
 
+fn run_requests(scenario: &RequestScenario, seed: u64) -> SeedReport {
+    report_requests(seed, requests::run(scenario, seed, None))
+}
+
+/// Reports a run of kind `requests`, which is checked already.
+pub fn report_requests(seed: u64, run: RequestRun) -> SeedReport {
+    let violations = run.violations.iter().map(|violation| ViolationReport {
+        promise: violation.promise.to_string(),
+        message: violation.message.clone(),
+        excerpt: excerpt::of_requests(&run.history, &violation.evidence),
+    });
+    SeedReport {
+        seed,
+        digest: run.digest,
+        violations: violations.collect(),
+        figures: Figures(run.figures),
+    }
+}
+
 /// Checks a run of kind `control`.
 pub fn report_control(scenario: &ControlScenario, seed: u64, run: &ControlRun) -> SeedReport {
     let evidence = check::Evidence {
--- a/crates/bramblewheel-sim/src/scenario/registry.rs
+++ b/crates/bramblewheel-sim/src/scenario/registry.rs
@@ -39,6 +39,17 @@
     built_in!("torgnett-metastable"),
     built_in!("museum-metastable"),
     built_in!("double-fault"),
+    built_in!("not-run-truth"),
+    built_in!("run-once-resend"),
+    built_in!("retry-bound-deep"),
+    built_in!("daemon-killed-mid-call"),
+    built_in!("late-reordered-answers"),
+    built_in!("priority-under-surge"),
+    built_in!("sessions-through-surge"),
+    built_in!("endpoint-leaving-lagging-list"),
+    built_in!("planned-stop"),
+    built_in!("misleading-load-reports"),
+    built_in!("request-chaos"),
 ];
 
 impl BuiltIn {
--- a/crates/bramblewheel-sim/tests/overload.rs
+++ b/crates/bramblewheel-sim/tests/overload.rs
@@ -1,8 +1,8 @@
 //! The overload experiment, its bound, and that its checks can fail.
 
 use bramblewheel_sim::requests::bound::maximise;
-use bramblewheel_sim::requests::scenario::ExampleName;
-use bramblewheel_sim::requests::{LayerKind, scenario::OverloadScenario};
+use bramblewheel_sim::requests::overload_scenario::ExampleName;
+use bramblewheel_sim::requests::{LayerKind, overload_scenario::OverloadScenario};
 use bramblewheel_sim::scenario::{Body, built_in};
 
 #[test]
