--- a/crates/bramblewheel-lab/src/commands/sim.rs
+++ b/crates/bramblewheel-lab/src/commands/sim.rs
@@ -1,5 +1,6 @@
 //! The deterministic simulator from the command line.
 
+use crate::commands::record::{self, RecordOptions};
 use crate::error::CommandError;
 use crate::sim::{self, SeedRange, Summary};
 use bramblewheel_sim::scenario::{BUILT_IN, Scenario, built_in, parse};
@@ -23,6 +24,8 @@
     List(SimListOptions),
     /// run a scenario on many seeds
     Run(SimRunOptions),
+    /// run a plan and record it as a trace to be replayed
+    Record(RecordOptions),
 }
 
 /// Arguments of `sim list`.
@@ -59,6 +62,7 @@
     match options.command {
         Some(SimCommand::List(_)) => list(),
         Some(SimCommand::Run(options)) => run_scenario(&options),
+        Some(SimCommand::Record(options)) => record::run(&options),
         None => Err(CommandError::BadInput(
             "no command given; see `sim --help`".to_owned(),
         )),
--- a/crates/bramblewheel-lab/src/lib.rs
+++ b/crates/bramblewheel-lab/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod signals;
 pub mod sim;
 pub mod stdin_commands;
+pub mod trace;
--- a/crates/bramblewheel-sim/src/lib.rs
+++ b/crates/bramblewheel-sim/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod requests;
 pub mod run;
 pub mod scenario;
+pub mod trace;
--- a/crates/bramblewheel-sim/src/requests/callers.rs
+++ b/crates/bramblewheel-sim/src/requests/callers.rs
@@ -215,9 +215,11 @@
             route: flow.route,
             caller: person.caller.clone(),
             timeout,
+            criticality: None,
             session: session_claim(&self.sessions, person),
             operation: person.operation.clone(),
         };
+        let in_session = person.in_session;
         let last = person.last;
         let open = OpenSend {
             person: number,
@@ -230,6 +232,8 @@
             person: number,
             to: open.to,
             flow: request.flow,
+            caller: request.caller.clone(),
+            in_session,
             has_token: matches!(request.session, SessionClaim::Token(_)),
             request: request.request,
             resend: request.resend,
--- a/crates/bramblewheel-sim/src/requests/host.rs
+++ b/crates/bramblewheel-sim/src/requests/host.rs
@@ -6,6 +6,7 @@
 use super::message::{Message, Timer};
 use super::places::Places;
 use super::record::Record;
+use super::tape::Tape;
 use super::topology::{EndpointIndex, Topology, ZoneIndex};
 use crate::kernel::{Context, ProcessId, StartCause};
 use bramblewheel_bundle::Bundle;
@@ -44,6 +45,7 @@
     failing: f64,
     report_fault: Option<ReportFault>,
     options: LayerOptions,
+    tape: Option<Tape>,
     /// What the directory says beside what the topology does.
     listed: BTreeMap<EndpointId, DirectoryEndpoint>,
 }
@@ -75,6 +77,7 @@
             failing: 0.0,
             report_fault: None,
             options: LayerOptions::default(),
+            tape: None,
             listed: BTreeMap::new(),
         }
     }
@@ -85,6 +88,12 @@
         self
     }
 
+    /// A machine whose endpoint draws with a tape.
+    pub(super) fn with_tape(mut self, tape: Option<Tape>) -> Self {
+        self.tape = tape;
+        self
+    }
+
     /// What the next start hears of an endpoint; the layer that runs is told apart.
     pub fn set_listed(&mut self, entry: DirectoryEndpoint) {
         self.listed.insert(entry.endpoint.clone(), entry);
@@ -176,6 +185,7 @@
             endpoint.set_slowdown(self.slowdown);
             endpoint.set_failing(self.failing);
             endpoint.set_report_fault(self.report_fault);
+            endpoint.set_tape(self.tape.clone());
             if cause == StartCause::First {
                 endpoint.warm_up();
             }
--- a/crates/bramblewheel-sim/src/requests/scenario/run.rs
+++ b/crates/bramblewheel-sim/src/requests/scenario/run.rs
@@ -46,7 +46,11 @@
     let topology = Arc::clone(&settings.topology);
     let bundle = Arc::clone(&settings.layer.bundle);
     let replicas = scenario.world.control_replicas;
-    let options = LayerOptions { double, replicas };
+    let options = LayerOptions {
+        double,
+        replicas,
+        seed: None,
+    };
     let simulation = RequestSimulation::with_options(&settings, options);
     let streams = Streams::new(seed);
     let faults = scenario.fault.iter().map(|fault| fault.get_ref().clone());
