--- a/crates/bramblewheel-sim/tests/request_scenarios.rs
+++ b/crates/bramblewheel-sim/tests/request_scenarios.rs
@@ -1,12 +1,12 @@
-//! The scenarios of kind `requests` hold on many seeds.
+//! The scenarios of kind `requests` hold on many seeds. For more of them:
+//! `bramblewheel-lab sim run NAME --seeds 0..2000`.
 
 use bramblewheel_sim::run::{SeedReport, run_seed};
-use bramblewheel_sim::scenario::{BUILT_IN, Body, Scenario, built_in};
+use bramblewheel_sim::scenario::{Body, Scenario, built_in};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 const SEEDS: u64 = 200;
-const MANY_SEEDS: u64 = 2_000;
 /// Seeds that are printed.
 const MAX_SHOWN: usize = 5;
 
@@ -118,15 +118,3 @@
 fn request_chaos() {
     holds("request-chaos", SEEDS);
 }
-
-/// By hand: `cargo test --release -p bramblewheel-sim --test request_scenarios -- --ignored`.
-#[test]
-#[ignore = "takes minutes"]
-fn every_scenario_on_many_seeds() {
-    for built_in in BUILT_IN {
-        let scenario = built_in.scenario().expect(built_in.name);
-        if matches!(scenario.body, Body::Requests(_)) {
-            holds(built_in.name, MANY_SEEDS);
-        }
-    }
-}
