Split the simulated daemon into modules by job

Functions were moved as they are; four bodies became functions of their own (answer to an attempt, answered attempt, refused connection, whether the double sheds).

--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/layer/daemon/directory.rs
@@ -0,0 +1,46 @@
+//! The directory that a daemon starts with: the endpoints of the services it calls.
+
+use crate::requests::places::Places;
+use crate::requests::topology::{EndpointIndex, ServiceIndex, Topology};
+use bramblewheel_core::event::{DirectoryEndpoint, DirectoryUpdate};
+
+/// The services that a daemon calls: those its endpoint calls, or all for a gateway.
+pub(super) fn called_services(
+    topology: &Topology,
+    endpoint: Option<EndpointIndex>,
+) -> Vec<ServiceIndex> {
+    match endpoint {
+        Some(index) => {
+            let service = topology.endpoints[index.0].service;
+            topology.services[service.0].callees.clone()
+        }
+        None => (0..topology.services.len()).map(ServiceIndex).collect(),
+    }
+}
+
+/// All endpoints of the called services, none of them draining.
+pub(super) fn directory(
+    topology: &Topology,
+    places: Places,
+    called: &[ServiceIndex],
+) -> DirectoryUpdate {
+    let mut live = Vec::new();
+    for service in called {
+        let service = &topology.services[service.0];
+        live.extend(service.endpoints.iter().map(|index| {
+            let endpoint = &topology.endpoints[index.0];
+            DirectoryEndpoint {
+                endpoint: endpoint.name.clone(),
+                service: service.name.clone(),
+                zone: topology.zones[endpoint.zone.0].clone(),
+                address: Places::address(places.host(*index)),
+                draining: false,
+            }
+        }));
+    }
+    DirectoryUpdate {
+        is_complete: true,
+        live,
+        removed: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/layer/daemon/doubles.rs
@@ -0,0 +1,103 @@
+//! Where the unsafe doubles differ from the daemon.
+
+use super::DaemonLayer;
+use super::attempts::OutState;
+use super::calls::OutCall;
+use crate::kernel::ProcessId;
+use crate::requests::double::UnsafeDouble;
+use crate::requests::layer::Environment;
+use crate::requests::message::Message;
+use crate::requests::record::Record;
+use bramblewheel_core::event::{Event, Feedback};
+use bramblewheel_types::{AttemptId, CallId, Millis, NotRunReason, Outcome};
+
+/// Attempts beyond which the double that sheds the newest refuses.
+const SHED_BEYOND: usize = 4;
+/// Tries of each call by the double that retries at every hop.
+const TRIES_PER_HOP: u32 = 3;
+
+impl DaemonLayer {
+    pub(super) fn is(&self, double: UnsafeDouble) -> bool {
+        self.double == Some(double)
+    }
+
+    pub(super) fn outcome_told(&self, outcome: Outcome) -> Outcome {
+        if outcome == Outcome::Unknown && self.is(UnsafeDouble::NotRunOnTimeout) {
+            return Outcome::NotRun {
+                reason: NotRunReason::Unreachable,
+                retry_after: Millis(0),
+            };
+        }
+        outcome
+    }
+
+    /// The double that retries at every hop.
+    pub(super) fn tries_again(&mut self, call: &OutCall, outcome: Outcome) -> bool {
+        let may_try = self.is(UnsafeDouble::RetryPerHop) && call.tried < TRIES_PER_HOP;
+        let Some(mut request) = call.request.clone() else {
+            return false;
+        };
+        if !may_try || outcome == Outcome::Completed {
+            return false;
+        }
+        // Otherwise the engine would take it for a repeat.
+        request.fingerprint += 1 << 32;
+        self.next_call += 1;
+        let id = CallId(self.next_call);
+        let again = OutCall {
+            tried: call.tried + 1,
+            request: Some(request.clone()),
+            ..call.clone()
+        };
+        self.calls.insert(id, again);
+        self.events
+            .push_back(Event::OutboundCall { call: id, request });
+        true
+    }
+
+    /// Whether the double that sheds the newest refuses the next attempt.
+    pub(super) fn sheds_newest(&self) -> bool {
+        self.is(UnsafeDouble::ShedNewest) && self.inbound.len() >= SHED_BEYOND
+    }
+
+    /// The attempt that an answer is for.
+    pub(super) fn matched(&self, from: ProcessId, stated: AttemptId) -> AttemptId {
+        if !self.is(UnsafeDouble::MatchByOrder) {
+            return stated;
+        }
+        let waiting = self.attempts.iter();
+        let waiting = waiting.filter(|(_, out)| out.to == from && out.state == OutState::Sent);
+        let oldest = waiting.min_by_key(|(_, out)| out.number);
+        oldest.map_or(stated, |(attempt, _)| *attempt)
+    }
+
+    pub(super) fn answer_parked(&mut self, environment: &mut Environment<'_, '_>, number: u64) {
+        let position = self.parked.iter().position(|(_, a)| a.send.0 == number);
+        if let Some(position) = position {
+            let (process, answer) = self.parked.swap_remove(position);
+            environment
+                .context
+                .send(process, Message::Answer(Box::new(answer)));
+        }
+    }
+}
+
+/// Refuses an attempt for overload, without the engine.
+pub(super) fn shed(environment: &mut Environment<'_, '_>, to: ProcessId, attempt: AttemptId) {
+    let outcome = Outcome::NotRun {
+        reason: NotRunReason::Overloaded,
+        retry_after: Millis(0),
+    };
+    environment.record_at_endpoint(|endpoint| Record::Replied {
+        endpoint,
+        attempt,
+        outcome,
+    });
+    let message = Message::AttemptAnswer {
+        attempt,
+        outcome,
+        feedback: Feedback::default(),
+        body: None,
+    };
+    environment.context.send(to, message);
+}
