Split the world of request scenarios into modules by job

The example deployments have a module of their own.

Functions were moved as they are; four bodies became functions of their own. A rolling stop calls the hand-over directly, so the step for it, which nothing else used, is gone.

--- a/crates/bramblewheel-sim/src/requests/scenario/file.rs
+++ b/crates/bramblewheel-sim/src/requests/scenario/file.rs
@@ -298,7 +298,7 @@
         if scenario.callers.max_sends == 0 {
             return Err(source.error("callers.max_sends", "must be at least 1"));
         }
-        if super::world::files_of(&scenario.world.deployment).is_none() {
+        if super::examples::files_of(&scenario.world.deployment).is_none() {
             return Err(source.error("world.deployment", "no example has this name"));
         }
         for (index, fault) in scenario.fault.iter().enumerate() {
--- a/crates/bramblewheel-sim/src/requests/scenario/mod.rs
+++ b/crates/bramblewheel-sim/src/requests/scenario/mod.rs
@@ -1,5 +1,6 @@
 //! Scenarios of kind `requests`: a deployment under load and faults, held to the promises.
 
+mod examples;
 mod file;
 mod plan;
 mod run;
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/scenario/world/listing.rs
@@ -0,0 +1,94 @@
+//! What the platform's list of endpoints says, and endpoints that leave and come back.
+
+use super::stops::LOOK_FOR_START;
+use super::{Step, World};
+use crate::kernel::ProcessId;
+use crate::requests::faults::{DrainSeenOn, FaultRecord};
+use crate::requests::layer::Instruction;
+use crate::requests::places::Places;
+use crate::requests::scenario::file::{Fault, SeenOn};
+use crate::requests::scenario::plan::Occurrence;
+use crate::requests::topology::{EndpointIndex, ZoneIndex};
+use bramblewheel_core::event::{DirectoryEndpoint, DirectoryUpdate};
+use std::sync::Arc;
+use std::time::Duration;
+
+impl World {
+    pub(super) fn leave(&mut self, fault: &Fault, occurrence: &Occurrence) {
+        let endpoint = self.endpoint(fault);
+        let process = self.simulation.places().host(endpoint);
+        let seen_on = match fault.seen_on {
+            SeenOn::Report => {
+                self.host(endpoint).announce_drain();
+                DrainSeenOn::Report
+            }
+            SeenOn::Daemon => DrainSeenOn::Daemon,
+            SeenOn::List => DrainSeenOn::List,
+        };
+        if seen_on == DrainSeenOn::List {
+            self.list(endpoint, true);
+        } else {
+            self.after(occurrence.list_lag, Step::List(endpoint, true));
+        }
+        self.record(FaultRecord::Leaving { endpoint, seen_on });
+        let ends = occurrence.lasts;
+        let starts = self.simulation.kernel().starts(process);
+        let lag = occurrence.list_lag;
+        self.after(lag, Step::AwaitStart(endpoint, starts, lag));
+        if seen_on == DrainSeenOn::Daemon {
+            self.stop_planned(process);
+        } else {
+            self.after(ends, Step::StopPlanned(process));
+        }
+    }
+
+    /// Once an endpoint has started again, its daemon registers; the platform's list follows.
+    pub(super) fn await_start(&mut self, endpoint: EndpointIndex, starts: u32, lag: Duration) {
+        let process = self.simulation.places().host(endpoint);
+        let kernel = self.simulation.kernel();
+        let has_started = kernel.starts(process) > starts;
+        if !has_started {
+            self.after(LOOK_FOR_START, Step::AwaitStart(endpoint, starts, lag));
+            return;
+        }
+        self.list(endpoint, false);
+        if !lag.is_zero() {
+            self.after(lag, Step::List(endpoint, false));
+        }
+    }
+
+    /// The platform's list says something new of an endpoint to every daemon.
+    pub(super) fn list(&mut self, endpoint: EndpointIndex, is_leaving: bool) {
+        let topology = Arc::clone(self.simulation.topology());
+        let shape = &topology.endpoints[endpoint.0];
+        let places = self.simulation.places();
+        let entry = DirectoryEndpoint {
+            endpoint: shape.name.clone(),
+            service: topology.services[shape.service.0].name.clone(),
+            zone: topology.zones[shape.zone.0].clone(),
+            address: Places::address(places.host(endpoint)),
+            draining: is_leaving,
+        };
+        let update = DirectoryUpdate {
+            is_complete: false,
+            live: vec![entry.clone()],
+            removed: Vec::new(),
+        };
+        for process in self.hosts() {
+            self.simulation.host_at(process).set_listed(entry.clone());
+            let instruction = Instruction::Directory(update.clone());
+            self.simulation.instruct(process, instruction);
+        }
+    }
+
+    pub(super) fn hosts(&self) -> Vec<ProcessId> {
+        let places = self.simulation.places();
+        let topology = self.simulation.topology();
+        let endpoints = (0..topology.endpoints.len()).map(EndpointIndex);
+        let gateways = (0..topology.zones.len()).map(ZoneIndex);
+        endpoints
+            .map(|endpoint| places.host(endpoint))
+            .chain(gateways.map(|zone| places.gateway(zone)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/bramblewheel-sim/src/requests/scenario/world/stops.rs
@@ -0,0 +1,96 @@
+//! Stops of processes: at once, as planned, and of every machine in turn.
+
+use super::{Step, World};
+use crate::kernel::{ProcessId, ProcessState, StopCause};
+use crate::requests::faults::FaultRecord;
+use crate::requests::layer::Instruction;
+use crate::requests::topology::EndpointIndex;
+use std::time::Duration;
+
+/// Time from the end of a planned stop to the next start.
+const RESTART_AFTER: Duration = Duration::from_millis(200);
+/// How often it is looked whether a stopped endpoint has started again.
+pub(super) const LOOK_FOR_START: Duration = Duration::from_millis(100);
+/// Time until all daemons know that another said to the control group that it drains.
+const REGISTRATION: Duration = Duration::from_millis(300);
+/// Time that a control replica has to hand its leadership over before it ends.
+const HAND_OVER: Duration = Duration::from_millis(100);
+
+impl World {
+    /// Stops a process at once and starts it again after a while.
+    pub(super) fn stop(&mut self, process: ProcessId, cause: StopCause, down: Duration) {
+        let kernel = self.simulation.kernel_mut();
+        kernel.stop(process, cause);
+        kernel.start_after(process, down);
+    }
+
+    pub(super) fn stop_planned(&mut self, process: ProcessId) {
+        match self.simulation.kernel().state(process) {
+            ProcessState::Running => {}
+            ProcessState::Frozen => {
+                // The wish to stop waits until the process goes on.
+                self.after(LOOK_FOR_START, Step::StopPlanned(process));
+                return;
+            }
+            ProcessState::Stopped => return,
+        }
+        self.record(FaultRecord::StopPlanned { process });
+        if (process.0 as usize) < self.simulation.topology().endpoints.len() {
+            let endpoint = EndpointIndex(process.0 as usize);
+            self.after(REGISTRATION, Step::List(endpoint, true));
+            let starts = self.simulation.kernel().starts(process);
+            let await_start = Step::AwaitStart(endpoint, starts, Duration::ZERO);
+            self.after(LOOK_FOR_START, await_start);
+        }
+        let down = RESTART_AFTER;
+        self.simulation
+            .instruct(process, Instruction::StopPlanned { down });
+    }
+
+    /// Has a control replica hand its leadership over, then stops it.
+    pub(super) fn hand_over(&mut self, replica: u32) {
+        self.simulation.hand_over(replica);
+        self.after(HAND_OVER, Step::StopReplica(replica));
+    }
+
+    pub(super) fn stop_replica(&mut self, replica: u32) {
+        let process = self.simulation.places().replica(replica);
+        self.stop(process, StopCause::Exited, RESTART_AFTER);
+    }
+
+    /// Stops every machine, one after the other: endpoints, gateways, replicas. The next is
+    /// stopped once the one before has started again, and some time later.
+    pub(super) fn roll_on(&mut self, position: usize, pause: Duration) {
+        let places = self.simulation.places();
+        let hosts = self.hosts();
+        let replica = u32::try_from(position.saturating_sub(hosts.len())).unwrap_or(u32::MAX);
+        let process = match hosts.get(position) {
+            Some(host) => {
+                self.stop_planned(*host);
+                *host
+            }
+            None if replica < self.replicas => {
+                self.hand_over(replica);
+                places.replica(replica)
+            }
+            None => return,
+        };
+        let starts = self.simulation.kernel().starts(process);
+        self.await_roll(position, process, starts, pause);
+    }
+
+    pub(super) fn await_roll(
+        &mut self,
+        position: usize,
+        process: ProcessId,
+        starts: u32,
+        pause: Duration,
+    ) {
+        if self.simulation.kernel().starts(process) > starts {
+            self.after(pause, Step::RollOn(position + 1, pause));
+        } else {
+            let step = Step::AwaitRoll(position, process, starts, pause);
+            self.after(LOOK_FOR_START, step);
+        }
+    }
+}
