Share what both server programs do about settings, log and panics

The daemon and the control replica held the same code twice: the error and the line and key of a fault in a settings file, `[log]`, the check that two addresses clash, the logger, and the panic hook (a third time in the lab). It moves to the new crate `bramblewheel-process`; both crates export the same names as before, and texts and exit codes are the same.

The two `Clock`s stay: the daemon's gives instants of the runtime, the replica's reads the wall clock as well, and they share three lines.

`cargo test -p bramblewheel-process -p bramblewheel-daemon -p bramblewheel-control`: all pass, no test changed.

--- a/crates/bramblewheel-control/src/lib.rs
+++ b/crates/bramblewheel-control/src/lib.rs
@@ -5,11 +5,11 @@
 //! [`server`] is the shell that owns the sockets, the clock and the disk.
 
 pub mod clock;
-pub mod logging;
 pub mod node;
 pub mod server;
 pub mod settings;
 pub mod state;
 
+pub use bramblewheel_process::logging;
 pub use server::{BoundAddresses, ControlHandle, RunError, StartError, run, start, start_on};
 pub use settings::{Settings, SettingsError};
--- a/crates/bramblewheel-control/src/main.rs
+++ b/crates/bramblewheel-control/src/main.rs
@@ -2,6 +2,7 @@
 
 use bramblewheel_control::Settings;
 use bramblewheel_control::settings::Overrides;
+use bramblewheel_process::invariants::abort_on_panic;
 use gumdrop::Options;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -52,19 +53,10 @@
     if flags.check_settings {
         return ExitCode::SUCCESS;
     }
-    stop_on_broken_invariants();
+    abort_on_panic();
     run(settings)
 }
 
-/// A panic is a broken invariant: the process ends rather than go on with state it can't trust.
-fn stop_on_broken_invariants() {
-    let report = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |panic| {
-        report(panic);
-        std::process::abort();
-    }));
-}
-
 #[tokio::main(worker_threads = 2)]
 async fn run(settings: Settings) -> ExitCode {
     bramblewheel_control::run(settings).await
--- a/crates/bramblewheel-control/src/settings/check.rs
+++ b/crates/bramblewheel-control/src/settings/check.rs
@@ -1,7 +1,7 @@
 //! Rules that the types of the settings can't express.
 
 use super::{Settings, TimingSettings};
-use std::net::SocketAddr;
+use bramblewheel_process::settings::address_clash;
 
 /// Heartbeats that must fit into an election timeout: a follower's proof of a quorum takes three,
 /// and one may be lost.
@@ -26,11 +26,8 @@
             ("service", self.listen.service),
             ("admin", self.listen.admin),
         ];
-        for (index, &(key, address)) in named.iter().enumerate() {
-            let clash = named[..index].iter().find(|(_, a)| clashes(*a, address));
-            if let Some((other, _)) = clash {
-                return Some((key, format!("{address} is already used by `{other}`")));
-            }
+        if let Some(clash) = address_clash(&named) {
+            return Some(clash);
         }
         let given_out = named[..2].iter().find(|(_, a)| a.ip().is_unspecified());
         given_out.map(|(key, address)| {
@@ -89,9 +86,3 @@
         None
     }
 }
-
-fn clashes(one: SocketAddr, other: SocketAddr) -> bool {
-    let same_host =
-        one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified();
-    one.port() != 0 && one.port() == other.port() && same_host
-}
--- a/crates/bramblewheel-control/src/settings/mod.rs
+++ b/crates/bramblewheel-control/src/settings/mod.rs
@@ -2,45 +2,15 @@
 
 mod check;
 mod sections;
-mod source;
 
-pub use sections::{
-    AdminSettings, ListenSettings, LogLevel, LogSettings, SpareSettings, StorageSettings,
-    TimingSettings,
-};
+pub use bramblewheel_process::settings::{LogLevel, LogSettings, SettingsError};
+pub use sections::{AdminSettings, ListenSettings, SpareSettings, StorageSettings, TimingSettings};
 
+use bramblewheel_process::settings::{SettingsSource, read};
 use bramblewheel_types::{RegionName, ZoneName};
 use serde::Deserialize;
-use source::Source;
-use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use thiserror::Error;
-
-/// The settings can't be used; the text is one line.
-#[derive(Debug, Error)]
-pub enum SettingsError {
-    /// The file can't be read.
-    #[error("{file}: {error}")]
-    Unreadable {
-        /// The file.
-        file: PathBuf,
-        /// What the operating system says.
-        error: std::io::Error,
-    },
-    /// A line of the file is wrong.
-    #[error("{file}:{line}: {key}: {reason}")]
-    Invalid {
-        /// The file.
-        file: PathBuf,
-        /// Line, counted from 1.
-        line: usize,
-        /// Key on that line.
-        key: String,
-        /// What is wrong.
-        reason: String,
-    },
-}
 
 /// What a control replica is told at its start.
 #[derive(Clone, Debug, Deserialize)]
@@ -95,11 +65,7 @@
     /// # Errors
     /// [`SettingsError`] with the file, line and key at fault.
     pub fn load(file: &Path, overrides: Overrides) -> Result<Self, SettingsError> {
-        let text = fs::read_to_string(file).map_err(|error| SettingsError::Unreadable {
-            file: file.to_owned(),
-            error,
-        })?;
-        Self::parse(file, &text, overrides)
+        Self::parse(file, &read(file)?, overrides)
     }
 
     /// Checks the text of a settings file; `file` is only named in errors.
@@ -107,11 +73,11 @@
     /// # Errors
     /// [`SettingsError::Invalid`] with the line and key at fault.
     pub fn parse(file: &Path, text: &str, overrides: Overrides) -> Result<Self, SettingsError> {
-        let source = Source { file, text };
-        let mut settings: Self = toml::from_str(text).map_err(|error| source.syntax(&error))?;
+        let source = SettingsSource::new(file, text);
+        let mut settings: Self = source.deserialize()?;
         settings.apply(overrides);
         match settings.fault() {
-            Some((key, reason)) => Err(source.fault(key, reason)),
+            Some((key, reason)) => Err(source.fault(key, &reason)),
             None => Ok(settings),
         }
     }
--- a/crates/bramblewheel-daemon/src/lib.rs
+++ b/crates/bramblewheel-daemon/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod http;
 pub mod inbound;
 pub mod load_report;
-pub mod logging;
 pub mod metrics;
 pub mod outbound;
 pub mod process;
@@ -20,5 +19,6 @@
 pub mod settings;
 mod shared;
 
+pub use bramblewheel_process::logging;
 pub use daemon::{BoundAddresses, DaemonHandle, StartError, run};
 pub use settings::{Settings, SettingsError};
--- a/crates/bramblewheel-daemon/src/process.rs
+++ b/crates/bramblewheel-daemon/src/process.rs
@@ -2,6 +2,7 @@
 
 use crate::settings::Settings;
 use crate::{StartError, daemon, logging};
+use bramblewheel_process::invariants::abort_on_panic;
 use std::io;
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
@@ -25,7 +26,7 @@
 /// # Errors
 /// [`ProcessError`] when it can't start.
 pub fn run(settings: Settings) -> Result<(), ProcessError> {
-    stop_on_broken_invariants();
+    abort_on_panic();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
@@ -33,15 +34,6 @@
     runtime.block_on(run_until_stopped(settings))
 }
 
-/// A panic is a broken invariant: the process ends rather than go on with state it can't trust.
-fn stop_on_broken_invariants() {
-    let report = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |panic| {
-        report(panic);
-        std::process::abort();
-    }));
-}
-
 async fn run_until_stopped(settings: Settings) -> Result<(), ProcessError> {
     let log = logging::logger(settings.log.level.into());
     let mut terminate = signal(SignalKind::terminate())?;
--- a/crates/bramblewheel-daemon/src/settings/check.rs
+++ b/crates/bramblewheel-daemon/src/settings/check.rs
@@ -1,7 +1,7 @@
 //! Faults that the types of the settings can't express.
 
 use crate::settings::Settings;
-use std::net::SocketAddr;
+use bramblewheel_process::settings::address_clash;
 
 impl Settings {
     /// The first fault that the types can't express: key and reason.
@@ -39,11 +39,8 @@
             .chain(listeners)
             .chain(endpoint)
             .collect();
-        for (index, &(key, address)) in named.iter().enumerate() {
-            let clash = named[..index].iter().find(|(_, a)| clashes(*a, address));
-            if let Some((other, _)) = clash {
-                return Some((key, format!("{address} is already used by `{other}`")));
-            }
+        if let Some(clash) = address_clash(&named) {
+            return Some(clash);
         }
         if let Some(address) = self.listen.inbound.filter(|a| a.ip().is_unspecified()) {
             let reason = format!("{address} can't be given to other daemons: name one address");
@@ -76,9 +73,3 @@
             .map(|(key, _)| (key, "must be above zero".to_owned()))
     }
 }
-
-fn clashes(one: SocketAddr, other: SocketAddr) -> bool {
-    let same_host =
-        one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified();
-    one.port() != 0 && one.port() == other.port() && same_host
-}
--- a/crates/bramblewheel-lab/src/commands/hidden.rs
+++ b/crates/bramblewheel-lab/src/commands/hidden.rs
@@ -4,6 +4,7 @@
 
 use crate::error::CommandError;
 use crate::stdin_commands::end_with_parent;
+use bramblewheel_process::invariants::abort_on_panic;
 use gumdrop::Options;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -41,7 +42,8 @@
 /// # Errors
 /// [`CommandError`] when it can't start or breaks.
 pub fn run_control(options: SettingsOptions) -> Result<(), CommandError> {
-    begin();
+    end_with_parent();
+    abort_on_panic();
     let overrides = bramblewheel_control::settings::Overrides::default();
     let settings = bramblewheel_control::Settings::load(&options.settings, overrides)
         .map_err(|error| CommandError::BadInput(error.to_string()))?;
@@ -60,13 +62,3 @@
         .enable_all()
         .build()
 }
-
-/// Ties the process to its parent, and ends it on a panic: a panic is a broken invariant.
-fn begin() {
-    end_with_parent();
-    let report = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |panic| {
-        report(panic);
-        std::process::abort();
-    }));
-}
--- a/crates/bramblewheel-control/src/logging.rs
+++ b/crates/bramblewheel-process/src/logging.rs
@@ -8,7 +8,7 @@
 /// Builds the process's logger; lines below `level` are dropped.
 ///
 /// The logger writes in the background; when its queue is full it drops lines and says how many,
-/// because a slow reader of the log must not slow down the replica.
+/// because a slow reader of the log must not slow down the process.
 pub fn logger(level: Level) -> Logger {
     // Without the buffer each key and value would be a system call of its own.
     let drain = Logfmt::new(LineWriter::new(io::stderr()))
--- /dev/null
+++ b/crates/bramblewheel-process/src/settings/mod.rs
@@ -0,0 +1,11 @@
+//! The settings file of a server program: its text, its errors, and the parts that all have.
+
+mod addresses;
+mod error;
+mod log;
+mod source;
+
+pub use addresses::address_clash;
+pub use error::SettingsError;
+pub use log::{LogLevel, LogSettings};
+pub use source::{SettingsSource, read};
