Let traces and scenarios share the text that locates errors

Both kept a type for the file's text and an equal error type. `SourceText` and `SourceError` now serve both, and the reading of deployments takes its line from there; `ScenarioError` and `TraceError` are its names for importers, and the field `key` of a scenario's error is now `field`. Texts of errors are the same.

What only traces do stays in `trace::source`, which says why: a field is looked for in its own table alone, and a missing field is named.

--- a/crates/bramblewheel-sim/src/deployment/load.rs
+++ b/crates/bramblewheel-sim/src/deployment/load.rs
@@ -2,6 +2,7 @@
 
 use super::Deployment;
 use super::check::{DeploymentProblem, problems};
+use crate::source_text::SourceText;
 use thiserror::Error;
 
 /// A deployment file can't be used.
@@ -52,11 +53,7 @@
 
 fn syntax(file: &str, text: &str, error: &toml::de::Error) -> DeploymentError {
     let start = error.span().map_or(0, |span| span.start);
-    let line = 1 + text
-        .bytes()
-        .take(start)
-        .filter(|&byte| byte == b'\n')
-        .count();
+    let line = SourceText::new(file, text).line_of_offset(start);
     let message = error.message().to_owned();
     DeploymentError::Syntax {
         file: file.to_owned(),
--- a/crates/bramblewheel-sim/src/lib.rs
+++ b/crates/bramblewheel-sim/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod requests;
 pub mod run;
 pub mod scenario;
+pub mod source_text;
 pub mod trace;
--- a/crates/bramblewheel-sim/src/scenario/mod.rs
+++ b/crates/bramblewheel-sim/src/scenario/mod.rs
@@ -3,16 +3,13 @@
 //! `docs/SCENARIOS.md` says how to write one. A file names its `kind`, which says what is
 //! simulated; each kind reads the rest of the file by itself.
 
-mod error;
 mod registry;
 #[cfg(test)]
 mod tests;
-mod text;
 mod value;
 
-pub use error::ScenarioError;
+pub use crate::source_text::{SourceError as ScenarioError, SourceText};
 pub use registry::{BUILT_IN, BuiltIn, built_in};
-pub use text::SourceText;
 pub use value::{MillisRange, Range};
 
 use crate::control::ControlScenario;
--- a/crates/bramblewheel-sim/src/scenario/registry.rs
+++ b/crates/bramblewheel-sim/src/scenario/registry.rs
@@ -1,7 +1,6 @@
 //! The scenarios that come with the program, in the order of `sim list`.
 
-use super::error::ScenarioError;
-use super::{Scenario, parse};
+use super::{Scenario, ScenarioError, parse};
 
 /// A scenario that comes with the program.
 #[derive(Clone, Copy, Debug)]
--- a/crates/bramblewheel-sim/src/trace/error.rs
+++ b/crates/bramblewheel-sim/src/trace/error.rs
@@ -2,33 +2,9 @@
 
 use super::outcome::StatedOutcome;
 use bramblewheel_types::RequestId;
-use std::fmt;
 use thiserror::Error;
 
-/// A trace or a plan can't be used.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("{file}:{line}: {}{message}", Prefix(.field))]
-pub struct TraceError {
-    /// Name of the file.
-    pub file: String,
-    /// Line, from 1.
-    pub line: usize,
-    /// The field concerned, if known.
-    pub field: Option<String>,
-    /// What is wrong.
-    pub message: String,
-}
-
-struct Prefix<'a>(&'a Option<String>);
-
-impl fmt::Display for Prefix<'_> {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.0 {
-            Some(field) => write!(formatter, "{field}: "),
-            None => Ok(()),
-        }
-    }
-}
+pub use crate::source_text::SourceError as TraceError;
 
 /// A stated outcome that the replay did not bring.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
--- a/crates/bramblewheel-sim/src/trace/source.rs
+++ b/crates/bramblewheel-sim/src/trace/source.rs
@@ -1,41 +1,34 @@
 //! The text of a trace, to find lines and fields for errors.
 
 use super::error::TraceError;
+use crate::source_text::{SourceText, key_of};
 use serde::de::DeserializeOwned;
 
 /// The text of a trace with the name of its file.
+///
+/// It adds to [`SourceText`] what only traces need. They have hundreds of tables of one kind, so a
+/// field is looked for in its own table alone; and they hold whole files as texts, so an error may
+/// lie some lines below a value, in lines whose equals sign need not follow a key.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Source<'a> {
-    file: &'a str,
-    text: &'a str,
+    text: SourceText<'a>,
 }
 
 impl<'a> Source<'a> {
     pub(super) fn new(file: &'a str, text: &'a str) -> Self {
-        Self { file, text }
+        let text = SourceText::new(file, text);
+        Self { text }
     }
 
-    /// Reads the text as TOML of a shape.
+    /// Reads the text as TOML of a shape; the error names a missing field, which is on no line.
     pub(super) fn deserialize<T: DeserializeOwned>(&self) -> Result<T, TraceError> {
-        toml::from_str(self.text).map_err(|error| {
-            let start = error.span().map_or(0, |span| span.start);
-            let line = self.line_of(start);
-            let message = error.message().to_owned();
-            let in_line = self.text.lines().nth(line - 1).and_then(key_of);
-            let field = in_line.or_else(|| quoted(&message));
-            self.error_in_line(line, field, message.clone())
+        self.text.deserialize().map_err(|error: TraceError| {
+            let in_line = error.field.filter(|field| is_bare_key(field));
+            let field = in_line.or_else(|| quoted(&error.message).map(str::to_owned));
+            TraceError { field, ..error }
         })
     }
 
-    fn error_in_line(&self, line: usize, field: Option<&str>, message: String) -> TraceError {
-        TraceError {
-            file: self.file.to_owned(),
-            line,
-            field: field.map(str::to_owned),
-            message,
-        }
-    }
-
     /// An error about a field of the table that begins at byte `offset`; the line is that of the
     /// table if the field is not in it.
     pub(super) fn error(
@@ -44,18 +37,12 @@
         field: &str,
         message: impl Into<String>,
     ) -> TraceError {
-        let first = self.line_of(offset);
-        let mut lines = self.text.lines().enumerate().skip(first - 1);
-        let header = lines.next().map_or("", |(_, line)| line.trim_start());
-        let own = lines.take_while(|(_, line)| !line.starts_with('['));
-        let found = match key_of(header) == Some(field) {
-            true => Some(first),
-            false => own
-                .filter(|(_, line)| key_of(line) == Some(field))
-                .map(|(index, _)| index + 1)
-                .next(),
-        };
-        self.error_in_line(found.unwrap_or(first), Some(field), message.into())
+        let first = self.text.line_of_offset(offset);
+        let lines = self.text.lines_from(first);
+        let mut own = lines.take_while(|(number, line)| *number == first || !line.starts_with('['));
+        let found = own.find(|(_, line)| key_of(line) == Some(field));
+        let line = found.map_or(first, |(number, _)| number);
+        self.text.error_in_line(line, Some(field), message)
     }
 
     /// An error at the value that begins at byte `offset`, some lines further down.
@@ -66,21 +53,14 @@
         field: &str,
         message: impl Into<String>,
     ) -> TraceError {
-        let line = self.line_of(offset) + lines_below;
-        self.error_in_line(line, Some(field), message.into())
-    }
-
-    fn line_of(&self, offset: usize) -> usize {
-        let before = self.text.bytes().take(offset);
-        1 + before.filter(|&byte| byte == b'\n').count()
+        let line = self.text.line_of_offset(offset) + lines_below;
+        self.text.error_in_line(line, Some(field), message)
     }
 }
 
-fn key_of(line: &str) -> Option<&str> {
-    let (key, _) = line.split_once('=')?;
-    let key = key.trim();
-    let is_key = |c: char| c.is_ascii_alphanumeric() || c == '_' || c == '-' || c == '.';
-    (!key.is_empty() && key.chars().all(is_key)).then_some(key)
+fn is_bare_key(text: &str) -> bool {
+    let may_stand = |c: char| c.is_ascii_alphanumeric() || c == '_' || c == '-' || c == '.';
+    !text.is_empty() && text.chars().all(may_stand)
 }
 
 /// What a message sets in backquotes, such as the name of a missing field.
