--- a/crates/bramblewheel-lab/src/error.rs
+++ b/crates/bramblewheel-lab/src/error.rs
@@ -11,7 +11,7 @@
     Success = 0,
     /// A check failed, or the run itself broke.
     Failed = 1,
-    /// The command line or an input file is wrong, or the command is not there yet.
+    /// The command line or an input file is wrong.
     BadInput = 2,
 }
 
@@ -33,9 +33,6 @@
     /// The command line or an input file is wrong.
     #[error("{0}")]
     BadInput(String),
-    /// The command is declared and does nothing yet.
-    #[error("`{0}` is not there yet")]
-    NotThere(&'static str),
 }
 
 impl CommandError {
@@ -43,7 +40,7 @@
     pub const fn status(&self) -> ExitStatus {
         match self {
             Self::CheckFailed(_) | Self::Broken(_) => ExitStatus::Failed,
-            Self::BadInput(_) | Self::NotThere(_) => ExitStatus::BadInput,
+            Self::BadInput(_) => ExitStatus::BadInput,
         }
     }
 
--- a/crates/bramblewheel-lab/src/options.rs
+++ b/crates/bramblewheel-lab/src/options.rs
@@ -15,7 +15,7 @@
 Exit status:
   0  done, and every check passed
   1  a check failed, or the run itself broke
-  2  the command line or an input file is wrong, or the command is not there yet";
+  2  the command line or an input file is wrong";
 
 /// Arguments of the program.
 #[derive(Debug, Options)]
