--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -45,6 +45,7 @@
     replies: BTreeMap<ClientRequestId, ReplyBody>,
     snapshot_interval: u64,
     injects_faults: bool,
+    takes_unsigned_tables: bool,
     spare_policy: Option<SparePolicy>,
     /// Machines that offer themselves as spares.
     spares: Vec<usize>,
@@ -71,6 +72,7 @@
             replies: BTreeMap::new(),
             snapshot_interval,
             injects_faults: false,
+            takes_unsigned_tables: false,
             spare_policy: None,
             spares: Vec::new(),
             offers_due: Timestamp::ZERO,
@@ -111,6 +113,25 @@
         cluster
     }
 
+    /// Machines of which the first `founders` found a group by themselves, which takes tables
+    /// without signatures.
+    pub fn founded(founders: usize, machines: usize, seed: u64, snapshot_interval: u64) -> Self {
+        let mut cluster = Self::new(machines, seed, snapshot_interval);
+        cluster.takes_unsigned_tables = true;
+        let voters: Vec<_> = (0..founders).map(|m| cluster.address(m)).collect();
+        for machine in 0..machines {
+            cluster.node_mut(machine).take_unsigned_tables();
+            if machine < founders {
+                let founded = cluster.node_mut(machine).found_group(GROUP, &voters);
+                assert_eq!(founded, Ok(()));
+                cluster.drive(machine);
+            }
+        }
+        cluster.settle();
+        cluster.run(Duration::from_secs(1));
+        cluster
+    }
+
     pub fn bootstrap_request(&self, voters: usize) -> BootstrapRequest {
         BootstrapRequest {
             group: GROUP,
@@ -147,6 +168,9 @@
         };
         let mut node =
             ControlNode::new(config, restored, self.clocks(machine)).expect("a state of ours");
+        if self.takes_unsigned_tables {
+            node.take_unsigned_tables();
+        }
         if let Some(policy) = self.spare_policy {
             node.replace_silent_voters(policy);
         }
@@ -167,11 +191,21 @@
 
     /// Gives all machines a policy; the spares offer themselves to the others from now on.
     pub fn set_spares(&mut self, policy: SparePolicy, spares: Vec<usize>) {
+        for machine in &self.machines {
+            assert!(machine.running.is_some(), "runs");
+        }
+        self.set_spares_of(policy, spares);
+    }
+
+    /// Like [`set_spares`](Self::set_spares) for the machines that run.
+    pub fn set_spares_of(&mut self, policy: SparePolicy, spares: Vec<usize>) {
         self.spare_policy = Some(policy);
         self.spares = spares;
+        self.offers_due = self.now;
         for machine in &mut self.machines {
-            let running = machine.running.as_mut();
-            running.expect("runs").0.replace_silent_voters(policy);
+            if let Some((node, _)) = machine.running.as_mut() {
+                node.replace_silent_voters(policy);
+            }
         }
     }
 
@@ -180,6 +214,9 @@
         let addresses = (0..self.machines.len()).map(|machine| self.address(machine));
         let addresses: Vec<ReplicaAddress> = addresses.collect();
         for spare in self.spares.clone() {
+            if self.machines[spare].running.is_none() {
+                continue;
+            }
             let now = self.clocks(spare);
             let mut members = addresses.clone();
             members.remove(spare);
--- a/crates/bramblewheel-proxy/src/decide/admission.rs
+++ b/crates/bramblewheel-proxy/src/decide/admission.rs
@@ -7,7 +7,7 @@
 /// Share of an endpoint's slots that is used: some endpoints slow down when nearly full.
 const USED_SLOTS: f64 = 0.94;
 /// Requests that may wait, per slot.
-const WAITING_PER_SLOT: f64 = 0.5;
+const WAITING_PER_SLOT: f64 = 4.0;
 
 /// Names a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -134,6 +134,6 @@
 /// Longest wait of a request for a slot: beyond it a refusal that can be acted on is worth more.
 pub fn longest_wait(objective: Duration, left: Duration) -> Duration {
     /// Part of the objective that a request may wait unserved.
-    const OBJECTIVE_PART: u32 = 5;
-    (objective / OBJECTIVE_PART).min(left / 2)
+    const OBJECTIVE_PART: f64 = 0.6;
+    objective.mul_f64(OBJECTIVE_PART).min(left / 2)
 }
--- a/crates/bramblewheel-proxy/src/decide/mod.rs
+++ b/crates/bramblewheel-proxy/src/decide/mod.rs
@@ -3,4 +3,5 @@
 pub mod admission;
 pub mod directory;
 pub mod retry_budget;
+pub mod route_limit;
 pub mod table;
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -38,11 +38,8 @@
 ) -> Dispatched {
     let deadline = arrived + handover.remaining;
     let until = deadline.min(arrived + handover.wait);
-    let admitted = shared
-        .local
-        .admit(shared.clock, &handover.endpoint, handover.rank, until)
-        .await;
-    let permit = match admitted {
+    let admitted = shared.local.admit(shared.clock, handover, until).await;
+    let mut permit = match admitted {
         Ok(permit) => permit,
         Err(refusal) => return refused(shared, handover, outgoing, refusal),
     };
@@ -70,6 +67,7 @@
         }
         Err(NoAnswer::Lost) => return lost(shared, handover, &id, "connection"),
     };
+    permit.answered();
     let head = &received.head;
     let dialect = &shared.settings.dialect;
     match dialect.kind(head.status, &head.headers, &id) {
--- a/crates/bramblewheel-proxy/src/local.rs
+++ b/crates/bramblewheel-proxy/src/local.rs
@@ -5,6 +5,8 @@
 
 use crate::decide::admission::{Admission, AdmissionQueue, Ticket};
 use crate::decide::directory::LoadReport;
+use crate::decide::route_limit::RouteLimit;
+use crate::wire::Handover;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, Timestamp};
 use std::collections::HashMap;
@@ -16,6 +18,10 @@
 
 /// Starts of endpoints whose last word is remembered.
 const MAX_REMEMBERED: usize = 256;
+/// Routes whose times are known.
+const MAX_ROUTES: usize = 512;
+/// Rank that is not limited by its time: whatever else is there is shed first.
+const MOST_IMPORTANT: u32 = 0;
 /// Pause after the endpoint could not be reached, in which it is not tried again.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -54,6 +60,7 @@
 struct State {
     current: Option<Current>,
     queue: AdmissionQueue,
+    route_limits: HashMap<u64, RouteLimit>,
     waiting: HashMap<Ticket, oneshot::Sender<bool>>,
     /// Last word of each start, so that a late one does not bring it back.
     last_words: HashMap<EndpointId, u64>,
@@ -73,14 +80,34 @@
 pub struct Permit {
     local: Arc<LocalEndpoint>,
     clock: bramblewheel_process::clock::Clock,
+    route: RouteShare,
+    begun: Timestamp,
+    time: Option<Duration>,
     /// Where the endpoint listens.
     pub address: SocketAddr,
 }
 
+/// A place among the requests of one route.
+#[derive(Clone, Copy, Debug)]
+struct RouteShare {
+    route: u64,
+    objective: Duration,
+    is_limited: bool,
+}
+
+impl Permit {
+    /// The endpoint's answer has come.
+    pub fn answered(&mut self) {
+        self.time = Some(self.clock.now().since(self.begun));
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
+        let now = self.clock.now();
         let mut state = self.local.lock();
-        let started = state.queue.finish(self.clock.now());
+        state.end_route(now, self.route, self.time);
+        let started = state.queue.finish(now);
         state.start(started);
     }
 }
@@ -90,6 +117,7 @@
     local: &'a LocalEndpoint,
     clock: bramblewheel_process::clock::Clock,
     rank: u32,
+    route: RouteShare,
     ticket: Ticket,
     is_over: bool,
 }
@@ -99,18 +127,38 @@
         if self.is_over {
             return;
         }
+        let now = self.clock.now();
         let mut state = self.local.lock();
+        state.end_route(now, self.route, None);
         let has_waited = state.queue.leave(self.rank, self.ticket);
         let was_told = state.waiting.remove(&self.ticket).is_none();
         // A place that was given at the last moment is given back.
         if !has_waited && was_told {
-            let started = state.queue.finish(self.clock.now());
+            let started = state.queue.finish(now);
             state.start(started);
         }
     }
 }
 
 impl State {
+    /// Takes a request in among those of its route.
+    fn begin_route(&mut self, now: Timestamp, share: RouteShare) -> bool {
+        let slots = self.queue.limit();
+        let limits = &mut self.route_limits;
+        if limits.len() >= MAX_ROUTES {
+            limits.clear();
+        }
+        let limit = limits.entry(share.route);
+        let limit = limit.or_insert_with(|| RouteLimit::new(now, slots));
+        limit.begin(!share.is_limited)
+    }
+
+    fn end_route(&mut self, now: Timestamp, share: RouteShare, time: Option<Duration>) {
+        if let Some(limit) = self.route_limits.get_mut(&share.route) {
+            limit.end(now, time, share.objective);
+        }
+    }
+
     fn start(&mut self, tickets: Vec<Ticket>) {
         self.tell(tickets, true);
     }
@@ -292,24 +340,40 @@
     pub async fn admit(
         self: &Arc<Self>,
         clock: bramblewheel_process::clock::Clock,
-        endpoint: &EndpointId,
-        rank: u32,
+        handover: &Handover,
         until: Instant,
     ) -> Result<Permit, Refusal> {
+        let rank = handover.rank;
+        let route = RouteShare {
+            route: handover.route,
+            objective: handover.objective,
+            is_limited: rank > MOST_IMPORTANT,
+        };
+        let begun = clock.now();
         let wait = until.saturating_duration_since(Instant::now());
         let (address, waiting) = {
             let now = clock.now();
             let mut state = self.lock();
-            if let Some(refusal) = state.refusal(endpoint, now) {
+            if let Some(refusal) = state.refusal(&handover.endpoint, now) {
                 return Err(refusal);
             }
+            if !state.begin_route(now, route) {
+                return Err(Refusal::Full);
+            }
             let current = state.current.as_ref().ok_or(Refusal::Leaving)?;
             let address = current.record.endpoint_address;
-            (address, state.enter(rank, now + wait)?)
+            let entered = state.enter(rank, now + wait);
+            if entered.is_err() {
+                state.end_route(now, route, None);
+            }
+            (address, entered?)
         };
         let permit = || Permit {
             local: Arc::clone(self),
             clock,
+            route,
+            begun,
+            time: None,
             address,
         };
         let Some((ticket, told)) = waiting else {
@@ -319,6 +383,7 @@
             local: self,
             clock,
             rank,
+            route,
             ticket,
             is_over: false,
         };
@@ -329,6 +394,7 @@
             }
             Ok(_) => {
                 place.is_over = true;
+                self.lock().end_route(clock.now(), route, None);
                 Err(Refusal::Full)
             }
             Err(_) => Err(Refusal::Full),
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -19,7 +19,7 @@
 use tokio::time::Instant;
 
 /// Sends after a refusal in which the endpoint got nothing; they cost no one anything.
-const MAX_FREE_REROUTES: u32 = 3;
+const MAX_FREE_REROUTES: u32 = 2;
 /// Time without which another send is not worth its cost.
 const LEAST_TIME_TO_RETRY: Duration = Duration::from_millis(20);
 
@@ -231,6 +231,8 @@
         let handover = Handover {
             endpoint: choice.endpoint.clone(),
             rank: route.rank,
+            route: self.route.number,
+            objective: route.objective.min(route.timeout),
             remaining,
             wait: longest_wait(route.objective, remaining),
             caller: self.caller(),
--- a/crates/bramblewheel-proxy/src/wire.rs
+++ b/crates/bramblewheel-proxy/src/wire.rs
@@ -10,6 +10,10 @@
 const ENDPOINT: HeaderName = HeaderName::from_static("bw-endpoint");
 /// Rank of the request.
 const RANK: HeaderName = HeaderName::from_static("bw-rank");
+/// Number that stands for the route of the request.
+const ROUTE: HeaderName = HeaderName::from_static("bw-route");
+/// Milliseconds within which an answer is of full use.
+const OBJECTIVE: HeaderName = HeaderName::from_static("bw-objective-ms");
 /// Milliseconds left for the request.
 const REMAINING: HeaderName = HeaderName::from_static("bw-remaining-ms");
 /// Milliseconds that the request may wait for a slot.
@@ -28,6 +32,10 @@
     pub endpoint: EndpointId,
     /// Rank of the request; 0 is the most important.
     pub rank: u32,
+    /// Number that stands for its route, the same at all daemons.
+    pub route: u64,
+    /// Time within which an answer is of full use.
+    pub objective: Duration,
     /// Time left for the request.
     pub remaining: Duration,
     /// Time that the request may wait for a slot.
@@ -48,6 +56,8 @@
             HeaderValue::try_from(self.endpoint.as_str()).expect("names consist of visible ASCII");
         headers.insert(ENDPOINT, endpoint);
         headers.insert(RANK, HeaderValue::from(self.rank));
+        headers.insert(ROUTE, HeaderValue::from(self.route));
+        headers.insert(OBJECTIVE, millis(self.objective));
         headers.insert(REMAINING, millis(self.remaining));
         headers.insert(WAIT, millis(self.wait));
         if let Some(caller) = &self.caller {
@@ -64,6 +74,8 @@
         let endpoint = endpoint.as_ref().and_then(|value| value.to_str().ok());
         let endpoint = endpoint.and_then(|text| EndpointId::new(text).ok());
         let rank = number(headers.remove(RANK));
+        let route = number(headers.remove(ROUTE));
+        let objective = number(headers.remove(OBJECTIVE));
         let remaining = number(headers.remove(REMAINING));
         let wait = number(headers.remove(WAIT));
         Ok(Self {
@@ -71,6 +83,10 @@
             rank: rank
                 .and_then(|rank| u32::try_from(rank).ok())
                 .ok_or(InvalidHandover("bw-rank"))?,
+            route: route.ok_or(InvalidHandover("bw-route"))?,
+            objective: objective
+                .map(Duration::from_millis)
+                .ok_or(InvalidHandover("bw-objective-ms"))?,
             remaining: remaining
                 .map(Duration::from_millis)
                 .ok_or(InvalidHandover("bw-remaining-ms"))?,
