Limit a route's requests at an endpoint by their time and failures

Ruled out: priorities (calls rank above the requests that make them), the endpoint's own queue (nothing was shed there). Tests: proxy/tests/decide.rs the_limit_of_a_route_follows_its_time.

--- a/crates/bramblewheel-proxy/src/decide/admission.rs
+++ b/crates/bramblewheel-proxy/src/decide/admission.rs
@@ -57,6 +57,12 @@
         self.limit
     }
 
+    /// Requests that may run and wait.
+    pub fn held(&self) -> u32 {
+        let waiting = u32::try_from(self.capacity()).unwrap_or(u32::MAX);
+        self.limit.saturating_add(waiting)
+    }
+
     /// Requests that run and wait.
     pub fn busy(&self) -> u32 {
         self.running + u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
--- a/crates/bramblewheel-proxy/src/decide/route_limit.rs
+++ b/crates/bramblewheel-proxy/src/decide/route_limit.rs
@@ -11,23 +11,35 @@
 use std::time::Duration;
 
 /// Time of the answers, as a part of the objective, above which the limit falls.
-const BUSY_PART: f64 = 0.5;
+const BUSY_PART: f64 = 0.4;
 /// The same as a multiple of the usual time, so that a route which is always slow is not stopped.
 const BUSY_MULTIPLE: f64 = 1.8;
 /// Length of a look at the answers' times.
 const WINDOW: Duration = Duration::from_millis(200);
 /// Answers without which a look says nothing.
 const LEAST_ANSWERS: u32 = 5;
+/// Part of the answers that may be failures before the limit falls: calls that are refused deep
+/// down make their parents fail, and fast.
+const FAILED_PART: f64 = 0.15;
 /// What the limit falls to in one step.
 const DECREASE: f64 = 0.85;
 /// What the limit grows by in one step, as a part of it.
 const INCREASE: f64 = 0.08;
 /// What the usual time grows by in each look that was slower.
-const USUAL_DRIFT: f64 = 0.01;
+const USUAL_DRIFT: f64 = 0.001;
 /// Part of the limit that must be in use for it to grow.
 const IN_USE: f64 = 0.8;
-/// Least limit, as a part of the endpoint's slots.
-const LEAST_PART: f64 = 0.06;
+/// Least limit, as a part of what the endpoint holds.
+const LEAST_PART: f64 = 0.02;
+
+/// An answer of an endpoint, as far as it tells of load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answered {
+    /// Time from the request's arrival, its wait included.
+    pub time: Duration,
+    /// Whether the endpoint reports an error of its own.
+    pub has_failed: bool,
+}
 
 /// The limit of one route at one endpoint.
 #[derive(Debug)]
@@ -38,6 +50,7 @@
     running: u32,
     most_running: u32,
     answers: u32,
+    failures: u32,
     total: Duration,
     window_begun: Timestamp,
     /// Usual mean time in seconds: the least seen, drifting upwards slowly.
@@ -45,9 +58,9 @@
 }
 
 impl RouteLimit {
-    /// The limit of a route at an endpoint that runs `slots` requests side by side.
-    pub fn new(now: Timestamp, slots: u32) -> Self {
-        let most = f64::from(slots.max(1));
+    /// The limit of a route at an endpoint that holds `capacity` requests, running and waiting.
+    pub fn new(now: Timestamp, capacity: u32) -> Self {
+        let most = f64::from(capacity.max(1));
         Self {
             limit: most,
             least: (most * LEAST_PART).max(1.0),
@@ -55,6 +68,7 @@
             running: 0,
             most_running: 0,
             answers: 0,
+            failures: 0,
             total: Duration::ZERO,
             window_begun: now,
             usual: None,
@@ -76,16 +90,18 @@
         true
     }
 
-    /// A request has ended; `time` is that of its answer, if it had one.
-    pub fn end(&mut self, now: Timestamp, time: Option<Duration>, objective: Duration) {
+    /// A request has ended, with an answer unless it was given up.
+    pub fn end(&mut self, now: Timestamp, answered: Option<Answered>, objective: Duration) {
         self.running = self.running.saturating_sub(1);
-        if let Some(time) = time {
+        if let Some(answered) = answered {
             self.answers += 1;
-            self.total += time;
+            self.failures += u32::from(answered.has_failed);
+            self.total += answered.time;
         }
         if now.since(self.window_begun) >= WINDOW && self.answers >= LEAST_ANSWERS {
             self.adjust(objective);
             self.answers = 0;
+            self.failures = 0;
             self.total = Duration::ZERO;
             self.most_running = self.running;
             self.window_begun = now;
@@ -94,14 +110,14 @@
 
     fn adjust(&mut self, objective: Duration) {
         let mean = self.total.as_secs_f64() / f64::from(self.answers);
-        let usual = match self.usual {
-            Some(usual) if mean > usual => usual * (1.0 + USUAL_DRIFT),
-            _ => mean,
-        };
-        self.usual = Some(usual);
+        let has_failed = f64::from(self.failures) > f64::from(self.answers) * FAILED_PART;
+        if !has_failed {
+            self.learn_usual(mean);
+        }
+        let usual = self.usual.unwrap_or(mean);
         let bound = (objective.as_secs_f64() * BUSY_PART).max(usual * BUSY_MULTIPLE);
         let in_use = f64::from(self.most_running);
-        if mean > bound {
+        if has_failed || mean > bound {
             let from = self.limit.min(in_use);
             self.limit = (from * DECREASE).max(self.least);
         } else if in_use >= self.limit * IN_USE {
@@ -109,4 +125,12 @@
             self.limit = (self.limit + step).min(self.most);
         }
     }
+
+    fn learn_usual(&mut self, mean: f64) {
+        let usual = match self.usual {
+            Some(usual) if mean > usual => usual * (1.0 + USUAL_DRIFT),
+            _ => mean,
+        };
+        self.usual = Some(usual);
+    }
 }
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -67,7 +67,7 @@
         }
         Err(NoAnswer::Lost) => return lost(shared, handover, &id, "connection"),
     };
-    permit.answered();
+    permit.answered(received.head.status.is_server_error());
     let head = &received.head;
     let dialect = &shared.settings.dialect;
     match dialect.kind(head.status, &head.headers, &id) {
--- a/crates/bramblewheel-proxy/src/local.rs
+++ b/crates/bramblewheel-proxy/src/local.rs
@@ -5,7 +5,7 @@
 
 use crate::decide::admission::{Admission, AdmissionQueue, Ticket};
 use crate::decide::directory::LoadReport;
-use crate::decide::route_limit::RouteLimit;
+use crate::decide::route_limit::{Answered, RouteLimit};
 use crate::wire::Handover;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, Timestamp};
@@ -82,7 +82,7 @@
     clock: bramblewheel_process::clock::Clock,
     route: RouteShare,
     begun: Timestamp,
-    time: Option<Duration>,
+    answered: Option<Answered>,
     /// Where the endpoint listens.
     pub address: SocketAddr,
 }
@@ -97,8 +97,9 @@
 
 impl Permit {
     /// The endpoint's answer has come.
-    pub fn answered(&mut self) {
-        self.time = Some(self.clock.now().since(self.begun));
+    pub fn answered(&mut self, has_failed: bool) {
+        let time = self.clock.now().since(self.begun);
+        self.answered = Some(Answered { time, has_failed });
     }
 }
 
@@ -106,7 +107,7 @@
     fn drop(&mut self) {
         let now = self.clock.now();
         let mut state = self.local.lock();
-        state.end_route(now, self.route, self.time);
+        state.end_route(now, self.route, self.answered);
         let started = state.queue.finish(now);
         state.start(started);
     }
@@ -143,19 +144,19 @@
 impl State {
     /// Takes a request in among those of its route.
     fn begin_route(&mut self, now: Timestamp, share: RouteShare) -> bool {
-        let slots = self.queue.limit();
+        let capacity = self.queue.held();
         let limits = &mut self.route_limits;
         if limits.len() >= MAX_ROUTES {
             limits.clear();
         }
         let limit = limits.entry(share.route);
-        let limit = limit.or_insert_with(|| RouteLimit::new(now, slots));
+        let limit = limit.or_insert_with(|| RouteLimit::new(now, capacity));
         limit.begin(!share.is_limited)
     }
 
-    fn end_route(&mut self, now: Timestamp, share: RouteShare, time: Option<Duration>) {
+    fn end_route(&mut self, now: Timestamp, share: RouteShare, answered: Option<Answered>) {
         if let Some(limit) = self.route_limits.get_mut(&share.route) {
-            limit.end(now, time, share.objective);
+            limit.end(now, answered, share.objective);
         }
     }
 
@@ -373,7 +374,7 @@
             clock,
             route,
             begun,
-            time: None,
+            answered: None,
             address,
         };
         let Some((ticket, told)) = waiting else {
--- a/crates/bramblewheel-proxy/tests/decide.rs
+++ b/crates/bramblewheel-proxy/tests/decide.rs
@@ -4,7 +4,7 @@
 use bramblewheel_proxy::decide::admission::{Admission, AdmissionQueue};
 use bramblewheel_proxy::decide::directory::{Directory, LoadReport, SendEnd};
 use bramblewheel_proxy::decide::retry_budget::{RetryBudget, RetryTerms};
-use bramblewheel_proxy::decide::route_limit::RouteLimit;
+use bramblewheel_proxy::decide::route_limit::{Answered, RouteLimit};
 use bramblewheel_proxy::decide::table::{
     Route, RouteTable, Router, ServiceTerms, TableError, Target,
 };
@@ -322,6 +322,7 @@
 /// The limit falls where answers take long, but not for a route that is always slow, and comes back.
 #[test]
 fn the_limit_of_a_route_follows_its_time() {
+    const FAILS_AFTER: u64 = 7;
     let objective = Duration::from_millis(1_000);
     let mut now = Timestamp::ZERO;
     let mut limit = RouteLimit::new(now, 50);
@@ -333,7 +334,10 @@
             }
             for _ in 0..running {
                 now += Duration::from_millis(20);
-                limit.end(now, Some(Duration::from_millis(millis)), objective);
+                let time = Duration::from_millis(millis);
+                let has_failed = millis == FAILS_AFTER;
+                let answered = Answered { time, has_failed };
+                limit.end(now, Some(answered), objective);
             }
         }
     };
@@ -344,6 +348,10 @@
     assert!(fallen < 25.0, "{fallen}");
     serve(&mut limit, 300, 60);
     assert!(limit.limit() > 45.0);
+    // Failures are fast, and say that what is called is overloaded.
+    serve(&mut limit, FAILS_AFTER, 6);
+    let fallen = limit.limit();
+    assert!(fallen < 25.0, "{fallen}");
     let mut slow = RouteLimit::new(Timestamp::ZERO, 50);
     serve(&mut slow, 1_500, 20);
     assert!(slow.limit() > 45.0, "always slow: {}", slow.limit());
