--- a/crates/bramblewheel-proxy/src/decide/admission.rs
+++ b/crates/bramblewheel-proxy/src/decide/admission.rs
@@ -9,6 +9,28 @@
 /// Requests that may wait, per slot.
 const WAITING_PER_SLOT: f64 = 4.0;
 
+/// A waiting request's place: the most important first, of equals the one that is due first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Place {
+    /// Rank; 0 is the most important.
+    pub rank: u32,
+    /// When its answer should be there.
+    pub due: Timestamp,
+    /// Its name.
+    pub ticket: Ticket,
+}
+
+/// What is asked of the queue for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Rank; 0 is the most important.
+    pub rank: u32,
+    /// When its answer should be there.
+    pub due: Timestamp,
+    /// Until when it waits at the longest.
+    pub until: Timestamp,
+}
+
 /// Names a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(u64);
@@ -18,17 +40,14 @@
 pub enum Admission {
     /// It runs now.
     Run,
-    /// It waits under this ticket.
-    Wait(Ticket),
+    /// It waits at this place.
+    Wait(Place),
     /// It waits in place of a less important one, which is refused.
-    WaitInsteadOf(Ticket, Ticket),
+    WaitInsteadOf(Place, Ticket),
     /// It is refused.
     Refuse,
 }
 
-/// Order of those that wait: the most important first, of equals the oldest.
-type Place = (u32, Ticket);
-
 /// Requests that run and wait at one endpoint.
 ///
 /// Invariant: nobody is refused for want of room while a less important request waits.
@@ -68,20 +87,20 @@
         self.running + u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
     }
 
-    /// Decides on a request that arrived; one that waits does so until `until` at the latest.
-    pub fn arrive(&mut self, rank: u32, until: Timestamp) -> Admission {
+    /// Decides on a request that arrived.
+    pub fn arrive(&mut self, arrival: Arrival) -> Admission {
         if self.running < self.limit && self.waiting.is_empty() {
             self.running += 1;
             return Admission::Run;
         }
         if self.waiting.len() < self.capacity() {
-            return Admission::Wait(self.enqueue(rank, until));
+            return Admission::Wait(self.enqueue(arrival));
         }
         let least = self.waiting.last_key_value().map(|(place, _)| *place);
         match least {
-            Some((least_rank, ticket)) if least_rank > rank => {
-                self.waiting.remove(&(least_rank, ticket));
-                Admission::WaitInsteadOf(self.enqueue(rank, until), ticket)
+            Some(least) if least.rank > arrival.rank => {
+                self.waiting.remove(&least);
+                Admission::WaitInsteadOf(self.enqueue(arrival), least.ticket)
             }
             _ => Admission::Refuse,
         }
@@ -97,11 +116,15 @@
         waiting.max(2)
     }
 
-    fn enqueue(&mut self, rank: u32, until: Timestamp) -> Ticket {
+    fn enqueue(&mut self, arrival: Arrival) -> Place {
         self.next_ticket += 1;
-        let ticket = Ticket(self.next_ticket);
-        self.waiting.insert((rank, ticket), until);
-        ticket
+        let place = Place {
+            rank: arrival.rank,
+            due: arrival.due,
+            ticket: Ticket(self.next_ticket),
+        };
+        self.waiting.insert(place, arrival.until);
+        place
     }
 
     /// A request that ran has ended; returns those that run now.
@@ -114,26 +137,26 @@
     pub fn start_waiting(&mut self, now: Timestamp) -> Vec<Ticket> {
         let mut started = Vec::new();
         while self.running < self.limit {
-            let Some(((_, ticket), until)) = self.waiting.pop_first() else {
+            let Some((place, until)) = self.waiting.pop_first() else {
                 break;
             };
             if until > now {
                 self.running += 1;
-                started.push(ticket);
+                started.push(place.ticket);
             }
         }
         started
     }
 
     /// A waiting request went away; false if it runs already or was refused.
-    pub fn leave(&mut self, rank: u32, ticket: Ticket) -> bool {
-        self.waiting.remove(&(rank, ticket)).is_some()
+    pub fn leave(&mut self, place: &Place) -> bool {
+        self.waiting.remove(place).is_some()
     }
 
     /// Refuses all that wait, such as when the endpoint leaves.
     pub fn refuse_all(&mut self) -> Vec<Ticket> {
         let waiting = std::mem::take(&mut self.waiting);
-        waiting.into_keys().map(|(_, ticket)| ticket).collect()
+        waiting.into_keys().map(|place| place.ticket).collect()
     }
 }
 
--- a/crates/bramblewheel-proxy/src/decide/directory.rs
+++ b/crates/bramblewheel-proxy/src/decide/directory.rs
@@ -163,11 +163,9 @@
         }
     }
 
-    /// Whether any endpoint of a service takes work.
-    pub fn has_service(&self, service: &ServiceName) -> bool {
-        self.by_service
-            .get(service)
-            .is_some_and(|all| !all.is_empty())
+    /// How many endpoints of a service take work.
+    pub fn endpoints_of(&self, service: &ServiceName) -> usize {
+        self.by_service.get(service).map_or(0, Vec::len)
     }
 
     /// The best endpoint of a service, but for those tried already. Endpoints that could not be
--- a/crates/bramblewheel-proxy/src/local.rs
+++ b/crates/bramblewheel-proxy/src/local.rs
@@ -3,7 +3,7 @@
 //! All requests for an endpoint pass through the daemon beside it, so that this is the one place
 //! where its leaving, its identity and its limit are enforced.
 
-use crate::decide::admission::{Admission, AdmissionQueue, Ticket};
+use crate::decide::admission::{Admission, AdmissionQueue, Arrival, Place, Ticket};
 use crate::decide::directory::LoadReport;
 use crate::decide::route_limit::{Answered, RouteLimit};
 use crate::wire::Handover;
@@ -117,9 +117,8 @@
 struct Waiting<'a> {
     local: &'a LocalEndpoint,
     clock: bramblewheel_process::clock::Clock,
-    rank: u32,
     route: RouteShare,
-    ticket: Ticket,
+    place: Place,
     is_over: bool,
 }
 
@@ -131,8 +130,8 @@
         let now = self.clock.now();
         let mut state = self.local.lock();
         state.end_route(now, self.route, None);
-        let has_waited = state.queue.leave(self.rank, self.ticket);
-        let was_told = state.waiting.remove(&self.ticket).is_none();
+        let has_waited = state.queue.leave(&self.place);
+        let was_told = state.waiting.remove(&self.place.ticket).is_none();
         // A place that was given at the last moment is given back.
         if !has_waited && was_told {
             let started = state.queue.finish(now);
@@ -305,6 +304,15 @@
         current.is_some_and(|current| current.last_word.is_some_and(|at| at <= now))
     }
 
+    /// Whether the endpoint takes work, as the control group has confirmed.
+    pub fn is_open(&self) -> bool {
+        let state = self.lock();
+        let current = state.current.as_ref();
+        current.is_some_and(|current| {
+            current.is_confirmed && current.record.state == EndpointState::Ready
+        })
+    }
+
     /// The endpoint that takes work, as it was heard last.
     pub fn record(&self) -> Option<EndpointRecord> {
         let state = self.lock();
@@ -344,11 +352,10 @@
         handover: &Handover,
         until: Instant,
     ) -> Result<Permit, Refusal> {
-        let rank = handover.rank;
         let route = RouteShare {
             route: handover.route,
             objective: handover.objective,
-            is_limited: rank > MOST_IMPORTANT,
+            is_limited: handover.rank > MOST_IMPORTANT,
         };
         let begun = clock.now();
         let wait = until.saturating_duration_since(Instant::now());
@@ -363,7 +370,11 @@
             }
             let current = state.current.as_ref().ok_or(Refusal::Leaving)?;
             let address = current.record.endpoint_address;
-            let entered = state.enter(rank, now + wait);
+            let entered = state.enter(Arrival {
+                rank: handover.rank,
+                due: now + handover.objective,
+                until: now + wait,
+            });
             if entered.is_err() {
                 state.end_route(now, route, None);
             }
@@ -377,24 +388,23 @@
             answered: None,
             address,
         };
-        let Some((ticket, told)) = waiting else {
+        let Some((place, told)) = waiting else {
             return Ok(permit());
         };
-        let mut place = Waiting {
+        let mut waiting = Waiting {
             local: self,
             clock,
-            rank,
             route,
-            ticket,
+            place,
             is_over: false,
         };
         match tokio::time::timeout_at(until, told).await {
             Ok(Ok(true)) => {
-                place.is_over = true;
+                waiting.is_over = true;
                 Ok(permit())
             }
             Ok(_) => {
-                place.is_over = true;
+                waiting.is_over = true;
                 self.lock().end_route(clock.now(), route, None);
                 Err(Refusal::Full)
             }
@@ -407,21 +417,20 @@
     /// Takes a request in; one that must wait gets its ticket.
     fn enter(
         &mut self,
-        rank: u32,
-        until: Timestamp,
-    ) -> Result<Option<(Ticket, oneshot::Receiver<bool>)>, Refusal> {
-        let ticket = match self.queue.arrive(rank, until) {
+        arrival: Arrival,
+    ) -> Result<Option<(Place, oneshot::Receiver<bool>)>, Refusal> {
+        let place = match self.queue.arrive(arrival) {
             Admission::Run => return Ok(None),
             Admission::Refuse => return Err(Refusal::Full),
-            Admission::Wait(ticket) => ticket,
-            Admission::WaitInsteadOf(ticket, displaced) => {
+            Admission::Wait(place) => place,
+            Admission::WaitInsteadOf(place, displaced) => {
                 self.tell(vec![displaced], false);
-                ticket
+                place
             }
         };
         let (tell, told) = oneshot::channel();
-        self.waiting.insert(ticket, tell);
-        Ok(Some((ticket, told)))
+        self.waiting.insert(place.ticket, tell);
+        Ok(Some((place, told)))
     }
 
     /// The endpoint says that it leaves or has left.
--- a/crates/bramblewheel-proxy/tests/decide.rs
+++ b/crates/bramblewheel-proxy/tests/decide.rs
@@ -1,7 +1,7 @@
 //! The pure decisions: route tables, choice of an endpoint, retry budget, admission.
 
 use bramblewheel_protocol::routing::{EndpointNews, EndpointRecord, EndpointState, TableVersion};
-use bramblewheel_proxy::decide::admission::{Admission, AdmissionQueue};
+use bramblewheel_proxy::decide::admission::{Admission, AdmissionQueue, Arrival};
 use bramblewheel_proxy::decide::directory::{Directory, LoadReport, SendEnd};
 use bramblewheel_proxy::decide::retry_budget::{RetryBudget, RetryTerms};
 use bramblewheel_proxy::decide::route_limit::{Answered, RouteLimit};
@@ -271,6 +271,32 @@
     }
 }
 
+fn arrival(rank: u32, due: u64, until: Timestamp) -> Arrival {
+    Arrival {
+        rank,
+        due: Timestamp::from_millis(due),
+        until,
+    }
+}
+
+#[test]
+fn of_equal_rank_the_one_that_is_due_first_runs_first() {
+    let mut queue = AdmissionQueue::default();
+    queue.set_slots(1);
+    let until = Timestamp::from_millis(1_000);
+    assert_eq!(queue.arrive(arrival(1, 100, until)), Admission::Run);
+    let mut tickets = Vec::new();
+    for (rank, due) in [(1, 300), (1, 120), (0, 900)] {
+        match queue.arrive(arrival(rank, due, until)) {
+            Admission::Wait(place) => tickets.push(place.ticket),
+            other => panic!("waits: {other:?}"),
+        }
+    }
+    for next in [tickets[2], tickets[1], tickets[0]] {
+        assert_eq!(queue.finish(Timestamp::ZERO), vec![next]);
+    }
+}
+
 #[test]
 fn nobody_is_refused_while_a_less_important_request_waits() {
     let mut random = Pcg64Mcg::seed_from_u64(3);
@@ -281,17 +307,17 @@
         let until = Timestamp::from_millis(1_000);
         for _ in 0..60 {
             let rank = random.random_range(0..4_u32);
-            match queue.arrive(rank, until) {
+            match queue.arrive(arrival(rank, 0, until)) {
                 Admission::Run => {}
-                Admission::Wait(ticket) => {
-                    waiting.insert(ticket, rank);
+                Admission::Wait(place) => {
+                    waiting.insert(place.ticket, rank);
                 }
-                Admission::WaitInsteadOf(ticket, displaced) => {
+                Admission::WaitInsteadOf(place, displaced) => {
                     let least = waiting.values().max().copied();
                     let gone = waiting.remove(&displaced);
                     assert_eq!(gone, least);
                     assert!(gone > Some(rank));
-                    waiting.insert(ticket, rank);
+                    waiting.insert(place.ticket, rank);
                 }
                 Admission::Refuse => {
                     assert!(waiting.values().all(|other| *other <= rank));
@@ -308,15 +334,17 @@
 fn a_request_that_ran_out_of_time_while_it_waited_does_not_run() {
     let mut queue = AdmissionQueue::default();
     queue.set_slots(1);
-    assert_eq!(queue.arrive(1, Timestamp::from_millis(10)), Admission::Run);
-    let Admission::Wait(late) = queue.arrive(0, Timestamp::from_millis(10)) else {
+    let soon = Timestamp::from_millis(10);
+    assert_eq!(queue.arrive(arrival(1, 0, soon)), Admission::Run);
+    let Admission::Wait(late) = queue.arrive(arrival(0, 0, soon)) else {
         panic!("waits");
     };
-    let Admission::Wait(early) = queue.arrive(1, Timestamp::from_millis(90)) else {
+    let later = Timestamp::from_millis(90);
+    let Admission::Wait(early) = queue.arrive(arrival(1, 0, later)) else {
         panic!("waits");
     };
-    assert_eq!(queue.finish(Timestamp::from_millis(50)), vec![early]);
-    assert!(!queue.leave(0, late));
+    assert_eq!(queue.finish(Timestamp::from_millis(50)), vec![early.ticket]);
+    assert!(!queue.leave(&late));
 }
 
 /// The limit falls where answers take long, but not for a route that is always slow, and comes back.
--- /dev/null
+++ b/crates/bramblewheel-proxy/tests/support/endpoint.rs
@@ -0,0 +1,229 @@
+//! An endpoint that does what a script says, and notes what reaches it.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What the endpoint does with one request.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Answers with success and proof.
+    Answer,
+    /// Answers with success and proof, and a body of so many bytes.
+    Long(usize),
+    /// Refuses with proof that it did not run the request.
+    NotRun,
+    /// Refuses, since it is another endpoint than the expected one.
+    OtherEndpoint,
+    /// Runs the request and closes the connection without an answer.
+    Lose,
+    /// Answers with less than it announced, then closes.
+    CutShort,
+    /// Answers another request than the one that was sent.
+    AnswerAnother,
+    /// Answers with success but without proof.
+    NoProof,
+    /// Answers, and sends a second answer to the same request.
+    AnswerTwice,
+    /// Says nothing until the connection is closed.
+    Hang,
+    /// Answers with an error of its own and proof.
+    Fail,
+}
+
+/// One request as it arrived.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub id: String,
+    pub headers: HashMap<String, String>,
+    pub body_bytes: usize,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    script: VecDeque<Act>,
+    arrivals: Vec<Arrival>,
+    cancelled: usize,
+}
+
+/// An endpoint that does what a script says; without one it answers.
+#[derive(Clone, Debug)]
+pub struct ScriptedEndpoint {
+    pub address: SocketAddr,
+    name: String,
+    state: Arc<Mutex<State>>,
+}
+
+impl ScriptedEndpoint {
+    pub async fn start(name: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let endpoint = Self {
+            address: listener.local_addr().expect("bound"),
+            name: name.to_owned(),
+            state: Arc::default(),
+        };
+        let serving = endpoint.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let endpoint = serving.clone();
+                tokio::spawn(async move { endpoint.serve(stream).await });
+            }
+        });
+        endpoint
+    }
+
+    /// What is done with the next requests.
+    pub fn script(&self, acts: &[Act]) {
+        self.lock().script.extend(acts.iter().cloned());
+    }
+
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.lock().arrivals.clone()
+    }
+
+    /// Requests whose connection was closed while they ran.
+    pub fn cancelled(&self) -> usize {
+        self.lock().cancelled
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no test panics under the lock")
+    }
+
+    async fn serve(&self, mut stream: TcpStream) {
+        let mut begun = Vec::new();
+        while let Some(arrival) = read_request(&mut stream, &mut begun).await {
+            let id = arrival.id.clone();
+            let act = {
+                let mut state = self.lock();
+                state.arrivals.push(arrival);
+                state.script.pop_front().unwrap_or(Act::Answer)
+            };
+            if !self.act(&act, &id, &mut stream).await {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether the connection goes on.
+    async fn act(&self, act: &Act, id: &str, stream: &mut TcpStream) -> bool {
+        let name = &self.name;
+        let proof = format!("bw-request-id: {id}\r\nbw-proof: {name}\r\n");
+        let whole = format!("by {name} for {id}");
+        let answer = |status: &str, headers: &str, body: &str| {
+            let length = body.len();
+            format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}")
+        };
+        let (text, goes_on) = match act {
+            Act::Answer => (answer("200 OK", &proof, &whole), true),
+            Act::Long(bytes) => (answer("200 OK", &proof, &"x".repeat(*bytes)), true),
+            Act::NotRun => {
+                let refusal = format!("bw-request-id: {id}\r\nbw-not-run: 1\r\n");
+                (answer("503 Service Unavailable", &refusal, ""), true)
+            }
+            Act::OtherEndpoint => (answer("421 Misdirected Request", "", ""), true),
+            Act::Lose => return false,
+            Act::CutShort => {
+                let begin = answer("200 OK", &proof, &whole);
+                (begin[..begin.len() - 3].to_owned(), false)
+            }
+            Act::AnswerAnother => {
+                let other = "bw-request-id: another\r\nbw-proof: x\r\n";
+                (answer("200 OK", other, "of another"), true)
+            }
+            Act::NoProof => (answer("200 OK", "", "from nowhere"), true),
+            Act::AnswerTwice => (answer("200 OK", &proof, &whole).repeat(2), true),
+            Act::Hang => {
+                let mut byte = [0];
+                let _ = stream.read(&mut byte).await;
+                self.lock().cancelled += 1;
+                return false;
+            }
+            Act::Fail => (answer("500 Internal Server Error", &proof, "failed"), true),
+        };
+        let written = stream.write_all(text.as_bytes()).await;
+        if !goes_on {
+            // So that what was written arrives before the end.
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        written.is_ok() && goes_on
+    }
+}
+
+/// Reads a request whose body has a length or comes in chunks; bodies are counted only.
+async fn read_request(stream: &mut TcpStream, begun: &mut Vec<u8>) -> Option<Arrival> {
+    let head_end = loop {
+        if let Some(at) = find(begun, b"\r\n\r\n") {
+            break at + 4;
+        }
+        read_more(stream, begun).await?;
+    };
+    let head = String::from_utf8_lossy(&begun[..head_end]).into_owned();
+    let fields = head.lines().skip(1).filter_map(|line| line.split_once(':'));
+    let headers: HashMap<String, String> = fields
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+        .collect();
+    begun.drain(..head_end);
+    let length = headers.get("content-length");
+    let length = length.and_then(|text| text.parse::<usize>().ok());
+    let body_bytes = match length {
+        Some(length) => {
+            while begun.len() < length {
+                read_more(stream, begun).await?;
+            }
+            begun.drain(..length);
+            length
+        }
+        None if headers.contains_key("transfer-encoding") => read_chunks(stream, begun).await?,
+        None => 0,
+    };
+    let id = headers.get("bw-request-id").cloned().unwrap_or_default();
+    Some(Arrival {
+        id,
+        headers,
+        body_bytes,
+    })
+}
+
+async fn read_chunks(stream: &mut TcpStream, begun: &mut Vec<u8>) -> Option<usize> {
+    let mut total = 0;
+    loop {
+        let line_end = loop {
+            if let Some(at) = find(begun, b"\r\n") {
+                break at;
+            }
+            read_more(stream, begun).await?;
+        };
+        let line = String::from_utf8_lossy(&begun[..line_end]).into_owned();
+        let size = usize::from_str_radix(line.trim(), 16).ok()?;
+        let end = line_end + 2 + size + 2;
+        while begun.len() < end {
+            read_more(stream, begun).await?;
+        }
+        begun.drain(..end);
+        if size == 0 {
+            return Some(total);
+        }
+        total += size;
+    }
+}
+
+async fn read_more(stream: &mut TcpStream, begun: &mut Vec<u8>) -> Option<()> {
+    let mut buffer = vec![0; 16 * 1024];
+    let count = stream
+        .read(&mut buffer)
+        .await
+        .ok()
+        .filter(|count| *count > 0)?;
+    begun.extend_from_slice(&buffer[..count]);
+    Some(())
+}
+
+fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
+    bytes
+        .windows(wanted.len())
+        .position(|window| window == wanted)
+}
--- /dev/null
+++ b/crates/bramblewheel-proxy/tests/support/mod.rs
@@ -0,0 +1,277 @@
+//! Daemons of the routed data path over sockets, with a real control replica and scripted
+//! endpoints.
+
+pub mod endpoint;
+
+use bramblewheel_control::settings::{
+    AdminSettings, FormationSettings, ListenSettings, LogSettings, SpareSettings, StorageSettings,
+    TimingSettings,
+};
+use bramblewheel_process::logging::silent;
+use bramblewheel_protocol::control::{ReplyBody, RequestBody};
+use bramblewheel_protocol::routing::{
+    EndpointRecord, EndpointState, ReplaceTable, ReplaceTableReply, StoredTable, TableDigest,
+    TableVersion,
+};
+use bramblewheel_proxy::control::group::ControlGroup;
+use bramblewheel_proxy::decide::retry_budget::RetryTerms;
+use bramblewheel_proxy::decide::table::{Route, RouteTable, ServiceTerms, Target};
+use bramblewheel_proxy::{Daemon, Dialect, Settings};
+use bramblewheel_types::{DaemonId, EndpointId, Millis, RegionName, ServiceName, ZoneName};
+use bytes::Bytes;
+use endpoint::ScriptedEndpoint;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::net::TcpStream;
+
+/// Longest wait for anything that must come to pass.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+pub const HOST: &str = "shop.example";
+
+/// A control replica, daemons and the endpoints beside them.
+pub struct Mesh {
+    pub control: ControlGroup,
+    pub daemons: Vec<Daemon>,
+    pub endpoints: Vec<ScriptedEndpoint>,
+    _replica: bramblewheel_control::ControlHandle,
+    _folder: TempDir,
+    version: u64,
+}
+
+/// Addresses that were free a moment ago.
+fn free_addresses<const COUNT: usize>() -> [SocketAddr; COUNT] {
+    let open = || std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listeners: [_; COUNT] = std::array::from_fn(|_| open());
+    listeners.map(|listener| listener.local_addr().expect("bound"))
+}
+
+impl Mesh {
+    /// A daemon beside each of `count` endpoints of the service `kassa`, with routes for requests
+    /// that may be repeated (`/safe/`) and others (`/once/`).
+    pub async fn start(count: usize) -> Self {
+        let folder = TempDir::new().expect("a folder");
+        let [peer, service, admin] = free_addresses();
+        let settings = replica_settings(folder.path(), peer, service, admin);
+        let replica = bramblewheel_control::start(settings, silent()).await;
+        let mut mesh = Self {
+            control: ControlGroup::new(vec![service]),
+            daemons: Vec::new(),
+            endpoints: Vec::new(),
+            _replica: replica.expect("the replica starts"),
+            _folder: folder,
+            version: 0,
+        };
+        mesh.replace_table().await;
+        for number in 0..count {
+            let daemon = mesh.start_daemon(number, service).await;
+            mesh.daemons.push(daemon);
+            let endpoint = ScriptedEndpoint::start(&format!("e-{number}")).await;
+            mesh.endpoints.push(endpoint);
+            mesh.say(number, EndpointState::Ready, 1).await;
+        }
+        for number in 0..count {
+            mesh.until_ready(number, count).await;
+        }
+        mesh
+    }
+
+    async fn start_daemon(&self, number: usize, replica: SocketAddr) -> Daemon {
+        let [outbound, inbound, metrics] = free_addresses();
+        let settings = Settings {
+            name: DaemonId::new(&format!("daemon-{number}")).expect("a name"),
+            zone: ZoneName::new("north").expect("a name"),
+            region: RegionName::new("west").expect("a name"),
+            service: Some("kassa".to_owned()),
+            outbound,
+            inbound,
+            metrics,
+            replicas: vec![replica],
+            dialect: Dialect::default(),
+            retry: RetryTerms {
+                ratio: 0.2,
+                slack: 20.0,
+                window: Duration::from_secs(10),
+            },
+            heartbeat: Duration::from_secs(30),
+            stop_grace: Duration::from_secs(4),
+        };
+        let read = Arc::new(|text: &[u8]| Ok(table(text)));
+        let daemon = Daemon::start(settings, read, silent()).await;
+        daemon.expect("the daemon starts")
+    }
+
+    /// Puts the next version of the table in force; its text is its number.
+    pub async fn replace_table(&mut self) {
+        let text = (self.version + 1).to_string().into_bytes();
+        let request = ReplaceTable {
+            parent: TableVersion(self.version),
+            table: StoredTable {
+                version: TableVersion(self.version + 1),
+                digest: TableDigest([u8::try_from(self.version + 1).expect("few"); 32]),
+                text,
+            },
+        };
+        let body = RequestBody::ReplaceTable(request);
+        let reply = self.control.request(&body, PATIENCE).await;
+        let accepted = ReplyBody::TableReplaced(ReplaceTableReply::Accepted);
+        assert_eq!(reply.expect("decided"), accepted);
+        self.version += 1;
+    }
+
+    /// What the endpoint beside a daemon says.
+    pub fn record(&self, number: usize, state: EndpointState, sequence: u64) -> EndpointRecord {
+        let settings = &self.daemons[number].shared().settings;
+        EndpointRecord {
+            endpoint: EndpointId::new(&format!("e-{number}")).expect("a name"),
+            service: ServiceName::new("kassa").expect("a name"),
+            daemon: settings.name.clone(),
+            address: settings.inbound,
+            endpoint_address: self.endpoints[number].address,
+            zone: settings.zone.clone(),
+            slots: 8,
+            state,
+            sequence,
+            cold_for: Millis(0),
+        }
+    }
+
+    pub async fn say(&self, number: usize, state: EndpointState, sequence: u64) {
+        let record = self.record(number, state, sequence);
+        let registrar = self.daemons[number].registrar();
+        if state == EndpointState::Ready {
+            return registrar.ready(record);
+        }
+        for _ in 0..20 {
+            if registrar.end(record.clone()).await.is_ok() {
+                return;
+            }
+        }
+        panic!("not recorded");
+    }
+
+    /// Until a daemon has the table and can reach all endpoints.
+    async fn until_ready(&self, number: usize, endpoints: usize) {
+        let shared = self.daemons[number].shared();
+        let kassa = ServiceName::new("kassa").expect("a name");
+        eventually(|| {
+            let known = shared.routing().directory.endpoints_of(&kassa);
+            shared.is_ready() && known == endpoints && shared.local.is_open()
+        })
+        .await;
+    }
+
+    /// Sends a request to the daemon `number` as a caller on its machine does.
+    pub async fn call(&self, number: usize, path: &str, id: &str) -> Result<Answer, hyper::Error> {
+        let headers = [("bw-request-id", id), ("bw-remaining-ms", "3000")];
+        self.call_with(number, path, &headers, Bytes::new()).await
+    }
+
+    pub async fn call_with(
+        &self,
+        number: usize,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<Answer, hyper::Error> {
+        let address = self.daemons[number].shared().settings.outbound;
+        let stream = TcpStream::connect(address).await.expect("it listens");
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        let mut request = Request::post(path).header("host", HOST);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(body)).expect("a valid request");
+        let response = sender.send_request(request).await?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await?.to_bytes();
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+}
+
+/// An answer as a caller sees it, whole.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// Waits until something holds.
+pub async fn eventually(holds: impl Fn() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let held = tokio::time::timeout(PATIENCE, waiting).await;
+    assert!(held.is_ok(), "did not come to pass");
+}
+
+fn table(text: &[u8]) -> RouteTable {
+    let version = std::str::from_utf8(text)
+        .ok()
+        .and_then(|text| text.parse().ok());
+    let kassa = ServiceName::new("kassa").expect("a name");
+    let route = |name: &str, is_repeatable| Route {
+        name: name.to_owned(),
+        host: HOST.to_owned(),
+        prefix: format!("/{name}/"),
+        targets: vec![Target {
+            service: kassa.clone(),
+            weight: 1.0,
+        }],
+        is_repeatable,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_secs(1),
+        max_attempts: 2,
+        rank: 1,
+    };
+    let terms = ServiceTerms {
+        max_connections: 100,
+    };
+    RouteTable {
+        version: TableVersion(version.expect("a number")),
+        routes: vec![route("safe", true), route("once", false)],
+        services: [(kassa.clone(), terms)].into(),
+    }
+}
+
+fn replica_settings(
+    folder: &std::path::Path,
+    peer: SocketAddr,
+    service: SocketAddr,
+    admin: SocketAddr,
+) -> bramblewheel_control::Settings {
+    bramblewheel_control::Settings {
+        name: DaemonId::new("control-1").expect("a name"),
+        zone: ZoneName::new("north").expect("a name"),
+        region: RegionName::new("west").expect("a name"),
+        data_folder: folder.join("control"),
+        listen: ListenSettings {
+            peer,
+            service,
+            admin,
+        },
+        timing: TimingSettings::default(),
+        storage: StorageSettings::default(),
+        formation: FormationSettings {
+            founders: vec![peer],
+            first_start: true,
+            unsigned_tables: true,
+        },
+        spare: SpareSettings::default(),
+        admin: AdminSettings::default(),
+        log: LogSettings::default(),
+    }
+}
