--- a/crates/bramblewheel-control/src/node/housekeeping.rs
+++ b/crates/bramblewheel-control/src/node/housekeeping.rs
@@ -49,7 +49,7 @@
         self.answer_due_watches();
         self.fail_late_reads();
         self.advance_replacement();
-        if self.is_leader() {
+        if self.is_leader() && self.spares.is_urgent() {
             self.consider_spare();
         }
     }
@@ -58,6 +58,7 @@
         if self.is_leader() {
             self.expire_daemons();
             self.record_addresses();
+            self.consider_spare();
             self.clocks.keep(&self.replica.membership().voters);
         } else if let Some(leader) = self.replica.leader() {
             let renewals = self.leases.take_untold();
--- a/crates/bramblewheel-control/src/node/spares.rs
+++ b/crates/bramblewheel-control/src/node/spares.rs
@@ -37,6 +37,11 @@
 }
 
 impl Spares {
+    /// Whether lost voters must be made up for within seconds.
+    pub(super) fn is_urgent(&self) -> bool {
+        self.policy.is_some_and(|policy| policy.period.is_zero())
+    }
+
     pub(super) fn heard_from(&mut self, replica: ReplicaId, now: Timestamp) {
         self.heard.insert(replica, now);
     }
--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -39,7 +39,7 @@
 /// Time without a request after which nobody is taken to be sending any more.
 const QUIET_TIME: Duration = Duration::from_millis(250);
 /// Part of the grace time that is left for the end of connections.
-const END_TIME: Duration = Duration::from_millis(600);
+const END_TIME: Duration = Duration::from_millis(1_000);
 /// Time between two looks at what is in progress during a stop.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -21,9 +21,10 @@
 
 /// Times after which a refused caller may come back; drawn anew for each, so that they don't all
 /// come back together.
-const RETRY_AFTER_MILLIS: std::ops::Range<u32> = 60..250;
-/// The same while no configuration is known yet.
-const NOT_READY_RETRY_MILLIS: std::ops::Range<u32> = 200..500;
+const RETRY_AFTER_MILLIS: std::ops::Range<u32> = 150..500;
+/// The same while no configuration is known yet: about the time that a group takes to elect a leader
+/// after all of it has lost power. A caller that comes back too soon may have no try left.
+const NOT_READY_RETRY_MILLIS: std::ops::Range<u32> = 900..1_500;
 
 /// Serves the listener for callers on this machine.
 #[derive(Debug)]
