--- a/crates/bramblewheel-replication/src/replica.rs
+++ b/crates/bramblewheel-replication/src/replica.rs
@@ -117,7 +117,7 @@
         if let Some(membership) = bootstrap {
             replica.bootstrap(membership);
         }
-        replica.set_first_election_timer();
+        replica.reset_election_timer();
         replica
     }
 
@@ -315,16 +315,6 @@
             .extend(reads.map(|id| (id, ReadResult::LeadershipLost)));
     }
 
-    /// A replica that has just started looks for a leader sooner than one that has lost its own:
-    /// when all start together, such as after a loss of power, nobody leads. Where somebody does,
-    /// pre-votes are refused and nothing is disturbed.
-    fn set_first_election_timer(&mut self) {
-        let longest = self.config.election_timeout;
-        let micros = u64::try_from(longest.as_micros()).unwrap_or(u64::MAX);
-        let wait = self.random.random_range(micros / 5..=micros);
-        self.election_due = self.now + std::time::Duration::from_micros(wait);
-    }
-
     pub(crate) fn reset_election_timer(&mut self) {
         let shortest = self.config.election_timeout;
         let micros = u64::try_from(shortest.as_micros()).unwrap_or(u64::MAX);
