Ask a daemon that was not heard for a moment before a request is sent there

Ruled out: TCP time-outs (a frozen machine's kernel acknowledges); the choice by outstanding requests (it avoids such a daemon only after several requests hang there). Test: a_daemon_that_says_nothing_gets_no_request, red before (504).

--- a/crates/bramblewheel-proxy/src/control/watch.rs
+++ b/crates/bramblewheel-proxy/src/control/watch.rs
@@ -171,7 +171,7 @@
         if !self.has_adopted {
             self.has_adopted = true;
             let takes_work = |news: &&EndpointNews| news.record.state == EndpointState::Ready;
-            if let Some(news) = beside.clone().filter(takes_work).next_back() {
+            if let Some(news) = beside.clone().rfind(takes_work) {
                 self.shared.local.adopt(&news.record);
                 slog::info!(self.shared.log, "endpoint adopted"; "sequence" => news.record.sequence,
                     "endpoint" => %news.record.endpoint, "revision" => news.revision);
--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -98,6 +98,7 @@
                 random: Pcg64Mcg::seed_from_u64(incarnation),
             }),
             router: ArcSwapOption::empty(),
+            liveness: Default::default(),
             daemon_pools: Pools::new(KEEP_DAEMON_CONNECTION),
             endpoint_pools: Pools::new(KEEP_ENDPOINT_CONNECTION),
             metrics: Metrics::default(),
--- a/crates/bramblewheel-proxy/src/inbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/inbound/mod.rs
@@ -7,11 +7,12 @@
 use crate::http::exchange::{Answer, Outgoing, OutgoingBody};
 use crate::http::fields;
 use crate::http::server::Handler;
+use crate::outbound::liveness::PING_PATH;
 use crate::shared::Shared;
 use crate::wire::{AttemptResult, Handover};
 use bytes::Bytes;
 use dispatch::{Dispatched, dispatch};
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -31,6 +32,12 @@
     async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let arrived = Instant::now();
         let (mut head, incoming) = request.into_parts();
+        if head.uri.path() == PING_PATH
+            && head.method == Method::GET
+            && !Handover::is_on(&head.headers)
+        {
+            return Response::new(AnswerBody::whole(Bytes::new()));
+        }
         let handover = match Handover::take(&mut head.headers) {
             Ok(handover) => handover,
             Err(error) => {
--- a/crates/bramblewheel-proxy/src/outbound/attempt.rs
+++ b/crates/bramblewheel-proxy/src/outbound/attempt.rs
@@ -16,12 +16,14 @@
     pub(super) load: Option<LoadReport>,
 }
 
-/// Hands a request to the daemon beside the chosen endpoint: to this one without a hop.
+/// Hands a request to the daemon beside the chosen endpoint: to this one without a hop. A daemon that
+/// falls silent meanwhile is not waited for, if the request may be repeated.
 pub(super) async fn attempt(
     shared: &Arc<Shared>,
     choice: &Choice,
     handover: &Handover,
     deadline: Instant,
+    is_repeatable: bool,
     outgoing: &mut Outgoing,
 ) -> Attempted {
     if choice.daemon == shared.settings.name {
@@ -29,7 +31,11 @@
         let load = Some(shared.local.load());
         return Attempted { dispatched, load };
     }
-    let pool = shared.daemon_pools.get(choice.address);
+    let (daemon, clock) = (choice.address, shared.clock);
+    let pool = shared.daemon_pools.get(daemon);
+    if !shared.liveness.answers(clock, daemon, &pool).await {
+        return without(AttemptResult::Unreachable, None);
+    }
     let write = |headers: &mut HeaderMap| {
         let handover = Handover {
             remaining: deadline.saturating_duration_since(Instant::now()),
@@ -37,11 +43,20 @@
         };
         handover.write(headers);
     };
-    let mut received = match exchange::send(&pool, outgoing, write).await {
+    let sent = tokio::select! {
+        sent = exchange::send(&pool, outgoing, write) => sent,
+        () = shared.liveness.until_silent(clock, daemon, &pool), if is_repeatable => {
+            slog::info!(shared.log, "daemon fell silent"; "daemon" => %choice.daemon,
+                "endpoint" => %choice.endpoint);
+            return without(AttemptResult::Silent, None);
+        }
+    };
+    let mut received = match sent {
         Ok(received) => received,
         Err(NoAnswer::NotSent) => return without(AttemptResult::Unreachable, None),
         Err(NoAnswer::Lost) => return without(AttemptResult::Lost, None),
     };
+    shared.liveness.heard(daemon, clock.now());
     // An answer that does not say how the attempt ended is not one of a daemon.
     let Some((result, load)) = AttemptResult::take(&mut received.head.headers) else {
         return without(AttemptResult::Lost, None);
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -244,7 +244,16 @@
             is_over: false,
         };
         let already = self.may_have_run.swap(true, Ordering::Relaxed);
-        let attempted = attempt(self.shared, choice, &handover, deadline, outgoing).await;
+        let is_repeatable = route.is_repeatable && outgoing.body.is_whole();
+        let attempting = attempt(
+            self.shared,
+            choice,
+            &handover,
+            deadline,
+            is_repeatable,
+            outgoing,
+        );
+        let attempted = attempting.await;
         let Attempted { dispatched, load } = attempted;
         open.is_over = true;
         let result = dispatched.result();
@@ -316,7 +325,7 @@
         | AttemptResult::Full
         | AttemptResult::Leaving
         | AttemptResult::Unreachable => true,
-        AttemptResult::Answered | AttemptResult::Lost => false,
+        AttemptResult::Answered | AttemptResult::Lost | AttemptResult::Silent => false,
     }
 }
 
@@ -325,7 +334,7 @@
         AttemptResult::Answered => SendEnd::Answered(time),
         AttemptResult::Rejected | AttemptResult::Full => SendEnd::Full,
         AttemptResult::OtherEndpoint | AttemptResult::Leaving => SendEnd::Leaving,
-        AttemptResult::Unreachable => SendEnd::Unreachable,
+        AttemptResult::Unreachable | AttemptResult::Silent => SendEnd::Unreachable,
         AttemptResult::Lost => SendEnd::Lost,
     }
 }
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod call;
+pub mod liveness;
 
 use crate::http::body::{self, AnswerBody, Read};
 use crate::http::exchange::OutgoingBody;
--- a/crates/bramblewheel-proxy/src/shared.rs
+++ b/crates/bramblewheel-proxy/src/shared.rs
@@ -8,6 +8,7 @@
 use crate::http::pool::Pools;
 use crate::local::LocalEndpoint;
 use crate::metrics::Metrics;
+use crate::outbound::liveness::Liveness;
 use crate::settings::Settings;
 use arc_swap::ArcSwapOption;
 use bramblewheel_process::clock::Clock;
@@ -40,6 +41,8 @@
     pub routing: Mutex<Routing>,
     /// The endpoint beside the daemon.
     pub local: Arc<LocalEndpoint>,
+    /// When other daemons were heard last.
+    pub liveness: Liveness,
     /// Connections to other daemons.
     pub daemon_pools: Pools,
     /// Connections to the local endpoint.
--- a/crates/bramblewheel-proxy/src/wire.rs
+++ b/crates/bramblewheel-proxy/src/wire.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Whether a request is handed over.
+    pub fn is_on(headers: &HeaderMap) -> bool {
+        headers.contains_key(ENDPOINT)
+    }
+
     /// Takes the headers off a request.
     ///
     /// # Errors
@@ -123,10 +128,12 @@
     Unreachable,
     /// The endpoint may have run the request; its answer is lost.
     Lost,
+    /// The daemon does not answer any more; the endpoint may have run the request.
+    Silent,
 }
 
 impl AttemptResult {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::Answered,
         Self::Rejected,
         Self::OtherEndpoint,
@@ -134,6 +141,7 @@
         Self::Leaving,
         Self::Unreachable,
         Self::Lost,
+        Self::Silent,
     ];
 
     /// Name in headers and logs.
@@ -146,6 +154,7 @@
             Self::Leaving => "leaving",
             Self::Unreachable => "unreachable",
             Self::Lost => "lost",
+            Self::Silent => "silent",
         }
     }
 
--- a/crates/bramblewheel-proxy/tests/requests.rs
+++ b/crates/bramblewheel-proxy/tests/requests.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use bramblewheel_protocol::routing::EndpointState;
+use bramblewheel_protocol::control::{ReplyBody, RequestBody};
+use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
+use bramblewheel_types::{DaemonId, EndpointId, ServiceName};
 use bytes::Bytes;
 use http::StatusCode;
 use support::endpoint::Act;
@@ -263,3 +265,35 @@
     })
     .await;
 }
+
+/// A machine that is frozen or cut off takes requests and says nothing: what may run only once must
+/// not be sent there.
+#[tokio::test]
+async fn a_daemon_that_says_nothing_gets_no_request() {
+    let mesh = Mesh::start(1).await;
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+    let silent = silent.expect("a free port");
+    let record = EndpointRecord {
+        endpoint: EndpointId::new("e-silent").expect("a name"),
+        daemon: DaemonId::new("daemon-silent").expect("a name"),
+        address: silent.local_addr().expect("bound"),
+        ..mesh.record(0, EndpointState::Ready, 1)
+    };
+    let body = RequestBody::RegisterEndpoint(Box::new(record));
+    let reply = mesh.control.request(&body, support::PATIENCE).await;
+    let ready = ReplyBody::EndpointRegistered(EndpointState::Ready);
+    assert_eq!(reply.expect("decided"), ready);
+    let shared = mesh.daemons[0].shared();
+    let kassa = ServiceName::new("kassa").expect("a name");
+    eventually(|| shared.routing().directory.endpoints_of(&kassa) == 2).await;
+    for number in 0..12 {
+        let path = if number % 2 == 0 {
+            "/once/pay"
+        } else {
+            "/safe/item"
+        };
+        let id = format!("r-{number}");
+        let answer = mesh.call(0, path, &id).await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK, "{number}");
+    }
+}
