--- a/crates/bramblewheel-process/src/logging.rs
+++ b/crates/bramblewheel-process/src/logging.rs
@@ -8,7 +8,7 @@
 use slog_logfmt::Logfmt;
 use std::io::{self, LineWriter, Write};
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Lines that wait to be written; a reader that stalls costs the ones beyond.
 const WAITING_LINES: usize = 2_048;
@@ -26,7 +26,15 @@
 /// Builds a logger on standard output that writes at most `lines_per_second` on average; it says
 /// how many lines it left out. Warnings and errors are always written.
 pub fn bounded_logger(level: Level, lines_per_second: u32) -> Logger {
-    let drain = Async::new(lines(io::stdout()))
+    bounded_logger_to(io::stdout(), level, lines_per_second)
+}
+
+/// Like [`bounded_logger`], to another writer than standard output.
+pub fn bounded_logger_to<W>(to: W, level: Level, lines_per_second: u32) -> Logger
+where
+    W: Write + Send + 'static,
+{
+    let drain = Async::new(lines(to))
         .chan_size(WAITING_LINES)
         .build()
         .fuse();
@@ -52,6 +60,13 @@
     Logger::root(slog::Discard, o!())
 }
 
+/// Milliseconds since the Unix epoch; 0 if the clock shows less.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.map(|since| since.as_millis()).unwrap_or_default();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
 /// Lets a bounded number of lines through.
 struct Bounded<D> {
     drain: D,
@@ -110,7 +125,10 @@
     type Ok = ();
     type Err = slog::Never;
 
-    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), slog::Never> {
+    /// Writes a line with the time at which it was logged, not that at which it is written. Loggers
+    /// with values of their own are not used.
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), slog::Never> {
+        let values = &OwnedKVList::from(o!("at" => unix_millis()));
         let must_write = record.level().is_at_least(Level::Warning);
         let (is_admitted, left_out) = self.admit(Instant::now(), must_write);
         if left_out > 0 {
--- a/crates/bramblewheel/src/commands.rs
+++ b/crates/bramblewheel/src/commands.rs
@@ -2,6 +2,7 @@
 
 mod bundle;
 mod control;
+mod explain;
 mod fleet;
 mod keys;
 mod publish;
@@ -45,6 +46,7 @@
             ControlCommand::Replace(options) => block_on(control::replace(&options)),
         },
         Command::Replay(options) => replay::replay(&options),
+        Command::Explain(options) => explain::explain(&options),
     }
 }
 
--- /dev/null
+++ b/crates/bramblewheel/src/explain/cause.rs
@@ -0,0 +1,128 @@
+//! The cause of a request's end, from its lines.
+
+use super::{LogLine, Timeline};
+use std::fmt;
+
+/// Why a request ended as it did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// No line speaks of it.
+    Unknown,
+    /// Its daemon had no route table yet.
+    NotReady,
+    /// No route in force fits it.
+    NoRoute {
+        /// Version of the table.
+        table: String,
+    },
+    /// Its caller went away.
+    CallerLeft,
+    /// No endpoint had room: refused before it ran.
+    Overload {
+        /// Endpoint that refused last.
+        endpoint: String,
+        /// Its load, if its daemon said so.
+        load: Option<String>,
+    },
+    /// Endpoints were leaving, or not reached.
+    NoEndpoint {
+        /// What the last attempt met.
+        result: String,
+    },
+    /// The endpoint may have run it, and its answer is lost.
+    AnswerLost {
+        /// The endpoint.
+        endpoint: String,
+        /// What broke, if its daemon said so.
+        broken: Option<String>,
+    },
+    /// The endpoint answered with an error of its own.
+    EndpointFailed,
+    /// The time was over.
+    TimedOut,
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unknown => formatter.write_str(
+                "no line tells: it was answered with success, was not read, or its lines are missing",
+            ),
+            Self::NotReady => formatter.write_str("its daemon knew no configuration yet"),
+            Self::NoRoute { table } => write!(formatter, "no route in table {table}"),
+            Self::CallerLeft => formatter.write_str("its caller went away"),
+            Self::Overload { endpoint, load } => {
+                write!(formatter, "no room, last at {endpoint}")?;
+                load.iter().try_for_each(|load| write!(formatter, " ({load})"))
+            }
+            Self::NoEndpoint { result } => write!(formatter, "no endpoint took it: {result}"),
+            Self::AnswerLost { endpoint, broken } => {
+                write!(formatter, "the answer of {endpoint} was lost")?;
+                broken.iter().try_for_each(|what| write!(formatter, " ({what})"))
+            }
+            Self::EndpointFailed => formatter.write_str("the endpoint answered with an error"),
+            Self::TimedOut => formatter.write_str("its time was over"),
+        }
+    }
+}
+
+impl Timeline {
+    /// Why the request ended as it did.
+    pub fn cause(&self) -> Cause {
+        let has = |event: &str| self.lines.iter().any(|line| line.event() == event);
+        if has("caller went away") {
+            return Cause::CallerLeft;
+        }
+        if has("request refused") {
+            return Cause::NotReady;
+        }
+        if let Some(line) = self.last("no route") {
+            let table = text(line, "table");
+            return Cause::NoRoute { table };
+        }
+        let ended = self.last("request ended");
+        match ended.and_then(|line| line.value("outcome")) {
+            Some("failed") => Cause::EndpointFailed,
+            Some("timed-out") => Cause::TimedOut,
+            _ => self.cause_of_attempt(),
+        }
+    }
+
+    fn last(&self, event: &str) -> Option<&LogLine> {
+        self.lines.iter().rfind(|line| line.event() == event)
+    }
+
+    /// The last attempt decides when no answer came.
+    fn cause_of_attempt(&self) -> Cause {
+        let Some(attempt) = self.last("attempt failed") else {
+            if self.last("no endpoint").is_some() {
+                let result = "none is known".to_owned();
+                return Cause::NoEndpoint { result };
+            }
+            return Cause::Unknown;
+        };
+        let endpoint = text(attempt, "endpoint");
+        let at_endpoint = |event: &str| {
+            let mut lines = self.lines.iter();
+            lines.rfind(|line| line.event() == event && line.value("endpoint") == Some(&endpoint))
+        };
+        match attempt.value("result").unwrap_or_default() {
+            "lost" | "silent" => {
+                let broken = at_endpoint("answer lost").map(|line| text(line, "broken"));
+                Cause::AnswerLost { endpoint, broken }
+            }
+            "full" | "rejected" => {
+                let load = at_endpoint("not admitted")
+                    .map(|line| format!("busy {} of {}", text(line, "busy"), text(line, "limit")));
+                Cause::Overload { endpoint, load }
+            }
+            result => Cause::NoEndpoint {
+                result: result.to_owned(),
+            },
+        }
+    }
+}
+
+fn text(line: &LogLine, key: &str) -> String {
+    line.value(key).unwrap_or("?").to_owned()
+}
--- /dev/null
+++ b/crates/bramblewheel/src/explain/line.rs
@@ -0,0 +1,91 @@
+//! One line of a log: key=value pairs.
+
+/// Marks the first pair of a line; what stands before it was put there by whoever gathered the log.
+const FIRST_KEY: &str = "level=";
+
+/// One line of a log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogLine {
+    /// Process that wrote it.
+    pub process: String,
+    pairs: Vec<(String, String)>,
+}
+
+impl LogLine {
+    /// Reads a line; `None` if it is not one of the product's. The process is the word before the
+    /// line's own text, if there is one, and the log's name otherwise.
+    pub fn parse(log: &str, line: &str) -> Option<Self> {
+        let start = line.find(FIRST_KEY)?;
+        let before = line[..start].split_whitespace().last();
+        Some(Self {
+            process: before.unwrap_or(log).to_owned(),
+            pairs: pairs(&line[start..]),
+        })
+    }
+
+    /// Value of a key.
+    pub fn value(&self, key: &str) -> Option<&str> {
+        let pair = self.pairs.iter().find(|(name, _)| name == key);
+        pair.map(|(_, value)| value.as_str())
+    }
+
+    /// What happened.
+    pub fn event(&self) -> &str {
+        self.value("msg").unwrap_or_default()
+    }
+
+    /// When it was written, in milliseconds since the Unix epoch.
+    pub fn at_millis(&self) -> Option<u64> {
+        self.value("at")?.parse().ok()
+    }
+
+    /// Lines that the process says it left out.
+    pub fn left_out(&self) -> u64 {
+        if self.event() != "lines left out" {
+            return 0;
+        }
+        let count = self.value("lines").and_then(|text| text.parse().ok());
+        count.unwrap_or_default()
+    }
+
+    /// The pairs but for the event, its time and the request's id, as they were written.
+    pub fn details(&self) -> String {
+        let shown =
+            |(key, _): &&(String, String)| !matches!(key.as_str(), "level" | "msg" | "at" | "id");
+        let details = self.pairs.iter().filter(shown);
+        let details = details.map(|(key, value)| format!("{key}={value}"));
+        details.collect::<Vec<_>>().join(" ")
+    }
+}
+
+/// Splits a line into pairs; values with blanks stand in quotes.
+fn pairs(text: &str) -> Vec<(String, String)> {
+    let mut pairs = Vec::new();
+    let mut rest = text.trim();
+    while let Some((key, after)) = rest.split_once('=') {
+        let (value, next) = match after.strip_prefix('"') {
+            Some(quoted) => unquote(quoted),
+            None => {
+                let end = after.find(char::is_whitespace).unwrap_or(after.len());
+                (after[..end].to_owned(), &after[end..])
+            }
+        };
+        pairs.push((key.trim().to_owned(), value));
+        rest = next.trim_start();
+    }
+    pairs
+}
+
+/// Reads up to the closing quote; returns the value and what follows.
+fn unquote(text: &str) -> (String, &str) {
+    let mut value = String::new();
+    let mut characters = text.char_indices();
+    while let Some((at, character)) = characters.next() {
+        match character {
+            '"' => return (value, &text[at + 1..]),
+            '\\' => value.extend(characters.next().map(|(_, escaped)| escaped)),
+            other => value.push(other),
+        }
+    }
+    (value, "")
+}
--- a/crates/bramblewheel/src/help.rs
+++ b/crates/bramblewheel/src/help.rs
@@ -3,8 +3,8 @@
 use crate::error::CommandError;
 use crate::options::{
     Arguments, BootstrapGroup, BundleArguments, CheckBundle, ControlArguments, ControlQuery,
-    DiffBundles, FleetArguments, KeysArguments, NewBundle, NewKey, PublishBundle, ReplaceReplica,
-    ReplayTrace, SignBundle,
+    DiffBundles, ExplainRequest, FleetArguments, KeysArguments, NewBundle, NewKey, PublishBundle,
+    ReplaceReplica, ReplayTrace, SignBundle,
 };
 use crate::output;
 use gumdrop::Options;
@@ -198,6 +198,18 @@
             "bramblewheel replay incident.toml --report verdict.txt"
         ]
     ),
+    page!(
+        ExplainRequest,
+        ["explain"],
+        "REQUEST-ID FILE...",
+        "Gather what the logs of several processes say of one request into one timeline, and say\n\
+         why the request ended as it did. Requests that were answered with success are counted in\n\
+         the metrics and have no lines. Lines that processes left out for their rate are counted.",
+        &[
+            "bramblewheel explain 9c41d07be2a35f68 kassa-1.log gateway-1.log",
+            "bramblewheel explain 9c41d07be2a35f68 all-machines.log"
+        ]
+    ),
 ];
 
 impl Page {
--- a/crates/bramblewheel/src/main.rs
+++ b/crates/bramblewheel/src/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod error;
+mod explain;
 mod files;
 mod help;
 mod options;
--- a/crates/bramblewheel/src/options.rs
+++ b/crates/bramblewheel/src/options.rs
@@ -32,6 +32,8 @@
     Control(ControlArguments),
     #[options(help = "replay a recorded trace against its stated outcomes")]
     Replay(ReplayTrace),
+    #[options(help = "show what logs say of one request, and why it ended so")]
+    Explain(ExplainRequest),
 }
 
 /// Arguments of `bundle`.
@@ -323,3 +325,15 @@
     )]
     pub report: Option<PathBuf>,
 }
+
+/// Arguments of `explain`.
+#[derive(Debug, Options)]
+#[options(help = "")]
+pub struct ExplainRequest {
+    #[options(help = "print help")]
+    pub help: bool,
+    #[options(free, required, help = "id of the request")]
+    pub request: String,
+    #[options(free, help = "logs of the processes that it passed")]
+    pub logs: Vec<PathBuf>,
+}
