Let a group grow to the voters that its tolerated losses need; count requests given up as slow

Tests: an_endpoint_that_is_given_up_gets_less_work, a_group_grows_until_it_bears_the_losses_that_it_must.

--- a/crates/bramblewheel-control/src/node/spares.rs
+++ b/crates/bramblewheel-control/src/node/spares.rs
@@ -17,6 +17,9 @@
 /// Silence up to which a voter counts as in contact. Followers answer every heartbeat.
 const CONTACT: Duration = Duration::from_secs(3);
 
+/// Stands for no replica in a replacement that only adds one.
+const NOBODY: u64 = 0;
+
 /// When a silent voter is replaced by a spare.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SparePolicy {
@@ -24,6 +27,8 @@
     pub silence: Duration,
     /// Least time from the begin of any replacement to the next one by a spare.
     pub period: Duration,
+    /// Voters that the group should have: spares are made voters until it has them.
+    pub voters: usize,
 }
 
 /// What a leader knows of spares, and of who is silent.
@@ -103,7 +108,8 @@
         let Some(policy) = self.spares.policy.filter(|_| self.may_begin_replacement()) else {
             return;
         };
-        if let Some(request) = self.reborn_voter() {
+        let urgent = self.reborn_voter().or_else(|| self.growth(policy.voters));
+        if let Some(request) = urgent {
             return self.queue.begin_replacement(request);
         }
         let begun = self.state.replacement_begun_unix_millis();
@@ -152,6 +158,21 @@
         })
     }
 
+    /// One more voter, as long as there are fewer than there should be. It takes nobody's place.
+    fn growth(&self, voters: usize) -> Option<ReplaceRequest> {
+        let membership = self.replica.membership();
+        if membership.voters.len() >= voters {
+            return None;
+        }
+        let is_new = |spare: &&ReplicaAddress| !membership.contains(ReplicaId(spare.replica));
+        let mut spares = self.spares.fresh_offers(self.now.monotonic);
+        let spare = spares.find(is_new)?;
+        Some(ReplaceRequest {
+            lost: NOBODY,
+            replacement: spare.clone(),
+        })
+    }
+
     fn may_begin_replacement(&self) -> bool {
         let is_busy = self.state.replacement().is_some()
             || self.queue.has_replacement()
--- a/crates/bramblewheel-control/src/settings/check.rs
+++ b/crates/bramblewheel-control/src/settings/check.rs
@@ -47,6 +47,13 @@
         if self.spare.offer_interval_ms == 0 {
             return Some(("offer_interval_ms", "must be above zero".to_owned()));
         }
+        if self.spare.voters > 0 && self.spare.voters.is_multiple_of(2) {
+            let reason = format!(
+                "{} is even: one fewer bears as many losses",
+                self.spare.voters
+            );
+            return Some(("voters", reason));
+        }
         let given = self.spare.replace_after_ms;
         if (1..LEAST_SILENCE_MS).contains(&given) {
             let reason = format!("{given} is below {LEAST_SILENCE_MS}, and not 0 for never");
--- a/crates/bramblewheel-control/src/settings/sections.rs
+++ b/crates/bramblewheel-control/src/settings/sections.rs
@@ -105,6 +105,9 @@
     /// up for within seconds, in milliseconds; 0 for never. In place of `replace_after_ms` and
     /// `period_ms`: a machine that only restarts may then lose its vote to the spare.
     pub fast_repair_ms: u64,
+    /// Voters that the group should have: spares are made voters until it has them. It bears the
+    /// loss of fewer than half of them at once. 0 leaves the group as it is.
+    pub voters: usize,
 }
 
 impl Default for SpareSettings {
@@ -116,6 +119,7 @@
             period_ms: 14_400_000,
             offer_interval_ms: 5_000,
             fast_repair_ms: 0,
+            voters: 0,
         }
     }
 }
@@ -127,11 +131,13 @@
             return Some(SparePolicy {
                 silence: Duration::from_millis(self.fast_repair_ms),
                 period: Duration::ZERO,
+                voters: self.voters,
             });
         }
         let policy = SparePolicy {
             silence: Duration::from_millis(self.replace_after_ms),
             period: Duration::from_millis(self.period_ms),
+            voters: self.voters,
         };
         (self.replace_after_ms > 0).then_some(policy)
     }
--- a/crates/bramblewheel-control/tests/routing.rs
+++ b/crates/bramblewheel-control/tests/routing.rs
@@ -21,6 +21,7 @@
 const FAST: SparePolicy = SparePolicy {
     silence: Duration::from_secs(2),
     period: Duration::ZERO,
+    voters: 3,
 };
 
 /// Three founders and `spares` machines that offer themselves.
@@ -376,3 +377,31 @@
     let state = register(&mut cluster, endpoint("e-1", EndpointState::Ready, 2));
     assert_eq!(state, EndpointState::Ready);
 }
+
+/// Three founders, five machines, and the loss of two to be borne.
+#[test]
+fn a_group_grows_until_it_bears_the_losses_that_it_must() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::founded(3, 5, 400 + seed, MANY);
+        let grown = SparePolicy { voters: 5, ..FAST };
+        cluster.set_spares(grown, vec![3, 4]);
+        accepted(&mut cluster, &replace(0, 3, "first"));
+        cluster.run(Duration::from_secs(12));
+        let leader = cluster.settle();
+        let membership = cluster.node(leader).replica().membership().clone();
+        assert_eq!(
+            (membership.voters.len(), membership.learners.len()),
+            (5, 0),
+            "seed {seed}"
+        );
+        accepted(&mut cluster, &replace(3, 4, "second"));
+        cluster.crash(leader);
+        cluster.restart_wiped((leader + 1) % 5);
+        assert_eq!(
+            in_force(&mut cluster),
+            Some(table(4, "second")),
+            "seed {seed}"
+        );
+        accepted(&mut cluster, &replace(4, 5, "third"));
+    }
+}
--- a/crates/bramblewheel-control/tests/spares.rs
+++ b/crates/bramblewheel-control/tests/spares.rs
@@ -13,6 +13,7 @@
 const POLICY: SparePolicy = SparePolicy {
     silence: Duration::from_secs(20),
     period: Duration::from_secs(120),
+    voters: 0,
 };
 
 /// A group of three with spares, all machines with the policy.
--- a/crates/bramblewheel-process/tests/logging.rs
+++ b/crates/bramblewheel-process/tests/logging.rs
@@ -14,7 +14,10 @@
 
 impl Write for Kept {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().expect("not poisoned").extend_from_slice(bytes);
+        self.0
+            .lock()
+            .expect("not poisoned")
+            .extend_from_slice(bytes);
         Ok(bytes.len())
     }
 
@@ -59,10 +62,16 @@
     slog::info!(log, "after");
     drop(log);
     let text = String::from_utf8(kept.0.lock().expect("not poisoned").clone()).expect("text");
-    let written = text.lines().filter(|line| line.contains("msg=flood")).count();
+    let written = text
+        .lines()
+        .filter(|line| line.contains("msg=flood"))
+        .count();
     assert!(written >= 100 && written < FLOOD / 20, "{written} lines");
     assert!(text.contains("lines left out"), "{text}");
-    assert!(text.lines().all(|line| line.contains(" at=")), "each line has its time");
+    assert!(
+        text.lines().all(|line| line.contains(" at=")),
+        "each line has its time"
+    );
 }
 
 #[test]
@@ -74,7 +83,12 @@
     }
     drop(log);
     let text = String::from_utf8(kept.0.lock().expect("not poisoned").clone()).expect("text");
-    assert_eq!(text.lines().filter(|line| line.contains("important")).count(), 40);
+    assert_eq!(
+        text.lines()
+            .filter(|line| line.contains("important"))
+            .count(),
+        40
+    );
 }
 
 /// If logging waited for the reader, this would never end.
--- a/crates/bramblewheel-proxy/src/decide/directory.rs
+++ b/crates/bramblewheel-proxy/src/decide/directory.rs
@@ -15,7 +15,7 @@
 /// How much slower an endpoint is taken to be while it is cold.
 const COLD_FACTOR: f64 = 2.0;
 /// Weight of the newest measurement in the moving averages.
-const SMOOTHING: f64 = 0.15;
+const SMOOTHING: f64 = 0.2;
 /// Bounds of the slowness that one answer can show.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.3, 8.0);
 /// Age up to which a load report of an endpoint's daemon is used.
@@ -55,8 +55,9 @@
     Unreachable,
     /// The answer was lost.
     Lost,
-    /// Given up here: says nothing.
-    GivenUp,
+    /// Given up here after this time, at the end of the request's time or because its caller went
+    /// away: the answer would have taken longer.
+    GivenUp(Duration),
 }
 
 /// Load that an endpoint's daemon reported with an answer.
@@ -210,6 +211,7 @@
     ) {
         let relative = match end {
             SendEnd::Answered(time) => Some(self.relative_time(route, time)),
+            SendEnd::GivenUp(time) => self.least_relative_time(route, time),
             _ => None,
         };
         let Some(known) = self.endpoints.get_mut(endpoint) else {
@@ -234,10 +236,22 @@
                 }
             }
             SendEnd::Leaving => known.ejected_until = now + REFUSAL_PAUSE,
-            SendEnd::Full | SendEnd::GivenUp => {}
+            SendEnd::GivenUp(_) => {
+                let relative = relative.unwrap_or(known.slowness);
+                known.slowness += SMOOTHING * (relative - known.slowness);
+            }
+            SendEnd::Full => {}
         }
     }
 
+    /// What a send without an answer says of the endpoint's time: nothing, unless it was longer than
+    /// the mean of the route.
+    fn least_relative_time(&self, route: &str, time: Duration) -> Option<f64> {
+        let mean = self.route_means.get(route)?;
+        let relative = time.as_secs_f64() / mean;
+        (relative > 1.0).then(|| relative.min(SLOWNESS_BOUNDS.1))
+    }
+
     /// An answer's time relative to the mean of its route.
     fn relative_time(&mut self, route: &str, time: Duration) -> f64 {
         let seconds = time.as_secs_f64().max(0.000_1);
--- a/crates/bramblewheel-proxy/src/decide/route_limit.rs
+++ b/crates/bramblewheel-proxy/src/decide/route_limit.rs
@@ -29,8 +29,9 @@
 const USUAL_DRIFT: f64 = 0.001;
 /// Part of the limit that must be in use for it to grow.
 const IN_USE: f64 = 0.8;
-/// Least limit, as a part of what the endpoint holds.
-const LEAST_PART: f64 = 0.02;
+/// Least limit, as a part of what the endpoint holds: a quarter of its slots. Where the time does not
+/// come from load, such as from a slow endpoint deep down, refusing more does not help.
+const LEAST_PART: f64 = 0.05;
 
 /// An answer of an endpoint, as far as it tells of load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/bramblewheel-proxy/src/http/server.rs
+++ b/crates/bramblewheel-proxy/src/http/server.rs
@@ -22,7 +22,7 @@
 /// Bytes read ahead on a connection, which is also the longest head.
 const READ_AHEAD: usize = 64 * 1024;
 /// Connections of one listener; beyond it they wait to be accepted.
-const MAX_CONNECTIONS: usize = 3_000;
+const MAX_CONNECTIONS: usize = 1_800;
 /// Wait after a failed accept, such as when no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -79,6 +79,7 @@
     shared: &'a Shared,
     endpoint: &'a EndpointId,
     route: &'a str,
+    begun: Instant,
     is_over: bool,
 }
 
@@ -88,7 +89,8 @@
             let now = self.shared.clock.now();
             let mut routing = self.shared.routing();
             let directory = &mut routing.directory;
-            directory.record_end(now, self.endpoint, self.route, SendEnd::GivenUp, None);
+            let end = SendEnd::GivenUp(self.begun.elapsed());
+            directory.record_end(now, self.endpoint, self.route, end, None);
         }
     }
 }
@@ -241,6 +243,7 @@
             shared: self.shared,
             endpoint: &choice.endpoint,
             route: &route.name,
+            begun,
             is_over: false,
         };
         let already = self.may_have_run.swap(true, Ordering::Relaxed);
--- a/crates/bramblewheel-proxy/tests/decide.rs
+++ b/crates/bramblewheel-proxy/tests/decide.rs
@@ -177,7 +177,13 @@
         let choice = directory
             .choose(now, &kassa, &[], &mut random)
             .expect("one");
-        directory.record_end(now, &choice.endpoint, "r", SendEnd::GivenUp, None);
+        directory.record_end(
+            now,
+            &choice.endpoint,
+            "r",
+            SendEnd::GivenUp(Duration::ZERO),
+            None,
+        );
         choice.endpoint.to_string()
     };
     let near = EndpointId::new("near").expect("a name");
@@ -387,3 +393,27 @@
     let mut small = RouteLimit::new(Timestamp::ZERO, 1);
     assert!(small.begin(false) && !small.begin(false) && small.begin(true));
 }
+
+/// An endpoint whose answers never come in time is slow, though it never answers.
+#[test]
+fn an_endpoint_that_is_given_up_gets_less_work() {
+    let mut directory = directory(&[("stuck", "north"), ("usual", "north")]);
+    let mut random = Pcg64Mcg::seed_from_u64(2);
+    let kassa = service("kassa");
+    let mut stuck = 0;
+    for step in 0..200 {
+        let now = Timestamp::from_millis(step * 10);
+        let choice = directory
+            .choose(now, &kassa, &[], &mut random)
+            .expect("one");
+        let is_stuck = choice.endpoint.as_str() == "stuck";
+        let end = if is_stuck {
+            SendEnd::GivenUp(Duration::from_secs(1))
+        } else {
+            SendEnd::Answered(Duration::from_millis(100))
+        };
+        directory.record_end(now, &choice.endpoint, "r", end, None);
+        stuck += u32::from(is_stuck);
+    }
+    assert!(stuck < 20, "{stuck} of 200");
+}
