--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -9,6 +9,7 @@
 use crate::http::server::Handler;
 use crate::inbound::dispatch::text;
 use crate::shared::Shared;
+use bramblewheel_types::Timestamp;
 use bytes::Bytes;
 use call::{Call, Final};
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
@@ -23,9 +24,13 @@
 /// Times after which a refused caller may come back; drawn anew for each, so that they don't all
 /// come back together.
 const RETRY_AFTER_MILLIS: std::ops::Range<u32> = 150..500;
-/// The same while no configuration is known yet: about the time that a group takes to elect a leader
-/// after all of it has lost power. A caller that comes back too soon may have no try left.
-const NOT_READY_RETRY_MILLIS: std::ops::Range<u32> = 900..1_500;
+/// Time from a daemon's start until it mostly knows the configuration when all machines start at
+/// once: the control group must elect a leader first.
+const USUAL_START: Duration = Duration::from_millis(900);
+/// Times after that, or from now if it has passed, after which callers may come back while no
+/// configuration is known yet. One that comes back too soon may have no try left; one that comes back
+/// late is late.
+const NOT_READY_RETRY_MILLIS: std::ops::Range<u32> = 80..350;
 
 /// Serves the listener for callers on this machine.
 #[derive(Debug)]
@@ -49,7 +54,9 @@
         let Some(router) = self.shared.router.load_full() else {
             slog::info!(self.shared.log, "request refused"; "id" => text(&id),
                 "reason" => "no configuration is known yet");
-            return self.refusal(NOT_READY_RETRY_MILLIS);
+            let since_start = self.shared.clock.now().since(Timestamp::ZERO);
+            let until_ready = USUAL_START.saturating_sub(since_start);
+            return self.refusal(until_ready, NOT_READY_RETRY_MILLIS);
         };
         let host = host_of(&head);
         let Some(route) = router.find(&host, head.uri.path()) else {
@@ -77,16 +84,17 @@
     fn render(&self, ended: Final) -> Response<AnswerBody> {
         match ended {
             Final::Answered(answer) => attempt::render(*answer),
-            Final::NotRun => self.refusal(RETRY_AFTER_MILLIS),
+            Final::NotRun => self.refusal(Duration::ZERO, RETRY_AFTER_MILLIS),
             Final::Unknown => empty(StatusCode::BAD_GATEWAY),
             Final::TimedOut => empty(StatusCode::GATEWAY_TIMEOUT),
         }
     }
 
-    /// The request has not run and never will; the caller may come back.
-    fn refusal(&self, after: std::ops::Range<u32>) -> Response<AnswerBody> {
-        let millis = self.shared.routing().random.random_range(after);
-        let seconds = Duration::from_millis(u64::from(millis)).as_secs_f64();
+    /// The request has not run and never will; the caller may come back after `least` and a time
+    /// drawn from `spread`.
+    fn refusal(&self, least: Duration, spread: std::ops::Range<u32>) -> Response<AnswerBody> {
+        let millis = self.shared.routing().random.random_range(spread);
+        let seconds = (least + Duration::from_millis(u64::from(millis))).as_secs_f64();
         let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
         let value = HeaderValue::try_from(format!("{seconds:.3}"))
             .expect("numbers consist of visible ASCII");
