--- a/crates/bramblewheel-proxy/tests/decide.rs
+++ b/crates/bramblewheel-proxy/tests/decide.rs
@@ -417,3 +417,32 @@
     }
     assert!(stuck < 20, "{stuck} of 200");
 }
+
+/// A short slow-down at little load, such as while endpoints deep down start anew, refuses nothing.
+#[test]
+fn a_short_slow_down_at_little_load_refuses_nothing() {
+    let objective = Duration::from_millis(1_000);
+    let mut limit = RouteLimit::new(Timestamp::ZERO, 200);
+    let mut now = Timestamp::ZERO;
+    for window in 0..13 {
+        let millis = if window < 10 { 250 } else { 700 };
+        for _ in 0..12 {
+            let running = (0..6).filter(|_| limit.begin(false)).count();
+            assert_eq!(
+                running,
+                6,
+                "refused in window {window} at {}",
+                limit.limit()
+            );
+            for _ in 0..running {
+                now += Duration::from_millis(3);
+                let time = Duration::from_millis(millis);
+                let answered = Answered {
+                    time,
+                    has_failed: false,
+                };
+                limit.end(now, Some(answered), objective);
+            }
+        }
+    }
+}
