--- a/crates/bramblewheel-proxy/src/decide/route_limit.rs
+++ b/crates/bramblewheel-proxy/src/decide/route_limit.rs
@@ -23,9 +23,6 @@
 const FAILED_PART: f64 = 0.15;
 /// What the limit falls to in one step.
 const DECREASE: f64 = 0.85;
-/// What the first decrease starts from, as a multiple of what is in use: a short slow-down at little
-/// load has passed before the limit is reached.
-const FIRST_ROOM: f64 = 2.0;
 /// What the limit grows by in one step, as a part of it.
 const INCREASE: f64 = 0.08;
 /// What the usual time grows by in each look that was slower.
@@ -122,7 +119,7 @@
         let bound = (objective.as_secs_f64() * BUSY_PART).max(usual * BUSY_MULTIPLE);
         let in_use = f64::from(self.most_running);
         if has_failed || mean > bound {
-            let from = self.limit.min(in_use * FIRST_ROOM);
+            let from = self.limit.min(in_use);
             self.limit = (from * DECREASE).max(self.least);
         } else if in_use >= self.limit * IN_USE {
             let step = (self.limit * INCREASE).max(1.0);
