--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -29,7 +29,7 @@
 use tokio::time::Instant;
 
 /// How long an idle connection to another daemon is kept.
-const KEEP_DAEMON_CONNECTION: Duration = Duration::from_secs(30);
+const KEEP_DAEMON_CONNECTION: Duration = Duration::from_secs(4);
 /// How long an idle connection to the endpoint is kept, unless it says that it closes it sooner.
 const KEEP_ENDPOINT_CONNECTION: Duration = Duration::from_secs(7);
 /// Time between two looks for connections that were idle for long.
