--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -6,7 +6,7 @@
 use crate::decide::directory::Directory;
 use crate::decide::retry_budget::RetryBudget;
 use crate::http::pool::Pools;
-use crate::http::server::{bind, serve};
+use crate::http::server::{IdleLimit, bind, serve};
 use crate::inbound::Inbound;
 use crate::local::LocalEndpoint;
 use crate::metrics::Metrics;
@@ -30,6 +30,10 @@
 
 /// How long an idle connection to another daemon is kept.
 const KEEP_DAEMON_CONNECTION: Duration = Duration::from_secs(4);
+/// Rest after which a connection of another daemon is closed: longer than the other keeps it.
+const DAEMON_CONNECTION_REST: Duration = Duration::from_secs(8);
+/// Rest after which a caller's connection is closed while no route table says so.
+const USUAL_CALLER_REST: Duration = Duration::from_secs(60);
 /// How long an idle connection to the endpoint is kept, unless it says that it closes it sooner.
 const KEEP_ENDPOINT_CONNECTION: Duration = Duration::from_secs(7);
 /// Time between two looks for connections that were idle for long.
@@ -124,9 +128,17 @@
         let stop = watch::Sender::new(false);
         let mut servers = JoinSet::new();
         let handler = Arc::new(Outbound::new(Arc::clone(&shared)));
-        servers.spawn(serve(outbound, handler, stop.subscribe(), log.clone()));
+        let idle = caller_idle(Arc::clone(&shared));
+        servers.spawn(serve(
+            outbound,
+            handler,
+            idle,
+            stop.subscribe(),
+            log.clone(),
+        ));
         let handler = Arc::new(Inbound::new(Arc::clone(&shared)));
-        servers.spawn(serve(inbound, handler, stop.subscribe(), log.clone()));
+        let idle: IdleLimit = Arc::new(|| DAEMON_CONNECTION_REST);
+        servers.spawn(serve(inbound, handler, idle, stop.subscribe(), log.clone()));
         slog::info!(log, "daemon started"; "name" => %shared.settings.name,
             "incarnation" => incarnation);
         Ok(Self {
@@ -187,6 +199,15 @@
     })
 }
 
+/// Callers' connections may rest for as long as the route table in force says.
+fn caller_idle(shared: Arc<Shared>) -> IdleLimit {
+    Arc::new(move || {
+        let router = shared.router.load();
+        let stated = router.as_ref().and_then(|router| router.caller_rest());
+        stated.unwrap_or(USUAL_CALLER_REST)
+    })
+}
+
 async fn close_stale(shared: Arc<Shared>) {
     let mut ticks = tokio::time::interval(POOL_CHECK_PERIOD);
     loop {
--- a/crates/bramblewheel-proxy/src/decide/table.rs
+++ b/crates/bramblewheel-proxy/src/decide/table.rs
@@ -23,6 +23,8 @@
     pub routes: Vec<Route>,
     /// Services that routes may name.
     pub services: BTreeMap<ServiceName, ServiceTerms>,
+    /// How long a caller's connection may rest between two requests, if stated.
+    pub caller_rest: Option<Duration>,
 }
 
 /// Terms of a service.
@@ -161,6 +163,7 @@
     version: TableVersion,
     by_host: HashMap<String, HashMap<String, Arc<ActiveRoute>>>,
     services: BTreeMap<ServiceName, ServiceTerms>,
+    caller_rest: Option<Duration>,
 }
 
 /// A route in force, with what the choice among its targets needs.
@@ -195,9 +198,15 @@
             version: table.version,
             by_host,
             services: table.services,
+            caller_rest: table.caller_rest,
         }
     }
 
+    /// How long a caller's connection may rest between two requests, if stated.
+    pub fn caller_rest(&self) -> Option<Duration> {
+        self.caller_rest
+    }
+
     /// Version of the table.
     pub fn version(&self) -> TableVersion {
         self.version
--- a/crates/bramblewheel-proxy/src/http/server.rs
+++ b/crates/bramblewheel-proxy/src/http/server.rs
@@ -10,19 +10,22 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
-/// Time for the head of a request to arrive, which includes the rest between two requests: longer
-/// than what any caller is told.
+/// Time for the head of a request to arrive; also the longest rest between two requests.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(120);
 /// Bytes read ahead on a connection, which is also the longest head.
 const READ_AHEAD: usize = 64 * 1024;
 /// Connections of one listener; beyond it they wait to be accepted.
 const MAX_CONNECTIONS: usize = 1_800;
+/// Least time between two looks whether a connection rests.
+const LEAST_LOOK: Duration = Duration::from_millis(500);
 /// Wait after a failed accept, such as when no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -35,6 +38,55 @@
     ) -> impl Future<Output = Response<AnswerBody>> + Send;
 }
 
+/// How long a connection may rest between two requests, as it is at the moment of asking: it may
+/// change while connections are open.
+pub type IdleLimit = Arc<dyn Fn() -> Duration + Send + Sync>;
+
+/// What a connection did last.
+#[derive(Debug)]
+struct Activity {
+    /// Requests in progress: none or one.
+    running: AtomicUsize,
+    /// When the last one ended, or the connection was opened.
+    rests_since: Mutex<Instant>,
+}
+
+impl Activity {
+    fn begin() -> Self {
+        Self {
+            running: AtomicUsize::new(0),
+            rests_since: Mutex::new(Instant::now()),
+        }
+    }
+
+    fn request_begins(&self) {
+        self.running.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn request_ends(&self) {
+        self.running.fetch_sub(1, Ordering::Relaxed);
+        *self.rests_since() = Instant::now();
+    }
+
+    fn rests_since(&self) -> MutexGuard<'_, Instant> {
+        self.rests_since
+            .lock()
+            .expect("a panic under the lock ends the process, so the lock is never poisoned")
+    }
+
+    /// Ends once the connection has rested for longer than the limit that holds then.
+    async fn until_rested(&self, limit: &IdleLimit) {
+        loop {
+            let until = *self.rests_since() + limit();
+            let is_resting = self.running.load(Ordering::Relaxed) == 0;
+            if is_resting && until <= Instant::now() {
+                return;
+            }
+            tokio::time::sleep_until(until.max(Instant::now() + LEAST_LOOK)).await;
+        }
+    }
+}
+
 /// Opens a listener.
 ///
 /// # Errors
@@ -47,6 +99,7 @@
 pub async fn serve<H: Handler>(
     listener: TcpListener,
     handler: Arc<H>,
+    idle: IdleLimit,
     mut stop: watch::Receiver<bool>,
     log: Logger,
 ) {
@@ -62,7 +115,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = serve_connection(stream, Arc::clone(&handler), stop.clone());
+                let connection = serve_connection(
+                    stream,
+                    Arc::clone(&handler),
+                    Arc::clone(&idle),
+                    stop.clone(),
+                );
                 connections.spawn(async move {
                     connection.await;
                     drop(permit);
@@ -87,14 +145,22 @@
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
     handler: Arc<H>,
+    idle: IdleLimit,
     mut stop: watch::Receiver<bool>,
 ) {
     // Without it a short answer may wait for the other side's delayed acknowledgement.
     // No time-out of unacknowledged bytes: a caller may read slowly.
     let _ = stream.set_nodelay(true);
+    let activity = Arc::new(Activity::begin());
+    let served = Arc::clone(&activity);
     let service = hyper::service::service_fn(move |request| {
-        let handler = Arc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        let (handler, activity) = (Arc::clone(&handler), Arc::clone(&served));
+        async move {
+            activity.request_begins();
+            let response = handler.handle(request).await;
+            activity.request_ends();
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -109,5 +175,9 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        () = activity.until_rested(&idle) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
     };
 }
--- a/crates/bramblewheel-proxy/tests/decide.rs
+++ b/crates/bramblewheel-proxy/tests/decide.rs
@@ -44,6 +44,7 @@
         version: TableVersion(1),
         routes,
         services: ["kassa", "pris"].map(|name| (service(name), terms)).into(),
+        caller_rest: None,
     }
 }
 
--- a/crates/bramblewheel-proxy/tests/requests.rs
+++ b/crates/bramblewheel-proxy/tests/requests.rs
@@ -9,6 +9,8 @@
 use http::StatusCode;
 use support::endpoint::Act;
 use support::{Mesh, eventually};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 
 fn arrivals(mesh: &Mesh) -> usize {
     let endpoints = mesh.endpoints.iter();
@@ -297,3 +299,17 @@
         assert_eq!(answer.status, StatusCode::OK, "{number}");
     }
 }
+
+/// A caller's connection that rests for longer than the table allows is closed, one in use is not.
+#[tokio::test]
+async fn connections_that_rest_too_long_are_closed() {
+    let mesh = Mesh::start(1).await;
+    let address = mesh.daemons[0].shared().settings.outbound;
+    let mut resting = TcpStream::connect(address).await.expect("it listens");
+    mesh.endpoints[0].script(&[Act::Hang]);
+    let answer = mesh.call(0, "/safe/item", "r-1").await.expect("an answer");
+    // The request took longer than a connection may rest.
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    let closed = tokio::time::timeout(support::PATIENCE, resting.read(&mut [0])).await;
+    assert_eq!(closed.expect("closed").ok(), Some(0));
+}
--- a/crates/bramblewheel-proxy/tests/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/support/mod.rs
@@ -31,6 +31,8 @@
 
 /// Longest wait for anything that must come to pass.
 pub const PATIENCE: Duration = Duration::from_secs(20);
+/// How long callers' connections may rest.
+pub const CALLER_REST: Duration = Duration::from_secs(1);
 pub const HOST: &str = "shop.example";
 
 /// A control replica, daemons and the endpoints beside them.
@@ -244,6 +246,7 @@
         version: TableVersion(version.expect("a number")),
         routes: vec![route("safe", true), route("once", false)],
         services: [(kassa.clone(), terms)].into(),
+        caller_rest: Some(CALLER_REST),
     }
 }
 
