--- a/crates/bramblewheel-process/tests/logging.rs
+++ b/crates/bramblewheel-process/tests/logging.rs
@@ -66,7 +66,7 @@
         .lines()
         .filter(|line| line.contains("msg=flood"))
         .count();
-    assert!(written >= 100 && written < FLOOD / 20, "{written} lines");
+    assert!((100..FLOOD / 20).contains(&written), "{written} lines");
     assert!(text.contains("lines left out"), "{text}");
     assert!(
         text.lines().all(|line| line.contains(" at=")),
--- a/crates/bramblewheel-proxy/src/local.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -3,23 +3,23 @@
 //! All requests for an endpoint pass through the daemon beside it, so that this is the one place
 //! where its leaving, its identity and its limit are enforced.
 
-use crate::decide::admission::{Admission, AdmissionQueue, Arrival, Place, Ticket};
+mod permit;
+mod state;
+
+pub use permit::Permit;
+
+use crate::decide::admission::Arrival;
 use crate::decide::directory::LoadReport;
-use crate::decide::route_limit::{Answered, RouteLimit};
 use crate::wire::Handover;
+use bramblewheel_process::clock::Clock;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, Timestamp};
-use std::collections::HashMap;
-use std::net::SocketAddr;
+use permit::{RouteShare, Waiting};
+use state::{Current, State};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// Starts of endpoints whose last word is remembered.
-const MAX_REMEMBERED: usize = 256;
-/// Routes whose times are known.
-const MAX_ROUTES: usize = 512;
 /// Rank that is not limited by its time: whatever else is there is shed first.
 const MOST_IMPORTANT: u32 = 0;
 /// Pause after the endpoint could not be reached, in which it is not tried again.
@@ -47,158 +47,12 @@
     Late,
 }
 
-#[derive(Debug)]
-struct Current {
-    record: EndpointRecord,
-    /// Whether the control group has confirmed that the endpoint takes work.
-    is_confirmed: bool,
-    last_word: Option<Timestamp>,
-    unreachable_until: Timestamp,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    current: Option<Current>,
-    queue: AdmissionQueue,
-    route_limits: HashMap<u64, RouteLimit>,
-    waiting: HashMap<Ticket, oneshot::Sender<bool>>,
-    /// Last word of each start, so that a late one does not bring it back.
-    last_words: HashMap<EndpointId, u64>,
-    /// Starts that take no work any more.
-    final_states: HashMap<EndpointId, EndpointState>,
-    is_stopping: bool,
-}
-
 /// The endpoint beside the daemon.
 #[derive(Debug, Default)]
 pub struct LocalEndpoint {
     state: Mutex<State>,
 }
 
-/// A place at the endpoint; given back when dropped.
-#[derive(Debug)]
-pub struct Permit {
-    local: Arc<LocalEndpoint>,
-    clock: bramblewheel_process::clock::Clock,
-    route: RouteShare,
-    begun: Timestamp,
-    answered: Option<Answered>,
-    /// Where the endpoint listens.
-    pub address: SocketAddr,
-}
-
-/// A place among the requests of one route.
-#[derive(Clone, Copy, Debug)]
-struct RouteShare {
-    route: u64,
-    objective: Duration,
-    is_limited: bool,
-}
-
-impl Permit {
-    /// The endpoint's answer has come.
-    pub fn answered(&mut self, has_failed: bool) {
-        let time = self.clock.now().since(self.begun);
-        self.answered = Some(Answered { time, has_failed });
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let now = self.clock.now();
-        let mut state = self.local.lock();
-        state.end_route(now, self.route, self.answered);
-        let started = state.queue.finish(now);
-        state.start(started);
-    }
-}
-
-/// A request that waits for a place; leaves the queue when dropped.
-struct Waiting<'a> {
-    local: &'a LocalEndpoint,
-    clock: bramblewheel_process::clock::Clock,
-    route: RouteShare,
-    place: Place,
-    is_over: bool,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        if self.is_over {
-            return;
-        }
-        let now = self.clock.now();
-        let mut state = self.local.lock();
-        state.end_route(now, self.route, None);
-        let has_waited = state.queue.leave(&self.place);
-        let was_told = state.waiting.remove(&self.place.ticket).is_none();
-        // A place that was given at the last moment is given back.
-        if !has_waited && was_told {
-            let started = state.queue.finish(now);
-            state.start(started);
-        }
-    }
-}
-
-impl State {
-    /// Takes a request in among those of its route.
-    fn begin_route(&mut self, now: Timestamp, share: RouteShare) -> bool {
-        let capacity = self.queue.held();
-        let limits = &mut self.route_limits;
-        if limits.len() >= MAX_ROUTES {
-            limits.clear();
-        }
-        let limit = limits.entry(share.route);
-        let limit = limit.or_insert_with(|| RouteLimit::new(now, capacity));
-        limit.begin(!share.is_limited)
-    }
-
-    fn end_route(&mut self, now: Timestamp, share: RouteShare, answered: Option<Answered>) {
-        if let Some(limit) = self.route_limits.get_mut(&share.route) {
-            limit.end(now, answered, share.objective);
-        }
-    }
-
-    fn start(&mut self, tickets: Vec<Ticket>) {
-        self.tell(tickets, true);
-    }
-
-    fn tell(&mut self, tickets: Vec<Ticket>, may_run: bool) {
-        for ticket in tickets {
-            if let Some(waiting) = self.waiting.remove(&ticket) {
-                // One that went away gives its place back by itself.
-                let _ = waiting.send(may_run);
-            }
-        }
-    }
-
-    fn refuse_waiting(&mut self) {
-        let waiting = self.queue.refuse_all();
-        self.tell(waiting, false);
-    }
-
-    fn refusal(&self, endpoint: &EndpointId, now: Timestamp) -> Option<Refusal> {
-        if self.is_stopping {
-            return Some(Refusal::Leaving);
-        }
-        let Some(current) = &self.current else {
-            return Some(Refusal::Leaving);
-        };
-        let takes_work = current.is_confirmed && current.record.state == EndpointState::Ready;
-        if current.record.endpoint != *endpoint || !takes_work {
-            return Some(Refusal::Leaving);
-        }
-        (now < current.unreachable_until).then_some(Refusal::Unreachable)
-    }
-
-    fn remember(&mut self, endpoint: &EndpointId, sequence: u64) {
-        if self.last_words.len() >= MAX_REMEMBERED {
-            self.last_words.clear();
-        }
-        self.last_words.insert(endpoint.clone(), sequence);
-    }
-}
-
 impl LocalEndpoint {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state
@@ -348,7 +202,7 @@
     /// [`Refusal`]; the endpoint got nothing.
     pub async fn admit(
         self: &Arc<Self>,
-        clock: bramblewheel_process::clock::Clock,
+        clock: Clock,
         handover: &Handover,
         until: Instant,
     ) -> Result<Permit, Refusal> {
@@ -412,80 +266,3 @@
         }
     }
 }
-
-impl State {
-    /// Takes a request in; one that must wait gets its ticket.
-    fn enter(
-        &mut self,
-        arrival: Arrival,
-    ) -> Result<Option<(Place, oneshot::Receiver<bool>)>, Refusal> {
-        let place = match self.queue.arrive(arrival) {
-            Admission::Run => return Ok(None),
-            Admission::Refuse => return Err(Refusal::Full),
-            Admission::Wait(place) => place,
-            Admission::WaitInsteadOf(place, displaced) => {
-                self.tell(vec![displaced], false);
-                place
-            }
-        };
-        let (tell, told) = oneshot::channel();
-        self.waiting.insert(place.ticket, tell);
-        Ok(Some((place, told)))
-    }
-
-    /// The endpoint says that it leaves or has left.
-    fn hear_end(&mut self, record: EndpointRecord) -> Heard {
-        let wanted = record.state;
-        let recorded = self.final_states.get(&record.endpoint);
-        if recorded.is_some_and(|recorded| *recorded >= wanted) {
-            return Heard::Known;
-        }
-        if let Some(current) = &mut self.current
-            && current.record.endpoint == record.endpoint
-        {
-            current.record.state = wanted;
-            self.refuse_waiting();
-        }
-        Heard::News
-    }
-
-    fn hear_ready(&mut self, now: Timestamp, record: EndpointRecord) -> Heard {
-        if let Some(current) = &mut self.current
-            && current.record.endpoint == record.endpoint
-        {
-            current.last_word = Some(now);
-            if current.record.state != EndpointState::Ready {
-                return Heard::Late;
-            }
-            let is_same = current.record.slots == record.slots
-                && current.record.endpoint_address == record.endpoint_address;
-            let is_known = is_same && current.is_confirmed;
-            let slots = record.slots;
-            current.record = record;
-            self.queue.set_slots(slots);
-            return if is_known { Heard::Known } else { Heard::News };
-        }
-        self.refuse_waiting();
-        self.queue.set_slots(record.slots);
-        self.current = Some(Current {
-            record,
-            is_confirmed: false,
-            last_word: Some(now),
-            unreachable_until: Timestamp::ZERO,
-        });
-        Heard::News
-    }
-
-    fn close(&mut self, endpoint: &EndpointId, recorded: EndpointState) {
-        if self.final_states.len() >= MAX_REMEMBERED {
-            self.final_states.clear();
-        }
-        self.final_states.insert(endpoint.clone(), recorded);
-        if let Some(current) = &mut self.current
-            && current.record.endpoint == *endpoint
-        {
-            current.record.state = recorded;
-            self.refuse_waiting();
-        }
-    }
-}
--- /dev/null
+++ b/crates/bramblewheel-proxy/src/local/state.rs
@@ -0,0 +1,180 @@
+//! What is known of the local endpoint, and who waits for it.
+
+use super::permit::RouteShare;
+use super::{Heard, Refusal};
+use crate::decide::admission::{Admission, AdmissionQueue, Arrival, Place, Ticket};
+use crate::decide::route_limit::{Answered, RouteLimit};
+use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
+use bramblewheel_types::{EndpointId, Timestamp};
+use std::collections::HashMap;
+use tokio::sync::oneshot;
+
+/// Starts of endpoints whose last word is remembered.
+const MAX_REMEMBERED: usize = 256;
+/// Routes whose times are known.
+const MAX_ROUTES: usize = 512;
+
+/// The endpoint that was heard last.
+#[derive(Debug)]
+pub(super) struct Current {
+    pub(super) record: EndpointRecord,
+    /// Whether the control group has confirmed that the endpoint takes work.
+    pub(super) is_confirmed: bool,
+    pub(super) last_word: Option<Timestamp>,
+    pub(super) unreachable_until: Timestamp,
+}
+
+/// What is known of the endpoint.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    pub(super) current: Option<Current>,
+    pub(super) queue: AdmissionQueue,
+    pub(super) route_limits: HashMap<u64, RouteLimit>,
+    pub(super) waiting: HashMap<Ticket, oneshot::Sender<bool>>,
+    /// Last word of each start, so that a late one does not bring it back.
+    pub(super) last_words: HashMap<EndpointId, u64>,
+    /// Starts that take no work any more.
+    pub(super) final_states: HashMap<EndpointId, EndpointState>,
+    pub(super) is_stopping: bool,
+}
+
+impl State {
+    /// Takes a request in among those of its route.
+    pub(super) fn begin_route(&mut self, now: Timestamp, share: RouteShare) -> bool {
+        let capacity = self.queue.held();
+        let limits = &mut self.route_limits;
+        if limits.len() >= MAX_ROUTES {
+            limits.clear();
+        }
+        let limit = limits.entry(share.route);
+        let limit = limit.or_insert_with(|| RouteLimit::new(now, capacity));
+        limit.begin(!share.is_limited)
+    }
+
+    pub(super) fn end_route(
+        &mut self,
+        now: Timestamp,
+        share: RouteShare,
+        answered: Option<Answered>,
+    ) {
+        if let Some(limit) = self.route_limits.get_mut(&share.route) {
+            limit.end(now, answered, share.objective);
+        }
+    }
+
+    pub(super) fn start(&mut self, tickets: Vec<Ticket>) {
+        self.tell(tickets, true);
+    }
+
+    pub(super) fn tell(&mut self, tickets: Vec<Ticket>, may_run: bool) {
+        for ticket in tickets {
+            if let Some(waiting) = self.waiting.remove(&ticket) {
+                // One that went away gives its place back by itself.
+                let _ = waiting.send(may_run);
+            }
+        }
+    }
+
+    pub(super) fn refuse_waiting(&mut self) {
+        let waiting = self.queue.refuse_all();
+        self.tell(waiting, false);
+    }
+
+    pub(super) fn refusal(&self, endpoint: &EndpointId, now: Timestamp) -> Option<Refusal> {
+        if self.is_stopping {
+            return Some(Refusal::Leaving);
+        }
+        let Some(current) = &self.current else {
+            return Some(Refusal::Leaving);
+        };
+        let takes_work = current.is_confirmed && current.record.state == EndpointState::Ready;
+        if current.record.endpoint != *endpoint || !takes_work {
+            return Some(Refusal::Leaving);
+        }
+        (now < current.unreachable_until).then_some(Refusal::Unreachable)
+    }
+
+    pub(super) fn remember(&mut self, endpoint: &EndpointId, sequence: u64) {
+        if self.last_words.len() >= MAX_REMEMBERED {
+            self.last_words.clear();
+        }
+        self.last_words.insert(endpoint.clone(), sequence);
+    }
+}
+
+impl State {
+    /// Takes a request in; one that must wait gets its ticket.
+    pub(super) fn enter(
+        &mut self,
+        arrival: Arrival,
+    ) -> Result<Option<(Place, oneshot::Receiver<bool>)>, Refusal> {
+        let place = match self.queue.arrive(arrival) {
+            Admission::Run => return Ok(None),
+            Admission::Refuse => return Err(Refusal::Full),
+            Admission::Wait(place) => place,
+            Admission::WaitInsteadOf(place, displaced) => {
+                self.tell(vec![displaced], false);
+                place
+            }
+        };
+        let (tell, told) = oneshot::channel();
+        self.waiting.insert(place.ticket, tell);
+        Ok(Some((place, told)))
+    }
+
+    /// The endpoint says that it leaves or has left.
+    pub(super) fn hear_end(&mut self, record: EndpointRecord) -> Heard {
+        let wanted = record.state;
+        let recorded = self.final_states.get(&record.endpoint);
+        if recorded.is_some_and(|recorded| *recorded >= wanted) {
+            return Heard::Known;
+        }
+        if let Some(current) = &mut self.current
+            && current.record.endpoint == record.endpoint
+        {
+            current.record.state = wanted;
+            self.refuse_waiting();
+        }
+        Heard::News
+    }
+
+    pub(super) fn hear_ready(&mut self, now: Timestamp, record: EndpointRecord) -> Heard {
+        if let Some(current) = &mut self.current
+            && current.record.endpoint == record.endpoint
+        {
+            current.last_word = Some(now);
+            if current.record.state != EndpointState::Ready {
+                return Heard::Late;
+            }
+            let is_same = current.record.slots == record.slots
+                && current.record.endpoint_address == record.endpoint_address;
+            let is_known = is_same && current.is_confirmed;
+            let slots = record.slots;
+            current.record = record;
+            self.queue.set_slots(slots);
+            return if is_known { Heard::Known } else { Heard::News };
+        }
+        self.refuse_waiting();
+        self.queue.set_slots(record.slots);
+        self.current = Some(Current {
+            record,
+            is_confirmed: false,
+            last_word: Some(now),
+            unreachable_until: Timestamp::ZERO,
+        });
+        Heard::News
+    }
+
+    pub(super) fn close(&mut self, endpoint: &EndpointId, recorded: EndpointState) {
+        if self.final_states.len() >= MAX_REMEMBERED {
+            self.final_states.clear();
+        }
+        self.final_states.insert(endpoint.clone(), recorded);
+        if let Some(current) = &mut self.current
+            && current.record.endpoint == *endpoint
+        {
+            current.record.state = recorded;
+            self.refuse_waiting();
+        }
+    }
+}
