--- a/crates/bramblewheel-proxy/src/decide/route_limit.rs
+++ b/crates/bramblewheel-proxy/src/decide/route_limit.rs
@@ -81,6 +81,17 @@
         self.limit
     }
 
+    /// Requests that may run now, rounded down.
+    pub fn whole_limit(&self) -> u32 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "between one and what the endpoint holds"
+        )]
+        let whole = self.limit as u32;
+        whole
+    }
+
     /// Takes a request in, if there is room or it must not be refused.
     pub fn begin(&mut self, must_run: bool) -> bool {
         if !must_run && f64::from(self.running) >= self.limit {
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -107,7 +107,8 @@
     let load = shared.local.load();
     slog::info!(shared.log, "not admitted"; "id" => id.map_or("", text),
         "endpoint" => %handover.endpoint, "reason" => result.as_str(), "rank" => handover.rank,
-        "busy" => load.busy, "limit" => load.limit);
+        "busy" => load.busy, "limit" => load.limit,
+        "route_limit" => shared.local.route_limit(handover.route));
     Dispatched::Without(result)
 }
 
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -196,6 +196,13 @@
         }
     }
 
+    /// Requests of a route that may run at the endpoint now, rounded down; none if it had none yet.
+    pub fn route_limit(&self, route: u64) -> Option<u32> {
+        let state = self.lock();
+        let limit = state.route_limits.get(&route)?;
+        Some(limit.whole_limit())
+    }
+
     /// Waits for a place at the endpoint, until `until` at the latest.
     ///
     /// # Errors
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -18,8 +18,10 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Sends after a refusal in which the endpoint got nothing; they cost no one anything.
-const MAX_FREE_REROUTES: u32 = 2;
+/// Sends after an endpoint or its daemon was not there; they cost nobody anything.
+const MAX_FREE_REROUTES: u32 = 3;
+/// Sends after a daemon had no room; in an overload each costs two daemons some work.
+const MAX_REROUTES_WHEN_FULL: u32 = 2;
 /// Time without which another send is not worth its cost.
 const LEAST_TIME_TO_RETRY: Duration = Duration::from_millis(20);
 
@@ -101,6 +103,7 @@
     /// Sends that reached an endpoint or may have.
     arrivals: u32,
     free_reroutes: u32,
+    found_full: u32,
 }
 
 impl<'a> Call<'a> {
@@ -296,13 +299,16 @@
         if !outgoing.body.is_whole() || left < LEAST_TIME_TO_RETRY {
             return false;
         }
-        let is_free = matches!(
-            result,
-            AttemptResult::Full | AttemptResult::Leaving | AttemptResult::Unreachable
-        );
-        if is_free {
-            counts.free_reroutes += 1;
-            return counts.free_reroutes <= MAX_FREE_REROUTES;
+        match result {
+            AttemptResult::Leaving | AttemptResult::Unreachable => {
+                counts.free_reroutes += 1;
+                return counts.free_reroutes <= MAX_FREE_REROUTES;
+            }
+            AttemptResult::Full => {
+                counts.found_full += 1;
+                return counts.found_full <= MAX_REROUTES_WHEN_FULL;
+            }
+            _ => {}
         }
         counts.arrivals += 1;
         let route = &self.route.route;
