--- a/crates/bramblewheel/src/explain/cause.rs
+++ b/crates/bramblewheel/src/explain/cause.rs
@@ -112,8 +112,14 @@
                 Cause::AnswerLost { endpoint, broken }
             }
             "full" | "rejected" => {
-                let load = at_endpoint("not admitted")
-                    .map(|line| format!("busy {} of {}", text(line, "busy"), text(line, "limit")));
+                let load = at_endpoint("not admitted").map(|line| {
+                    let limits = (text(line, "limit"), text(line, "route_limit"));
+                    let busy = text(line, "busy");
+                    format!(
+                        "busy {busy} of {}, its route limited to {}",
+                        limits.0, limits.1
+                    )
+                });
                 Cause::Overload { endpoint, load }
             }
             result => Cause::NoEndpoint {
--- a/crates/bramblewheel/tests/explain.rs
+++ b/crates/bramblewheel/tests/explain.rs
@@ -2,13 +2,64 @@
 
 mod support;
 
+use std::path::Path;
 use support::run_in;
 use tempfile::TempDir;
 
-fn explained(request: &str, log: &str) -> (Option<i32>, String) {
-    let data = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data");
-    let log = data.join(log).display().to_string();
+/// Logs of the incident of docs/incidents/, as the bench gathered them from all machines.
+const LOG: &str = "incident-torgnett.log";
+
+fn explained(request: &str) -> (i32, String) {
+    let data = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data");
+    let log = data.join(LOG).display().to_string();
     let folder = TempDir::new().expect("a folder");
     let run = run_in(folder.path(), &["explain", request, &log]);
-    (Some(run.status), format!("{}{}", run.stdout, run.stderr))
+    (run.status, run.out + &run.err)
+}
+
+#[test]
+fn a_request_refused_for_want_of_room_leads_to_the_daemons_that_refused() {
+    let (status, text) = explained("e7e71d1c0af94618");
+    assert_eq!(status, 0, "{text}");
+    assert_eq!(text.matches("not admitted").count(), 3, "{text}");
+    assert!(
+        text.contains("cause=\"no room, last at i-99e853140d (busy 15 of 41"),
+        "{text}"
+    );
+}
+
+#[test]
+fn a_request_of_unknown_end_leads_to_the_endpoint_whose_answer_was_lost() {
+    let (status, text) = explained("9b5d824b2d3bd864");
+    assert_eq!(status, 0, "{text}");
+    let cause = "cause=\"the answer of i-9b87bbb184 was lost (connection)\"";
+    assert!(text.contains(cause), "{text}");
+}
+
+/// The lines of two processes stand in the order of their times.
+#[test]
+fn a_request_sent_on_from_a_stopping_daemon_shows_both() {
+    let (status, text) = explained("960bc8d47075828d");
+    assert_eq!(status, 0, "{text}");
+    let refused = text
+        .find("sidecar-molde-hall-4  not admitted")
+        .expect("the refusal");
+    let sent_on = text
+        .find("sidecar-molde-hall-2  attempt failed")
+        .expect("the attempt");
+    assert!(refused < sent_on, "{text}");
+    assert!(
+        text.contains("cause=\"the endpoint answered with an error\""),
+        "{text}"
+    );
+}
+
+#[test]
+fn a_request_that_no_line_speaks_of_is_said_to_be_unknown() {
+    let (status, text) = explained("0000000000000000");
+    assert_eq!(status, 1, "{text}");
+    assert!(
+        text.contains("no line speaks of request 0000000000000000"),
+        "{text}"
+    );
 }
