--- a/crates/bramblewheel/tests/explain.rs
+++ b/crates/bramblewheel/tests/explain.rs
@@ -7,7 +7,7 @@
 use tempfile::TempDir;
 
 /// Logs of the incident of docs/incidents/, as the bench gathered them from all machines.
-const LOG: &str = "incident-torgnett.log";
+const LOG: &str = "incident-torgnett.txt";
 
 fn explained(request: &str) -> (i32, String) {
     let data = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data");
