--- a/crates/bramblewheel-control/tests/routing.rs
+++ b/crates/bramblewheel-control/tests/routing.rs
@@ -405,3 +405,18 @@
         accepted(&mut cluster, &replace(4, 5, "third"));
     }
 }
+
+/// Two of three founders are enough; the third, which never wrote anything, joins when it starts.
+#[test]
+fn a_group_forms_while_a_founder_is_missing() {
+    for seed in 0..10 {
+        let missing = usize::try_from(seed % 3).expect("small");
+        let mut cluster = Cluster::founded_without(Some(missing), 3, 3, 500 + seed, MANY);
+        accepted(&mut cluster, &replace(0, 3, "first"));
+        cluster.start(missing);
+        cluster.run(Duration::from_secs(2));
+        let other = (missing + 1) % 3;
+        cluster.crash(other);
+        accepted(&mut cluster, &replace(3, 4, "second"));
+    }
+}
--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -116,12 +116,25 @@
     /// Machines of which the first `founders` found a group by themselves, which takes tables
     /// without signatures.
     pub fn founded(founders: usize, machines: usize, seed: u64, snapshot_interval: u64) -> Self {
+        Self::founded_without(None, founders, machines, seed, snapshot_interval)
+    }
+
+    /// Like [`founded`](Self::founded), with a founder that does not start with the others.
+    pub fn founded_without(
+        missing: Option<usize>,
+        founders: usize,
+        machines: usize,
+        seed: u64,
+        snapshot_interval: u64,
+    ) -> Self {
         let mut cluster = Self::new(machines, seed, snapshot_interval);
         cluster.takes_unsigned_tables = true;
         let voters: Vec<_> = (0..founders).map(|m| cluster.address(m)).collect();
         for machine in 0..machines {
             cluster.node_mut(machine).take_unsigned_tables();
-            if machine < founders {
+            if Some(machine) == missing {
+                cluster.crash(machine);
+            } else if machine < founders {
                 let founded = cluster.node_mut(machine).found_group(GROUP, &voters);
                 assert_eq!(founded, Ok(()));
                 cluster.drive(machine);
