Avoid endpoints that fail their requests, and send a failed one elsewhere

Ruled out: ejection on consecutive failures (45% of errors hardly ever come in a row), and asking the health check (it is good by definition of the trouble).

Change: a fading share of failures for each endpoint, seen here and reported by the daemon beside it with its load; what lies above the mean of the service costs. Where all fail alike nothing is avoided: the cause lies deeper. An error of a request that may be repeated is sent to another endpoint once, on half of the retry budget, while errors are rare in that service.

Tests: tests/failures.rs, two of five red with the cost set to zero; tests/requests.rs.

--- a/crates/bramblewheel-proxy/src/decide/directory.rs
+++ b/crates/bramblewheel-proxy/src/decide/directory.rs
@@ -1,5 +1,6 @@
 //! Endpoints of all services as this daemon knows them, and the choice among them.
 
+use super::failure_share::FailureShare;
 use bramblewheel_protocol::routing::{EndpointNews, EndpointRecord, EndpointState};
 use bramblewheel_types::{DaemonId, EndpointId, ServiceName, Timestamp, ZoneName};
 use rand::{Rng, RngExt};
@@ -28,6 +29,14 @@
 const LOST_IN_A_ROW: u32 = 3;
 /// Time for which a daemon that refuses for its own stop is left alone.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(800);
+/// Cost of an endpoint that fails all requests, in units of a full endpoint. An endpoint that fails
+/// does so fast, and would look idle and quick without it.
+const FAILURE_COST: f64 = 2.5;
+/// Failures above the mean of the service's endpoints that cost nothing: single errors are usual, and
+/// where all fail alike the cause lies deeper.
+const USUAL_FAILURES: f64 = 0.04;
+/// Weight of the newest outcome in the share of failures seen here.
+const FAILURE_SMOOTHING: f64 = 0.15;
 /// Random part of the cost, so that daemons don't all choose alike.
 const JITTER: f64 = 0.05;
 
@@ -47,7 +56,11 @@
 pub enum SendEnd {
     /// A whole answer came after this time.
     Answered(Duration),
-    /// The endpoint or its daemon was full.
+    /// The endpoint answered with an error of its own after this time.
+    Failed(Duration),
+    /// The endpoint refused what its daemon had let in.
+    Rejected,
+    /// The endpoint's daemon was full.
     Full,
     /// The endpoint leaves or its daemon stops.
     Leaving,
@@ -67,6 +80,8 @@
     pub busy: u32,
     /// Requests that may run side by side.
     pub limit: u32,
+    /// Requests in a hundred that the endpoint failed lately.
+    pub failed_percent: u32,
 }
 
 #[derive(Debug)]
@@ -77,6 +92,10 @@
     report: Option<(Timestamp, LoadReport)>,
     /// Mean of answer times relative to those of all endpoints on the same route.
     slowness: f64,
+    /// Share of failures among this daemon's requests.
+    failed_here: FailureShare,
+    /// The same among all requests, as the endpoint's daemon reported it.
+    failed_reported: FailureShare,
     failures: u32,
     lost_in_a_row: u32,
     ejected_until: Timestamp,
@@ -95,7 +114,13 @@
         }
     }
 
-    fn cost(&self, now: Timestamp, zone: &ZoneName) -> f64 {
+    fn failed(&self, now: Timestamp) -> f64 {
+        let reported = self.failed_reported.at(now);
+        self.failed_here.at(now).max(reported)
+    }
+
+    /// Cost of a request here; `usual_failures` is the share that costs nothing.
+    fn cost(&self, now: Timestamp, zone: &ZoneName, usual_failures: f64) -> f64 {
         let is_cold = now < self.cold_until;
         let slowness = self.slowness * if is_cold { COLD_FACTOR } else { 1.0 };
         let distance = if self.record.zone == *zone {
@@ -103,7 +128,8 @@
         } else {
             OTHER_ZONE_COST
         };
-        (self.utilization(now) + IDLE_COST) * slowness + distance
+        let failures = (self.failed(now) - usual_failures).max(0.0);
+        (self.utilization(now) + IDLE_COST) * slowness + distance + failures * FAILURE_COST
     }
 }
 
@@ -146,6 +172,8 @@
             outstanding: 0,
             report: None,
             slowness: 1.0,
+            failed_here: FailureShare::default(),
+            failed_reported: FailureShare::default(),
             failures: 0,
             lost_in_a_row: 0,
             ejected_until: Timestamp::ZERO,
@@ -178,12 +206,15 @@
         tried: &[EndpointId],
         random: &mut impl Rng,
     ) -> Option<Choice> {
-        let candidates = self.by_service.get(service)?.iter();
+        let all = self.by_service.get(service)?;
+        let usual_failures = self.mean_failed(now, all) + USUAL_FAILURES;
+        let candidates = all.iter();
         let untried = candidates.filter(|endpoint| !tried.contains(endpoint));
         let ranked = untried.map(|id| {
             let endpoint = &self.endpoints[id];
             let is_ejected = now < endpoint.ejected_until;
-            let cost = endpoint.cost(now, &self.zone) + random.random_range(0.0..JITTER);
+            let cost =
+                endpoint.cost(now, &self.zone, usual_failures) + random.random_range(0.0..JITTER);
             (is_ejected, cost, id)
         });
         let best = ranked.min_by(|one, other| {
@@ -200,6 +231,25 @@
         })
     }
 
+    /// Mean share of failures of a service's endpoints; zero where none is known.
+    pub fn failed_share(&self, now: Timestamp, service: &ServiceName) -> f64 {
+        let endpoints = self.by_service.get(service);
+        endpoints.map_or(0.0, |endpoints| self.mean_failed(now, endpoints))
+    }
+
+    fn mean_failed(&self, now: Timestamp, endpoints: &[EndpointId]) -> f64 {
+        let total: f64 = endpoints
+            .iter()
+            .map(|id| self.endpoints[id].failed(now))
+            .sum();
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "a service has far fewer endpoints"
+        )]
+        let count = endpoints.len().max(1) as f64;
+        total / count
+    }
+
     /// Notes how a send that [`choose`](Self::choose) began has ended.
     pub fn record_end(
         &mut self,
@@ -211,7 +261,7 @@
     ) {
         let relative = match end {
             SendEnd::Answered(time) => Some(self.relative_time(route, time)),
-            SendEnd::GivenUp(time) => self.least_relative_time(route, time),
+            SendEnd::GivenUp(time) | SendEnd::Failed(time) => self.least_relative_time(route, time),
             _ => None,
         };
         let Some(known) = self.endpoints.get_mut(endpoint) else {
@@ -220,7 +270,10 @@
         known.outstanding = known.outstanding.saturating_sub(1);
         if let Some(load) = load {
             known.report = Some((now, load));
+            let reported = f64::from(load.failed_percent) / 100.0;
+            known.failed_reported = FailureShare::measured(now, reported);
         }
+        known.note_outcome(now, end);
         match end {
             SendEnd::Answered(_) => {
                 known.failures = 0;
@@ -236,11 +289,11 @@
                 }
             }
             SendEnd::Leaving => known.ejected_until = now + REFUSAL_PAUSE,
-            SendEnd::GivenUp(_) => {
+            SendEnd::GivenUp(_) | SendEnd::Failed(_) => {
                 let relative = relative.unwrap_or(known.slowness);
                 known.slowness += SMOOTHING * (relative - known.slowness);
             }
-            SendEnd::Full => {}
+            SendEnd::Full | SendEnd::Rejected => {}
         }
     }
 
@@ -266,6 +319,16 @@
 }
 
 impl Endpoint {
+    /// Counts an outcome that shows whether the endpoint does its work.
+    fn note_outcome(&mut self, now: Timestamp, end: SendEnd) {
+        let has_failed = match end {
+            SendEnd::Answered(_) => false,
+            SendEnd::Failed(_) | SendEnd::Rejected | SendEnd::Lost => true,
+            SendEnd::Full | SendEnd::Leaving | SendEnd::Unreachable | SendEnd::GivenUp(_) => return,
+        };
+        self.failed_here.record(now, has_failed, FAILURE_SMOOTHING);
+    }
+
     fn eject(&mut self, now: Timestamp) {
         let doublings = self.failures.min(4);
         let pause = (FIRST_EJECTION * 2_u32.pow(doublings)).min(LONGEST_EJECTION);
--- a/crates/bramblewheel-proxy/src/decide/mod.rs
+++ b/crates/bramblewheel-proxy/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod directory;
+pub mod failure_share;
 pub mod retry_budget;
 pub mod route_limit;
 pub mod table;
--- a/crates/bramblewheel-proxy/src/decide/retry_budget.rs
+++ b/crates/bramblewheel-proxy/src/decide/retry_budget.rs
@@ -13,6 +13,8 @@
 const RATIO_PART: f64 = 0.5;
 /// Part of the slack that the daemons use together.
 const SLACK_PART: f64 = 0.5;
+/// Part of the budget that may go to requests which an endpoint ran and failed.
+const FAILURE_PART: f64 = 0.5;
 /// Parts of a window that are counted together.
 const BUCKETS_PER_WINDOW: u32 = 20;
 
@@ -64,13 +66,23 @@
 
     /// Takes one repeated send out of the budget, if there is one left.
     pub fn withdraw(&mut self, now: Timestamp, service: &ServiceName) -> bool {
+        self.withdraw_part(now, service, 1.0)
+    }
+
+    /// The same for a request that the endpoint ran and failed: its calls are made again too, so
+    /// that only part of the budget may go there.
+    pub fn withdraw_for_failure(&mut self, now: Timestamp, service: &ServiceName) -> bool {
+        self.withdraw_part(now, service, FAILURE_PART)
+    }
+
+    fn withdraw_part(&mut self, now: Timestamp, service: &ServiceName, part: f64) -> bool {
         self.bucket(now, service);
         let buckets = &self.services[service];
         let first_sends: u32 = buckets.iter().map(|bucket| bucket.first_sends).sum();
         let repeats: u32 = buckets.iter().map(|bucket| bucket.repeats).sum();
         let share = self.terms.slack * SLACK_PART / f64::from(self.daemons);
         let allowed = self.terms.ratio * RATIO_PART * f64::from(first_sends) + share;
-        if f64::from(repeats) + 1.0 > allowed {
+        if f64::from(repeats) + 1.0 > allowed * part {
             return false;
         }
         self.bucket(now, service).repeats += 1;
--- a/crates/bramblewheel-proxy/src/http/exchange.rs
+++ b/crates/bramblewheel-proxy/src/http/exchange.rs
@@ -6,7 +6,7 @@
 use crate::local::Permit;
 use bytes::Bytes;
 use http::response::Parts;
-use http::{HeaderMap, Method, Request, Uri};
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use hyper::body::Incoming;
 use std::sync::Arc;
 
@@ -83,6 +83,16 @@
     Begun(Box<Parts>, Bytes, Incoming, Held),
 }
 
+impl Answer {
+    /// Status of the answer.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::Whole(head, _) => head.status,
+            Self::Begun(head, ..) => head.status,
+        }
+    }
+}
+
 /// Sends a request and waits for the head of its answer. `write` sets, at the moment of sending,
 /// what depends on the time that is left.
 ///
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -20,6 +20,14 @@
 }
 
 impl Dispatched {
+    /// Whether the endpoint answered with an error of its own.
+    pub fn has_failed(&self) -> bool {
+        match self {
+            Self::Answered(answer) => answer.status().is_server_error(),
+            Self::Without(_) => false,
+        }
+    }
+
     /// The result without the answer.
     pub fn result(&self) -> AttemptResult {
         match self {
@@ -104,7 +112,7 @@
         Refusal::Unreachable => AttemptResult::Unreachable,
     };
     let id = shared.settings.dialect.id(&outgoing.headers);
-    let load = shared.local.load();
+    let load = shared.local.load(shared.clock.now());
     slog::info!(shared.log, "not admitted"; "id" => id.map_or("", text),
         "endpoint" => %handover.endpoint, "reason" => result.as_str(), "rank" => handover.rank,
         "busy" => load.busy, "limit" => load.limit,
@@ -113,6 +121,7 @@
 }
 
 fn lost(shared: &Shared, handover: &Handover, id: &HeaderValue, what: &'static str) -> Dispatched {
+    shared.local.has_failed(shared.clock.now());
     slog::info!(shared.log, "answer lost"; "id" => text(id),
         "endpoint" => %handover.endpoint, "broken" => what);
     Dispatched::Without(AttemptResult::Lost)
--- a/crates/bramblewheel-proxy/src/inbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/inbound/mod.rs
@@ -89,7 +89,7 @@
     }
 
     fn stamp(&self, result: AttemptResult, headers: &mut HeaderMap) {
-        let load: LoadReport = self.shared.local.load();
+        let load: LoadReport = self.shared.local.load(self.shared.clock.now());
         result.write(load, headers);
     }
 }
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -187,15 +187,27 @@
         state.refuse_waiting();
     }
 
-    /// Requests at the endpoint and its limit.
-    pub fn load(&self) -> LoadReport {
+    /// Requests at the endpoint, its limit and its failures.
+    pub fn load(&self, now: Timestamp) -> LoadReport {
         let state = self.lock();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a share is between 0 and 1"
+        )]
+        let failed_percent = (state.failed.at(now) * 100.0).round() as u32;
         LoadReport {
             busy: state.queue.busy(),
             limit: state.queue.limit(),
+            failed_percent,
         }
     }
 
+    /// The endpoint has failed a request without an answer, or refused one that was let in.
+    pub fn has_failed(&self, now: Timestamp) {
+        self.lock().note_outcome(now, true);
+    }
+
     /// Requests of a route that may run at the endpoint now, rounded down; none if it had none yet.
     pub fn route_limit(&self, route: u64) -> Option<u32> {
         let state = self.lock();
--- a/crates/bramblewheel-proxy/src/local/permit.rs
+++ b/crates/bramblewheel-proxy/src/local/permit.rs
@@ -32,7 +32,9 @@
 impl Permit {
     /// The endpoint's answer has come.
     pub fn answered(&mut self, has_failed: bool) {
-        let time = self.clock.now().since(self.begun);
+        let now = self.clock.now();
+        let time = now.since(self.begun);
+        self.local.lock().note_outcome(now, has_failed);
         self.answered = Some(Answered { time, has_failed });
     }
 }
--- a/crates/bramblewheel-proxy/src/local/state.rs
+++ b/crates/bramblewheel-proxy/src/local/state.rs
@@ -3,6 +3,7 @@
 use super::permit::RouteShare;
 use super::{Heard, Refusal};
 use crate::decide::admission::{Admission, AdmissionQueue, Arrival, Place, Ticket};
+use crate::decide::failure_share::FailureShare;
 use crate::decide::route_limit::{Answered, RouteLimit};
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, Timestamp};
@@ -11,6 +12,8 @@
 
 /// Starts of endpoints whose last word is remembered.
 const MAX_REMEMBERED: usize = 256;
+/// Weight of the newest outcome in the share of failures.
+const FAILURE_SMOOTHING: f64 = 0.05;
 /// Routes whose times are known.
 const MAX_ROUTES: usize = 512;
 
@@ -30,6 +33,8 @@
     pub(super) current: Option<Current>,
     pub(super) queue: AdmissionQueue,
     pub(super) route_limits: HashMap<u64, RouteLimit>,
+    /// Share of the requests that the endpoint failed lately.
+    pub(super) failed: FailureShare,
     pub(super) waiting: HashMap<Ticket, oneshot::Sender<bool>>,
     /// Last word of each start, so that a late one does not bring it back.
     pub(super) last_words: HashMap<EndpointId, u64>,
@@ -62,6 +67,11 @@
         }
     }
 
+    /// Counts a request that the endpoint answered, or failed to.
+    pub(super) fn note_outcome(&mut self, now: Timestamp, has_failed: bool) {
+        self.failed.record(now, has_failed, FAILURE_SMOOTHING);
+    }
+
     pub(super) fn start(&mut self, tickets: Vec<Ticket>) {
         self.tell(tickets, true);
     }
@@ -155,6 +165,7 @@
             return if is_known { Heard::Known } else { Heard::News };
         }
         self.refuse_waiting();
+        self.failed = FailureShare::default();
         self.queue.set_slots(record.slots);
         self.current = Some(Current {
             record,
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -22,6 +22,8 @@
 const MAX_FREE_REROUTES: u32 = 3;
 /// Sends after a daemon had no room; in an overload each costs two daemons some work.
 const MAX_REROUTES_WHEN_FULL: u32 = 2;
+/// Mean share of failures of a service's endpoints up to which a request that failed is sent again.
+const RARE_FAILURES: f64 = 0.2;
 /// Time without which another send is not worth its cost.
 const LEAST_TIME_TO_RETRY: Duration = Duration::from_millis(20);
 
@@ -41,11 +43,8 @@
 impl Final {
     fn as_str(&self) -> &'static str {
         match self {
-            Self::Answered(answer) => match &**answer {
-                Answer::Whole(head, _) if head.status.is_success() => "completed",
-                Answer::Begun(head, ..) if head.status.is_success() => "completed",
-                Answer::Whole(..) | Answer::Begun(..) => "failed",
-            },
+            Self::Answered(answer) if answer.status().is_success() => "completed",
+            Self::Answered(_) => "failed",
             Self::NotRun => "not-run",
             Self::Unknown => "unknown",
             Self::TimedOut => "timed-out",
@@ -176,31 +175,41 @@
         let mut tried: Vec<EndpointId> = Vec::new();
         let mut counts = Counts::default();
         let mut is_first = true;
+        let mut failed = None;
         loop {
             let Some(choice) = self.choose(&service, &tried, is_first) else {
                 slog::info!(self.shared.log, "no endpoint"; "id" => text(&self.id),
                     "service" => %service, "tried" => tried.len(), "table" => self.table.0);
-                return self.without_answer();
+                return self.without_success(failed);
             };
             is_first = false;
             tried.push(choice.endpoint.clone());
             let dispatched = self.send(&choice, outgoing, deadline).await;
-            let result = match dispatched {
-                Dispatched::Answered(answer) => return Final::Answered(answer),
-                Dispatched::Without(result) => result,
-            };
+            let result = dispatched.result();
+            let has_failed = dispatched.has_failed();
+            if let Dispatched::Answered(answer) = dispatched {
+                if !has_failed {
+                    return Final::Answered(answer);
+                }
+                failed = Some(answer);
+            }
             let may_go_on = self.may_send_again(&service, result, outgoing, &mut counts, deadline);
             slog::info!(self.shared.log, "attempt failed"; "id" => text(&self.id),
                 "service" => %service, "endpoint" => %choice.endpoint,
-                "result" => result.as_str(), "attempt" => tried.len(), "again" => may_go_on,
+                "result" => if has_failed { "failed" } else { result.as_str() },
+                "attempt" => tried.len(), "again" => may_go_on,
                 "left_ms" => millis(deadline.saturating_duration_since(Instant::now())));
             if !may_go_on {
-                return self.without_answer();
+                return self.without_success(failed);
             }
         }
     }
 
-    fn without_answer(&self) -> Final {
+    /// The end of a call without a success: the endpoint's error, if one came.
+    fn without_success(&self, failed: Option<Box<Answer>>) -> Final {
+        if let Some(answer) = failed {
+            return Final::Answered(answer);
+        }
         if self.may_have_run.load(Ordering::Relaxed) {
             Final::Unknown
         } else {
@@ -267,7 +276,7 @@
             self.may_have_run.store(false, Ordering::Relaxed);
         }
         self.shared.metrics.attempt(result);
-        let end = send_end(result, begun.elapsed());
+        let end = send_end(result, dispatched.has_failed(), begun.elapsed());
         let now = self.shared.clock.now();
         let mut routing = self.shared.routing();
         let directory = &mut routing.directory;
@@ -317,7 +326,17 @@
             return false;
         }
         let now = self.shared.clock.now();
-        if self.shared.routing().budget.withdraw(now, service) {
+        let mut routing = self.shared.routing();
+        let is_allowed = match result {
+            // Where many fail the cause lies deeper, and a repeat adds to it.
+            AttemptResult::Answered => {
+                routing.directory.failed_share(now, service) < RARE_FAILURES
+                    && routing.budget.withdraw_for_failure(now, service)
+            }
+            _ => routing.budget.withdraw(now, service),
+        };
+        drop(routing);
+        if is_allowed {
             self.shared.metrics.repeats.inc();
             return true;
         }
@@ -338,10 +357,12 @@
     }
 }
 
-fn send_end(result: AttemptResult, time: Duration) -> SendEnd {
+fn send_end(result: AttemptResult, has_failed: bool, time: Duration) -> SendEnd {
     match result {
+        AttemptResult::Answered if has_failed => SendEnd::Failed(time),
         AttemptResult::Answered => SendEnd::Answered(time),
-        AttemptResult::Rejected | AttemptResult::Full => SendEnd::Full,
+        AttemptResult::Rejected => SendEnd::Rejected,
+        AttemptResult::Full => SendEnd::Full,
         AttemptResult::OtherEndpoint | AttemptResult::Leaving => SendEnd::Leaving,
         AttemptResult::Unreachable | AttemptResult::Silent => SendEnd::Unreachable,
         AttemptResult::Lost => SendEnd::Lost,
--- a/crates/bramblewheel-proxy/src/wire.rs
+++ b/crates/bramblewheel-proxy/src/wire.rs
@@ -22,7 +22,7 @@
 const CALLER: HeaderName = HeaderName::from_static("bw-caller");
 /// How the attempt ended at the other daemon.
 const RESULT: HeaderName = HeaderName::from_static("bw-result");
-/// Load of the endpoint: busy and limit, separated by a comma.
+/// Load of the endpoint: busy, limit and failed in a hundred, separated by commas.
 const LOAD: HeaderName = HeaderName::from_static("bw-load");
 
 /// What a daemon tells the one beside the endpoint with a request.
@@ -111,6 +111,15 @@
     value?.to_str().ok()?.parse().ok()
 }
 
+fn read_load(text: &str) -> Option<LoadReport> {
+    let mut numbers = text.split(',').map(str::parse);
+    Some(LoadReport {
+        busy: numbers.next()?.ok()?,
+        limit: numbers.next()?.ok()?,
+        failed_percent: numbers.next()?.ok()?,
+    })
+}
+
 /// How an attempt ended at the daemon beside the endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptResult {
@@ -161,7 +170,7 @@
     /// Sets the headers of an answer.
     pub fn write(self, load: LoadReport, headers: &mut HeaderMap) {
         headers.insert(RESULT, HeaderValue::from_static(self.as_str()));
-        let load = format!("{},{}", load.busy, load.limit);
+        let load = format!("{},{},{}", load.busy, load.limit, load.failed_percent);
         let load = HeaderValue::try_from(load).expect("numbers consist of visible ASCII");
         headers.insert(LOAD, load);
     }
@@ -173,14 +182,6 @@
         let known = Self::ALL.into_iter().find(is_named)?;
         let load = headers.remove(LOAD);
         let load = load.as_ref().and_then(|value| value.to_str().ok());
-        let load = load
-            .and_then(|text| text.split_once(','))
-            .and_then(|(busy, limit)| {
-                Some(LoadReport {
-                    busy: busy.parse().ok()?,
-                    limit: limit.parse().ok()?,
-                })
-            });
-        Some((known, load))
+        Some((known, load.and_then(read_load)))
     }
 }
--- a/crates/bramblewheel-proxy/tests/decide.rs
+++ b/crates/bramblewheel-proxy/tests/decide.rs
@@ -222,7 +222,11 @@
             .expect("one");
         let is_slow = choice.endpoint.as_str() == "slow";
         let time = Duration::from_millis(if is_slow { 500 } else { 100 });
-        let load = LoadReport { busy: 1, limit: 10 };
+        let load = LoadReport {
+            busy: 1,
+            limit: 10,
+            failed_percent: 0,
+        };
         let end = SendEnd::Answered(time);
         directory.record_end(now, &choice.endpoint, "r", end, Some(load));
         *counts.entry(choice.endpoint.to_string()).or_default() += 1;
--- /dev/null
+++ b/crates/bramblewheel-proxy/tests/failures.rs
@@ -0,0 +1,149 @@
+//! Endpoints that fail their requests, fast and with a good name: what the choice makes of them.
+
+use bramblewheel_protocol::routing::{EndpointNews, EndpointRecord, EndpointState};
+use bramblewheel_proxy::decide::directory::{Directory, LoadReport, SendEnd};
+use bramblewheel_proxy::decide::retry_budget::{RetryBudget, RetryTerms};
+use bramblewheel_types::{DaemonId, EndpointId, Millis, ServiceName, Timestamp, ZoneName};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const SEEDS: std::ops::Range<u64> = 0..20;
+/// Time between two requests of the runs.
+const STEP_MILLIS: u64 = 20;
+
+fn kassa() -> ServiceName {
+    ServiceName::new("kassa").expect("a name")
+}
+
+fn directory(endpoints: &[&str]) -> Directory {
+    let zone = ZoneName::new("north").expect("a name");
+    let mut directory = Directory::new(zone.clone());
+    for name in endpoints {
+        let record = EndpointRecord {
+            endpoint: EndpointId::new(name).expect("a name"),
+            service: kassa(),
+            daemon: DaemonId::new(name).expect("a name"),
+            address: ([127, 0, 0, 1], 1).into(),
+            endpoint_address: ([127, 0, 0, 1], 2).into(),
+            zone: zone.clone(),
+            slots: 10,
+            state: EndpointState::Ready,
+            sequence: 1,
+            cold_for: Millis(0),
+        };
+        directory.apply(
+            Timestamp::ZERO,
+            &EndpointNews {
+                revision: 1,
+                record,
+            },
+        );
+    }
+    directory
+}
+
+/// Requests in `steps` that go to each endpoint; those of `failing` fail with probability `share`
+/// after a fifth of the usual time.
+fn run(
+    directory: &mut Directory,
+    steps: std::ops::Range<u64>,
+    failing: &[&str],
+    share: f64,
+    random: &mut Pcg64Mcg,
+) -> BTreeMap<String, u32> {
+    let mut counts = BTreeMap::new();
+    for step in steps {
+        let now = Timestamp::from_millis(step * STEP_MILLIS);
+        let choice = directory
+            .choose(now, &kassa(), &[], random)
+            .expect("an endpoint");
+        let name = choice.endpoint.to_string();
+        let fails = failing.contains(&name.as_str()) && random.random_bool(share);
+        let end = if fails {
+            SendEnd::Failed(Duration::from_millis(20))
+        } else {
+            SendEnd::Answered(Duration::from_millis(100))
+        };
+        directory.record_end(now, &choice.endpoint, "r", end, None);
+        *counts.entry(name).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn an_endpoint_that_fails_fast_gets_less_work() {
+    for seed in SEEDS {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut directory = directory(&["grey", "sound-1", "sound-2", "sound-3"]);
+        let counts = run(&mut directory, 0..500, &["grey"], 0.45, &mut random);
+        let grey = counts.get("grey").copied().unwrap_or_default();
+        assert!(grey < 25, "seed {seed}: {counts:?}");
+    }
+}
+
+#[test]
+fn an_endpoint_that_fails_no_more_gets_its_share_again() {
+    for seed in SEEDS {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut directory = directory(&["grey", "sound"]);
+        run(&mut directory, 0..200, &["grey"], 1.0, &mut random);
+        // 8 s later the share of failures has faded.
+        let counts = run(&mut directory, 600..800, &[], 0.0, &mut random);
+        let grey = counts.get("grey").copied().unwrap_or_default();
+        assert!(grey > 60, "seed {seed}: {counts:?}");
+    }
+}
+
+#[test]
+fn where_all_fail_alike_none_is_avoided() {
+    for seed in SEEDS {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let names = ["one", "two", "three"];
+        let mut directory = directory(&names);
+        let counts = run(&mut directory, 0..900, &names, 0.5, &mut random);
+        for name in names {
+            let count = counts.get(name).copied().unwrap_or_default();
+            assert!(count > 150, "seed {seed}: {counts:?}");
+        }
+    }
+}
+
+/// What the endpoint's daemon saw of all callers counts before this daemon has seen a failure.
+#[test]
+fn reported_failures_count_at_once() {
+    let mut directory = directory(&["grey", "sound"]);
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    let grey = EndpointId::new("grey").expect("a name");
+    let report = LoadReport {
+        busy: 0,
+        limit: 10,
+        failed_percent: 40,
+    };
+    let end = SendEnd::Answered(Duration::from_millis(100));
+    directory.record_end(Timestamp::ZERO, &grey, "r", end, Some(report));
+    for _ in 0..3 {
+        let choice = directory.choose(Timestamp::ZERO, &kassa(), &[], &mut random);
+        assert_eq!(choice.expect("an endpoint").endpoint.as_str(), "sound");
+    }
+}
+
+/// A repeat of a request that was run makes its calls again, so that less may be repeated.
+#[test]
+fn repeats_of_failed_requests_leave_room_for_others() {
+    let terms = RetryTerms {
+        ratio: 0.2,
+        slack: 0.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budget = RetryBudget::new(terms);
+    for _ in 0..1_000 {
+        budget.record_first(Timestamp::ZERO, &kassa());
+    }
+    let withdraw = |_: &u32| budget.withdraw_for_failure(Timestamp::ZERO, &kassa());
+    let failures = (0..1_000).filter(withdraw).count();
+    let withdraw = |_: &u32| budget.withdraw(Timestamp::ZERO, &kassa());
+    let others = (0..1_000).filter(withdraw).count();
+    assert_eq!((failures, others), (50, 50));
+}
--- a/crates/bramblewheel-proxy/tests/requests.rs
+++ b/crates/bramblewheel-proxy/tests/requests.rs
@@ -151,6 +151,22 @@
     assert_eq!(arrivals(&mesh), 1);
 }
 
+/// An error of one endpoint is not the last word where the request may be repeated; the second error
+/// is.
+#[tokio::test]
+async fn a_failed_request_that_may_be_repeated_is_sent_elsewhere_once() {
+    let mesh = Mesh::start(3).await;
+    mesh.endpoints[0].script(&[Act::Fail]);
+    let answer = mesh.call(0, "/safe/item", "r-1").await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    let mesh = Mesh::start(3).await;
+    script(&mesh, &[Act::Fail]);
+    let answer = mesh.call(0, "/safe/item", "r-1").await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert!(answer.headers.contains_key("bw-proof"));
+    assert_eq!(arrivals(&mesh), 2);
+}
+
 /// The second answer to one request is never given to the next.
 #[tokio::test]
 async fn a_surplus_answer_reaches_nobody() {
