--- a/crates/bramblewheel-control/src/server/service.rs
+++ b/crates/bramblewheel-control/src/server/service.rs
@@ -48,9 +48,13 @@
         let writing = write_replies(writer, to_write, Arc::clone(&room));
         let mut writing = std::pin::pin!(writing);
         let reading = self.read_requests(reader, replies.clone(), room);
+        let mut is_writing = true;
         let ended = tokio::select! {
             ended = reading => ended,
-            () = writing.as_mut() => Ok(()),
+            () = writing.as_mut() => {
+                is_writing = false;
+                Ok(())
+            }
         };
         // Drops the node's senders for this connection, so that the writing ends.
         let _ = self.inputs.send(Input::Closed(self.id));
@@ -60,7 +64,9 @@
             let _ = replies.send(refusal(&error));
         }
         drop(replies);
-        let _ = timeout(CLOSE_TIMEOUT, writing).await;
+        if is_writing {
+            let _ = timeout(CLOSE_TIMEOUT, writing).await;
+        }
     }
 
     /// Reads until the client closes, breaks the protocol, or the replica stops.
--- a/crates/bramblewheel-control/src/server/start.rs
+++ b/crates/bramblewheel-control/src/server/start.rs
@@ -61,13 +61,14 @@
     let storage = StorageConfig::new(&settings.data_folder);
     let name = settings.name.as_str();
     let (durable, restored) = Durable::open(files, storage, name, fresh)?;
-    let peer = bind("peer", settings.listen.peer, &log).await?;
-    let service = bind("service", settings.listen.service, &log).await?;
-    let admin = bind("admin", settings.listen.admin, &log).await?;
+    let listen = &settings.listen;
+    let peer = bind("peer", listen.bound(listen.peer), &log).await?;
+    let service = bind("service", listen.bound(listen.service), &log).await?;
+    let admin = bind("admin", listen.bound(listen.admin), &log).await?;
     let addresses = BoundAddresses {
-        peer: peer.1,
-        service: service.1,
-        admin: admin.1,
+        peer: listen.known(listen.peer, peer.1),
+        service: listen.known(listen.service, service.1),
+        admin: listen.known(listen.admin, admin.1),
     };
     let (inputs, to_node) = blocking::channel();
     let mut thread = assemble(&settings, addresses, durable, restored, to_node, &log)?;
--- a/crates/bramblewheel-control/src/settings/sections.rs
+++ b/crates/bramblewheel-control/src/settings/sections.rs
@@ -2,7 +2,7 @@
 
 use crate::node::SparePolicy;
 use serde::Deserialize;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// Addresses to listen on; port 0 lets the system choose.
@@ -15,6 +15,25 @@
     pub service: SocketAddr,
     /// Health and metrics.
     pub admin: SocketAddr,
+    /// Address that the listeners bind instead, at the same ports, where the one that others know is
+    /// translated on the way.
+    #[serde(default)]
+    pub bind: Option<IpAddr>,
+}
+
+impl ListenSettings {
+    /// What a listener binds so that others reach it at `known`.
+    pub fn bound(&self, known: SocketAddr) -> SocketAddr {
+        SocketAddr::new(self.bind.unwrap_or(known.ip()), known.port())
+    }
+
+    /// What others know a listener by that was bound at `bound`.
+    pub fn known(&self, listed: SocketAddr, bound: SocketAddr) -> SocketAddr {
+        match self.bind {
+            Some(_) => SocketAddr::new(listed.ip(), bound.port()),
+            None => bound,
+        }
+    }
 }
 
 /// Times of the group.
--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -86,7 +86,7 @@
         log: Logger,
     ) -> Result<Self, StartError> {
         let outbound = listen("outbound", settings.outbound).await?;
-        let inbound = listen("inbound", settings.inbound).await?;
+        let inbound = listen("inbound", settings.inbound_bound()).await?;
         let metrics = listen("metrics", settings.metrics).await?;
         let incarnation = getrandom::u64().map_err(StartError::Random)?;
         let clock = Clock::start();
--- a/crates/bramblewheel-proxy/src/settings.rs
+++ b/crates/bramblewheel-proxy/src/settings.rs
@@ -3,7 +3,7 @@
 use crate::decide::retry_budget::RetryTerms;
 use crate::dialect::Dialect;
 use bramblewheel_types::{DaemonId, RegionName, ZoneName};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// What a daemon is told at its start. Which program reads it, and from what file, is that
@@ -22,6 +22,9 @@
     pub outbound: SocketAddr,
     /// Listener for requests that other daemons hand over.
     pub inbound: SocketAddr,
+    /// Address that the inbound listener binds instead, at the same port, where the one that other
+    /// daemons know is translated on the way.
+    pub bind: Option<IpAddr>,
     /// Listener for metrics.
     pub metrics: SocketAddr,
     /// Service addresses of control replicas to begin with.
@@ -35,3 +38,11 @@
     /// Time between the order to stop and the end by force.
     pub stop_grace: Duration,
 }
+
+impl Settings {
+    /// What the inbound listener binds.
+    pub fn inbound_bound(&self) -> SocketAddr {
+        let ip = self.bind.unwrap_or(self.inbound.ip());
+        SocketAddr::new(ip, self.inbound.port())
+    }
+}
