Tell callers for how long their connections are kept; let a route's limit fall by what fails

Change: callers are told `Keep-Alive: timeout=2` and resting connections closed after 3.5 s, or sooner where the table says so.

Change: the limit falls by the part that fails, to half at most.

The socket tests are one program now (tests/sockets).

--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -10,7 +10,7 @@
 use crate::inbound::Inbound;
 use crate::local::LocalEndpoint;
 use crate::metrics::Metrics;
-use crate::outbound::Outbound;
+use crate::outbound::{Outbound, caller_rest};
 use crate::settings::Settings;
 use crate::shared::{Routing, Shared};
 use arc_swap::ArcSwapOption;
@@ -32,8 +32,6 @@
 const KEEP_DAEMON_CONNECTION: Duration = Duration::from_secs(4);
 /// Rest after which a connection of another daemon is closed: longer than the other keeps it.
 const DAEMON_CONNECTION_REST: Duration = Duration::from_secs(8);
-/// Rest after which a caller's connection is closed while no route table says so.
-const USUAL_CALLER_REST: Duration = Duration::from_secs(60);
 /// How long an idle connection to the endpoint is kept, unless it says that it closes it sooner.
 const KEEP_ENDPOINT_CONNECTION: Duration = Duration::from_secs(7);
 /// Time between two looks for connections that were idle for long.
@@ -128,7 +126,8 @@
         let stop = watch::Sender::new(false);
         let mut servers = JoinSet::new();
         let handler = Arc::new(Outbound::new(Arc::clone(&shared)));
-        let idle = caller_idle(Arc::clone(&shared));
+        let resting = Arc::clone(&shared);
+        let idle: IdleLimit = Arc::new(move || caller_rest(&resting));
         servers.spawn(serve(
             outbound,
             handler,
@@ -199,15 +198,6 @@
     })
 }
 
-/// Callers' connections may rest for as long as the route table in force says.
-fn caller_idle(shared: Arc<Shared>) -> IdleLimit {
-    Arc::new(move || {
-        let router = shared.router.load();
-        let stated = router.as_ref().and_then(|router| router.caller_rest());
-        stated.unwrap_or(USUAL_CALLER_REST)
-    })
-}
-
 async fn close_stale(shared: Arc<Shared>) {
     let mut ticks = tokio::time::interval(POOL_CHECK_PERIOD);
     loop {
--- a/crates/bramblewheel-proxy/src/decide/route_limit.rs
+++ b/crates/bramblewheel-proxy/src/decide/route_limit.rs
@@ -23,6 +23,8 @@
 const FAILED_PART: f64 = 0.15;
 /// What the limit falls to in one step.
 const DECREASE: f64 = 0.85;
+/// What the limit falls to in one step at least, where most requests fail.
+const LEAST_KEPT: f64 = 0.5;
 /// What the limit grows by in one step, as a part of it.
 const INCREASE: f64 = 0.08;
 /// What the usual time grows by in each look that was slower.
@@ -122,7 +124,8 @@
 
     fn adjust(&mut self, objective: Duration) {
         let mean = self.total.as_secs_f64() / f64::from(self.answers);
-        let has_failed = f64::from(self.failures) > f64::from(self.answers) * FAILED_PART;
+        let failed_part = f64::from(self.failures) / f64::from(self.answers);
+        let has_failed = failed_part > FAILED_PART;
         if !has_failed {
             self.learn_usual(mean);
         }
@@ -131,7 +134,8 @@
         let in_use = f64::from(self.most_running);
         if has_failed || mean > bound {
             let from = self.limit.min(in_use);
-            self.limit = (from * DECREASE).max(self.least);
+            let kept = (1.0 - failed_part).clamp(LEAST_KEPT, DECREASE);
+            self.limit = (from * kept).max(self.least);
         } else if in_use >= self.limit * IN_USE {
             let step = (self.limit * INCREASE).max(1.0);
             self.limit = (self.limit + step).min(self.most);
--- a/crates/bramblewheel-proxy/src/http/fields.rs
+++ b/crates/bramblewheel-proxy/src/http/fields.rs
@@ -1,6 +1,6 @@
 //! Header fields that concern one connection only.
 
-use http::header::{self, HeaderMap, HeaderName};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use std::time::Duration;
 
 /// Fields that end at each hop, besides those that `Connection` names. The length is among them: it
@@ -16,8 +16,8 @@
     header::TRANSFER_ENCODING,
     header::UPGRADE,
 ];
-/// How long an endpoint keeps an idle connection; no constant of the library names it.
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// How long a side keeps an idle connection; no constant of the library names it.
+pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
 /// Removes the fields that concern one connection only.
@@ -45,6 +45,16 @@
     seconds.map(Duration::from_secs)
 }
 
+/// What the other side is told of a connection that is closed here after `rest`: less than that, so
+/// that no request crosses the close, in whole seconds as the field wants it; nothing below one.
+pub fn keep_alive(rest: Duration) -> Option<HeaderValue> {
+    /// Part of the time that the other side is told.
+    const TOLD_PART: f64 = 0.6;
+    let seconds = rest.mul_f64(TOLD_PART).as_secs();
+    let told = || HeaderValue::try_from(format!("timeout={seconds}"));
+    (seconds > 0).then(|| told().expect("numbers consist of visible ASCII"))
+}
+
 /// Whether the other side closes the connection after this message.
 pub fn is_closing(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::http::body::{self, AnswerBody, Read};
 use crate::http::exchange::OutgoingBody;
+use crate::http::fields::{self, KEEP_ALIVE};
 use crate::http::server::Handler;
 use crate::inbound::dispatch::text;
 use crate::shared::Shared;
@@ -32,6 +33,20 @@
 /// late is late.
 const NOT_READY_RETRY_MILLIS: std::ops::Range<u32> = 80..350;
 
+/// Longest rest after which a caller's connection is closed. Many callers open one connection for
+/// each request and leave it open.
+const LONGEST_CALLER_REST: Duration = Duration::from_millis(3_500);
+
+/// Rest after which callers' connections are closed now: as the route table in force says, and not
+/// for longer than the longest.
+pub fn caller_rest(shared: &Shared) -> Duration {
+    let router = shared.router.load();
+    let stated = router.as_ref().and_then(|router| router.caller_rest());
+    stated.map_or(LONGEST_CALLER_REST, |stated| {
+        stated.min(LONGEST_CALLER_REST)
+    })
+}
+
 /// Serves the listener for callers on this machine.
 #[derive(Debug)]
 pub struct Outbound {
@@ -108,9 +123,11 @@
         let active = self.shared.active.begin();
         let mut response = self.answer(request).await;
         response.body_mut().guard(active);
+        let headers = response.headers_mut();
         if self.shared.is_stopping() {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(CONNECTION, close);
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        } else if let Some(told) = fields::keep_alive(caller_rest(&self.shared)) {
+            headers.insert(KEEP_ALIVE, told);
         }
         response
     }
--- a/crates/bramblewheel-proxy/tests/decide.rs
+++ b/crates/bramblewheel-proxy/tests/decide.rs
@@ -399,6 +399,31 @@
     assert!(small.begin(false) && !small.begin(false) && small.begin(true));
 }
 
+/// Refusing at the top spares the calls below: the more of them fail, the sooner.
+#[test]
+fn the_limit_falls_by_the_part_that_fails() {
+    let objective = Duration::from_millis(1_500);
+    let after_one_look = |failing: u32| {
+        let mut limit = RouteLimit::new(Timestamp::ZERO, 100);
+        for _ in 0..60 {
+            assert!(limit.begin(false));
+        }
+        for number in 0..10 {
+            let answered = Answered {
+                time: Duration::from_millis(50),
+                has_failed: number < failing,
+            };
+            let now = Timestamp::from_millis(if number == 9 { 250 } else { 10 });
+            limit.end(now, Some(answered), objective);
+        }
+        limit.whole_limit()
+    };
+    assert_eq!(after_one_look(0), 100);
+    assert_eq!(after_one_look(2), 48);
+    assert_eq!(after_one_look(4), 36);
+    assert_eq!(after_one_look(9), 30);
+}
+
 /// An endpoint whose answers never come in time is slow, though it never answers.
 #[test]
 fn an_endpoint_that_is_given_up_gets_less_work() {
--- /dev/null
+++ b/crates/bramblewheel-proxy/tests/sockets/main.rs
@@ -0,0 +1,5 @@
+//! The routed data path over sockets, with a real control replica and scripted endpoints.
+
+mod bounds;
+mod requests;
+mod support;
--- a/crates/bramblewheel-proxy/tests/requests.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/requests.rs
@@ -1,14 +1,12 @@
 //! Requests over sockets: outcomes that hold whatever the endpoint does.
 
-mod support;
-
+use crate::support::endpoint::Act;
+use crate::support::{Mesh, eventually};
 use bramblewheel_protocol::control::{ReplyBody, RequestBody};
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{DaemonId, EndpointId, ServiceName};
 use bytes::Bytes;
 use http::StatusCode;
-use support::endpoint::Act;
-use support::{Mesh, eventually};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
@@ -298,7 +296,7 @@
         ..mesh.record(0, EndpointState::Ready, 1)
     };
     let body = RequestBody::RegisterEndpoint(Box::new(record));
-    let reply = mesh.control.request(&body, support::PATIENCE).await;
+    let reply = mesh.control.request(&body, crate::support::PATIENCE).await;
     let ready = ReplyBody::EndpointRegistered(EndpointState::Ready);
     assert_eq!(reply.expect("decided"), ready);
     let shared = mesh.daemons[0].shared();
@@ -326,6 +324,6 @@
     let answer = mesh.call(0, "/safe/item", "r-1").await.expect("an answer");
     // The request took longer than a connection may rest.
     assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
-    let closed = tokio::time::timeout(support::PATIENCE, resting.read(&mut [0])).await;
+    let closed = tokio::time::timeout(crate::support::PATIENCE, resting.read(&mut [0])).await;
     assert_eq!(closed.expect("closed").ok(), Some(0));
 }
--- a/crates/bramblewheel-proxy/tests/support/endpoint.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
@@ -32,6 +32,10 @@
     Hang,
     /// Answers with an error of its own and proof.
     Fail,
+    /// Announces a body of a gibibyte and writes for as long as somebody takes it.
+    Endless,
+    /// Answers before the body has arrived, and takes the rest of it afterwards.
+    Early,
 }
 
 /// One request as it arrived.
@@ -40,6 +44,8 @@
     pub id: String,
     pub headers: HashMap<String, String>,
     pub body_bytes: usize,
+    /// Whether it was answered when its head came.
+    pub is_answered: bool,
 }
 
 #[derive(Debug, Default)]
@@ -47,6 +53,7 @@
     script: VecDeque<Act>,
     arrivals: Vec<Arrival>,
     cancelled: usize,
+    written: usize,
 }
 
 /// An endpoint that does what a script says; without one it answers.
@@ -89,18 +96,32 @@
         self.lock().cancelled
     }
 
+    /// Bytes of endless bodies that were taken.
+    pub fn written(&self) -> usize {
+        self.lock().written
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().expect("no test panics under the lock")
     }
 
     async fn serve(&self, mut stream: TcpStream) {
         let mut begun = Vec::new();
-        while let Some(arrival) = read_request(&mut stream, &mut begun).await {
+        let is_early = || {
+            let script = &mut self.lock().script;
+            let is_it = matches!(script.front(), Some(Act::Early));
+            is_it.then(|| script.pop_front()).is_some()
+        };
+        while let Some(arrival) = read_request(&mut stream, &mut begun, is_early).await {
             let id = arrival.id.clone();
+            let is_answered = arrival.is_answered;
             let act = {
                 let mut state = self.lock();
                 state.arrivals.push(arrival);
-                state.script.pop_front().unwrap_or(Act::Answer)
+                match is_answered {
+                    true => continue,
+                    false => state.script.pop_front().unwrap_or(Act::Answer),
+                }
             };
             if !self.act(&act, &id, &mut stream).await {
                 return;
@@ -142,6 +163,8 @@
                 self.lock().cancelled += 1;
                 return false;
             }
+            Act::Endless => return self.write_endlessly(&proof, stream).await,
+            Act::Early => unreachable!("answered when its head came"),
             Act::Fail => (answer("500 Internal Server Error", &proof, "failed"), true),
         };
         let written = stream.write_all(text.as_bytes()).await;
@@ -153,8 +176,34 @@
     }
 }
 
+impl ScriptedEndpoint {
+    async fn write_endlessly(&self, proof: &str, stream: &mut TcpStream) -> bool {
+        const LENGTH: usize = 1 << 30;
+        let head = format!("HTTP/1.1 200 OK\r\n{proof}content-length: {LENGTH}\r\n\r\n");
+        if stream.write_all(head.as_bytes()).await.is_err() {
+            return false;
+        }
+        let piece = vec![b'x'; 64 * 1024];
+        while self.written() < LENGTH && stream.write_all(&piece).await.is_ok() {
+            self.lock().written += piece.len();
+        }
+        false
+    }
+}
+
+/// An answer to the request of a head, given before its body is read.
+async fn answer_early(stream: &mut TcpStream, id: &str) -> Option<()> {
+    let head = format!("HTTP/1.1 200 OK\r\nbw-request-id: {id}\r\nbw-proof: early\r\n");
+    let answer = format!("{head}content-length: 5\r\n\r\nearly");
+    stream.write_all(answer.as_bytes()).await.ok()
+}
+
 /// Reads a request whose body has a length or comes in chunks; bodies are counted only.
-async fn read_request(stream: &mut TcpStream, begun: &mut Vec<u8>) -> Option<Arrival> {
+async fn read_request(
+    stream: &mut TcpStream,
+    begun: &mut Vec<u8>,
+    is_early: impl Fn() -> bool,
+) -> Option<Arrival> {
     let head_end = loop {
         if let Some(at) = find(begun, b"\r\n\r\n") {
             break at + 4;
@@ -167,6 +216,11 @@
         .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
         .collect();
     begun.drain(..head_end);
+    let id = headers.get("bw-request-id").cloned().unwrap_or_default();
+    let is_answered = is_early();
+    if is_answered {
+        answer_early(stream, &id).await?;
+    }
     let length = headers.get("content-length");
     let length = length.and_then(|text| text.parse::<usize>().ok());
     let body_bytes = match length {
@@ -180,11 +234,11 @@
         None if headers.contains_key("transfer-encoding") => read_chunks(stream, begun).await?,
         None => 0,
     };
-    let id = headers.get("bw-request-id").cloned().unwrap_or_default();
     Some(Arrival {
         id,
         headers,
         body_bytes,
+        is_answered,
     })
 }
 
--- a/crates/bramblewheel-proxy/tests/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod endpoint;
 
+use self::endpoint::ScriptedEndpoint;
 use bramblewheel_control::settings::{
     AdminSettings, FormationSettings, ListenSettings, LogSettings, SpareSettings, StorageSettings,
     TimingSettings,
@@ -20,7 +21,6 @@
 use bramblewheel_proxy::{Daemon, Dialect, Settings};
 use bramblewheel_types::{DaemonId, EndpointId, Millis, RegionName, ServiceName, ZoneName};
 use bytes::Bytes;
-use endpoint::ScriptedEndpoint;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
@@ -83,7 +83,7 @@
         mesh
     }
 
-    async fn start_daemon(&self, number: usize, replica: SocketAddr) -> Daemon {
+    pub async fn start_daemon(&self, number: usize, replica: SocketAddr) -> Daemon {
         let [outbound, inbound, metrics] = free_addresses();
         let settings = Settings {
             name: DaemonId::new(&format!("daemon-{number}")).expect("a name"),
