Learn how long endpoints keep idle connections; bound bodies as the table says; less memory at rest

Change: a connection that breaks under the first request after a rest shows how long is too long; others that rested for half of that are not used for 8 s. Test: `connections_that_an_endpoint_forgets...`, red with the memory set to zero (4 lost of 8, 1 wanted).

`maxBodyBytes` of a configuration is in force now (413 where the length is told, cut off where it is not); it was read over.

--- a/crates/bramblewheel-protocol/tests/packed.rs
+++ b/crates/bramblewheel-protocol/tests/packed.rs
@@ -19,9 +19,9 @@
     let route = |number: u32| {
         let word = number.wrapping_mul(2_654_435_761);
         format!(
-            "{{\"typeUrl\":\"routes\",\"metadata\":{{\"name\":\"r-{word:x}\"}},\"spec\":{{\"hostname\":\
-             \"h{word:x}.example\",\"pathPrefix\":\"/{number}/\",\"kind\":\"safe\",\"timeoutMs\":6000,\
-             \"targetLatencyMs\":1500,\"priority\":2,\"service\":\"kassa\",\"maxAttempts\":2}}}}"
+            "{{\"kind\":\"routes\",\"metadata\":{{\"name\":\"r-{word:x}\"}},\"spec\":{{\"host\":\
+             \"h{word:x}.example\",\"prefix\":\"/{number}/\",\"kind\":\"safe\",\"timeout_millis\":6000,\
+             \"objective_millis\":1500,\"rank\":2,\"service\":\"kassa\",\"max_attempts\":2}}}}"
         )
     };
     let text: Vec<String> = (0..868).map(route).collect();
--- a/crates/bramblewheel-proxy/src/control/registrar.rs
+++ b/crates/bramblewheel-proxy/src/control/registrar.rs
@@ -5,7 +5,6 @@
 use bramblewheel_process::clock::Clock;
 use bramblewheel_protocol::control::{ReplyBody, RequestBody};
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
-use bramblewheel_types::EndpointId;
 use slog::Logger;
 use std::sync::Arc;
 use std::time::Duration;
@@ -94,11 +93,6 @@
         Ok(())
     }
 
-    /// Whether an endpoint's end is recorded already.
-    pub fn is_ended(&self, endpoint: &EndpointId, wanted: EndpointState) -> bool {
-        self.local.is_recorded_final(endpoint, wanted)
-    }
-
     fn log_word(&self, record: &EndpointRecord, heard: Heard) {
         slog::info!(self.log, "endpoint says"; "endpoint" => %record.endpoint,
             "service" => %record.service, "state" => ?record.state, "slots" => record.slots,
@@ -132,7 +126,7 @@
         let is_given_up = recorded.endpoint == current.endpoint
             && recorded.state == EndpointState::Silent
             && current.state == EndpointState::Ready;
-        if is_given_up && self.local.is_heard(self.clock.now()) {
+        if is_given_up && self.local.is_heard() {
             let _ = self.news.send(current);
         }
     }
--- a/crates/bramblewheel-proxy/src/decide/table.rs
+++ b/crates/bramblewheel-proxy/src/decide/table.rs
@@ -2,7 +2,7 @@
 
 use bramblewheel_protocol::routing::TableVersion;
 use bramblewheel_types::ServiceName;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -25,6 +25,8 @@
     pub services: BTreeMap<ServiceName, ServiceTerms>,
     /// How long a caller's connection may rest between two requests, if stated.
     pub caller_rest: Option<Duration>,
+    /// Longest body of a request in bytes, if stated.
+    pub longest_body: Option<usize>,
 }
 
 /// Terms of a service.
@@ -162,8 +164,8 @@
 pub struct Router {
     version: TableVersion,
     by_host: HashMap<String, HashMap<String, Arc<ActiveRoute>>>,
-    services: BTreeMap<ServiceName, ServiceTerms>,
     caller_rest: Option<Duration>,
+    longest_body: usize,
 }
 
 /// A route in force, with what the choice among its targets needs.
@@ -197,8 +199,8 @@
         Self {
             version: table.version,
             by_host,
-            services: table.services,
             caller_rest: table.caller_rest,
+            longest_body: table.longest_body.unwrap_or(usize::MAX),
         }
     }
 
@@ -212,16 +214,9 @@
         self.version
     }
 
-    /// Terms of a service.
-    pub fn service(&self, service: &ServiceName) -> Option<&ServiceTerms> {
-        self.services.get(service)
-    }
-
-    /// Services that some route sends requests to.
-    pub fn target_services(&self) -> HashSet<&ServiceName> {
-        let routes = self.by_host.values().flat_map(HashMap::values);
-        let targets = routes.flat_map(|active| &active.route.targets);
-        targets.map(|target| &target.service).collect()
+    /// Longest body of a request, in bytes.
+    pub fn longest_body(&self) -> usize {
+        self.longest_body
     }
 
     /// The route of the longest prefix that begins `path`. One look-up for each slash of the path.
--- a/crates/bramblewheel-proxy/src/http/body.rs
+++ b/crates/bramblewheel-proxy/src/http/body.rs
@@ -4,7 +4,7 @@
 use crate::local::Permit;
 use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -62,7 +62,7 @@
 #[derive(Debug)]
 pub struct RequestBody {
     first: Option<Bytes>,
-    rest: Option<Incoming>,
+    rest: Option<Limited<Incoming>>,
     is_sent: Arc<AtomicBool>,
 }
 
@@ -76,8 +76,8 @@
         }
     }
 
-    /// A body passed on as it comes; `is_sent` becomes true once it is written.
-    pub fn begun(first: Bytes, rest: Incoming, is_sent: Arc<AtomicBool>) -> Self {
+    /// A body passed on as it comes, up to a limit; `is_sent` becomes true once it is written.
+    pub fn begun(first: Bytes, rest: Limited<Incoming>, is_sent: Arc<AtomicBool>) -> Self {
         Self {
             first: Some(first).filter(|bytes| !bytes.is_empty()),
             rest: Some(rest),
@@ -127,7 +127,7 @@
     }
 }
 
-fn hint(first: Option<&Bytes>, rest: Option<&Incoming>) -> SizeHint {
+fn hint(first: Option<&Bytes>, rest: Option<&impl Body>) -> SizeHint {
     let first = first.map_or(0, |bytes| bytes.len() as u64);
     let Some(rest) = rest else {
         return SizeHint::with_exact(first);
--- a/crates/bramblewheel-proxy/src/http/exchange.rs
+++ b/crates/bramblewheel-proxy/src/http/exchange.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::response::Parts;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use std::sync::Arc;
 
@@ -41,12 +42,23 @@
     /// Known in full; may be sent any number of times.
     Whole(Bytes),
     /// Passed on as it comes, once.
-    Begun(Bytes, Incoming),
+    Begun(Bytes, Limited<Incoming>),
     /// Passed on already.
     Spent,
 }
 
 impl OutgoingBody {
+    /// A body as far as it was read; no more than `longest` bytes of it are passed on.
+    pub fn new(read: Read, longest: usize) -> Self {
+        match read {
+            Read::Whole(bytes) => Self::Whole(bytes),
+            Read::Begun(first, rest) => {
+                let left = longest.saturating_sub(first.len());
+                Self::Begun(first, Limited::new(rest, left))
+            }
+        }
+    }
+
     /// Whether the request can be sent again.
     pub fn is_whole(&self) -> bool {
         matches!(self, Self::Whole(_))
@@ -120,7 +132,10 @@
                     return Err(NoAnswer::NotSent);
                 }
             }
-            Err(_) => return Err(NoAnswer::Lost),
+            Err(_) => {
+                lease.broke();
+                return Err(NoAnswer::Lost);
+            }
         }
     }
     Err(NoAnswer::NotSent)
--- a/crates/bramblewheel-proxy/src/http/pool.rs
+++ b/crates/bramblewheel-proxy/src/http/pool.rs
@@ -20,6 +20,9 @@
 /// Idle connections kept to one address.
 const MAX_IDLE: usize = 64;
 
+/// Time for which a pool remembers that the other side forgets idle connections.
+const MEMORY_OF_LOSSES: Duration = Duration::from_secs(8);
+
 /// No connection could be opened; nothing was sent.
 #[derive(Debug, Error)]
 #[error("no connection")]
@@ -50,6 +53,7 @@
                 address,
                 keep_idle: self.keep_idle,
                 idle: Mutex::default(),
+                loss: Mutex::default(),
             })
         });
         Arc::clone(pool)
@@ -70,11 +74,21 @@
     address: SocketAddr,
     keep_idle: Duration,
     idle: Mutex<VecDeque<Idle>>,
+    /// The last connection that broke under a request after a rest.
+    loss: Mutex<Option<Loss>>,
+}
+
+/// A connection that broke under the first request after a rest: the other side had forgotten it.
+#[derive(Clone, Copy, Debug)]
+struct Loss {
+    rest: Duration,
+    at: Instant,
 }
 
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
+    since: Instant,
     until: Instant,
 }
 
@@ -98,6 +112,8 @@
     pool: Arc<Pool>,
     /// Whether it carried a request before, so that the other side may just have closed it.
     pub is_reused: bool,
+    /// How long it was idle before.
+    rest: Duration,
     /// How long the other side keeps it idle, if it says.
     pub idle_timeout: Option<Duration>,
     /// Whether the request on it was written to its end; before that it can't carry another.
@@ -112,8 +128,9 @@
     /// # Errors
     /// [`ConnectFailed`]; nothing was sent.
     pub async fn acquire(self: &Arc<Self>) -> Result<Lease, ConnectFailed> {
-        if let Some(connection) = self.take_idle() {
-            return Ok(self.lease(connection, true));
+        if let Some(idle) = self.take_idle() {
+            let rest = idle.since.elapsed();
+            return Ok(self.lease(idle.connection, true, rest));
         }
         self.open().await
     }
@@ -139,26 +156,36 @@
             sender,
             task: task.abort_handle(),
         };
-        Ok(self.lease(connection, false))
+        Ok(self.lease(connection, false, Duration::ZERO))
     }
 
-    fn lease(self: &Arc<Self>, connection: Connection, is_reused: bool) -> Lease {
+    fn lease(self: &Arc<Self>, connection: Connection, is_reused: bool, rest: Duration) -> Lease {
         Lease {
             connection,
             pool: Arc::clone(self),
             is_reused,
+            rest,
             idle_timeout: None,
             is_request_sent: Arc::default(),
             is_closing: false,
         }
     }
 
-    fn take_idle(&self) -> Option<Connection> {
-        let mut idle = lock(&self.idle);
+    /// Rest after which connections are not used again: half of the one that was too long lately.
+    fn longest_rest(&self, now: Instant) -> Duration {
+        let loss = *lock(&self.loss);
+        let recent = loss.filter(|loss| now.duration_since(loss.at) < MEMORY_OF_LOSSES);
+        recent.map_or(self.keep_idle, |loss| loss.rest / 2)
+    }
+
+    fn take_idle(&self) -> Option<Idle> {
         let now = Instant::now();
+        let longest = self.longest_rest(now);
+        let mut idle = lock(&self.idle);
         while let Some(last) = idle.pop_back() {
-            if last.until > now && last.connection.sender.is_ready() {
-                return Some(last.connection);
+            let is_fresh = last.until > now && now.duration_since(last.since) <= longest;
+            if is_fresh && last.connection.sender.is_ready() {
+                return Some(last);
             }
         }
         None
@@ -177,6 +204,15 @@
         &mut self.connection.sender
     }
 
+    /// The connection broke under its request. If that was the first after a rest, the other side may
+    /// have forgotten the connection, and others that rested as long are not used any more.
+    pub fn broke(&self) {
+        if self.is_reused {
+            let (rest, at) = (self.rest, Instant::now());
+            *lock(&self.pool.loss) = Some(Loss { rest, at });
+        }
+    }
+
     /// Keeps the connection for reuse, if it may carry another request; only allowed after the
     /// answer was read to its end.
     pub fn give_back(self) {
@@ -192,9 +228,11 @@
         if idle.len() >= MAX_IDLE {
             idle.pop_front();
         }
+        let since = Instant::now();
         idle.push_back(Idle {
             connection: self.connection,
-            until: Instant::now() + keep,
+            since,
+            until: since + keep,
         });
     }
 }
--- a/crates/bramblewheel-proxy/src/http/server.rs
+++ b/crates/bramblewheel-proxy/src/http/server.rs
@@ -155,12 +155,14 @@
     let served = Arc::clone(&activity);
     let service = hyper::service::service_fn(move |request| {
         let (handler, activity) = (Arc::clone(&handler), Arc::clone(&served));
-        async move {
+        // Boxed, since a connection keeps room for the future of a request also while it rests, and
+        // most connections do.
+        Box::pin(async move {
             activity.request_begins();
             let response = handler.handle(request).await;
             activity.request_ends();
             Ok::<_, Infallible>(response)
-        }
+        })
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/bramblewheel-proxy/src/inbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/inbound/mod.rs
@@ -3,7 +3,7 @@
 pub mod dispatch;
 
 use crate::decide::directory::LoadReport;
-use crate::http::body::{self, AnswerBody, Read};
+use crate::http::body::{self, AnswerBody};
 use crate::http::exchange::{Answer, Outgoing, OutgoingBody};
 use crate::http::fields;
 use crate::http::server::Handler;
@@ -46,8 +46,8 @@
             }
         };
         let body = match body::read(incoming).await {
-            Ok(Read::Whole(bytes)) => OutgoingBody::Whole(bytes),
-            Ok(Read::Begun(first, rest)) => OutgoingBody::Begun(first, rest),
+            // The caller's daemon bounds it.
+            Ok(read) => OutgoingBody::new(read, usize::MAX),
             // The daemon that sends it went away, or its caller did.
             Err(_) => return self.without_answer(AttemptResult::Unreachable),
         };
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -152,10 +152,10 @@
     }
 
     /// Whether the endpoint was heard since this daemon started, and takes work.
-    pub fn is_heard(&self, now: Timestamp) -> bool {
+    pub fn is_heard(&self) -> bool {
         let state = self.lock();
         let current = state.current.as_ref();
-        current.is_some_and(|current| current.last_word.is_some_and(|at| at <= now))
+        current.is_some_and(|current| current.last_word.is_some())
     }
 
     /// Whether the endpoint takes work, as the control group has confirmed.
@@ -173,13 +173,6 @@
         state.current.as_ref().map(|current| current.record.clone())
     }
 
-    /// Whether the control group has recorded that an endpoint takes no more work.
-    pub fn is_recorded_final(&self, endpoint: &EndpointId, wanted: EndpointState) -> bool {
-        let state = self.lock();
-        let recorded = state.final_states.get(endpoint);
-        recorded.is_some_and(|recorded| *recorded >= wanted)
-    }
-
     /// Refuses all new requests from now on.
     pub fn stop(&self) {
         let mut state = self.lock();
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -4,7 +4,7 @@
 mod call;
 pub mod liveness;
 
-use crate::http::body::{self, AnswerBody, Read};
+use crate::http::body::{self, AnswerBody};
 use crate::http::exchange::OutgoingBody;
 use crate::http::fields::{self, KEEP_ALIVE};
 use crate::http::server::Handler;
@@ -16,7 +16,7 @@
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use rand::RngExt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -79,10 +79,15 @@
                 "path" => head.uri.path(), "table" => router.version().0);
             return empty(StatusCode::NOT_FOUND);
         };
+        let longest = router.longest_body();
+        if incoming.size_hint().lower() > longest as u64 {
+            slog::info!(self.shared.log, "request refused"; "id" => text(&id),
+                "reason" => "its body is too long", "longest" => longest);
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        }
         let remaining = dialect.remaining(&head.headers);
         let body = match body::read(incoming).await {
-            Ok(Read::Whole(bytes)) => OutgoingBody::Whole(bytes),
-            Ok(Read::Begun(first, rest)) => OutgoingBody::Begun(first, rest),
+            Ok(read) => OutgoingBody::new(read, longest),
             Err(_) => return empty(StatusCode::BAD_REQUEST),
         };
         let call = Call::new(
--- a/crates/bramblewheel-proxy/tests/decide.rs
+++ b/crates/bramblewheel-proxy/tests/decide.rs
@@ -45,6 +45,7 @@
         routes,
         services: ["kassa", "pris"].map(|name| (service(name), terms)).into(),
         caller_rest: None,
+        longest_body: None,
     }
 }
 
--- a/crates/bramblewheel-proxy/tests/sockets/bounds.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/bounds.rs
@@ -2,7 +2,7 @@
 //! know nothing yet, connections that rest.
 
 use crate::support::endpoint::Act;
-use crate::support::{HOST, Mesh, eventually};
+use crate::support::{HOST, LONGEST_BODY, Mesh, eventually};
 use bramblewheel_proxy::http::fields;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
@@ -91,6 +91,37 @@
     assert_eq!(answer.status, StatusCode::OK);
 }
 
+/// A body that says how long it is gets a clear answer; one that does not is cut off, and what it
+/// was is not told as run or not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_is_too_long_does_not_get_through() {
+    let mesh = Mesh::start(1).await;
+    let headers = [("bw-request-id", "r-1")];
+    let body = Bytes::from(vec![b'x'; LONGEST_BODY + 1]);
+    let answer = mesh.call_with(0, "/safe/item", &headers, body).await;
+    assert!(answer.is_ok_and(|answer| answer.status == StatusCode::PAYLOAD_TOO_LARGE));
+    assert!(mesh.endpoints[0].arrivals().is_empty());
+    let mut stream = connected(&mesh).await;
+    let head =
+        head("/safe/item", "r-2", 0).replace("content-length: 0", "transfer-encoding: chunked");
+    stream.write_all(head.as_bytes()).await.expect("open");
+    let piece = format!("10000\r\n{}\r\n", "x".repeat(0x1_0000));
+    for _ in 0..=LONGEST_BODY / 0x1_0000 {
+        // It may have been cut off by now.
+        let _ = stream.write_all(piece.as_bytes()).await;
+    }
+    let _ = stream.write_all(b"0\r\n\r\n").await;
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let whole = LONGEST_BODY + 0x1_0000;
+    let arrivals = mesh.endpoints[0].arrivals();
+    assert!(arrivals.iter().all(|arrival| arrival.body_bytes < whole));
+    let answer = mesh.call(0, "/safe/item", "r-3").await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
 /// "Not found" is the word of a configuration; a daemon that has none says when to come back.
 #[tokio::test]
 async fn a_daemon_that_knows_no_configuration_says_unavailable() {
@@ -112,6 +143,21 @@
     assert_eq!(answer.status, StatusCode::NOT_FOUND);
 }
 
+/// One request is lost on a connection that the endpoint forgot, and not one after each rest.
+#[tokio::test]
+async fn connections_that_an_endpoint_forgets_are_not_used_again() {
+    let mesh = Mesh::start(1).await;
+    mesh.endpoints[0].forget_idle_after(Duration::from_millis(100));
+    let mut lost = 0;
+    for number in 0..8 {
+        let id = format!("r-{number}");
+        let answer = mesh.call(0, "/once/pay", &id).await.expect("an answer");
+        lost += u32::from(answer.status != StatusCode::OK);
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    assert_eq!(lost, 1);
+}
+
 /// Callers are told less than the time for which their connections are kept, or nothing.
 #[test]
 fn callers_are_told_for_how_long_connections_are_kept() {
--- a/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -54,6 +54,7 @@
     arrivals: Vec<Arrival>,
     cancelled: usize,
     written: usize,
+    forgets_after: Option<Duration>,
 }
 
 /// An endpoint that does what a script says; without one it answers.
@@ -96,6 +97,17 @@
         self.lock().cancelled
     }
 
+    /// Idle connections are forgotten after this time: what comes on them then is reset.
+    pub fn forget_idle_after(&self, rest: Duration) {
+        self.lock().forgets_after = Some(rest);
+    }
+
+    fn has_forgotten(&self, rest: Duration) -> bool {
+        self.lock()
+            .forgets_after
+            .is_some_and(|longest| rest > longest)
+    }
+
     /// Bytes of endless bodies that were taken.
     pub fn written(&self) -> usize {
         self.lock().written
@@ -112,7 +124,12 @@
             let is_it = matches!(script.front(), Some(Act::Early));
             is_it.then(|| script.pop_front()).is_some()
         };
+        let mut rests_since = Instant::now();
         while let Some(arrival) = read_request(&mut stream, &mut begun, is_early).await {
+            if self.has_forgotten(rests_since.elapsed()) {
+                let _ = stream.set_zero_linger();
+                return;
+            }
             let id = arrival.id.clone();
             let is_answered = arrival.is_answered;
             let act = {
@@ -126,6 +143,7 @@
             if !self.act(&act, &id, &mut stream).await {
                 return;
             }
+            rests_since = Instant::now();
         }
     }
 
--- a/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
@@ -34,6 +34,8 @@
 pub const PATIENCE: Duration = Duration::from_secs(20);
 /// How long callers' connections may rest.
 pub const CALLER_REST: Duration = Duration::from_secs(1);
+/// Longest body of a request, in bytes.
+pub const LONGEST_BODY: usize = 4 << 20;
 pub const HOST: &str = "shop.example";
 
 /// A control replica, daemons and the endpoints beside them.
@@ -249,6 +251,7 @@
         routes: vec![route("safe", true), route("once", false)],
         services: [(kassa.clone(), terms)].into(),
         caller_rest: Some(CALLER_REST),
+        longest_body: Some(LONGEST_BODY),
     }
 }
 
