--- a/platform/soak/src/endpoint.rs
+++ b/crates/bramblewheel-soak/src/endpoint.rs
@@ -2,12 +2,13 @@
 
 use crate::history::{History, Run};
 use crate::traffic::{Call, send};
-use crate::wire;
 use axum::Router;
 use axum::body::Body;
 use axum::extract::State;
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::Response;
+use bramblewheel_platform_client as wire;
+use bramblewheel_platform_client::Heartbeat;
 use bytes::Bytes;
 use http::Method;
 use hyper::server::conn::http1;
@@ -15,7 +16,6 @@
 use hyper_util::service::TowerToHyperService;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use serde_json::json;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -173,15 +173,19 @@
     /// Returns whether it was acknowledged.
     async fn say(&self) -> bool {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let body = json!({
-            "service": self.service, "address": self.address, "zone": "north", "version": "v1",
-            "slots": SLOTS, "state": self.state, "coldRemainingMs": 0, "seq": sequence,
-        });
+        let heartbeat = Heartbeat {
+            service: self.service,
+            address: self.address,
+            zone: "north",
+            slots: SLOTS,
+            state: self.state,
+            sequence,
+        };
         let call = Call {
             method: Method::POST,
             path: &wire::heartbeat_path(&self.id),
             headers: &[("content-type", "application/json")],
-            body: Bytes::from(body.to_string()),
+            body: Bytes::from(heartbeat.body()),
         };
         let answer = send(self.admin, call, ANSWER_TIME).await;
         answer.is_ok_and(|answer| answer.status.is_success())
--- a/platform/soak/src/fleet.rs
+++ b/crates/bramblewheel-soak/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::plan::Machine;
 use crate::relay::{Mode, Relay};
-use crate::wire::SERVICES;
+use bramblewheel_platform_client::SERVICES;
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::{self, OpenOptions};
 use std::io;
--- a/platform/soak/src/history.rs
+++ b/crates/bramblewheel-soak/src/history.rs
@@ -1,21 +1,14 @@
 //! What callers, endpoints and operators saw, in the order of their clocks: one, since all run in the
 //! soak's own process.
 
+pub use bramblewheel_platform_client::Kind;
+
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// Time since the soak began.
 pub type At = Duration;
 
-/// Kind of a caller's request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
-    /// May run more than once.
-    Repeatable,
-    /// May run at most once.
-    Once,
-}
-
 /// How a request ended for its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum End {
--- /dev/null
+++ b/crates/bramblewheel-soak/src/load.rs
@@ -0,0 +1,128 @@
+//! What goes on during a soak whatever strikes: callers, probes of the configuration, operators.
+
+use crate::history::{Kind, Probe, Read};
+use crate::operator::Operators;
+use crate::run::Soak;
+use crate::traffic::{self, Call, DEADLINE, MARGIN, end_of, send};
+use bramblewheel_platform_client as wire;
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::task::JoinSet;
+
+/// Mean time between two requests to a daemon.
+const REQUEST_PERIOD: Duration = Duration::from_millis(50);
+/// Time between two probes of a daemon's configuration.
+const PROBE_PERIOD: Duration = Duration::from_millis(250);
+
+/// Requests of callers at one daemon.
+pub(crate) async fn callers(soak: Arc<Soak>, daemon: usize) {
+    let mut random = Pcg64Mcg::seed_from_u64(soak.seed ^ (daemon as u64) << 32);
+    let mut calls = JoinSet::new();
+    let mut number = 0_u64;
+    while !soak.is_over() {
+        let pause = REQUEST_PERIOD.mul_f64(random.random_range(0.2..1.8));
+        tokio::time::sleep(pause).await;
+        let kind = match random.random_bool(0.5) {
+            true => Kind::Once,
+            false => Kind::Repeatable,
+        };
+        number += 1;
+        let id = format!("r-{daemon}-{number}");
+        let address = soak.addresses.outbound(daemon);
+        calls.spawn(traffic::call(
+            soak.history.clone(),
+            address,
+            daemon,
+            kind,
+            id,
+        ));
+        while calls.try_join_next().is_some() {}
+    }
+    while calls.join_next().await.is_some() {}
+}
+
+/// Asks a daemon again and again for routes that came with some version.
+pub(crate) async fn probes(soak: Arc<Soak>, daemon: usize) {
+    let mut random = Pcg64Mcg::seed_from_u64(soak.seed ^ (daemon as u64) << 40);
+    let mut number = 0_u64;
+    while !soak.is_over() {
+        tokio::time::sleep(PROBE_PERIOD).await;
+        let version = {
+            let events = soak.history.events();
+            let taken = events.orders.iter().filter(|o| o.acknowledged.is_some());
+            let newest: Vec<u64> = taken.rev().take(3).map(|order| order.version).collect();
+            if newest.is_empty() {
+                continue;
+            }
+            newest[random.random_range(0..newest.len())]
+        };
+        number += 1;
+        probe(&soak, daemon, version, &format!("p-{daemon}-{number}")).await;
+    }
+}
+
+async fn probe(soak: &Soak, daemon: usize, version: u64, id: &str) {
+    let life = || soak.lives[daemon].load(Ordering::SeqCst);
+    let (before, sent) = (life(), soak.history.now());
+    let request = soak.history.begin(id.to_owned(), Kind::Repeatable, daemon);
+    let call = Call {
+        method: Method::POST,
+        path: &wire::probe_path(version),
+        headers: &[(wire::REQUEST_ID, id)],
+        body: Bytes::new(),
+    };
+    let answer = send(soak.addresses.outbound(daemon), call, DEADLINE + MARGIN).await;
+    soak.history.end(request, end_of(&answer, id));
+    let Ok(answer) = answer else {
+        return;
+    };
+    let is_known = match answer.status {
+        StatusCode::NOT_FOUND => false,
+        StatusCode::SERVICE_UNAVAILABLE => return,
+        _ => true,
+    };
+    if before != life() {
+        return;
+    }
+    let answered = soak.history.now();
+    soak.history.events().probes.push(Probe {
+        daemon,
+        life: before,
+        version,
+        sent,
+        answered,
+        is_known,
+    });
+}
+
+/// Changes and reads of the operators, and a read at the end.
+pub(crate) async fn operate(soak: Arc<Soak>, mut operators: Operators) {
+    const LAST_READ_TRIES: u32 = 30;
+    let mut random = Pcg64Mcg::seed_from_u64(soak.seed ^ 1 << 50);
+    while !soak.is_over() {
+        let pause = Duration::from_millis(random.random_range(200..1_500));
+        tokio::time::sleep(pause).await;
+        if random.random_bool(0.6) {
+            operators.change().await;
+        }
+        operators.read().await;
+    }
+    for _ in 0..LAST_READ_TRIES {
+        if operators.read().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let at = soak.history.now();
+    // No answer at all reads as an empty configuration.
+    let mut events = soak.history.events();
+    events.reads.push(Read {
+        sent: at,
+        text: String::new(),
+    });
+}
--- a/platform/soak/src/operator.rs
+++ b/crates/bramblewheel-soak/src/operator.rs
@@ -4,7 +4,7 @@
 use crate::history::{History, Order, Read};
 use crate::plan::Machine;
 use crate::traffic::{Answer, Call, NoAnswer, send};
-use crate::wire;
+use bramblewheel_platform_client as wire;
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use rand::{RngExt, SeedableRng};
--- a/platform/soak/src/run.rs
+++ b/crates/bramblewheel-soak/src/run.rs
@@ -3,16 +3,15 @@
 use crate::check::{Breach, RECOVERY, check};
 use crate::endpoint::Endpoint;
 use crate::fleet::{Addresses, FleetError, Host, service_of};
-use crate::history::{History, Kind, PlannedStop, Probe};
+use crate::history::{End, History, PlannedStop, Request};
+use crate::load::{callers, operate, probes};
 use crate::operator::Operators;
 use crate::plan::{Fault, Machine, Size, Step, plan};
 use crate::relay::Mode;
-use crate::traffic::{self, Call, DEADLINE, MARGIN, end_of, send};
-use crate::wire;
+use crate::traffic::{Call, send};
+use bramblewheel_platform_client as wire;
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -22,10 +21,6 @@
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 
-/// Mean time between two requests to a daemon.
-const REQUEST_PERIOD: Duration = Duration::from_millis(50);
-/// Time between two probes of a daemon's configuration.
-const PROBE_PERIOD: Duration = Duration::from_millis(250);
 /// Longest wait for the whole to serve at the beginning.
 const START_TIME: Duration = Duration::from_secs(15);
 /// Traffic after the time in which service must be back.
@@ -46,17 +41,18 @@
     pub faults: usize,
 }
 
-struct Soak {
-    history: History,
-    addresses: Addresses,
+/// A running soak.
+pub(crate) struct Soak {
+    pub(crate) history: History,
+    pub(crate) addresses: Addresses,
     daemons: usize,
     hosts: BTreeMap<Machine, Arc<Mutex<Host>>>,
     endpoints: Vec<Mutex<Option<Endpoint>>>,
     /// Starts of each daemon's process.
-    lives: Vec<AtomicU64>,
+    pub(crate) lives: Vec<AtomicU64>,
     next_endpoint: AtomicU64,
     is_over: AtomicBool,
-    seed: u64,
+    pub(crate) seed: u64,
 }
 
 /// Runs the programs at `program` with the faults of a seed; files go to `folder`.
@@ -304,16 +300,16 @@
         host.start()
     }
 
-    fn is_over(&self) -> bool {
+    pub(crate) fn is_over(&self) -> bool {
         self.is_over.load(Ordering::Relaxed)
     }
 
     fn verdict(&self, faults: usize) -> Verdict {
         let mut events = self.history.events();
         events.ended = self.history.now();
-        let is_served = |request: &&crate::history::Request| {
+        let is_served = |request: &&Request| {
             let end = request.ended.as_ref().map(|(_, end)| end);
-            matches!(end, Some(crate::history::End::Answer { status: 200, .. }))
+            matches!(end, Some(End::Answer { status: 200, .. }))
         };
         let is_taken = |order: &&crate::history::Order| order.acknowledged.is_some();
         Verdict {
@@ -325,111 +321,3 @@
         }
     }
 }
-
-/// Requests of callers at one daemon.
-async fn callers(soak: Arc<Soak>, daemon: usize) {
-    let mut random = Pcg64Mcg::seed_from_u64(soak.seed ^ (daemon as u64) << 32);
-    let mut calls = JoinSet::new();
-    let mut number = 0_u64;
-    while !soak.is_over() {
-        let pause = REQUEST_PERIOD.mul_f64(random.random_range(0.2..1.8));
-        tokio::time::sleep(pause).await;
-        let kind = match random.random_bool(0.5) {
-            true => Kind::Once,
-            false => Kind::Repeatable,
-        };
-        number += 1;
-        let id = format!("r-{daemon}-{number}");
-        let address = soak.addresses.outbound(daemon);
-        calls.spawn(traffic::call(
-            soak.history.clone(),
-            address,
-            daemon,
-            kind,
-            id,
-        ));
-        while calls.try_join_next().is_some() {}
-    }
-    while calls.join_next().await.is_some() {}
-}
-
-/// Asks a daemon again and again for routes that came with some version.
-async fn probes(soak: Arc<Soak>, daemon: usize) {
-    let mut random = Pcg64Mcg::seed_from_u64(soak.seed ^ (daemon as u64) << 40);
-    let mut number = 0_u64;
-    while !soak.is_over() {
-        tokio::time::sleep(PROBE_PERIOD).await;
-        let version = {
-            let events = soak.history.events();
-            let taken = events.orders.iter().filter(|o| o.acknowledged.is_some());
-            let newest: Vec<u64> = taken.rev().take(3).map(|order| order.version).collect();
-            if newest.is_empty() {
-                continue;
-            }
-            newest[random.random_range(0..newest.len())]
-        };
-        number += 1;
-        probe(&soak, daemon, version, &format!("p-{daemon}-{number}")).await;
-    }
-}
-
-async fn probe(soak: &Soak, daemon: usize, version: u64, id: &str) {
-    let life = || soak.lives[daemon].load(Ordering::SeqCst);
-    let (before, sent) = (life(), soak.history.now());
-    let request = soak.history.begin(id.to_owned(), Kind::Repeatable, daemon);
-    let call = Call {
-        method: Method::POST,
-        path: &wire::probe_path(version),
-        headers: &[(wire::REQUEST_ID, id)],
-        body: Bytes::new(),
-    };
-    let answer = send(soak.addresses.outbound(daemon), call, DEADLINE + MARGIN).await;
-    soak.history.end(request, end_of(&answer, id));
-    let Ok(answer) = answer else {
-        return;
-    };
-    let is_known = match answer.status {
-        StatusCode::NOT_FOUND => false,
-        StatusCode::SERVICE_UNAVAILABLE => return,
-        _ => true,
-    };
-    if before != life() {
-        return;
-    }
-    let answered = soak.history.now();
-    soak.history.events().probes.push(Probe {
-        daemon,
-        life: before,
-        version,
-        sent,
-        answered,
-        is_known,
-    });
-}
-
-/// Changes and reads of the operators, and a read at the end.
-async fn operate(soak: Arc<Soak>, mut operators: Operators) {
-    const LAST_READ_TRIES: u32 = 30;
-    let mut random = Pcg64Mcg::seed_from_u64(soak.seed ^ 1 << 50);
-    while !soak.is_over() {
-        let pause = Duration::from_millis(random.random_range(200..1_500));
-        tokio::time::sleep(pause).await;
-        if random.random_bool(0.6) {
-            operators.change().await;
-        }
-        operators.read().await;
-    }
-    for _ in 0..LAST_READ_TRIES {
-        if operators.read().await {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(200)).await;
-    }
-    let at = soak.history.now();
-    // No answer at all reads as an empty configuration.
-    let mut events = soak.history.events();
-    events.reads.push(crate::history::Read {
-        sent: at,
-        text: String::new(),
-    });
-}
--- a/platform/soak/src/traffic.rs
+++ b/crates/bramblewheel-soak/src/traffic.rs
@@ -1,7 +1,7 @@
 //! Calls over HTTP: what callers, endpoints and operators send.
 
 use crate::history::{End, History, Kind};
-use crate::wire;
+use bramblewheel_platform_client as wire;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
--- a/platform/soak/tests/check.rs
+++ b/crates/bramblewheel-soak/tests/check.rs
@@ -1,10 +1,10 @@
 //! Each check reports the history that it is about, and says nothing on a sound one.
 
+use bramblewheel_platform_client as wire;
 use bramblewheel_soak::check::check;
 use bramblewheel_soak::history::{
     At, End, Events, Kind, Order, PlannedStop, Probe, Read, Request, Run,
 };
-use bramblewheel_soak::wire;
 use std::time::Duration;
 
 fn at(millis: u64) -> At {
