--- a/crates/bramblewheel/src/explain/cause.rs
+++ b/crates/bramblewheel/src/explain/cause.rs
@@ -107,6 +107,7 @@
             lines.rfind(|line| line.event() == event && line.value("endpoint") == Some(&endpoint))
         };
         match attempt.value("result").unwrap_or_default() {
+            "failed" => Cause::EndpointFailed,
             "lost" | "silent" => {
                 let broken = at_endpoint("answer lost").map(|line| text(line, "broken"));
                 Cause::AnswerLost { endpoint, broken }
--- a/crates/bramblewheel/tests/explain.rs
+++ b/crates/bramblewheel/tests/explain.rs
@@ -54,6 +54,23 @@
     );
 }
 
+/// The line of the end may be left out under load; the attempt's line says the same.
+#[test]
+fn an_attempt_that_the_endpoint_failed_is_told_without_the_line_of_the_end() {
+    let folder = TempDir::new().expect("a folder");
+    let line = "level=INFO msg=\"attempt failed\" at=1779151084422 left_ms=900 again=false attempt=2 \
+                result=failed endpoint=e-1 service=kassa id=r-1\n";
+    let log = folder.path().join("daemon.txt");
+    std::fs::write(&log, line).expect("a log");
+    let log = log.display().to_string();
+    let run = run_in(folder.path(), &["explain", "r-1", &log]);
+    let text = run.out + &run.err;
+    assert!(
+        text.contains("cause=\"the endpoint answered with an error\""),
+        "{text}"
+    );
+}
+
 #[test]
 fn a_request_that_no_line_speaks_of_is_said_to_be_unknown() {
     let (status, text) = explained("0000000000000000");
