Let the soak see both acknowledgements of a race

Cause, found on reading the change again: after two orders at once on one version the second's acknowledgement was not noted when the first was taken (a short-circuited `||`), so that the check "one wins a race" could hardly fail. Test: soak tests/operator.rs, a group that takes every order: red before, green after.

--- a/crates/bramblewheel-protocol/src/packed.rs
+++ b/crates/bramblewheel-protocol/src/packed.rs
@@ -6,8 +6,8 @@
 use std::io::Read;
 use thiserror::Error;
 
-/// Level of the compression: most of the gain on the repetitive texts of operators, for a third of
-/// the time that the usual level takes.
+/// Level of the compression: a low one, since operators' texts repeat themselves and replicas have
+/// little processor time.
 const LEVEL: u32 = 3;
 /// Longest text that is unpacked, in bytes.
 pub const LONGEST_TEXT: usize = 16 * 1024 * 1024;
--- a/crates/bramblewheel-soak/src/operator.rs
+++ b/crates/bramblewheel-soak/src/operator.rs
@@ -64,7 +64,10 @@
         let second = self.order(version, "bjorn");
         let (one, other) = (self.target(), self.target());
         let (one, other) = tokio::join!(self.send(one, first), self.send(other, second));
-        if self.note(first, &one) || self.note(second, &other) {
+        // Both are noted: a group that acknowledges both is at fault.
+        let is_first_taken = self.note(first, &one);
+        let is_second_taken = self.note(second, &other);
+        if is_first_taken || is_second_taken {
             return;
         }
         self.settle(first).await;
