--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -6,7 +6,7 @@
 use crate::decide::directory::Directory;
 use crate::decide::retry_budget::RetryBudget;
 use crate::http::pool::Pools;
-use crate::http::server::{IdleLimit, bind, serve};
+use crate::http::server::{KeepPolicy, bind, serve};
 use crate::inbound::Inbound;
 use crate::local::LocalEndpoint;
 use crate::metrics::Metrics;
@@ -32,6 +32,8 @@
 const KEEP_DAEMON_CONNECTION: Duration = Duration::from_secs(4);
 /// Rest after which a connection of another daemon is closed: longer than the other keeps it.
 const DAEMON_CONNECTION_REST: Duration = Duration::from_secs(8);
+/// Callers' connections at rest beyond which new ones are closed after their first answer.
+const CALLER_CONNECTIONS_AT_REST: usize = 128;
 /// How long an idle connection to the endpoint is kept, unless it says that it closes it sooner.
 const KEEP_ENDPOINT_CONNECTION: Duration = Duration::from_secs(7);
 /// Time between two looks for connections that were idle for long.
@@ -127,17 +129,23 @@
         let mut servers = JoinSet::new();
         let handler = Arc::new(Outbound::new(Arc::clone(&shared)));
         let resting = Arc::clone(&shared);
-        let idle: IdleLimit = Arc::new(move || caller_rest(&resting));
+        let keep = KeepPolicy {
+            longest_rest: Arc::new(move || caller_rest(&resting)),
+            most_at_rest: CALLER_CONNECTIONS_AT_REST,
+        };
         servers.spawn(serve(
             outbound,
             handler,
-            idle,
+            keep,
             stop.subscribe(),
             log.clone(),
         ));
         let handler = Arc::new(Inbound::new(Arc::clone(&shared)));
-        let idle: IdleLimit = Arc::new(|| DAEMON_CONNECTION_REST);
-        servers.spawn(serve(inbound, handler, idle, stop.subscribe(), log.clone()));
+        let keep = KeepPolicy {
+            longest_rest: Arc::new(|| DAEMON_CONNECTION_REST),
+            most_at_rest: usize::MAX,
+        };
+        servers.spawn(serve(inbound, handler, keep, stop.subscribe(), log.clone()));
         slog::info!(log, "daemon started"; "name" => %shared.settings.name,
             "incarnation" => incarnation);
         Ok(Self {
--- a/crates/bramblewheel-proxy/src/http/server.rs
+++ b/crates/bramblewheel-proxy/src/http/server.rs
@@ -1,7 +1,10 @@
 //! Listeners: accept connections up to a cap, serve HTTP/1.1 on them, stop without breaking any.
 
 use crate::http::body::AnswerBody;
-use http::{Request, Response};
+use crate::http::crowd::Crowd;
+use crate::http::fields::KEEP_ALIVE;
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -42,11 +45,23 @@
 /// change while connections are open.
 pub type IdleLimit = Arc<dyn Fn() -> Duration + Send + Sync>;
 
+/// Which connections are kept between two requests, and for how long.
+#[derive(Clone)]
+pub struct KeepPolicy {
+    /// Longest rest.
+    pub longest_rest: IdleLimit,
+    /// Connections at rest beyond which a new one is closed after its first answer. One that has
+    /// carried more than one request shows that its caller uses connections again, and is kept.
+    pub most_at_rest: usize,
+}
+
 /// What a connection did last.
 #[derive(Debug)]
 struct Activity {
     /// Requests in progress: none or one.
     running: AtomicUsize,
+    /// Requests that have begun.
+    begun: AtomicUsize,
     /// When the last one ended, or the connection was opened.
     rests_since: Mutex<Instant>,
 }
@@ -55,12 +70,18 @@
     fn begin() -> Self {
         Self {
             running: AtomicUsize::new(0),
+            begun: AtomicUsize::new(0),
             rests_since: Mutex::new(Instant::now()),
         }
     }
 
     fn request_begins(&self) {
         self.running.fetch_add(1, Ordering::Relaxed);
+        self.begun.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn was_used_again(&self) -> bool {
+        self.begun.load(Ordering::Relaxed) > 1
     }
 
     fn request_ends(&self) {
@@ -99,10 +120,11 @@
 pub async fn serve<H: Handler>(
     listener: TcpListener,
     handler: Arc<H>,
-    idle: IdleLimit,
+    keep: KeepPolicy,
     mut stop: watch::Receiver<bool>,
     log: Logger,
 ) {
+    let crowd = Arc::new(Crowd::default());
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     let mut connections = JoinSet::new();
     loop {
@@ -118,7 +140,8 @@
                 let connection = serve_connection(
                     stream,
                     Arc::clone(&handler),
-                    Arc::clone(&idle),
+                    keep.clone(),
+                    Arc::clone(&crowd),
                     stop.clone(),
                 );
                 connections.spawn(async move {
@@ -145,21 +168,34 @@
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
     handler: Arc<H>,
-    idle: IdleLimit,
+    keep: KeepPolicy,
+    crowd: Arc<Crowd>,
     mut stop: watch::Receiver<bool>,
 ) {
+    let _open = crowd.enter();
     // Without it a short answer may wait for the other side's delayed acknowledgement.
     // No time-out of unacknowledged bytes: a caller may read slowly.
     let _ = stream.set_nodelay(true);
     let activity = Arc::new(Activity::begin());
+    let KeepPolicy {
+        longest_rest,
+        most_at_rest,
+    } = keep;
     let served = Arc::clone(&activity);
     let service = hyper::service::service_fn(move |request| {
         let (handler, activity) = (Arc::clone(&handler), Arc::clone(&served));
+        let crowd = Arc::clone(&crowd);
         // Boxed, since a connection keeps room for the future of a request also while it rests, and
         // most connections do.
         Box::pin(async move {
             activity.request_begins();
-            let response = handler.handle(request).await;
+            let running = crowd.begin_request();
+            let mut response = handler.handle(request).await;
+            let is_crowded = crowd.resting() >= most_at_rest;
+            if is_crowded && !activity.was_used_again() {
+                close_after(&mut response);
+            }
+            drop(running);
             activity.request_ends();
             Ok::<_, Infallible>(response)
         })
@@ -177,9 +213,16 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
-        () = activity.until_rested(&idle) => {
+        () = activity.until_rested(&longest_rest) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
     };
 }
+
+/// Makes an answer the last one of its connection.
+fn close_after(response: &mut Response<AnswerBody>) {
+    let headers = response.headers_mut();
+    headers.remove(KEEP_ALIVE);
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+}
--- /dev/null
+++ b/crates/bramblewheel-proxy/tests/sockets/connections.rs
@@ -0,0 +1,120 @@
+//! Which connections a listener keeps between two requests.
+
+use crate::support::eventually;
+use bramblewheel_process::logging::silent;
+use bramblewheel_proxy::http::body::AnswerBody;
+use bramblewheel_proxy::http::server::{Handler, KeepPolicy, bind, serve};
+use bytes::Bytes;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: shop.example\r\n\r\n";
+const BODY: &str = "whole";
+
+struct Answering;
+
+impl Handler for Answering {
+    async fn handle(self: Arc<Self>, _: Request<Incoming>) -> Response<AnswerBody> {
+        Response::new(AnswerBody::whole(Bytes::from_static(BODY.as_bytes())))
+    }
+}
+
+/// A listener that keeps connections for as long as the test runs, but for those beyond
+/// `most_at_rest`.
+async fn listening(most_at_rest: usize) -> (SocketAddr, watch::Sender<bool>) {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let listener = bind(any).await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let keep = KeepPolicy {
+        longest_rest: Arc::new(|| Duration::from_secs(3_600)),
+        most_at_rest,
+    };
+    let (stop, stopped) = watch::channel(false);
+    tokio::spawn(serve(
+        listener,
+        Arc::new(Answering),
+        keep,
+        stopped,
+        silent(),
+    ));
+    (address, stop)
+}
+
+async fn connected(address: SocketAddr) -> TcpStream {
+    TcpStream::connect(address).await.expect("it listens")
+}
+
+/// Sends a request, and reads its answer to the end of the body.
+async fn answered(stream: &mut TcpStream) {
+    stream.write_all(REQUEST).await.expect("open");
+    let mut answer = Vec::new();
+    while !answer.ends_with(BODY.as_bytes()) {
+        let read = stream.read_buf(&mut answer).await.expect("open");
+        assert!(read > 0, "closed before the answer");
+    }
+}
+
+fn is_open(stream: &TcpStream) -> bool {
+    let error = stream.try_read(&mut [0; 1]).err();
+    error.is_some_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+/// Callers that open a connection for each request and leave it open don't use up memory and
+/// descriptors; one that uses its connection again keeps it.
+#[tokio::test]
+async fn few_connections_are_kept_at_rest() {
+    const CALLERS: usize = 60;
+    const MOST_AT_REST: usize = 8;
+    let (address, _stop) = listening(MOST_AT_REST).await;
+    let mut faithful = connected(address).await;
+    answered(&mut faithful).await;
+    let mut streams = Vec::new();
+    for _ in 0..CALLERS {
+        let mut stream = connected(address).await;
+        answered(&mut stream).await;
+        streams.push(stream);
+        answered(&mut faithful).await;
+    }
+    let count = || streams.iter().filter(|stream| is_open(stream)).count();
+    eventually(|| count() <= MOST_AT_REST).await;
+    assert!(count() > 0, "some are kept");
+    answered(&mut faithful).await;
+}
+
+/// Once those at rest are gone, new ones are kept again.
+#[tokio::test]
+async fn connections_are_kept_again_when_others_have_left() {
+    const MOST_AT_REST: usize = 4;
+    let (address, _stop) = listening(MOST_AT_REST).await;
+    for _ in 0..3 {
+        let mut streams = Vec::new();
+        for _ in 0..2 * MOST_AT_REST {
+            let mut stream = connected(address).await;
+            answered(&mut stream).await;
+            streams.push(stream);
+        }
+        let count = || streams.iter().filter(|stream| is_open(stream)).count();
+        eventually(|| count() <= MOST_AT_REST).await;
+        drop(streams);
+        // The listener learns of the closes in its own time.
+        kept(address).await;
+    }
+}
+
+/// Until a new connection is kept.
+async fn kept(address: SocketAddr) {
+    loop {
+        let mut stream = connected(address).await;
+        answered(&mut stream).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        if is_open(&stream) {
+            return;
+        }
+    }
+}
--- a/crates/bramblewheel-proxy/tests/sockets/main.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The routed data path over sockets, with a real control replica and scripted endpoints.
 
 mod bounds;
+mod connections;
 mod requests;
 mod support;
