--- a/crates/bramblewheel-proxy/src/http/pool.rs
+++ b/crates/bramblewheel-proxy/src/http/pool.rs
@@ -178,6 +178,17 @@
         recent.map_or(self.keep_idle, |loss| loss.rest / 2)
     }
 
+    /// Whether a kept connection can carry the next request.
+    pub fn has_idle(&self) -> bool {
+        let now = Instant::now();
+        let longest = self.longest_rest(now);
+        let is_usable = |idle: &Idle| {
+            let is_fresh = idle.until > now && now.duration_since(idle.since) <= longest;
+            is_fresh && idle.connection.sender.is_ready()
+        };
+        lock(&self.idle).iter().rev().any(is_usable)
+    }
+
     fn take_idle(&self) -> Option<Idle> {
         let now = Instant::now();
         let longest = self.longest_rest(now);
--- a/crates/bramblewheel-proxy/src/outbound/attempt.rs
+++ b/crates/bramblewheel-proxy/src/outbound/attempt.rs
@@ -4,6 +4,7 @@
 use crate::http::body::AnswerBody;
 use crate::http::exchange::{self, Answer, NoAnswer, Outgoing};
 use crate::inbound::dispatch::{Dispatched, dispatch};
+use crate::outbound::liveness::patience;
 use crate::shared::Shared;
 use crate::wire::{AttemptResult, Handover};
 use http::{HeaderMap, Response};
@@ -33,7 +34,8 @@
     }
     let (daemon, clock) = (choice.address, shared.clock);
     let pool = shared.daemon_pools.get(daemon);
-    if !shared.liveness.answers(clock, daemon, &pool).await {
+    let asked = shared.liveness.answers(clock, daemon, &pool, is_repeatable);
+    if !asked.await {
         return without(AttemptResult::Unreachable, None);
     }
     let write = |headers: &mut HeaderMap| {
@@ -43,9 +45,10 @@
         };
         handover.write(headers);
     };
+    let patience = patience(handover.objective);
     let sent = tokio::select! {
         sent = exchange::send(&pool, outgoing, write) => sent,
-        () = shared.liveness.until_silent(clock, daemon, &pool), if is_repeatable => {
+        () = shared.liveness.until_silent(clock, daemon, &pool, patience), if is_repeatable => {
             slog::info!(shared.log, "daemon fell silent"; "daemon" => %choice.daemon,
                 "endpoint" => %choice.endpoint);
             return without(AttemptResult::Silent, None);
--- a/crates/bramblewheel-proxy/tests/sockets/main.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/main.rs
@@ -2,5 +2,6 @@
 
 mod bounds;
 mod connections;
+mod liveness;
 mod requests;
 mod support;
