--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -97,7 +97,7 @@
         let heartbeat = settings.heartbeat;
         let shared = Arc::new(Shared {
             routing: Mutex::new(Routing {
-                directory: Directory::new(settings.zone.clone()),
+                directory: Directory::new(settings.zone.clone(), settings.name.clone()),
                 budget: RetryBudget::new(settings.retry),
                 random: Pcg64Mcg::seed_from_u64(incarnation),
             }),
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -230,7 +230,8 @@
             routing.budget.record_first(now, service);
         }
         let random = &mut routing.random;
-        routing.directory.choose(now, service, tried, random)
+        let route = &self.route.route.name;
+        routing.directory.choose(now, service, route, tried, random)
     }
 
     async fn send(
--- a/crates/bramblewheel-proxy/tests/decide.rs
+++ b/crates/bramblewheel-proxy/tests/decide.rs
@@ -149,7 +149,8 @@
 }
 
 fn directory(endpoints: &[(&str, &str)]) -> Directory {
-    let mut directory = Directory::new(ZoneName::new("north").expect("a name"));
+    let daemon = DaemonId::new("caller").expect("a name");
+    let mut directory = Directory::new(ZoneName::new("north").expect("a name"), daemon);
     for (name, zone) in endpoints {
         directory.apply(Timestamp::ZERO, &news(name, zone, EndpointState::Ready));
     }
@@ -162,7 +163,7 @@
     let mut random = Pcg64Mcg::seed_from_u64(1);
     let mut chosen = Vec::new();
     for _ in 0..9 {
-        let choice = directory.choose(Timestamp::ZERO, &service("kassa"), &[], &mut random);
+        let choice = directory.choose(Timestamp::ZERO, &service("kassa"), "r", &[], &mut random);
         chosen.push(choice.expect("one of the two").endpoint.to_string());
     }
     assert_eq!(chosen[..2], ["near", "near"]);
@@ -177,7 +178,7 @@
     let mut choose = |directory: &mut Directory, at: u64| {
         let now = Timestamp::from_millis(at);
         let choice = directory
-            .choose(now, &kassa, &[], &mut random)
+            .choose(now, &kassa, "r", &[], &mut random)
             .expect("one");
         directory.record_end(
             now,
@@ -219,7 +220,7 @@
     for step in 0..400 {
         let now = Timestamp::from_millis(step * 10);
         let choice = directory
-            .choose(now, &kassa, &[], &mut random)
+            .choose(now, &kassa, "r", &[], &mut random)
             .expect("one");
         let is_slow = choice.endpoint.as_str() == "slow";
         let time = Duration::from_millis(if is_slow { 500 } else { 100 });
@@ -435,7 +436,7 @@
     for step in 0..200 {
         let now = Timestamp::from_millis(step * 10);
         let choice = directory
-            .choose(now, &kassa, &[], &mut random)
+            .choose(now, &kassa, "r", &[], &mut random)
             .expect("one");
         let is_stuck = choice.endpoint.as_str() == "stuck";
         let end = if is_stuck {
--- a/crates/bramblewheel-proxy/tests/failures.rs
+++ b/crates/bramblewheel-proxy/tests/failures.rs
@@ -19,7 +19,8 @@
 
 fn directory(endpoints: &[&str]) -> Directory {
     let zone = ZoneName::new("north").expect("a name");
-    let mut directory = Directory::new(zone.clone());
+    let daemon = DaemonId::new("caller").expect("a name");
+    let mut directory = Directory::new(zone.clone(), daemon);
     for name in endpoints {
         let record = EndpointRecord {
             endpoint: EndpointId::new(name).expect("a name"),
@@ -57,7 +58,7 @@
     for step in steps {
         let now = Timestamp::from_millis(step * STEP_MILLIS);
         let choice = directory
-            .choose(now, &kassa(), &[], random)
+            .choose(now, &kassa(), "r", &[], random)
             .expect("an endpoint");
         let name = choice.endpoint.to_string();
         let fails = failing.contains(&name.as_str()) && random.random_bool(share);
@@ -124,7 +125,7 @@
     let end = SendEnd::Answered(Duration::from_millis(100));
     directory.record_end(Timestamp::ZERO, &grey, "r", end, Some(report));
     for _ in 0..3 {
-        let choice = directory.choose(Timestamp::ZERO, &kassa(), &[], &mut random);
+        let choice = directory.choose(Timestamp::ZERO, &kassa(), "r", &[], &mut random);
         assert_eq!(choice.expect("an endpoint").endpoint.as_str(), "sound");
     }
 }
