--- a/crates/bramblewheel-proxy/src/decide/directory/mod.rs
+++ b/crates/bramblewheel-proxy/src/decide/directory/mod.rs
@@ -63,9 +63,6 @@
     pub limit: u32,
     /// Requests in a hundred that the endpoint failed lately.
     pub failed_percent: u32,
-    /// Requests in a hundred of the answered one's route that its daemon refused lately, for want of
-    /// room.
-    pub refused_percent: u32,
 }
 
 /// Endpoints of one service.
--- a/crates/bramblewheel-proxy/src/decide/early_refusal.rs
+++ b/crates/bramblewheel-proxy/src/decide/early_refusal.rs
@@ -1,27 +1,31 @@
 //! Refusals at the caller's daemon of requests that would be refused at their endpoints.
 //!
-//! In an overload each refusal at an endpoint's daemon costs two daemons a connection, a question and
-//! an answer. So the daemons beside the endpoints tell with each answer which part of the route's
-//! requests they refuse, and the callers' daemons refuse so many themselves that only a small part of
-//! those they send is refused. What they send keeps them informed: a part of it is always sent.
+//! In an overload each refusal at an endpoint's daemon costs two daemons a connection and an answer,
+//! and a request is offered to several of them. So a caller's daemon counts which part of a route's
+//! requests found no endpoint with room, and refuses so many itself that this part stays small. What
+//! it still sends keeps it informed: a part of the requests is always sent.
+//!
+//! That one endpoint refuses says nothing, since another one may have room.
 
+use crate::decide::fading_share::FadingShare;
 use bramblewheel_types::Timestamp;
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Part of the requests that endpoints' daemons go on refusing: none would mean that endpoints may
-/// have room left.
+/// Part of the requests sent that may find no room: with none of them endpoints may have room left.
 const TOLERATED: f64 = 0.2;
-/// Change of the refused part in a second, for each unit by which the endpoints refuse too many.
+/// Rise of the refused part in a second, for each unit by which too many find no room.
 const RISE_PER_SECOND: f64 = 2.0;
-/// Fall of the refused part in a second while the endpoints refuse few.
+/// Fall of the refused part in a second while few find no room.
 const FALL_PER_SECOND: f64 = 1.5;
 /// Largest part that is refused.
 const MOST_REFUSED: f64 = 0.9;
-/// Longest time between two reports that counts.
+/// Weight of the newest request in the part that finds no room.
+const SMOOTHING: f64 = 0.15;
+/// Longest time between two requests that counts.
 const LONGEST_STEP: Duration = Duration::from_millis(250);
-/// Age of the last report from which the refused part falls by itself.
-const REPORT_LIFETIME: Duration = Duration::from_millis(500);
+/// Time after the last request that was sent from which the refused part falls by itself.
+const SENT_LIFETIME: Duration = Duration::from_millis(500);
 /// Refused part from which another endpoint is not tried either.
 const WIDESPREAD: f64 = 0.1;
 /// Routes that are kept in mind.
@@ -30,12 +34,14 @@
 #[derive(Clone, Copy, Debug)]
 struct Level {
     refused_part: f64,
-    reported: Timestamp,
+    /// Part of the requests sent that found no room lately.
+    no_room: FadingShare,
+    recorded: Timestamp,
 }
 
 impl Level {
     fn at(&self, now: Timestamp) -> f64 {
-        let unheard = now.since(self.reported).saturating_sub(REPORT_LIFETIME);
+        let unheard = now.since(self.recorded).saturating_sub(SENT_LIFETIME);
         (self.refused_part - unheard.as_secs_f64() * FALL_PER_SECOND).max(0.0)
     }
 }
@@ -49,33 +55,30 @@
 }
 
 impl EarlyRefusal {
-    /// Takes over what an endpoint's daemon reports: the part of the route's requests, between 0 and
-    /// 1, that it refused lately.
-    pub fn report(&mut self, now: Timestamp, route: u64, refused_there: f64) {
-        let excess = refused_there - TOLERATED;
-        let known = self.levels.get(&route).copied();
-        if known.is_none() && excess <= 0.0 {
+    /// Notes the end of a request that was sent: whether it found no endpoint with room.
+    pub fn record(&mut self, now: Timestamp, route: u64, found_no_room: bool) {
+        if !found_no_room && !self.levels.contains_key(&route) {
             return;
         }
         if self.levels.len() >= MAX_ROUTES {
             self.levels.clear();
         }
-        let before = known.unwrap_or(Level {
+        let level = self.levels.entry(route).or_insert_with(|| Level {
             refused_part: 0.0,
-            reported: now,
+            no_room: FadingShare::default(),
+            recorded: now,
         });
-        let step = now.since(before.reported).min(LONGEST_STEP).as_secs_f64();
+        let before = level.at(now);
+        let step = now.since(level.recorded).min(LONGEST_STEP).as_secs_f64();
+        level.no_room.record(now, found_no_room, SMOOTHING);
+        let excess = level.no_room.at(now) - TOLERATED;
         let change = if excess > 0.0 {
             excess * RISE_PER_SECOND
         } else {
             -FALL_PER_SECOND
         };
-        let refused_part = (before.at(now) + change * step).clamp(0.0, MOST_REFUSED);
-        let level = Level {
-            refused_part,
-            reported: now,
-        };
-        self.levels.insert(route, level);
+        level.refused_part = (before + change * step).clamp(0.0, MOST_REFUSED);
+        level.recorded = now;
     }
 
     /// Part of a route's requests to be refused now.
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -112,7 +112,7 @@
         Refusal::Unreachable => AttemptResult::Unreachable,
     };
     let id = shared.settings.dialect.id(&outgoing.headers);
-    let load = shared.local.load(shared.clock.now(), handover.route);
+    let load = shared.local.load(shared.clock.now());
     slog::info!(shared.log, "not admitted"; "id" => id.map_or("", text),
         "endpoint" => %handover.endpoint, "reason" => result.as_str(), "rank" => handover.rank,
         "busy" => load.busy, "limit" => load.limit,
--- a/crates/bramblewheel-proxy/src/inbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/inbound/mod.rs
@@ -17,9 +17,6 @@
 use std::sync::Arc;
 use tokio::time::Instant;
 
-/// Stands for the route of a request that does not say it.
-const NO_ROUTE: u64 = 0;
-
 /// Serves the listener for other daemons.
 #[derive(Debug)]
 pub struct Inbound {
@@ -45,14 +42,14 @@
             Ok(handover) => handover,
             Err(error) => {
                 slog::warn!(self.shared.log, "handover refused"; "error" => %error);
-                return self.without_answer(AttemptResult::Leaving, NO_ROUTE);
+                return self.without_answer(AttemptResult::Leaving);
             }
         };
         let body = match body::read(incoming).await {
             // The caller's daemon bounds it.
             Ok(read) => OutgoingBody::new(read, usize::MAX),
             // The daemon that sends it went away, or its caller did.
-            Err(_) => return self.without_answer(AttemptResult::Unreachable, handover.route),
+            Err(_) => return self.without_answer(AttemptResult::Unreachable),
         };
         fields::keep_end_to_end(&mut head.headers);
         let mut outgoing = Outgoing {
@@ -64,12 +61,12 @@
         let dispatched = dispatch(&self.shared, &handover, arrived, &mut outgoing).await;
         self.shared.metrics.inbound(dispatched.result());
         match dispatched {
-            Dispatched::Answered(answer) => self.pass_on(*answer, handover.route),
-            Dispatched::Without(result) => self.without_answer(result, handover.route),
+            Dispatched::Answered(answer) => self.pass_on(*answer),
+            Dispatched::Without(result) => self.without_answer(result),
         }
     }
 
-    fn pass_on(&self, answer: Answer, route: u64) -> Response<AnswerBody> {
+    fn pass_on(&self, answer: Answer) -> Response<AnswerBody> {
         let (head, body) = match answer {
             Answer::Whole(head, bytes) => (head, AnswerBody::whole(bytes)),
             Answer::Begun(head, first, rest, held) => (*head, AnswerBody::begun(first, rest, held)),
@@ -77,22 +74,22 @@
         let mut response = Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
-        self.stamp(AttemptResult::Answered, route, response.headers_mut());
+        self.stamp(AttemptResult::Answered, response.headers_mut());
         response
     }
 
-    fn without_answer(&self, result: AttemptResult, route: u64) -> Response<AnswerBody> {
+    fn without_answer(&self, result: AttemptResult) -> Response<AnswerBody> {
         let mut response = Response::new(AnswerBody::whole(Bytes::new()));
         *response.status_mut() = match result {
             AttemptResult::Lost => StatusCode::BAD_GATEWAY,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         };
-        self.stamp(result, route, response.headers_mut());
+        self.stamp(result, response.headers_mut());
         response
     }
 
-    fn stamp(&self, result: AttemptResult, route: u64, headers: &mut HeaderMap) {
-        let load: LoadReport = self.shared.local.load(self.shared.clock.now(), route);
+    fn stamp(&self, result: AttemptResult, headers: &mut HeaderMap) {
+        let load: LoadReport = self.shared.local.load(self.shared.clock.now());
         result.write(load, headers);
     }
 }
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -180,16 +180,19 @@
         state.refuse_waiting();
     }
 
-    /// Requests at the endpoint, its limit, its failures, and what is refused of a route.
-    pub fn load(&self, now: Timestamp, route: u64) -> LoadReport {
+    /// Requests at the endpoint, its limit and its failures.
+    pub fn load(&self, now: Timestamp) -> LoadReport {
         let state = self.lock();
-        let refused = state.refused.get(&route);
-        let refused = refused.map_or(0.0, |refused| refused.at(now));
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a share is between 0 and 1"
+        )]
+        let failed_percent = (state.failed.at(now) * 100.0).round() as u32;
         LoadReport {
             busy: state.queue.busy(),
             limit: state.queue.limit(),
-            failed_percent: percent(state.failed.at(now)),
-            refused_percent: percent(refused),
+            failed_percent,
         }
     }
 
@@ -229,7 +232,6 @@
                 return Err(refusal);
             }
             if !state.begin_route(now, route) {
-                state.note_admission(now, route.route, false);
                 return Err(Refusal::Full);
             }
             let current = state.current.as_ref().ok_or(Refusal::Leaving)?;
@@ -239,7 +241,6 @@
                 due: now + handover.objective,
                 until: now + wait,
             });
-            state.note_admission(now, route.route, entered.is_ok());
             if entered.is_err() {
                 state.end_route(now, route, None);
             }
@@ -277,14 +278,3 @@
         }
     }
 }
-
-/// A share between 0 and 1 in whole hundredths.
-fn percent(share: f64) -> u32 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a share is between 0 and 1"
-    )]
-    let percent = (share * 100.0).round() as u32;
-    percent
-}
--- a/crates/bramblewheel-proxy/src/local/state.rs
+++ b/crates/bramblewheel-proxy/src/local/state.rs
@@ -14,8 +14,6 @@
 const MAX_REMEMBERED: usize = 256;
 /// Weight of the newest outcome in the share of failures.
 const FAILURE_SMOOTHING: f64 = 0.05;
-/// Weight of the newest request in the share that is refused.
-const REFUSAL_SMOOTHING: f64 = 0.15;
 /// Routes whose times are known.
 const MAX_ROUTES: usize = 512;
 
@@ -37,8 +35,6 @@
     pub(super) route_limits: HashMap<u64, RouteLimit>,
     /// Share of the requests that the endpoint failed lately.
     pub(super) failed: FadingShare,
-    /// Share of each route's requests that was refused lately for want of room.
-    pub(super) refused: HashMap<u64, FadingShare>,
     pub(super) waiting: HashMap<Ticket, oneshot::Sender<bool>>,
     /// Last word of each start, so that a late one does not bring it back.
     pub(super) last_words: HashMap<EndpointId, u64>,
@@ -71,15 +67,6 @@
         }
     }
 
-    /// Counts a request that was let in, or refused for want of room.
-    pub(super) fn note_admission(&mut self, now: Timestamp, route: u64, is_admitted: bool) {
-        if self.refused.len() >= MAX_ROUTES {
-            self.refused.clear();
-        }
-        let share = self.refused.entry(route).or_default();
-        share.record(now, !is_admitted, REFUSAL_SMOOTHING);
-    }
-
     /// Counts a request that the endpoint answered, or failed to.
     pub(super) fn note_outcome(&mut self, now: Timestamp, has_failed: bool) {
         self.failed.record(now, has_failed, FAILURE_SMOOTHING);
--- a/crates/bramblewheel-proxy/src/outbound/attempt.rs
+++ b/crates/bramblewheel-proxy/src/outbound/attempt.rs
@@ -29,7 +29,7 @@
 ) -> Attempted {
     if choice.daemon == shared.settings.name {
         let dispatched = dispatch(shared, handover, Instant::now(), outgoing).await;
-        let load = Some(shared.local.load(shared.clock.now(), handover.route));
+        let load = Some(shared.local.load(shared.clock.now()));
         return Attempted { dispatched, load };
     }
     let (daemon, clock) = (choice.address, shared.clock);
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -198,6 +198,7 @@
             let result = dispatched.result();
             let has_failed = dispatched.has_failed();
             if let Dispatched::Answered(answer) = dispatched {
+                self.note_room(true);
                 if !has_failed {
                     return Final::Answered(answer);
                 }
@@ -210,6 +211,9 @@
                 "attempt" => tried.len(), "again" => may_go_on,
                 "left_ms" => millis(deadline.saturating_duration_since(Instant::now())));
             if !may_go_on {
+                if result == AttemptResult::Full {
+                    self.note_room(false);
+                }
                 return self.without_success(failed);
             }
         }
@@ -316,11 +320,6 @@
         let end = send_end(result, dispatched.has_failed(), begun.elapsed());
         let now = self.shared.clock.now();
         let mut routing = self.shared.routing();
-        if let Some(load) = load {
-            let refused_there = f64::from(load.refused_percent) / 100.0;
-            let early_refusal = &mut routing.early_refusal;
-            early_refusal.report(now, self.route.number, refused_there);
-        }
         let directory = &mut routing.directory;
         directory.record_end(now, &choice.endpoint, &route.name, end, load);
         dispatched
@@ -337,6 +336,14 @@
         name.and_then(|name| HeaderValue::try_from(name).ok())
     }
 
+    /// Notes whether an endpoint had room for the request.
+    fn note_room(&self, has_room: bool) {
+        let now = self.shared.clock.now();
+        let mut routing = self.shared.routing();
+        let early_refusal = &mut routing.early_refusal;
+        early_refusal.record(now, self.route.number, !has_room);
+    }
+
     fn is_widely_refused(&self) -> bool {
         let now = self.shared.clock.now();
         let routing = self.shared.routing();
--- a/crates/bramblewheel-proxy/src/wire.rs
+++ b/crates/bramblewheel-proxy/src/wire.rs
@@ -22,7 +22,7 @@
 const CALLER: HeaderName = HeaderName::from_static("bw-caller");
 /// How the attempt ended at the other daemon.
 const RESULT: HeaderName = HeaderName::from_static("bw-result");
-/// Load of the endpoint: busy, limit, failed and refused in a hundred, separated by commas.
+/// Load of the endpoint: busy, limit and failed in a hundred, separated by commas.
 const LOAD: HeaderName = HeaderName::from_static("bw-load");
 
 /// What a daemon tells the one beside the endpoint with a request.
@@ -117,7 +117,6 @@
         busy: numbers.next()?.ok()?,
         limit: numbers.next()?.ok()?,
         failed_percent: numbers.next()?.ok()?,
-        refused_percent: numbers.next()?.ok()?,
     })
 }
 
@@ -171,13 +170,7 @@
     /// Sets the headers of an answer.
     pub fn write(self, load: LoadReport, headers: &mut HeaderMap) {
         headers.insert(RESULT, HeaderValue::from_static(self.as_str()));
-        let LoadReport {
-            busy,
-            limit,
-            failed_percent,
-            refused_percent,
-        } = load;
-        let load = format!("{busy},{limit},{failed_percent},{refused_percent}");
+        let load = format!("{},{},{}", load.busy, load.limit, load.failed_percent);
         let load = HeaderValue::try_from(load).expect("numbers consist of visible ASCII");
         headers.insert(LOAD, load);
     }
