--- a/crates/bramblewheel-proxy/tests/fleet.rs
+++ b/crates/bramblewheel-proxy/tests/fleet.rs
@@ -86,6 +86,9 @@
     random: Pcg64Mcg,
     /// Endpoints from this number on are slow, by this factor, from this time on.
     slow: Option<(usize, f64, u64)>,
+    /// When one more endpoint joins.
+    joins_at: Option<u64>,
+    requests_per_second: f64,
 }
 
 impl Fleet {
@@ -105,6 +108,8 @@
             ends: BinaryHeap::new(),
             random: Pcg64Mcg::seed_from_u64(seed),
             slow: None,
+            joins_at: None,
+            requests_per_second: REQUESTS_PER_SECOND,
         }
     }
 
@@ -163,6 +168,15 @@
         endpoint
     }
 
+    fn join(&mut self, at: u64) {
+        let now = Timestamp::from_millis(at / 1_000);
+        let news = news(self.endpoints.len());
+        self.endpoints.push(Endpoint::default());
+        for directory in &mut self.directories {
+            directory.apply(now, &news);
+        }
+    }
+
     fn run(&mut self) -> Outcome {
         let mut at = 0;
         let mut met: Vec<BTreeSet<usize>> = vec![BTreeSet::new(); DAEMONS];
@@ -186,6 +200,10 @@
                     total += took;
                 }
             }
+            if self.joins_at.is_some_and(|joins| at >= joins) {
+                self.joins_at = None;
+                self.join(at);
+            }
             if at >= next_look {
                 for endpoint in &mut self.endpoints {
                     endpoint.used += u64::from(endpoint.running);
@@ -200,7 +218,7 @@
                 late_slow += u32::from(self.slow.is_some_and(|slow| endpoint >= slow.0));
             }
             self.endpoints[endpoint].arrivals += 1;
-            let gap = self.random.random_range(0.0..2.0) / REQUESTS_PER_SECOND;
+            let gap = self.random.random_range(0.0..2.0) / self.requests_per_second;
             #[expect(
                 clippy::cast_possible_truncation,
                 clippy::cast_sign_loss,
@@ -253,3 +271,23 @@
         assert!(outcome.slow_part < 0.012);
     }
 }
+
+/// An endpoint that joins gets its share of the work, also while little is asked.
+#[test]
+fn an_endpoint_that_joins_gets_work() {
+    const LITTLE: f64 = 400.0;
+    const LEFT_SECONDS: f64 = 4.0;
+    for requests_per_second in [LITTLE, REQUESTS_PER_SECOND] {
+        for seed in 0..2 {
+            let mut fleet = Fleet::new(seed);
+            fleet.requests_per_second = requests_per_second;
+            fleet.joins_at = Some((SECONDS - 4) * 1_000_000);
+            fleet.run();
+            let arrivals = f64::from(fleet.endpoints[ENDPOINTS].arrivals);
+            let usual = requests_per_second * LEFT_SECONDS / ENDPOINTS as f64;
+            println!("seed {seed}: {arrivals} of {usual:.1} at {requests_per_second}/s");
+            assert!(arrivals > 0.3 * usual);
+            assert!(arrivals < 3.0 * usual);
+        }
+    }
+}
