--- a/crates/bramblewheel-proxy/src/decide/early_refusal.rs
+++ b/crates/bramblewheel-proxy/src/decide/early_refusal.rs
@@ -46,6 +46,15 @@
     }
 }
 
+/// A change of what is believed of a route's endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoomChange {
+    /// Requests of the route widely find no room.
+    Scarce,
+    /// They mostly find room again.
+    Back,
+}
+
 /// Which part of each route's requests a caller's daemon refuses by itself.
 ///
 /// Invariant: a refused part is between 0 and 0.9.
@@ -55,10 +64,16 @@
 }
 
 impl EarlyRefusal {
-    /// Notes the end of a request that was sent: whether it found no endpoint with room.
-    pub fn record(&mut self, now: Timestamp, route: u64, found_no_room: bool) {
+    /// Notes the end of a request that was sent: whether it found no endpoint with room. Returns what
+    /// is believed from now on, if that has changed.
+    pub fn record(
+        &mut self,
+        now: Timestamp,
+        route: u64,
+        found_no_room: bool,
+    ) -> Option<RoomChange> {
         if !found_no_room && !self.levels.contains_key(&route) {
-            return;
+            return None;
         }
         if self.levels.len() >= MAX_ROUTES {
             self.levels.clear();
@@ -77,8 +92,14 @@
         } else {
             -FALL_PER_SECOND
         };
+        let was_widespread = level.refused_part >= WIDESPREAD;
         level.refused_part = (before + change * step).clamp(0.0, MOST_REFUSED);
         level.recorded = now;
+        match (was_widespread, level.refused_part >= WIDESPREAD) {
+            (false, true) => Some(RoomChange::Scarce),
+            (true, false) => Some(RoomChange::Back),
+            _ => None,
+        }
     }
 
     /// Part of a route's requests to be refused now.
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -341,7 +341,12 @@
         let now = self.shared.clock.now();
         let mut routing = self.shared.routing();
         let early_refusal = &mut routing.early_refusal;
-        early_refusal.record(now, self.route.number, !has_room);
+        let change = early_refusal.record(now, self.route.number, !has_room);
+        drop(routing);
+        if let Some(change) = change {
+            slog::info!(self.shared.log, "room at endpoints"; "route" => &self.route.route.name,
+                "change" => ?change, "last" => text(&self.id));
+        }
     }
 
     fn is_widely_refused(&self) -> bool {
--- a/crates/bramblewheel-proxy/tests/early_refusal.rs
+++ b/crates/bramblewheel-proxy/tests/early_refusal.rs
@@ -1,7 +1,7 @@
 //! Refusals at the callers' daemons in an overload, on virtual time: hundreds of daemons and a service
 //! that is offered nearly twice what it can do.
 
-use bramblewheel_proxy::decide::early_refusal::EarlyRefusal;
+use bramblewheel_proxy::decide::early_refusal::{EarlyRefusal, RoomChange};
 use bramblewheel_types::Timestamp;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -179,3 +179,16 @@
         assert!(early.refused_part(now, ROUTE) < 0.05);
     }
 }
+
+/// What is believed changes once at the beginning and once at the end.
+#[test]
+fn changes_of_what_is_believed_are_told() {
+    let mut early = EarlyRefusal::default();
+    let mut changes = Vec::new();
+    for step in 0..200 {
+        let found_no_room = step < 100;
+        let now = Timestamp::from_millis(step * 50);
+        changes.extend(early.record(now, ROUTE, found_no_room));
+    }
+    assert_eq!(changes, [RoomChange::Scarce, RoomChange::Back]);
+}
--- a/crates/bramblewheel/src/explain/cause.rs
+++ b/crates/bramblewheel/src/explain/cause.rs
@@ -24,6 +24,11 @@
         /// Its load, if its daemon said so.
         load: Option<String>,
     },
+    /// Its caller's daemon refused it, since endpoints had no room for its like.
+    RefusedEarly {
+        /// Part of the route's requests that was refused so.
+        part: String,
+    },
     /// Endpoints were leaving, or not reached.
     NoEndpoint {
         /// What the last attempt met.
@@ -55,6 +60,9 @@
                 write!(formatter, "no room, last at {endpoint}")?;
                 load.iter().try_for_each(|load| write!(formatter, " ({load})"))
             }
+            Self::RefusedEarly { part } => {
+                write!(formatter, "no room for its like, {part} of them refused early")
+            }
             Self::NoEndpoint { result } => write!(formatter, "no endpoint took it: {result}"),
             Self::AnswerLost { endpoint, broken } => {
                 write!(formatter, "the answer of {endpoint} was lost")?;
@@ -80,6 +88,10 @@
             let table = text(line, "table");
             return Cause::NoRoute { table };
         }
+        if let Some(line) = self.last("refused early") {
+            let part = text(line, "refused_part");
+            return Cause::RefusedEarly { part };
+        }
         let ended = self.last("request ended");
         match ended.and_then(|line| line.value("outcome")) {
             Some("failed") => Cause::EndpointFailed,
--- a/crates/bramblewheel/tests/explain.rs
+++ b/crates/bramblewheel/tests/explain.rs
@@ -54,23 +54,42 @@
     );
 }
 
-/// The line of the end may be left out under load; the attempt's line says the same.
-#[test]
-fn an_attempt_that_the_endpoint_failed_is_told_without_the_line_of_the_end() {
+/// What is told of the request `r-1` by a log of these lines.
+fn explained_by(lines: &str) -> String {
     let folder = TempDir::new().expect("a folder");
-    let line = "level=INFO msg=\"attempt failed\" at=1779151084422 left_ms=900 again=false attempt=2 \
-                result=failed endpoint=e-1 service=kassa id=r-1\n";
     let log = folder.path().join("daemon.txt");
-    std::fs::write(&log, line).expect("a log");
+    std::fs::write(&log, lines).expect("a log");
     let log = log.display().to_string();
     let run = run_in(folder.path(), &["explain", "r-1", &log]);
-    let text = run.out + &run.err;
+    run.out + &run.err
+}
+
+/// The line of the end may be left out under load; the attempt's line says the same.
+#[test]
+fn an_attempt_that_the_endpoint_failed_is_told_without_the_line_of_the_end() {
+    let text = explained_by(
+        "level=INFO msg=\"attempt failed\" at=1779151084422 left_ms=900 again=false attempt=2 \
+         result=failed endpoint=e-1 service=kassa id=r-1\n",
+    );
     assert!(
         text.contains("cause=\"the endpoint answered with an error\""),
         "{text}"
     );
 }
 
+#[test]
+fn a_request_refused_by_its_callers_daemon_is_told_so() {
+    let text = explained_by(
+        "level=INFO msg=\"refused early\" at=1779151084422 refused_part=0.31 route=r-a id=r-1\n\
+         level=INFO msg=\"request ended\" at=1779151084422 after_ms=0 outcome=not-run table=5 \
+         route=r-a id=r-1\n",
+    );
+    assert!(
+        text.contains("cause=\"no room for its like, 0.31 of them refused early\""),
+        "{text}"
+    );
+}
+
 #[test]
 fn a_request_that_no_line_speaks_of_is_said_to_be_unknown() {
     let (status, text) = explained("0000000000000000");
