--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -6,7 +6,7 @@
 use crate::decide::directory::Directory;
 use crate::decide::early_refusal::EarlyRefusal;
 use crate::decide::retry_budget::RetryBudget;
-use crate::http::pool::Pools;
+use crate::http::pool::{IdlePolicy, Pools};
 use crate::http::server::{KeepPolicy, bind, serve};
 use crate::inbound::Inbound;
 use crate::local::LocalEndpoint;
@@ -29,14 +29,21 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-/// How long an idle connection to another daemon is kept.
-const KEEP_DAEMON_CONNECTION: Duration = Duration::from_secs(4);
+/// Idle connections to another daemon.
+const IDLE_DAEMON_CONNECTIONS: IdlePolicy = IdlePolicy {
+    longest: Duration::from_secs(4),
+    most: 64,
+};
 /// Rest after which a connection of another daemon is closed: longer than the other keeps it.
 const DAEMON_CONNECTION_REST: Duration = Duration::from_secs(8);
 /// Callers' connections at rest beyond which new ones are closed after their first answer.
 const CALLER_CONNECTIONS_AT_REST: usize = 128;
-/// How long an idle connection to the endpoint is kept, unless it says that it closes it sooner.
-const KEEP_ENDPOINT_CONNECTION: Duration = Duration::from_secs(7);
+/// Idle connections to the endpoint: more than most endpoints have slots, since each new one occupies
+/// a slot for a moment.
+const IDLE_ENDPOINT_CONNECTIONS: IdlePolicy = IdlePolicy {
+    longest: Duration::from_secs(7),
+    most: 256,
+};
 /// Time between two looks for connections that were idle for long.
 const POOL_CHECK_PERIOD: Duration = Duration::from_secs(2);
 /// Time in which whoever asks whether the daemon is ready learns that it is not: two questions.
@@ -105,8 +112,8 @@
             }),
             router: ArcSwapOption::empty(),
             liveness: Default::default(),
-            daemon_pools: Pools::new(KEEP_DAEMON_CONNECTION),
-            endpoint_pools: Pools::new(KEEP_ENDPOINT_CONNECTION),
+            daemon_pools: Pools::new(IDLE_DAEMON_CONNECTIONS),
+            endpoint_pools: Pools::new(IDLE_ENDPOINT_CONNECTIONS),
             metrics: Metrics::default(),
             active: Default::default(),
             is_stopping: AtomicBool::new(false),
--- a/crates/bramblewheel-proxy/src/http/pool.rs
+++ b/crates/bramblewheel-proxy/src/http/pool.rs
@@ -17,9 +17,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Bytes read ahead on a connection; a reader that is slow holds the writer up.
 const READ_AHEAD: usize = 64 * 1024;
-/// Idle connections kept to one address.
-const MAX_IDLE: usize = 64;
-
 /// Time for which a pool remembers that the other side forgets idle connections.
 const MEMORY_OF_LOSSES: Duration = Duration::from_secs(8);
 
@@ -28,19 +25,28 @@
 #[error("no connection")]
 pub struct ConnectFailed;
 
+/// Which connections are kept while they are idle.
+#[derive(Clone, Copy, Debug)]
+pub struct IdlePolicy {
+    /// How long, unless the other side says that it closes them sooner.
+    pub longest: Duration,
+    /// How many to one address. Fewer than are used side by side, and each swing of the load opens
+    /// connections anew.
+    pub most: usize,
+}
+
 /// Pools by address.
 #[derive(Debug)]
 pub struct Pools {
-    keep_idle: Duration,
+    policy: IdlePolicy,
     pools: Mutex<HashMap<SocketAddr, Arc<Pool>>>,
 }
 
 impl Pools {
-    /// No pools; those to come keep idle connections for `keep_idle`, unless the other side says
-    /// that it closes them sooner.
-    pub fn new(keep_idle: Duration) -> Self {
+    /// No pools; those to come keep idle connections by `policy`.
+    pub fn new(policy: IdlePolicy) -> Self {
         Self {
-            keep_idle,
+            policy,
             pools: Mutex::default(),
         }
     }
@@ -51,7 +57,7 @@
         let pool = pools.entry(address).or_insert_with(|| {
             Arc::new(Pool {
                 address,
-                keep_idle: self.keep_idle,
+                policy: self.policy,
                 idle: Mutex::default(),
                 loss: Mutex::default(),
             })
@@ -72,7 +78,7 @@
 #[derive(Debug)]
 pub struct Pool {
     address: SocketAddr,
-    keep_idle: Duration,
+    policy: IdlePolicy,
     idle: Mutex<VecDeque<Idle>>,
     /// The last connection that broke under a request after a rest.
     loss: Mutex<Option<Loss>>,
@@ -175,7 +181,7 @@
     fn longest_rest(&self, now: Instant) -> Duration {
         let loss = *lock(&self.loss);
         let recent = loss.filter(|loss| now.duration_since(loss.at) < MEMORY_OF_LOSSES);
-        recent.map_or(self.keep_idle, |loss| loss.rest / 2)
+        recent.map_or(self.policy.longest, |loss| loss.rest / 2)
     }
 
     /// Whether a kept connection can carry the next request.
@@ -232,11 +238,10 @@
         }
         // The other side's time began earlier than ours, and it may be in a hurry.
         let stated = self.idle_timeout.map(|timeout| timeout * 3 / 4);
-        let keep = stated
-            .unwrap_or(self.pool.keep_idle)
-            .min(self.pool.keep_idle);
+        let IdlePolicy { longest, most } = self.pool.policy;
+        let keep = stated.unwrap_or(longest).min(longest);
         let mut idle = lock(&self.pool.idle);
-        if idle.len() >= MAX_IDLE {
+        if idle.len() >= most {
             idle.pop_front();
         }
         let since = Instant::now();
--- a/crates/bramblewheel-proxy/tests/sockets/connections.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/connections.rs
@@ -1,14 +1,16 @@
-//! Which connections a listener keeps between two requests.
+//! Which connections are kept between two requests, by a listener and by a pool.
 
 use crate::support::eventually;
 use bramblewheel_process::logging::silent;
 use bramblewheel_proxy::http::body::AnswerBody;
+use bramblewheel_proxy::http::pool::{IdlePolicy, Pools};
 use bramblewheel_proxy::http::server::{Handler, KeepPolicy, bind, serve};
 use bytes::Bytes;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -118,3 +120,28 @@
         }
     }
 }
+
+/// When many requests end together, the connections serve as many the next time.
+#[tokio::test]
+async fn a_pool_keeps_as_many_connections_as_were_used_side_by_side() {
+    const SIDE_BY_SIDE: usize = 150;
+    let (address, _stop) = listening(usize::MAX).await;
+    let pool = Pools::new(IdlePolicy {
+        longest: Duration::from_secs(3_600),
+        most: SIDE_BY_SIDE,
+    })
+    .get(address);
+    for is_first in [true, false] {
+        let mut leases = Vec::new();
+        for _ in 0..SIDE_BY_SIDE {
+            leases.push(pool.acquire().await.expect("it listens"));
+        }
+        let reused = leases.iter().filter(|lease| lease.is_reused).count();
+        assert_eq!(reused, if is_first { 0 } else { SIDE_BY_SIDE });
+        for mut lease in leases {
+            lease.sender().ready().await.expect("open");
+            lease.is_request_sent.store(true, Ordering::Release);
+            lease.give_back();
+        }
+    }
+}
--- a/crates/bramblewheel-proxy/tests/sockets/liveness.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/liveness.rs
@@ -3,7 +3,7 @@
 use bramblewheel_process::clock::Clock;
 use bramblewheel_process::logging::silent;
 use bramblewheel_proxy::http::body::AnswerBody;
-use bramblewheel_proxy::http::pool::{Pool, Pools};
+use bramblewheel_proxy::http::pool::{IdlePolicy, Pool, Pools};
 use bramblewheel_proxy::http::server::{Handler, KeepPolicy, bind, serve};
 use bramblewheel_proxy::outbound::liveness::Liveness;
 use bytes::Bytes;
@@ -17,6 +17,10 @@
 use tokio::task::JoinSet;
 
 const REQUESTS: usize = 20;
+const IDLE: IdlePolicy = IdlePolicy {
+    longest: Duration::from_secs(60),
+    most: 64,
+};
 
 /// Counts questions, and answers them unless it is silent.
 struct Daemon {
@@ -62,7 +66,7 @@
         daemon,
         address,
         liveness: Arc::default(),
-        pool: Pools::new(Duration::from_secs(60)).get(address),
+        pool: Pools::new(IDLE).get(address),
         _stop: stop,
     }
 }
