--- a/crates/bramblewheel-proxy/src/decide/directory/subset.rs
+++ b/crates/bramblewheel-proxy/src/decide/directory/subset.rs
@@ -6,6 +6,7 @@
 //! follows from a hash of both names (rendezvous hashing): the daemons' choices are spread evenly
 //! over the endpoints, and a change of one endpoint changes little.
 
+use crate::decide::stable_hash::stable_hash;
 use bramblewheel_types::{DaemonId, EndpointId};
 
 /// Endpoints of a service that a daemon mostly deals with.
@@ -30,15 +31,12 @@
     }
 }
 
-/// FNV-1a of both names, mixed once more: names that differ in their last sign only must not give
+/// Hash of both names, mixed once more: names that differ in their last sign only must not give
 /// hashes in the same order for all daemons.
 fn hash_of(daemon: &str, endpoint: &str) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
     const MIX: u64 = 0xff51_afd7_ed55_8ccd;
-    let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(PRIME);
-    let hash = daemon.bytes().chain([0]).chain(endpoint.bytes());
-    let hash = hash.fold(OFFSET, fold);
+    let names = daemon.bytes().chain([0]).chain(endpoint.bytes());
+    let hash = stable_hash(names);
     let hash = (hash ^ (hash >> 33)).wrapping_mul(MIX);
     hash ^ (hash >> 33)
 }
--- a/crates/bramblewheel-proxy/src/decide/mod.rs
+++ b/crates/bramblewheel-proxy/src/decide/mod.rs
@@ -6,4 +6,5 @@
 pub mod fading_share;
 pub mod retry_budget;
 pub mod route_limit;
+pub mod stable_hash;
 pub mod table;
--- /dev/null
+++ b/crates/bramblewheel-proxy/src/decide/stable_hash.rs
@@ -0,0 +1,15 @@
+//! A hash of names that is the same at all daemons, whatever they are built with.
+
+/// FNV-1a of the bytes.
+///
+/// ```
+/// use bramblewheel_proxy::decide::stable_hash::stable_hash;
+///
+/// assert_eq!(stable_hash(*b"a"), 0xaf63_dc4c_8601_ec8c);
+/// ```
+pub fn stable_hash(bytes: impl IntoIterator<Item = u8>) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(PRIME);
+    bytes.into_iter().fold(OFFSET, mix)
+}
--- a/crates/bramblewheel-proxy/src/decide/table.rs
+++ b/crates/bramblewheel-proxy/src/decide/table.rs
@@ -1,5 +1,6 @@
 //! Route tables: which service a request goes to, and under which terms.
 
+use crate::decide::stable_hash::stable_hash;
 use bramblewheel_protocol::routing::TableVersion;
 use bramblewheel_types::ServiceName;
 use std::collections::{BTreeMap, HashMap};
@@ -189,7 +190,7 @@
             let routes = by_host.entry(route.host.clone()).or_default();
             let total_weight = route.targets.iter().map(|target| target.weight).sum();
             let active = ActiveRoute {
-                number: number_of(&route.name),
+                number: stable_hash(route.name.bytes()),
                 turn: AtomicU64::new(seed % (1 << 20)),
                 total_weight,
                 route,
@@ -233,14 +234,6 @@
     }
 }
 
-/// FNV-1a: the same at all daemons, whatever they are built with.
-fn number_of(name: &str) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(PRIME);
-    name.bytes().fold(OFFSET, mix)
-}
-
 /// A host without its port, in lower case.
 pub fn normal_host(host: &str) -> String {
     let name = host.rsplit_once(':').map_or(host, |(name, port)| {
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -1,13 +1,15 @@
 //! One request of a caller: its attempts, until one answers or no other is allowed.
 
 use crate::decide::admission::longest_wait;
-use crate::decide::directory::{Choice, SendEnd};
+use crate::decide::directory::Choice;
 use crate::decide::table::ActiveRoute;
 use crate::http::exchange::{Answer, Outgoing, OutgoingBody};
 use crate::http::fields;
 use crate::inbound::dispatch::{Dispatched, text};
 use crate::local::MOST_IMPORTANT;
 use crate::outbound::attempt::{Attempted, attempt};
+use crate::outbound::ending::{Final, is_proved_not_run, send_end};
+use crate::outbound::open_send::OpenSend;
 use crate::shared::Shared;
 use crate::wire::{AttemptResult, Handover};
 use bramblewheel_protocol::routing::TableVersion;
@@ -31,34 +33,6 @@
 /// Time without which another send is not worth its cost.
 const LEAST_TIME_TO_RETRY: Duration = Duration::from_millis(20);
 
-/// The end of a call.
-#[derive(Debug)]
-pub(super) enum Final {
-    /// An endpoint's answer.
-    Answered(Box<Answer>),
-    /// The request has not run and never will.
-    NotRun {
-        /// Part of its route's requests that are refused, between 0 and 1.
-        refused_part: f64,
-    },
-    /// The request may have run; its answer is lost.
-    Unknown,
-    /// The time is over, and the request may have run.
-    TimedOut,
-}
-
-impl Final {
-    fn as_str(&self) -> &'static str {
-        match self {
-            Self::Answered(answer) if answer.status().is_success() => "completed",
-            Self::Answered(_) => "failed",
-            Self::NotRun { .. } => "not-run",
-            Self::Unknown => "unknown",
-            Self::TimedOut => "timed-out",
-        }
-    }
-}
-
 /// One request of a caller.
 pub(super) struct Call<'a> {
     shared: &'a Arc<Shared>,
@@ -82,27 +56,6 @@
     }
 }
 
-/// Tells the directory of a send that was given up, unless it ended by itself.
-struct OpenSend<'a> {
-    shared: &'a Shared,
-    endpoint: &'a EndpointId,
-    route: &'a str,
-    begun: Instant,
-    is_over: bool,
-}
-
-impl Drop for OpenSend<'_> {
-    fn drop(&mut self) {
-        if !self.is_over {
-            let now = self.shared.clock.now();
-            let mut routing = self.shared.routing();
-            let directory = &mut routing.directory;
-            let end = SendEnd::GivenUp(self.begun.elapsed());
-            directory.record_end(now, self.endpoint, self.route, end, None);
-        }
-    }
-}
-
 /// Counts of one call.
 #[derive(Default)]
 struct Counts {
@@ -410,30 +363,6 @@
     }
 }
 
-/// Whether the result proves that the endpoint did not run the request.
-fn is_proved_not_run(result: AttemptResult) -> bool {
-    match result {
-        AttemptResult::Rejected
-        | AttemptResult::OtherEndpoint
-        | AttemptResult::Full
-        | AttemptResult::Leaving
-        | AttemptResult::Unreachable => true,
-        AttemptResult::Answered | AttemptResult::Lost | AttemptResult::Silent => false,
-    }
-}
-
-fn send_end(result: AttemptResult, has_failed: bool, time: Duration) -> SendEnd {
-    match result {
-        AttemptResult::Answered if has_failed => SendEnd::Failed(time),
-        AttemptResult::Answered => SendEnd::Answered(time),
-        AttemptResult::Rejected => SendEnd::Rejected,
-        AttemptResult::Full => SendEnd::Full,
-        AttemptResult::OtherEndpoint | AttemptResult::Leaving => SendEnd::Leaving,
-        AttemptResult::Unreachable | AttemptResult::Silent => SendEnd::Unreachable,
-        AttemptResult::Lost => SendEnd::Lost,
-    }
-}
-
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/crates/bramblewheel-proxy/src/outbound/ending.rs
@@ -0,0 +1,60 @@
+//! How calls end, and what the end of a send says of its endpoint.
+
+use crate::decide::directory::SendEnd;
+use crate::http::exchange::Answer;
+use crate::wire::AttemptResult;
+use std::time::Duration;
+
+/// The end of a call.
+#[derive(Debug)]
+pub(super) enum Final {
+    /// An endpoint's answer.
+    Answered(Box<Answer>),
+    /// The request has not run and never will.
+    NotRun {
+        /// Part of its route's requests that are refused, between 0 and 1.
+        refused_part: f64,
+    },
+    /// The request may have run; its answer is lost.
+    Unknown,
+    /// The time is over, and the request may have run.
+    TimedOut,
+}
+
+impl Final {
+    /// Name in logs and metrics.
+    pub(super) fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered(answer) if answer.status().is_success() => "completed",
+            Self::Answered(_) => "failed",
+            Self::NotRun { .. } => "not-run",
+            Self::Unknown => "unknown",
+            Self::TimedOut => "timed-out",
+        }
+    }
+}
+
+/// Whether the result proves that the endpoint did not run the request.
+pub(super) fn is_proved_not_run(result: AttemptResult) -> bool {
+    match result {
+        AttemptResult::Rejected
+        | AttemptResult::OtherEndpoint
+        | AttemptResult::Full
+        | AttemptResult::Leaving
+        | AttemptResult::Unreachable => true,
+        AttemptResult::Answered | AttemptResult::Lost | AttemptResult::Silent => false,
+    }
+}
+
+/// What a send's end says of its endpoint, for later choices.
+pub(super) fn send_end(result: AttemptResult, has_failed: bool, time: Duration) -> SendEnd {
+    match result {
+        AttemptResult::Answered if has_failed => SendEnd::Failed(time),
+        AttemptResult::Answered => SendEnd::Answered(time),
+        AttemptResult::Rejected => SendEnd::Rejected,
+        AttemptResult::Full => SendEnd::Full,
+        AttemptResult::OtherEndpoint | AttemptResult::Leaving => SendEnd::Leaving,
+        AttemptResult::Unreachable | AttemptResult::Silent => SendEnd::Unreachable,
+        AttemptResult::Lost => SendEnd::Lost,
+    }
+}
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -2,7 +2,9 @@
 
 mod attempt;
 mod call;
+mod ending;
 pub mod liveness;
+mod open_send;
 
 use crate::http::body::{self, AnswerBody};
 use crate::http::exchange::OutgoingBody;
@@ -12,7 +14,8 @@
 use crate::shared::Shared;
 use bramblewheel_types::Timestamp;
 use bytes::Bytes;
-use call::{Call, Final};
+use call::Call;
+use ending::Final;
 use http::header::{CONNECTION, HOST, RETRY_AFTER};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
