--- /dev/null
+++ b/deploy/regression.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# Plays the regression sites of docs/REGRESSION.md on the users' bench: score, hunt or small.
+# BENCH names the bench's program, SYSTEM the folder with the folders of sites, WHY the reason.
+set -u
+cd "$(dirname "$0")/.." || exit 2
+verb=${1:-}
+: "${BENCH:?names the program of the bench}"
+: "${SYSTEM:?names the folder with the folders of sites}"
+why=${WHY:-"regression runs before a landing"}
+large="large/torgnett-large large/muscat-vault-large"
+grown="grown/torgnett-grown grown/muscat-vault-grown"
+
+play() {
+  site=$1
+  shift
+  echo "== $verb $site"
+  "$BENCH" "$@" --jobs 4 --why "$why" || failed=1
+}
+
+failed=0
+case "$verb" in
+  score) for site in $large $grown; do play "$site" score "$SYSTEM/$site.toml"; done ;;
+  hunt) for site in $large $grown; do play "$site" hunt "$SYSTEM/$site.toml" --days 8; done ;;
+  small) for site in $large; do play "$site" score "$SYSTEM/$site.toml" --small; done ;;
+  *)
+    echo "usage: regression.sh score|hunt|small" >&2
+    exit 2
+    ;;
+esac
+exit "$failed"
