--- a/crates/bramblewheel-proxy/src/control/group.rs
+++ b/crates/bramblewheel-proxy/src/control/group.rs
@@ -1,5 +1,6 @@
 //! The control replicas as one address: whom to ask, and whom next.
 
+use bramblewheel_process::invariants::lock;
 use bramblewheel_protocol::ControlClient;
 use bramblewheel_protocol::control::{ReplyBody, RequestBody, Unavailable};
 use std::net::SocketAddr;
@@ -46,9 +47,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Known> {
-        self.known
-            .lock()
-            .expect("a panic under the lock ends the process, so the lock is never poisoned")
+        lock(&self.known)
     }
 
     /// Takes the addresses of settings that have changed.
--- a/crates/bramblewheel-proxy/src/http/pool.rs
+++ b/crates/bramblewheel-proxy/src/http/pool.rs
@@ -1,13 +1,14 @@
 //! Kept connections to one address.
 
 use crate::http::body::RequestBody;
+use bramblewheel_process::invariants::lock;
 use bramblewheel_protocol::socket;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::task::AbortHandle;
@@ -252,9 +253,3 @@
         });
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .expect("a panic under the lock ends the process, so the lock is never poisoned")
-}
--- a/crates/bramblewheel-proxy/src/http/server.rs
+++ b/crates/bramblewheel-proxy/src/http/server.rs
@@ -3,6 +3,7 @@
 use crate::http::body::AnswerBody;
 use crate::http::crowd::Crowd;
 use crate::http::fields::KEEP_ALIVE;
+use bramblewheel_process::invariants::lock;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
@@ -90,9 +91,7 @@
     }
 
     fn rests_since(&self) -> MutexGuard<'_, Instant> {
-        self.rests_since
-            .lock()
-            .expect("a panic under the lock ends the process, so the lock is never poisoned")
+        lock(&self.rests_since)
     }
 
     /// Ends once the connection has rested for longer than the limit that holds then.
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -12,6 +12,7 @@
 use crate::decide::directory::LoadReport;
 use crate::wire::Handover;
 use bramblewheel_process::clock::Clock;
+use bramblewheel_process::invariants::lock;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, Timestamp};
 use permit::{RouteShare, Waiting};
@@ -55,9 +56,7 @@
 
 impl LocalEndpoint {
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state
-            .lock()
-            .expect("a panic under the lock ends the process, so the lock is never poisoned")
+        lock(&self.state)
     }
 
     /// Takes an endpoint's word. What is final closes the endpoint at once; what is new opens it
--- a/crates/bramblewheel-proxy/src/metrics.rs
+++ b/crates/bramblewheel-proxy/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of a daemon, as text in the format of OpenMetrics.
 
 use crate::wire::AttemptResult;
+use bramblewheel_process::invariants::lock;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -136,10 +137,7 @@
 
     /// Labels are bounded, whatever tables come.
     fn label(&self, route: &str) -> String {
-        let mut routes = self
-            .routes
-            .lock()
-            .expect("a panic under the lock ends the process, so the lock is never poisoned");
+        let mut routes = lock(&self.routes);
         if routes.contains_key(route) {
             return route.to_owned();
         }
--- a/crates/bramblewheel-proxy/src/outbound/liveness.rs
+++ b/crates/bramblewheel-proxy/src/outbound/liveness.rs
@@ -8,6 +8,7 @@
 use crate::http::exchange::{self, Outgoing, OutgoingBody};
 use crate::http::pool::Pool;
 use bramblewheel_process::clock::Clock;
+use bramblewheel_process::invariants::lock;
 use bramblewheel_types::Timestamp;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
@@ -180,9 +181,3 @@
     let answer = tokio::time::timeout(ANSWER_TIME, asking).await;
     matches!(answer, Ok(Some(_)))
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .expect("a panic under the lock ends the process, so the lock is never poisoned")
-}
--- a/crates/bramblewheel-proxy/src/shared.rs
+++ b/crates/bramblewheel-proxy/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::settings::Settings;
 use arc_swap::ArcSwapOption;
 use bramblewheel_process::clock::Clock;
+use bramblewheel_process::invariants::lock;
 use rand_pcg::Pcg64Mcg;
 use slog::Logger;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -65,9 +66,7 @@
 impl Shared {
     /// Locks the choice of endpoints.
     pub fn routing(&self) -> MutexGuard<'_, Routing> {
-        self.routing
-            .lock()
-            .expect("a panic under the lock ends the process, so the lock is never poisoned")
+        lock(&self.routing)
     }
 
     /// Whether a planned stop has begun.
