--- a/crates/bramblewheel-proxy/src/decide/directory/mod.rs
+++ b/crates/bramblewheel-proxy/src/decide/directory/mod.rs
@@ -130,9 +130,9 @@
         service.map_or(0, |service| service.members.len())
     }
 
-    /// The best endpoint of a service for a request of `route`, but for those tried already: of those that this daemon mostly
-    /// deals with and a few others. Endpoints that could not be reached lately are chosen only when
-    /// there is no other.
+    /// The best endpoint of a service for a request of `route`, but for those tried already: of those
+    /// that this daemon mostly deals with and a few others. Endpoints that could not be reached lately
+    /// are chosen only when there is no other.
     pub fn choose(
         &mut self,
         now: Timestamp,
@@ -180,6 +180,7 @@
         service.is_ordered = true;
     }
 
+    /// What is usual among these endpoints.
     fn usual(&self, now: Timestamp, candidates: &[&EndpointId]) -> Usual {
         let endpoints = || candidates.iter().map(|id| &self.endpoints[*id]);
         let reported = || endpoints().filter_map(|endpoint| endpoint.reported(now));
--- a/crates/bramblewheel-proxy/src/decide/early_refusal.rs
+++ b/crates/bramblewheel-proxy/src/decide/early_refusal.rs
@@ -26,16 +26,19 @@
 const LONGEST_STEP: Duration = Duration::from_millis(250);
 /// Time after the last request that was sent from which the refused part falls by itself.
 const SENT_LIFETIME: Duration = Duration::from_millis(500);
-/// Refused part from which another endpoint is not tried either.
+/// Refused part from which fewer other endpoints are tried.
 const WIDESPREAD: f64 = 0.1;
 /// Routes that are kept in mind.
 const MAX_ROUTES: usize = 512;
 
+/// What is known of one route.
 #[derive(Clone, Copy, Debug)]
 struct Level {
+    /// Part to be refused, as of `recorded`.
     refused_part: f64,
     /// Part of the requests sent that found no room lately.
     no_room: FadingShare,
+    /// When the last request that was sent ended.
     recorded: Timestamp,
 }
 
@@ -108,7 +111,7 @@
         level.map_or(0.0, |level| level.at(now))
     }
 
-    /// Whether so many endpoints refuse that another one is not worth trying.
+    /// Whether endpoints refuse so many requests that fewer others are worth trying.
     pub fn is_widespread(&self, now: Timestamp, route: u64) -> bool {
         self.refused_part(now, route) >= WIDESPREAD
     }
--- a/crates/bramblewheel-proxy/src/http/crowd.rs
+++ b/crates/bramblewheel-proxy/src/http/open_connections.rs
@@ -9,12 +9,12 @@
 
 /// Connections of one listener.
 #[derive(Debug, Default)]
-pub struct Crowd {
+pub struct OpenConnections {
     open: AtomicUsize,
     running: AtomicUsize,
 }
 
-impl Crowd {
+impl OpenConnections {
     /// Counts a connection until the returned value is dropped.
     pub fn enter(self: &Arc<Self>) -> OpenConnection {
         self.open.fetch_add(1, Ordering::Relaxed);
@@ -36,7 +36,7 @@
 
 /// An open connection.
 #[derive(Debug)]
-pub struct OpenConnection(Arc<Crowd>);
+pub struct OpenConnection(Arc<OpenConnections>);
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
@@ -46,7 +46,7 @@
 
 /// A request on one of the connections.
 #[derive(Debug)]
-pub struct RunningRequest(Arc<Crowd>);
+pub struct RunningRequest(Arc<OpenConnections>);
 
 impl Drop for RunningRequest {
     fn drop(&mut self) {
--- a/crates/bramblewheel-proxy/src/http/server.rs
+++ b/crates/bramblewheel-proxy/src/http/server.rs
@@ -1,8 +1,8 @@
 //! Listeners: accept connections up to a cap, serve HTTP/1.1 on them, stop without breaking any.
 
 use crate::http::body::AnswerBody;
-use crate::http::crowd::Crowd;
 use crate::http::fields::KEEP_ALIVE;
+use crate::http::open_connections::OpenConnections;
 use bramblewheel_process::invariants::lock;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
@@ -123,7 +123,7 @@
     mut stop: watch::Receiver<bool>,
     log: Logger,
 ) {
-    let crowd = Arc::new(Crowd::default());
+    let count = Arc::new(OpenConnections::default());
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     let mut connections = JoinSet::new();
     loop {
@@ -140,7 +140,7 @@
                     stream,
                     Arc::clone(&handler),
                     keep.clone(),
-                    Arc::clone(&crowd),
+                    Arc::clone(&count),
                     stop.clone(),
                 );
                 connections.spawn(async move {
@@ -168,10 +168,10 @@
     stream: TcpStream,
     handler: Arc<H>,
     keep: KeepPolicy,
-    crowd: Arc<Crowd>,
+    count: Arc<OpenConnections>,
     mut stop: watch::Receiver<bool>,
 ) {
-    let _open = crowd.enter();
+    let _open = count.enter();
     // Without it a short answer may wait for the other side's delayed acknowledgement.
     // No time-out of unacknowledged bytes: a caller may read slowly.
     let _ = stream.set_nodelay(true);
@@ -183,15 +183,15 @@
     let served = Arc::clone(&activity);
     let service = hyper::service::service_fn(move |request| {
         let (handler, activity) = (Arc::clone(&handler), Arc::clone(&served));
-        let crowd = Arc::clone(&crowd);
+        let count = Arc::clone(&count);
         // Boxed, since a connection keeps room for the future of a request also while it rests, and
         // most connections do.
         Box::pin(async move {
             activity.request_begins();
-            let running = crowd.begin_request();
+            let running = count.begin_request();
             let mut response = handler.handle(request).await;
-            let is_crowded = crowd.resting() >= most_at_rest;
-            if is_crowded && !activity.was_used_again() {
+            let has_many_at_rest = count.resting() >= most_at_rest;
+            if has_many_at_rest && !activity.was_used_again() {
                 close_after(&mut response);
             }
             drop(running);
