--- a/deploy/regression.sh
+++ b/deploy/regression.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Plays the regression sites of docs/REGRESSION.md on the users' bench: score, hunt or small.
-# BENCH names the bench's program, SYSTEM the folder with the folders of sites, WHY the reason.
+# BENCH names the bench's program, SYSTEM the folder with the folders of sites, WHY the reason, JOBS how
+# many days are played side by side.
 set -u
 cd "$(dirname "$0")/.." || exit 2
 verb=${1:-}
@@ -9,18 +10,23 @@
 why=${WHY:-"regression runs before a landing"}
 large="large/torgnett-large large/muscat-vault-large"
 grown="grown/torgnett-grown grown/muscat-vault-grown"
+first="sites/torgnett sites/muscat-vault"
+jobs=${JOBS:-2}
 
 play() {
   site=$1
   shift
   echo "== $verb $site"
-  "$BENCH" "$@" --jobs 4 --why "$why" || failed=1
+  "$BENCH" "$@" --jobs "$jobs" --why "$why" || failed=1
 }
 
 failed=0
 case "$verb" in
-  score) for site in $large $grown; do play "$site" score "$SYSTEM/$site.toml"; done ;;
-  hunt) for site in $large $grown; do play "$site" hunt "$SYSTEM/$site.toml" --days 8; done ;;
+  score) for site in $large $grown $first; do play "$site" score "$SYSTEM/$site.toml"; done ;;
+  hunt)
+    for site in $large $grown; do play "$site" hunt "$SYSTEM/$site.toml" --days 8; done
+    for site in $first; do play "$site" hunt "$SYSTEM/$site.toml" --days 40; done
+    ;;
   small) for site in $large; do play "$site" score "$SYSTEM/$site.toml" --small; done ;;
   *)
     echo "usage: regression.sh score|hunt|small" >&2
