Calls carry the rank of their tree; trees that fail below for want of room are refused where they enter

Calls of all trees have one rank there; limits of routes refuse calls in the middle of trees, for which much work is done; a request whose tree failed counts as served for early refusal; a call that found its only endpoint full counted as nothing.

--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -107,6 +107,8 @@
             routing: Mutex::new(Routing {
                 directory: Directory::new(settings.zone.clone(), settings.name.clone()),
                 early_refusal: EarlyRefusal::default(),
+                nested_routes: Default::default(),
+                told_nested: Default::default(),
                 budget: RetryBudget::new(settings.retry),
                 random: Pcg64Mcg::seed_from_u64(incarnation),
             }),
--- a/crates/bramblewheel-proxy/src/decide/directory/endpoint.rs
+++ b/crates/bramblewheel-proxy/src/decide/directory/endpoint.rs
@@ -8,7 +8,7 @@
 
 /// Cost of leaving the own zone, in units of a full endpoint: bytes between zones cost more than
 /// a somewhat longer wait.
-const OTHER_ZONE_COST: f64 = 0.3;
+const OTHER_ZONE_COST: f64 = 0.6;
 /// Cost of an idle endpoint of usual speed, so that slowness counts without load too.
 const IDLE_COST: f64 = 0.15;
 /// How much slower an endpoint is taken to be while it is cold.
--- a/crates/bramblewheel-proxy/src/decide/directory/mod.rs
+++ b/crates/bramblewheel-proxy/src/decide/directory/mod.rs
@@ -3,6 +3,7 @@
 mod endpoint;
 mod subset;
 
+use crate::decide::nested_routes::MachineShares;
 use bramblewheel_protocol::routing::{EndpointNews, EndpointState};
 use bramblewheel_types::{DaemonId, EndpointId, ServiceName, Timestamp, ZoneName};
 use endpoint::{Endpoint, SMOOTHING, Usual};
@@ -72,6 +73,8 @@
     members: Vec<EndpointId>,
     /// Whether the order is that of the preferences.
     is_ordered: bool,
+    /// How many of them are in the daemon's zone.
+    in_own_zone: usize,
 }
 
 /// Endpoints of all services and what was seen of them.
@@ -110,6 +113,7 @@
         }
         let service = self.by_service.entry(record.service.clone()).or_default();
         service.members.push(record.endpoint.clone());
+        service.in_own_zone += usize::from(record.zone == self.zone);
         service.is_ordered = false;
         let id = record.endpoint.clone();
         self.endpoints.insert(id, Endpoint::new(now, record));
@@ -121,6 +125,8 @@
         };
         if let Some(service) = self.by_service.get_mut(&gone.record.service) {
             service.members.retain(|other| other != endpoint);
+            let here = usize::from(gone.record.zone == self.zone);
+            service.in_own_zone = service.in_own_zone.saturating_sub(here);
         }
     }
 
@@ -246,6 +252,40 @@
     }
 }
 
+impl MachineShares for Directory {
+    /// The larger of the parts of the own zone and of all zones: requests come from the own zone
+    /// first, which may lack a service.
+    fn share_of(&self, services: &[&ServiceName]) -> f64 {
+        let counted = || {
+            services
+                .iter()
+                .filter_map(|name| self.by_service.get(*name))
+        };
+        let here = counted().map(|service| service.in_own_zone).sum();
+        let here_of = self
+            .by_service
+            .values()
+            .map(|service| service.in_own_zone)
+            .sum();
+        let everywhere = counted().map(|service| service.members.len()).sum();
+        let everywhere_of = self.endpoints.len();
+        part(here, here_of).max(part(everywhere, everywhere_of))
+    }
+}
+
+/// A part of a whole; all of it where the whole is nothing.
+fn part(count: usize, whole: usize) -> f64 {
+    if whole == 0 {
+        return 1.0;
+    }
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "2^53 endpoints are out of reach"
+    )]
+    let part = count as f64 / whole as f64;
+    part
+}
+
 /// The near endpoints and a few others, but for those tried already.
 fn candidates<'a>(
     members: &'a [EndpointId],
--- a/crates/bramblewheel-proxy/src/decide/early_refusal.rs
+++ b/crates/bramblewheel-proxy/src/decide/early_refusal.rs
@@ -12,12 +12,31 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Part of the requests sent that may find no room: with none of them endpoints may have room left.
-const TOLERATED: f64 = 0.2;
-/// Rise of the refused part in a second, for each unit by which too many find no room.
-const RISE_PER_SECOND: f64 = 2.0;
-/// Fall of the refused part in a second while few find no room.
-const FALL_PER_SECOND: f64 = 1.5;
+/// How a refused part follows the part of the requests sent that found no room.
+#[derive(Debug)]
+struct Terms {
+    /// Part of the requests sent that may find no room.
+    tolerated: f64,
+    /// Rise of the refused part in a second, for each unit by which too many find no room.
+    rise_per_second: f64,
+    /// Fall of the refused part in a second while few find no room.
+    fall_per_second: f64,
+}
+
+/// For requests that found no endpoint of their service with room. They cost little, and with none of
+/// them endpoints may have room left.
+const THERE: Terms = Terms {
+    tolerated: 0.2,
+    rise_per_second: 2.0,
+    fall_per_second: 1.5,
+};
+/// For requests that failed for want of room below. Much work is lost with each of them, and whether
+/// there is room again shows only after the time of a whole tree.
+const BELOW: Terms = Terms {
+    tolerated: 0.05,
+    rise_per_second: 4.0,
+    fall_per_second: 1.5,
+};
 /// Largest part that is refused.
 const MOST_REFUSED: f64 = 0.9;
 /// Weight of the newest request in the part that finds no room.
@@ -31,13 +50,41 @@
 /// Routes that are kept in mind.
 const MAX_ROUTES: usize = 512;
 
+/// A part of one route's requests that is refused for one reason.
+#[derive(Clone, Copy, Debug, Default)]
+struct RefusedPart {
+    /// The part, as of the last record.
+    part: f64,
+    /// Part of the requests sent that found no room lately.
+    without_room: FadingShare,
+}
+
+impl RefusedPart {
+    /// The part after a time without a record.
+    fn at(&self, unheard: Duration, terms: &Terms) -> f64 {
+        let fall = unheard.as_secs_f64() * terms.fall_per_second;
+        (self.part - fall).max(0.0)
+    }
+
+    /// Notes the end of a request that was sent, `step` after the one before.
+    fn record(&mut self, now: Timestamp, found_none: bool, step: Duration, terms: &Terms) {
+        self.without_room.record(now, found_none, SMOOTHING);
+        let excess = self.without_room.at(now) - terms.tolerated;
+        let change = if excess > 0.0 {
+            excess * terms.rise_per_second
+        } else {
+            -terms.fall_per_second
+        };
+        let changed = self.part + change * step.as_secs_f64();
+        self.part = changed.clamp(0.0, MOST_REFUSED);
+    }
+}
+
 /// What is known of one route.
 #[derive(Clone, Copy, Debug)]
 struct Level {
-    /// Part to be refused, as of `recorded`.
-    refused_part: f64,
-    /// Part of the requests sent that found no room lately.
-    no_room: FadingShare,
+    there: RefusedPart,
+    below: RefusedPart,
     /// When the last request that was sent ended.
     recorded: Timestamp,
 }
@@ -45,10 +92,35 @@
 impl Level {
     fn at(&self, now: Timestamp) -> f64 {
         let unheard = now.since(self.recorded).saturating_sub(SENT_LIFETIME);
-        (self.refused_part - unheard.as_secs_f64() * FALL_PER_SECOND).max(0.0)
+        let there = self.there.at(unheard, &THERE);
+        there.max(self.below.at(unheard, &BELOW))
+    }
+
+    fn record(&mut self, now: Timestamp, found: RoomFound) {
+        let since = now.since(self.recorded);
+        let unheard = since.saturating_sub(SENT_LIFETIME);
+        self.there.part = self.there.at(unheard, &THERE);
+        self.below.part = self.below.at(unheard, &BELOW);
+        let step = since.min(LONGEST_STEP);
+        let none_there = found == RoomFound::NoneThere;
+        self.there.record(now, none_there, step, &THERE);
+        let none_below = found == RoomFound::NoneBelow;
+        self.below.record(now, none_below, step, &BELOW);
+        self.recorded = now;
     }
 }
 
+/// Room that a request found which was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoomFound {
+    /// It was served, or failed for another reason.
+    Enough,
+    /// No endpoint of its service had room; nothing has run.
+    NoneThere,
+    /// An endpoint ran it, and a call that it made found no room.
+    NoneBelow,
+}
+
 /// A change of what is believed of a route's endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RoomChange {
@@ -69,36 +141,21 @@
 impl EarlyRefusal {
     /// Notes the end of a request that was sent: whether it found no endpoint with room. Returns what
     /// is believed from now on, if that has changed.
-    pub fn record(
-        &mut self,
-        now: Timestamp,
-        route: u64,
-        found_no_room: bool,
-    ) -> Option<RoomChange> {
-        if !found_no_room && !self.levels.contains_key(&route) {
+    pub fn record(&mut self, now: Timestamp, route: u64, found: RoomFound) -> Option<RoomChange> {
+        if found == RoomFound::Enough && !self.levels.contains_key(&route) {
             return None;
         }
         if self.levels.len() >= MAX_ROUTES {
             self.levels.clear();
         }
         let level = self.levels.entry(route).or_insert_with(|| Level {
-            refused_part: 0.0,
-            no_room: FadingShare::default(),
+            there: RefusedPart::default(),
+            below: RefusedPart::default(),
             recorded: now,
         });
-        let before = level.at(now);
-        let step = now.since(level.recorded).min(LONGEST_STEP).as_secs_f64();
-        level.no_room.record(now, found_no_room, SMOOTHING);
-        let excess = level.no_room.at(now) - TOLERATED;
-        let change = if excess > 0.0 {
-            excess * RISE_PER_SECOND
-        } else {
-            -FALL_PER_SECOND
-        };
-        let was_widespread = level.refused_part >= WIDESPREAD;
-        level.refused_part = (before + change * step).clamp(0.0, MOST_REFUSED);
-        level.recorded = now;
-        match (was_widespread, level.refused_part >= WIDESPREAD) {
+        let was_widespread = level.at(now) >= WIDESPREAD;
+        level.record(now, found);
+        match (was_widespread, level.at(now) >= WIDESPREAD) {
             (false, true) => Some(RoomChange::Scarce),
             (true, false) => Some(RoomChange::Back),
             _ => None,
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -4,7 +4,8 @@
 use crate::http::exchange::{self, Answer, NoAnswer, Outgoing};
 use crate::local::Refusal;
 use crate::shared::Shared;
-use crate::wire::{AttemptResult, Handover};
+use crate::wire::{AttemptResult, Handover, Told};
+use bramblewheel_types::ServiceName;
 use http::{HeaderMap, HeaderValue};
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,16 +38,68 @@
     }
 }
 
+/// How an attempt ended, with what the daemon beside the endpoint tells besides.
+#[derive(Debug)]
+pub struct Attempted {
+    /// How it ended.
+    pub dispatched: Dispatched,
+    /// What is told besides.
+    pub told: Told,
+}
+
 /// Waits for a place at the endpoint and sends it a request.
 pub async fn dispatch(
     shared: &Arc<Shared>,
     handover: &Handover,
     arrived: Instant,
     outgoing: &mut Outgoing,
+) -> Attempted {
+    let is_nested = note_caller(shared, handover);
+    let mut was_short_below = false;
+    let dispatched = run(
+        shared,
+        handover,
+        is_nested,
+        arrived,
+        outgoing,
+        &mut was_short_below,
+    )
+    .await;
+    let load = shared.local.load(shared.clock.now());
+    let told = Told {
+        load: Some(load),
+        is_nested,
+        was_short_below,
+    };
+    Attempted { dispatched, told }
+}
+
+/// Counts where the request came from; returns whether its route is called by endpoints only.
+fn note_caller(shared: &Shared, handover: &Handover) -> bool {
+    let caller = handover.caller.as_ref().and_then(|name| name.to_str().ok());
+    let Some(caller) = caller.and_then(|name| ServiceName::new(name).ok()) else {
+        return false;
+    };
+    let mut routing = shared.routing();
+    let routing = &mut *routing;
+    routing.nested_routes.record(handover.route, &caller);
+    routing
+        .nested_routes
+        .is_nested(handover.route, &routing.directory)
+}
+
+async fn run(
+    shared: &Arc<Shared>,
+    handover: &Handover,
+    is_nested: bool,
+    arrived: Instant,
+    outgoing: &mut Outgoing,
+    was_short_below: &mut bool,
 ) -> Dispatched {
     let deadline = arrived + handover.remaining;
     let until = deadline.min(arrived + handover.wait);
-    let admitted = shared.local.admit(shared.clock, handover, until).await;
+    let local = &shared.local;
+    let admitted = local.admit(shared.clock, handover, is_nested, until).await;
     let mut permit = match admitted {
         Ok(permit) => permit,
         Err(refusal) => return refused(shared, handover, outgoing, refusal),
@@ -75,7 +128,7 @@
         }
         Err(NoAnswer::Lost) => return lost(shared, handover, &id, "connection"),
     };
-    permit.answered(received.head.status.is_server_error());
+    *was_short_below = permit.answered(received.head.status.is_server_error());
     let head = &received.head;
     let dialect = &shared.settings.dialect;
     match dialect.kind(head.status, &head.headers, &id) {
--- a/crates/bramblewheel-proxy/src/inbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/inbound/mod.rs
@@ -2,17 +2,16 @@
 
 pub mod dispatch;
 
-use crate::decide::directory::LoadReport;
 use crate::http::body::{self, AnswerBody};
 use crate::http::exchange::{Answer, Outgoing, OutgoingBody};
 use crate::http::fields;
 use crate::http::server::Handler;
 use crate::outbound::liveness::PING_PATH;
 use crate::shared::Shared;
-use crate::wire::{AttemptResult, Handover};
+use crate::wire::{AttemptResult, Handover, Told};
 use bytes::Bytes;
 use dispatch::{Dispatched, dispatch};
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -42,14 +41,14 @@
             Ok(handover) => handover,
             Err(error) => {
                 slog::warn!(self.shared.log, "handover refused"; "error" => %error);
-                return self.without_answer(AttemptResult::Leaving);
+                return self.without_attempt(AttemptResult::Leaving);
             }
         };
         let body = match body::read(incoming).await {
             // The caller's daemon bounds it.
             Ok(read) => OutgoingBody::new(read, usize::MAX),
             // The daemon that sends it went away, or its caller did.
-            Err(_) => return self.without_answer(AttemptResult::Unreachable),
+            Err(_) => return self.without_attempt(AttemptResult::Unreachable),
         };
         fields::keep_end_to_end(&mut head.headers);
         let mut outgoing = Outgoing {
@@ -58,40 +57,45 @@
             headers: head.headers,
             body,
         };
-        let dispatched = dispatch(&self.shared, &handover, arrived, &mut outgoing).await;
-        self.shared.metrics.inbound(dispatched.result());
-        match dispatched {
-            Dispatched::Answered(answer) => self.pass_on(*answer),
-            Dispatched::Without(result) => self.without_answer(result),
+        let attempted = dispatch(&self.shared, &handover, arrived, &mut outgoing).await;
+        self.shared.metrics.inbound(attempted.dispatched.result());
+        match attempted.dispatched {
+            Dispatched::Answered(answer) => pass_on(*answer, &attempted.told),
+            Dispatched::Without(result) => without_answer(result, &attempted.told),
         }
     }
 
-    fn pass_on(&self, answer: Answer) -> Response<AnswerBody> {
-        let (head, body) = match answer {
-            Answer::Whole(head, bytes) => (head, AnswerBody::whole(bytes)),
-            Answer::Begun(head, first, rest, held) => (*head, AnswerBody::begun(first, rest, held)),
+    /// An answer to a request that is not passed to the endpoint.
+    fn without_attempt(&self, result: AttemptResult) -> Response<AnswerBody> {
+        let load = self.shared.local.load(self.shared.clock.now());
+        let told = Told {
+            load: Some(load),
+            ..Told::default()
         };
-        let mut response = Response::new(body);
-        *response.status_mut() = head.status;
-        *response.headers_mut() = head.headers;
-        self.stamp(AttemptResult::Answered, response.headers_mut());
-        response
+        without_answer(result, &told)
     }
+}
 
-    fn without_answer(&self, result: AttemptResult) -> Response<AnswerBody> {
-        let mut response = Response::new(AnswerBody::whole(Bytes::new()));
-        *response.status_mut() = match result {
-            AttemptResult::Lost => StatusCode::BAD_GATEWAY,
-            _ => StatusCode::SERVICE_UNAVAILABLE,
-        };
-        self.stamp(result, response.headers_mut());
-        response
-    }
+fn pass_on(answer: Answer, told: &Told) -> Response<AnswerBody> {
+    let (head, body) = match answer {
+        Answer::Whole(head, bytes) => (head, AnswerBody::whole(bytes)),
+        Answer::Begun(head, first, rest, held) => (*head, AnswerBody::begun(first, rest, held)),
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers;
+    AttemptResult::Answered.write(told, response.headers_mut());
+    response
+}
 
-    fn stamp(&self, result: AttemptResult, headers: &mut HeaderMap) {
-        let load: LoadReport = self.shared.local.load(self.shared.clock.now());
-        result.write(load, headers);
-    }
+fn without_answer(result: AttemptResult, told: &Told) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+    *response.status_mut() = match result {
+        AttemptResult::Lost => StatusCode::BAD_GATEWAY,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    result.write(told, response.headers_mut());
+    response
 }
 
 impl Handler for Inbound {
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -207,6 +207,17 @@
         Some(limit.whole_limit())
     }
 
+    /// Rank of the tree that a call with this much time left belongs to, if the endpoint runs a
+    /// request that can have made it.
+    pub fn root_rank_of_call(&self, now: Timestamp, remaining: Duration) -> Option<u32> {
+        self.lock().running.root_rank_of(now + remaining)
+    }
+
+    /// Notes that a call of the endpoint found no room.
+    pub fn call_found_no_room(&self, now: Timestamp) {
+        self.lock().call_found_no_room = Some(now);
+    }
+
     /// Waits for a place at the endpoint, until `until` at the latest.
     ///
     /// # Errors
@@ -215,12 +226,13 @@
         self: &Arc<Self>,
         clock: Clock,
         handover: &Handover,
+        is_nested: bool,
         until: Instant,
     ) -> Result<Permit, Refusal> {
         let route = RouteShare {
             route: handover.route,
             objective: handover.objective,
-            is_limited: handover.rank > MOST_IMPORTANT,
+            is_limited: handover.rank > MOST_IMPORTANT && !is_nested,
         };
         let begun = clock.now();
         let wait = until.saturating_duration_since(Instant::now());
@@ -236,8 +248,8 @@
             let current = state.current.as_ref().ok_or(Refusal::Leaving)?;
             let address = current.record.endpoint_address;
             let entered = state.enter(Arrival {
-                rank: handover.rank,
-                due: now + handover.objective,
+                rank: handover.root_rank,
+                due: now + handover.remaining,
                 until: now + wait,
             });
             if entered.is_err() {
@@ -245,13 +257,17 @@
             }
             (address, entered?)
         };
-        let permit = || Permit {
-            local: Arc::clone(self),
-            clock,
-            route,
-            begun,
-            answered: None,
-            address,
+        let permit = || {
+            let running = &mut self.lock().running;
+            Permit {
+                local: Arc::clone(self),
+                clock,
+                route,
+                begun,
+                answered: None,
+                running: running.begin(begun + handover.remaining, handover.root_rank),
+                address,
+            }
         };
         let Some((place, told)) = waiting else {
             return Ok(permit());
--- a/crates/bramblewheel-proxy/src/local/permit.rs
+++ b/crates/bramblewheel-proxy/src/local/permit.rs
@@ -3,12 +3,16 @@
 use super::LocalEndpoint;
 use crate::decide::admission::Place;
 use crate::decide::route_limit::Answered;
+use crate::decide::running_requests::RunningId;
 use bramblewheel_process::clock::Clock;
 use bramblewheel_types::Timestamp;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Time within which an endpoint answers with an error once a call that it needs has failed.
+const FAILS_WITHIN: Duration = Duration::from_millis(15);
+
 /// A place at the endpoint; given back when dropped.
 #[derive(Debug)]
 pub struct Permit {
@@ -17,6 +21,7 @@
     pub(super) route: RouteShare,
     pub(super) begun: Timestamp,
     pub(super) answered: Option<Answered>,
+    pub(super) running: RunningId,
     /// Where the endpoint listens.
     pub address: SocketAddr,
 }
@@ -30,12 +35,17 @@
 }
 
 impl Permit {
-    /// The endpoint's answer has come.
-    pub fn answered(&mut self, has_failed: bool) {
+    /// The endpoint's answer has come. Returns whether it failed the request right after a call of
+    /// its own had found no room.
+    pub fn answered(&mut self, has_failed: bool) -> bool {
         let now = self.clock.now();
         let time = now.since(self.begun);
-        self.local.lock().note_outcome(now, has_failed);
+        let mut state = self.local.lock();
+        state.note_outcome(now, has_failed);
+        let found_no_room = state.call_found_no_room;
+        drop(state);
         self.answered = Some(Answered { time, has_failed });
+        has_failed && found_no_room.is_some_and(|at| now.since(at) < FAILS_WITHIN)
     }
 }
 
@@ -43,6 +53,7 @@
     fn drop(&mut self) {
         let now = self.clock.now();
         let mut state = self.local.lock();
+        state.running.end(self.running);
         state.end_route(now, self.route, self.answered);
         let started = state.queue.finish(now);
         state.start(started);
--- a/crates/bramblewheel-proxy/src/local/state.rs
+++ b/crates/bramblewheel-proxy/src/local/state.rs
@@ -5,6 +5,7 @@
 use crate::decide::admission::{Admission, AdmissionQueue, Arrival, Place, Ticket};
 use crate::decide::fading_share::FadingShare;
 use crate::decide::route_limit::{Answered, RouteLimit};
+use crate::decide::running_requests::RunningRequests;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, Timestamp};
 use std::collections::HashMap;
@@ -41,6 +42,10 @@
     /// Starts that take no work any more.
     pub(super) final_states: HashMap<EndpointId, EndpointState>,
     pub(super) is_stopping: bool,
+    /// Requests that run at the endpoint.
+    pub(super) running: RunningRequests,
+    /// When a call of the endpoint last found no room.
+    pub(super) call_found_no_room: Option<Timestamp>,
 }
 
 impl State {
--- a/crates/bramblewheel-proxy/src/outbound/attempt.rs
+++ b/crates/bramblewheel-proxy/src/outbound/attempt.rs
@@ -1,22 +1,16 @@
 //! One attempt of a call at the daemon beside an endpoint.
 
-use crate::decide::directory::{Choice, LoadReport};
+use crate::decide::directory::Choice;
 use crate::http::body::AnswerBody;
 use crate::http::exchange::{self, Answer, NoAnswer, Outgoing};
-use crate::inbound::dispatch::{Dispatched, dispatch};
+use crate::inbound::dispatch::{Attempted, Dispatched, dispatch};
 use crate::outbound::liveness::patience;
 use crate::shared::Shared;
-use crate::wire::{AttemptResult, Handover};
+use crate::wire::{AttemptResult, Handover, Told};
 use http::{HeaderMap, Response};
 use std::sync::Arc;
 use tokio::time::Instant;
 
-/// How an attempt ended, with what the other daemon says of its load.
-pub(super) struct Attempted {
-    pub(super) dispatched: Dispatched,
-    pub(super) load: Option<LoadReport>,
-}
-
 /// Hands a request to the daemon beside the chosen endpoint: to this one without a hop. A daemon that
 /// falls silent meanwhile is not waited for, if the request may be repeated.
 pub(super) async fn attempt(
@@ -28,15 +22,13 @@
     outgoing: &mut Outgoing,
 ) -> Attempted {
     if choice.daemon == shared.settings.name {
-        let dispatched = dispatch(shared, handover, Instant::now(), outgoing).await;
-        let load = Some(shared.local.load(shared.clock.now()));
-        return Attempted { dispatched, load };
+        return dispatch(shared, handover, Instant::now(), outgoing).await;
     }
     let (daemon, clock) = (choice.address, shared.clock);
     let pool = shared.daemon_pools.get(daemon);
     let asked = shared.liveness.answers(clock, daemon, &pool, is_repeatable);
     if !asked.await {
-        return without(AttemptResult::Unreachable, None);
+        return without(AttemptResult::Unreachable, Told::default());
     }
     let write = |headers: &mut HeaderMap| {
         let handover = Handover {
@@ -51,33 +43,33 @@
         () = shared.liveness.until_silent(clock, daemon, &pool, patience), if is_repeatable => {
             slog::info!(shared.log, "daemon fell silent"; "daemon" => %choice.daemon,
                 "endpoint" => %choice.endpoint);
-            return without(AttemptResult::Silent, None);
+            return without(AttemptResult::Silent, Told::default());
         }
     };
     let mut received = match sent {
         Ok(received) => received,
-        Err(NoAnswer::NotSent) => return without(AttemptResult::Unreachable, None),
-        Err(NoAnswer::Lost) => return without(AttemptResult::Lost, None),
+        Err(NoAnswer::NotSent) => return without(AttemptResult::Unreachable, Told::default()),
+        Err(NoAnswer::Lost) => return without(AttemptResult::Lost, Told::default()),
     };
     shared.liveness.heard(daemon, clock.now());
     // An answer that does not say how the attempt ended is not one of a daemon.
-    let Some((result, load)) = AttemptResult::take(&mut received.head.headers) else {
-        return without(AttemptResult::Lost, None);
+    let Some((result, told)) = AttemptResult::take(&mut received.head.headers) else {
+        return without(AttemptResult::Lost, Told::default());
     };
     match (received.read(None).await, result) {
         (Ok(answer), AttemptResult::Answered) => Attempted {
             dispatched: Dispatched::Answered(Box::new(answer)),
-            load,
+            told,
         },
-        (Err(_), AttemptResult::Answered) => without(AttemptResult::Lost, load),
-        (_, result) => without(result, load),
+        (Err(_), AttemptResult::Answered) => without(AttemptResult::Lost, told),
+        (_, result) => without(result, told),
     }
 }
 
-fn without(result: AttemptResult, load: Option<LoadReport>) -> Attempted {
+fn without(result: AttemptResult, told: Told) -> Attempted {
     Attempted {
         dispatched: Dispatched::Without(result),
-        load,
+        told,
     }
 }
 
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -2,23 +2,25 @@
 
 use crate::decide::admission::longest_wait;
 use crate::decide::directory::Choice;
-use crate::decide::table::ActiveRoute;
+use crate::decide::early_refusal::RoomFound;
+use crate::decide::table::{ActiveRoute, Route};
 use crate::http::exchange::{Answer, Outgoing, OutgoingBody};
 use crate::http::fields;
-use crate::inbound::dispatch::{Dispatched, text};
+use crate::inbound::dispatch::{Attempted, Dispatched, text};
 use crate::local::MOST_IMPORTANT;
-use crate::outbound::attempt::{Attempted, attempt};
+use crate::outbound::attempt::attempt;
 use crate::outbound::ending::{Final, is_proved_not_run, send_end};
 use crate::outbound::open_send::OpenSend;
 use crate::shared::Shared;
-use crate::wire::{AttemptResult, Handover};
+use crate::wire::{AttemptResult, Handover, Told};
+use bramblewheel_process::invariants::lock;
 use bramblewheel_protocol::routing::TableVersion;
 use bramblewheel_types::{EndpointId, ServiceName};
 use http::HeaderValue;
 use http::request::Parts;
 use rand::RngExt;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -40,8 +42,16 @@
     route: Arc<ActiveRoute>,
     table: TableVersion,
     arrived: Instant,
+    /// Whether the local endpoint makes it for a request that it runs.
+    is_nested: bool,
+    /// Rank of the request at the root of its tree, as far as that is known.
+    root_rank: u32,
+    /// What the daemon beside the last endpoint told.
+    last_told: Mutex<Told>,
     /// Whether the request may have run; outlives the attempts, which the time may cut off.
     may_have_run: AtomicBool,
+    /// Whether an endpoint's daemon had no room, or there was no endpoint.
+    found_no_room: AtomicBool,
     is_over: AtomicBool,
 }
 
@@ -63,6 +73,8 @@
     arrivals: u32,
     free_reroutes: u32,
     found_full: u32,
+    /// Time that it has waited at endpoints' daemons that had no room in the end.
+    waited: Duration,
 }
 
 impl<'a> Call<'a> {
@@ -72,14 +84,21 @@
         route: Arc<ActiveRoute>,
         table: TableVersion,
         arrived: Instant,
+        remaining: Option<Duration>,
     ) -> Self {
+        let is_nested = shared.routing().told_nested.contains(&route.number);
+        let root_rank = root_rank(shared, &route.route, is_nested, remaining);
         Self {
             shared,
             id,
             route,
             table,
             arrived,
+            is_nested,
+            root_rank,
+            last_told: Mutex::default(),
             may_have_run: AtomicBool::new(false),
+            found_no_room: AtomicBool::new(false),
             is_over: AtomicBool::new(false),
         }
     }
@@ -101,6 +120,7 @@
             Err(_) if self.may_have_run.load(Ordering::Relaxed) => Final::TimedOut,
             Err(_) => self.not_run(),
         };
+        self.note_end(&ended);
         self.finish(&ended);
         ended
     }
@@ -147,11 +167,16 @@
             };
             is_first = false;
             tried.push(choice.endpoint.clone());
-            let dispatched = self.send(&choice, outgoing, deadline).await;
+            let begun = Instant::now();
+            let sent = self.send(&choice, outgoing, deadline, counts.waited);
+            let dispatched = sent.await;
             let result = dispatched.result();
+            if result == AttemptResult::Full {
+                self.found_no_room.store(true, Ordering::Relaxed);
+                counts.waited += begun.elapsed();
+            }
             let has_failed = dispatched.has_failed();
             if let Dispatched::Answered(answer) = dispatched {
-                self.note_room(true);
                 if !has_failed {
                     return Final::Answered(answer);
                 }
@@ -164,9 +189,6 @@
                 "attempt" => tried.len(), "again" => may_go_on,
                 "left_ms" => millis(deadline.saturating_duration_since(Instant::now())));
             if !may_go_on {
-                if result == AttemptResult::Full {
-                    self.note_room(false);
-                }
                 return self.without_success(failed);
             }
         }
@@ -194,7 +216,7 @@
     /// Whether endpoints would refuse the request, so that it is refused here. What is most important
     /// is always sent.
     fn is_refused_early(&self) -> bool {
-        if self.route.route.rank == MOST_IMPORTANT {
+        if self.route.route.rank == MOST_IMPORTANT || self.is_nested {
             return false;
         }
         let now = self.shared.clock.now();
@@ -232,6 +254,7 @@
         choice: &Choice,
         outgoing: &mut Outgoing,
         deadline: Instant,
+        waited: Duration,
     ) -> Dispatched {
         let route = &self.route.route;
         let begun = Instant::now();
@@ -239,10 +262,11 @@
         let handover = Handover {
             endpoint: choice.endpoint.clone(),
             rank: route.rank,
+            root_rank: self.root_rank,
             route: self.route.number,
             objective: route.objective.min(route.timeout),
             remaining,
-            wait: longest_wait(route.objective, remaining),
+            wait: longest_wait(route.objective, remaining).saturating_sub(waited),
             caller: self.caller(),
         };
         let mut open = OpenSend {
@@ -263,7 +287,7 @@
             outgoing,
         );
         let attempted = attempting.await;
-        let Attempted { dispatched, load } = attempted;
+        let Attempted { dispatched, told } = attempted;
         open.is_over = true;
         let result = dispatched.result();
         if !already && is_proved_not_run(result) {
@@ -274,7 +298,10 @@
         let now = self.shared.clock.now();
         let mut routing = self.shared.routing();
         let directory = &mut routing.directory;
-        directory.record_end(now, &choice.endpoint, &route.name, end, load);
+        directory.record_end(now, &choice.endpoint, &route.name, end, told.load);
+        routing.note_nested(self.route.number, told);
+        drop(routing);
+        *lock(&self.last_told) = told;
         dispatched
     }
 
@@ -289,12 +316,28 @@
         name.and_then(|name| HeaderValue::try_from(name).ok())
     }
 
-    /// Notes whether an endpoint had room for the request.
-    fn note_room(&self, has_room: bool) {
+    /// Notes a call of the local endpoint that found no room, so that what it was for can be told to
+    /// have failed for that.
+    fn note_shortage(&self) {
+        if self.is_nested {
+            self.shared
+                .local
+                .call_found_no_room(self.shared.clock.now());
+        }
+    }
+
+    /// Notes what the end of the request says of the room for its like.
+    fn note_end(&self, ended: &Final) {
+        let Some(room) = self.room_found(ended) else {
+            return;
+        };
+        if room != RoomFound::Enough {
+            self.note_shortage();
+        }
         let now = self.shared.clock.now();
         let mut routing = self.shared.routing();
         let early_refusal = &mut routing.early_refusal;
-        let change = early_refusal.record(now, self.route.number, !has_room);
+        let change = early_refusal.record(now, self.route.number, room);
         drop(routing);
         if let Some(change) = change {
             slog::info!(self.shared.log, "room at endpoints"; "route" => &self.route.route.name,
@@ -302,6 +345,25 @@
         }
     }
 
+    /// What the end of the request says of the room for its like; none if it says nothing.
+    fn room_found(&self, ended: &Final) -> Option<RoomFound> {
+        match ended {
+            Final::Answered(answer) if answer.status().is_server_error() => {
+                let was_short = lock(&self.last_told).was_short_below;
+                Some(if was_short {
+                    RoomFound::NoneBelow
+                } else {
+                    RoomFound::Enough
+                })
+            }
+            Final::Answered(_) => Some(RoomFound::Enough),
+            Final::NotRun { .. } if self.found_no_room.load(Ordering::Relaxed) => {
+                Some(RoomFound::NoneThere)
+            }
+            Final::NotRun { .. } | Final::Unknown | Final::TimedOut => None,
+        }
+    }
+
     fn is_widely_refused(&self) -> bool {
         let now = self.shared.clock.now();
         let routing = self.shared.routing();
@@ -363,6 +425,19 @@
     }
 }
 
+/// Rank of the tree that a request belongs to: its own at the root, that of the request which the
+/// local endpoint most likely made it for otherwise.
+fn root_rank(shared: &Shared, route: &Route, is_nested: bool, remaining: Option<Duration>) -> u32 {
+    if !is_nested {
+        return route.rank;
+    }
+    let remaining = remaining.unwrap_or(route.timeout);
+    let parent = shared
+        .local
+        .root_rank_of_call(shared.clock.now(), remaining);
+    parent.unwrap_or(route.rank)
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -101,6 +101,7 @@
             Arc::clone(route),
             router.version(),
             arrived,
+            remaining,
         );
         let ended = call.run(head, body, remaining).await;
         self.render(ended)
--- a/crates/bramblewheel-proxy/src/shared.rs
+++ b/crates/bramblewheel-proxy/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::control::group::ControlGroup;
 use crate::decide::directory::Directory;
 use crate::decide::early_refusal::EarlyRefusal;
+use crate::decide::nested_routes::NestedRoutes;
 use crate::decide::retry_budget::RetryBudget;
 use crate::decide::table::Router;
 use crate::http::body::ActiveRequests;
@@ -11,11 +12,13 @@
 use crate::metrics::Metrics;
 use crate::outbound::liveness::Liveness;
 use crate::settings::Settings;
+use crate::wire::Told;
 use arc_swap::ArcSwapOption;
 use bramblewheel_process::clock::Clock;
 use bramblewheel_process::invariants::lock;
 use rand_pcg::Pcg64Mcg;
 use slog::Logger;
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -26,12 +29,33 @@
     pub directory: Directory,
     /// What is refused here since endpoints refuse it.
     pub early_refusal: EarlyRefusal,
+    /// Which routes of the local endpoint are called by endpoints only.
+    pub nested_routes: NestedRoutes,
+    /// Routes of which endpoints' daemons say that they are nested calls.
+    pub told_nested: HashSet<u64>,
     /// Bound on repeated sends.
     pub budget: RetryBudget,
     /// Random part of choices.
     pub random: Pcg64Mcg,
 }
 
+impl Routing {
+    /// Routes of nested calls that are kept in mind.
+    const MAX_NESTED: usize = 512;
+
+    /// Notes what an endpoint's daemon told of a route.
+    pub fn note_nested(&mut self, route: u64, told: Told) {
+        if told.load.is_none() {
+            return;
+        }
+        if !told.is_nested {
+            self.told_nested.remove(&route);
+        } else if self.told_nested.len() < Self::MAX_NESTED {
+            self.told_nested.insert(route);
+        }
+    }
+}
+
 /// What all parts of a daemon share.
 #[derive(Debug)]
 pub struct Shared {
--- a/crates/bramblewheel-proxy/src/wire.rs
+++ b/crates/bramblewheel-proxy/src/wire.rs
@@ -10,6 +10,8 @@
 const ENDPOINT: HeaderName = HeaderName::from_static("bw-endpoint");
 /// Rank of the request.
 const RANK: HeaderName = HeaderName::from_static("bw-rank");
+/// Rank of the request at the root of the tree that the request belongs to.
+const ROOT_RANK: HeaderName = HeaderName::from_static("bw-root-rank");
 /// Number that stands for the route of the request.
 const ROUTE: HeaderName = HeaderName::from_static("bw-route");
 /// Milliseconds within which an answer is of full use.
@@ -22,9 +24,16 @@
 const CALLER: HeaderName = HeaderName::from_static("bw-caller");
 /// How the attempt ended at the other daemon.
 const RESULT: HeaderName = HeaderName::from_static("bw-result");
+/// On an answer: the request's route is called by endpoints only.
+const NESTED: HeaderName = HeaderName::from_static("bw-nested");
+/// On a failed answer: a call that the endpoint made for it found no room.
+const SHORT: HeaderName = HeaderName::from_static("bw-short-below");
 /// Load of the endpoint: busy, limit and failed in a hundred, separated by commas.
 const LOAD: HeaderName = HeaderName::from_static("bw-load");
 
+/// Value of the headers that say something by being there.
+const YES: &str = "1";
+
 /// What a daemon tells the one beside the endpoint with a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Handover {
@@ -32,6 +41,8 @@
     pub endpoint: EndpointId,
     /// Rank of the request; 0 is the most important.
     pub rank: u32,
+    /// Rank of the request at the root of its tree, as far as that is known; its own otherwise.
+    pub root_rank: u32,
     /// Number that stands for its route, the same at all daemons.
     pub route: u64,
     /// Time within which an answer is of full use.
@@ -56,6 +67,7 @@
             HeaderValue::try_from(self.endpoint.as_str()).expect("names consist of visible ASCII");
         headers.insert(ENDPOINT, endpoint);
         headers.insert(RANK, HeaderValue::from(self.rank));
+        headers.insert(ROOT_RANK, HeaderValue::from(self.root_rank));
         headers.insert(ROUTE, HeaderValue::from(self.route));
         headers.insert(OBJECTIVE, millis(self.objective));
         headers.insert(REMAINING, millis(self.remaining));
@@ -79,6 +91,7 @@
         let endpoint = endpoint.as_ref().and_then(|value| value.to_str().ok());
         let endpoint = endpoint.and_then(|text| EndpointId::new(text).ok());
         let rank = number(headers.remove(RANK));
+        let root_rank = number(headers.remove(ROOT_RANK));
         let route = number(headers.remove(ROUTE));
         let objective = number(headers.remove(OBJECTIVE));
         let remaining = number(headers.remove(REMAINING));
@@ -88,6 +101,9 @@
             rank: rank
                 .and_then(|rank| u32::try_from(rank).ok())
                 .ok_or(InvalidHandover("bw-rank"))?,
+            root_rank: root_rank
+                .and_then(|rank| u32::try_from(rank).ok())
+                .ok_or(InvalidHandover("bw-root-rank"))?,
             route: route.ok_or(InvalidHandover("bw-route"))?,
             objective: objective
                 .map(Duration::from_millis)
@@ -120,6 +136,17 @@
     })
 }
 
+/// What the daemon beside the endpoint tells with an answer besides how the attempt ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Load of the endpoint; none if it was not told or can't be read.
+    pub load: Option<LoadReport>,
+    /// Whether the request's route is called by endpoints only.
+    pub is_nested: bool,
+    /// Whether the endpoint failed the request after a call of its own had found no room.
+    pub was_short_below: bool,
+}
+
 /// How an attempt ended at the daemon beside the endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptResult {
@@ -168,20 +195,33 @@
     }
 
     /// Sets the headers of an answer.
-    pub fn write(self, load: LoadReport, headers: &mut HeaderMap) {
+    pub fn write(self, told: &Told, headers: &mut HeaderMap) {
         headers.insert(RESULT, HeaderValue::from_static(self.as_str()));
-        let load = format!("{},{},{}", load.busy, load.limit, load.failed_percent);
-        let load = HeaderValue::try_from(load).expect("numbers consist of visible ASCII");
-        headers.insert(LOAD, load);
+        if let Some(load) = told.load {
+            let load = format!("{},{},{}", load.busy, load.limit, load.failed_percent);
+            let load = HeaderValue::try_from(load).expect("numbers consist of visible ASCII");
+            headers.insert(LOAD, load);
+        }
+        if told.is_nested {
+            headers.insert(NESTED, HeaderValue::from_static(YES));
+        }
+        if told.was_short_below {
+            headers.insert(SHORT, HeaderValue::from_static(YES));
+        }
     }
 
     /// Takes the headers off an answer; `None` if it is not one of a daemon.
-    pub fn take(headers: &mut HeaderMap) -> Option<(Self, Option<LoadReport>)> {
+    pub fn take(headers: &mut HeaderMap) -> Option<(Self, Told)> {
         let result = headers.remove(RESULT)?;
         let is_named = |known: &Self| known.as_str().as_bytes() == result.as_bytes();
         let known = Self::ALL.into_iter().find(is_named)?;
         let load = headers.remove(LOAD);
         let load = load.as_ref().and_then(|value| value.to_str().ok());
-        Some((known, load.and_then(read_load)))
+        let told = Told {
+            load: load.and_then(read_load),
+            is_nested: headers.remove(NESTED).is_some(),
+            was_short_below: headers.remove(SHORT).is_some(),
+        };
+        Some((known, told))
     }
 }
--- a/crates/bramblewheel-proxy/tests/early_refusal.rs
+++ b/crates/bramblewheel-proxy/tests/early_refusal.rs
@@ -1,7 +1,7 @@
 //! Refusals at the callers' daemons in an overload, on virtual time: hundreds of daemons and a service
 //! that is offered nearly twice what it can do.
 
-use bramblewheel_proxy::decide::early_refusal::{EarlyRefusal, RoomChange};
+use bramblewheel_proxy::decide::early_refusal::{EarlyRefusal, RoomChange, RoomFound};
 use bramblewheel_types::Timestamp;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -65,7 +65,7 @@
             let endpoint = self.less_loaded_of_two();
             let has_room = self.running[endpoint] < SLOTS;
             if has_room {
-                self.daemons[daemon].record(now, ROUTE, false);
+                self.daemons[daemon].record(now, ROUTE, RoomFound::Enough);
                 self.running[endpoint] += 1;
                 let work = self.random.random_range(0..2 * WORK_MILLIS);
                 self.ends.push(Reverse((millis + work, endpoint)));
@@ -77,7 +77,7 @@
                 break;
             }
         }
-        self.daemons[daemon].record(now, ROUTE, true);
+        self.daemons[daemon].record(now, ROUTE, RoomFound::NoneThere);
         counts.refused_there += 1;
     }
 
@@ -154,12 +154,24 @@
     }
 }
 
+fn none_there_if(found_no_room: bool) -> RoomFound {
+    if found_no_room {
+        RoomFound::NoneThere
+    } else {
+        RoomFound::Enough
+    }
+}
+
 /// Where nothing is sent, the refused part falls by itself; it never takes all requests.
 #[test]
 fn the_refused_part_falls_while_nothing_is_sent() {
     let mut early = EarlyRefusal::default();
     for step in 0..100 {
-        early.record(Timestamp::from_millis(step * 50), ROUTE, true);
+        early.record(
+            Timestamp::from_millis(step * 50),
+            ROUTE,
+            RoomFound::NoneThere,
+        );
     }
     let at = |millis: u64| Timestamp::from_millis(4_950 + millis);
     assert!(early.refused_part(at(0), ROUTE) > 0.8);
@@ -175,7 +187,7 @@
     for step in 0..1_000 {
         let found_no_room = step % 8 == 0;
         let now = Timestamp::from_millis(step * 20);
-        early.record(now, ROUTE, found_no_room);
+        early.record(now, ROUTE, none_there_if(found_no_room));
         assert!(early.refused_part(now, ROUTE) < 0.05);
     }
 }
@@ -188,7 +200,30 @@
     for step in 0..200 {
         let found_no_room = step < 100;
         let now = Timestamp::from_millis(step * 50);
-        changes.extend(early.record(now, ROUTE, found_no_room));
+        changes.extend(early.record(now, ROUTE, none_there_if(found_no_room)));
     }
     assert_eq!(changes, [RoomChange::Scarce, RoomChange::Back]);
 }
+
+/// A tenth of the requests without room changes nothing where nothing has run for them, and refuses
+/// some early where each of them was begun.
+#[test]
+fn work_that_is_lost_below_counts_more_than_refusals() {
+    let part_after = |found: RoomFound| {
+        let mut early = EarlyRefusal::default();
+        let mut largest: f64 = 0.0;
+        for step in 0..1_000 {
+            let now = Timestamp::from_millis(step * 20);
+            let end = if step % 10 == 0 {
+                found
+            } else {
+                RoomFound::Enough
+            };
+            early.record(now, ROUTE, end);
+            largest = largest.max(early.refused_part(now, ROUTE));
+        }
+        largest
+    };
+    assert_eq!(part_after(RoomFound::NoneThere), 0.0);
+    assert!(part_after(RoomFound::NoneBelow) > 0.01);
+}
