Choose silent endpoints when none takes work

Ruled out: overload (no queue was full), the daemons' own view (still confirmed). Change: silent endpoints are set aside, at most 16 a service, and chosen only when none takes work; the daemon beside an endpoint decides as before whether it takes the request. The new test fails on the earlier code, which chose none.

--- a/crates/bramblewheel-proxy/src/decide/directory/mod.rs
+++ b/crates/bramblewheel-proxy/src/decide/directory/mod.rs
@@ -4,7 +4,7 @@
 mod subset;
 
 use crate::decide::nested_routes::MachineShares;
-use bramblewheel_protocol::routing::{EndpointNews, EndpointState};
+use bramblewheel_protocol::routing::{EndpointNews, EndpointRecord, EndpointState};
 use bramblewheel_types::{DaemonId, EndpointId, ServiceName, Timestamp, ZoneName};
 use endpoint::{Endpoint, SMOOTHING, Usual};
 use rand::{Rng, RngExt};
@@ -22,6 +22,10 @@
 /// endpoint whose load it learned last.
 const JITTER: f64 = 0.05;
 
+/// Silent endpoints of a service that are kept in mind: those that crashed for good are not told apart
+/// from those that may come back.
+const MAX_SILENT: usize = 16;
+
 /// Where a request is sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -71,12 +75,26 @@
 struct Service {
     /// All that take work, the near ones first.
     members: Vec<EndpointId>,
+    /// Those that the control group has not heard lately, the last one at the end.
+    silent: Vec<EndpointId>,
     /// Whether the order is that of the preferences.
     is_ordered: bool,
     /// How many of them are in the daemon's zone.
     in_own_zone: usize,
 }
 
+impl Service {
+    /// Forgets an endpoint, whether it takes work or is silent.
+    fn leave(&mut self, record: &EndpointRecord, own_zone: &ZoneName) {
+        let before = self.members.len();
+        self.members.retain(|other| *other != record.endpoint);
+        self.silent.retain(|other| *other != record.endpoint);
+        if self.members.len() < before && record.zone == *own_zone {
+            self.in_own_zone = self.in_own_zone.saturating_sub(1);
+        }
+    }
+}
+
 /// Endpoints of all services and what was seen of them.
 #[derive(Debug)]
 pub struct Directory {
@@ -103,30 +121,50 @@
     /// Takes over a change of an endpoint.
     pub fn apply(&mut self, now: Timestamp, news: &EndpointNews) {
         let record = news.record.clone();
-        if record.state != EndpointState::Ready {
-            self.remove(&record.endpoint);
-            return;
+        let is_known = self.endpoints.contains_key(&record.endpoint);
+        match record.state {
+            EndpointState::Ready => self.join(now, record),
+            EndpointState::Silent if is_known => self.set_aside(record),
+            EndpointState::Silent | EndpointState::Draining | EndpointState::Gone => {
+                self.remove(&record.endpoint);
+            }
+        }
+    }
+
+    fn join(&mut self, now: Timestamp, record: EndpointRecord) {
+        let service = self.by_service.entry(record.service.clone()).or_default();
+        service.silent.retain(|other| *other != record.endpoint);
+        if !service.members.contains(&record.endpoint) {
+            service.members.push(record.endpoint.clone());
+            service.in_own_zone += usize::from(record.zone == self.zone);
+            service.is_ordered = false;
         }
         if let Some(known) = self.endpoints.get_mut(&record.endpoint) {
             known.record = record;
             return;
         }
-        let service = self.by_service.entry(record.service.clone()).or_default();
-        service.members.push(record.endpoint.clone());
-        service.in_own_zone += usize::from(record.zone == self.zone);
-        service.is_ordered = false;
         let id = record.endpoint.clone();
         self.endpoints.insert(id, Endpoint::new(now, record));
     }
 
+    /// Keeps an endpoint that the control group has lost sight of for the case that no other is left:
+    /// it may be the way to the control group that is cut. Its own daemon decides whether it takes work.
+    fn set_aside(&mut self, record: EndpointRecord) {
+        let service = self.by_service.entry(record.service.clone()).or_default();
+        service.leave(&record, &self.zone);
+        service.silent.push(record.endpoint);
+        if service.silent.len() > MAX_SILENT {
+            let oldest = service.silent.remove(0);
+            self.endpoints.remove(&oldest);
+        }
+    }
+
     fn remove(&mut self, endpoint: &EndpointId) {
         let Some(gone) = self.endpoints.remove(endpoint) else {
             return;
         };
         if let Some(service) = self.by_service.get_mut(&gone.record.service) {
-            service.members.retain(|other| other != endpoint);
-            let here = usize::from(gone.record.zone == self.zone);
-            service.in_own_zone = service.in_own_zone.saturating_sub(here);
+            service.leave(&gone.record, &self.zone);
         }
     }
 
@@ -138,7 +176,7 @@
 
     /// The best endpoint of a service for a request of `route`, but for those tried already: of those
     /// that this daemon mostly deals with and a few others. Endpoints that could not be reached lately
-    /// are chosen only when there is no other.
+    /// are chosen only when there is no other, and silent ones only when none takes work.
     pub fn choose(
         &mut self,
         now: Timestamp,
@@ -148,7 +186,13 @@
         random: &mut impl Rng,
     ) -> Option<Choice> {
         self.order(service);
-        let members = &self.by_service.get(service)?.members;
+        let known = self.by_service.get(service)?;
+        let takes_work = !known.members.is_empty();
+        let members = if takes_work {
+            &known.members
+        } else {
+            &known.silent
+        };
         let candidates = candidates(members, tried, random);
         let usual = self.usual(now, &candidates);
         let ranked = candidates.into_iter().map(|id| {
--- a/crates/bramblewheel-proxy/tests/decide.rs
+++ b/crates/bramblewheel-proxy/tests/decide.rs
@@ -211,6 +211,41 @@
     assert_eq!(choose(&mut directory, 5_003), "far");
 }
 
+/// Endpoints whose daemons the control group has lost sight of may well be there: the way to the control
+/// group may be cut, and not the one to them.
+#[test]
+fn silent_endpoints_are_chosen_when_none_takes_work() {
+    let mut directory = directory(&[("near", "north"), ("far", "south")]);
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    let kassa = service("kassa");
+    let mut choose = |directory: &mut Directory, tried: &[EndpointId]| {
+        let choice = directory.choose(Timestamp::ZERO, &kassa, "r", tried, &mut random);
+        choice.map(|choice| choice.endpoint.to_string())
+    };
+    let near = EndpointId::new("near").expect("a name");
+    let change = |directory: &mut Directory, name: &str, zone: &str, state: EndpointState| {
+        directory.apply(Timestamp::ZERO, &news(name, zone, state));
+    };
+    change(&mut directory, "near", "north", EndpointState::Silent);
+    assert_eq!(choose(&mut directory, &[]).as_deref(), Some("far"));
+    change(&mut directory, "far", "south", EndpointState::Silent);
+    assert_eq!(choose(&mut directory, &[]).as_deref(), Some("near"));
+    assert_eq!(choose(&mut directory, &[near]).as_deref(), Some("far"));
+    // One that is gone is not chosen, and one that is back is chosen alone.
+    change(&mut directory, "near", "north", EndpointState::Gone);
+    assert_eq!(choose(&mut directory, &[]).as_deref(), Some("far"));
+    change(&mut directory, "far", "south", EndpointState::Draining);
+    assert_eq!(choose(&mut directory, &[]), None);
+    change(&mut directory, "near", "north", EndpointState::Silent);
+    assert_eq!(
+        choose(&mut directory, &[]),
+        None,
+        "it was never known to take work"
+    );
+    change(&mut directory, "far", "south", EndpointState::Ready);
+    assert_eq!(choose(&mut directory, &[]).as_deref(), Some("far"));
+}
+
 #[test]
 fn a_slow_endpoint_gets_less_work() {
     let mut directory = directory(&[("slow", "north"), ("usual", "north")]);
