Say in logs, headers and explain which service was short; split the call's room off

Log lines and the cause that explain shows told that a request was refused early, not for which service. Daemons now pass the name of the short service with the failed answer, 'refused early', 'room at endpoints' and 'request ended' name it, and a change of what is believed of a route's callers has a line of its own. A handover without the rank of the tree (from a daemon of an earlier version) means the rank of the request. No change of policy. tests/wire.rs covers the headers, explain.rs the causes.

--- a/crates/bramblewheel-proxy/src/decide/early_refusal.rs
+++ b/crates/bramblewheel-proxy/src/decide/early_refusal.rs
@@ -8,7 +8,7 @@
 //! That one endpoint refuses says nothing, since another one may have room.
 
 use crate::decide::fading_share::FadingShare;
-use bramblewheel_types::Timestamp;
+use bramblewheel_types::{ServiceName, Timestamp};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -81,10 +81,12 @@
 }
 
 /// What is known of one route.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Level {
     there: RefusedPart,
     below: RefusedPart,
+    /// Service that was last found short below.
+    short_below: Option<ServiceName>,
     /// When the last request that was sent ended.
     recorded: Timestamp,
 }
@@ -96,29 +98,33 @@
         there.max(self.below.at(unheard, &BELOW))
     }
 
-    fn record(&mut self, now: Timestamp, found: RoomFound) {
+    fn record(&mut self, now: Timestamp, found: &RoomFound) {
         let since = now.since(self.recorded);
         let unheard = since.saturating_sub(SENT_LIFETIME);
         self.there.part = self.there.at(unheard, &THERE);
         self.below.part = self.below.at(unheard, &BELOW);
         let step = since.min(LONGEST_STEP);
-        let none_there = found == RoomFound::NoneThere;
+        let none_there = *found == RoomFound::NoneThere;
         self.there.record(now, none_there, step, &THERE);
-        let none_below = found == RoomFound::NoneBelow;
+        let none_below = matches!(found, RoomFound::NoneBelow(_));
+        if let RoomFound::NoneBelow(service) = found {
+            self.short_below = Some(service.clone());
+        }
         self.below.record(now, none_below, step, &BELOW);
         self.recorded = now;
     }
 }
 
 /// Room that a request found which was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RoomFound {
     /// It was served, or failed for another reason.
     Enough,
     /// No endpoint of its service had room; nothing has run.
     NoneThere,
-    /// An endpoint ran it, and a call that it made found no room.
-    NoneBelow,
+    /// An endpoint ran it, and a call that it made for it found no room at this service, directly or
+    /// through the calls of others.
+    NoneBelow(ServiceName),
 }
 
 /// A change of what is believed of a route's endpoints.
@@ -151,10 +157,11 @@
         let level = self.levels.entry(route).or_insert_with(|| Level {
             there: RefusedPart::default(),
             below: RefusedPart::default(),
+            short_below: None,
             recorded: now,
         });
         let was_widespread = level.at(now) >= WIDESPREAD;
-        level.record(now, found);
+        level.record(now, &found);
         match (was_widespread, level.at(now) >= WIDESPREAD) {
             (false, true) => Some(RoomChange::Scarce),
             (true, false) => Some(RoomChange::Back),
@@ -168,6 +175,14 @@
         level.map_or(0.0, |level| level.at(now))
     }
 
+    /// The service below whose shortage makes a route's requests refused now; none if it is that of the
+    /// endpoints that they go to themselves.
+    pub fn short_below(&self, route: u64) -> Option<&ServiceName> {
+        let level = self.levels.get(&route)?;
+        let is_below = level.below.part > level.there.part;
+        level.short_below.as_ref().filter(|_| is_below)
+    }
+
     /// Whether endpoints refuse so many requests that fewer others are worth trying.
     pub fn is_widespread(&self, now: Timestamp, route: u64) -> bool {
         self.refused_part(now, route) >= WIDESPREAD
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -55,25 +55,35 @@
     outgoing: &mut Outgoing,
 ) -> Attempted {
     let is_nested = note_caller(shared, handover);
-    let mut was_short_below = false;
-    let dispatched = run(
-        shared,
-        handover,
-        is_nested,
-        arrived,
-        outgoing,
-        &mut was_short_below,
-    )
-    .await;
+    let Ran {
+        dispatched,
+        short_below,
+    } = run(shared, handover, is_nested, arrived, outgoing).await;
     let load = shared.local.load(shared.clock.now());
     let told = Told {
         load: Some(load),
         is_nested,
-        was_short_below,
+        short_below,
     };
     Attempted { dispatched, told }
 }
 
+/// How a request ended at the endpoint.
+struct Ran {
+    dispatched: Dispatched,
+    /// Where a call of the endpoint had found no room right before it failed the request.
+    short_below: Option<ServiceName>,
+}
+
+impl From<Dispatched> for Ran {
+    fn from(dispatched: Dispatched) -> Self {
+        Self {
+            dispatched,
+            short_below: None,
+        }
+    }
+}
+
 /// Counts where the request came from; returns whether its route is called by endpoints only.
 fn note_caller(shared: &Shared, handover: &Handover) -> bool {
     let caller = handover.caller.as_ref().and_then(|name| name.to_str().ok());
@@ -88,24 +98,24 @@
         .is_nested(handover.route, &routing.directory)
 }
 
+/// Runs a request at the endpoint once it has a slot.
 async fn run(
     shared: &Arc<Shared>,
     handover: &Handover,
     is_nested: bool,
     arrived: Instant,
     outgoing: &mut Outgoing,
-    was_short_below: &mut bool,
-) -> Dispatched {
+) -> Ran {
     let deadline = arrived + handover.remaining;
     let until = deadline.min(arrived + handover.wait);
     let local = &shared.local;
     let admitted = local.admit(shared.clock, handover, is_nested, until).await;
     let mut permit = match admitted {
         Ok(permit) => permit,
-        Err(refusal) => return refused(shared, handover, outgoing, refusal),
+        Err(refusal) => return refused(shared, handover, outgoing, refusal).into(),
     };
     let Some(id) = shared.settings.dialect.id(&outgoing.headers).cloned() else {
-        return Dispatched::Without(AttemptResult::Leaving);
+        return Dispatched::Without(AttemptResult::Leaving).into();
     };
     let pool = shared.endpoint_pools.get(permit.address);
     // The time that is left is that of the moment of sending.
@@ -116,7 +126,7 @@
         dialect.address(headers, &handover.endpoint, left, caller);
     };
     if deadline.saturating_duration_since(Instant::now()) < Duration::from_millis(1) {
-        return Dispatched::Without(AttemptResult::Full);
+        return Dispatched::Without(AttemptResult::Full).into();
     }
     let received = match exchange::send(&pool, outgoing, address).await {
         Ok(received) => received,
@@ -124,14 +134,14 @@
             shared.local.was_unreachable(shared.clock.now());
             slog::info!(shared.log, "endpoint not reached"; "id" => text(&id),
                 "endpoint" => %handover.endpoint, "address" => %permit.address);
-            return Dispatched::Without(AttemptResult::Unreachable);
+            return Dispatched::Without(AttemptResult::Unreachable).into();
         }
-        Err(NoAnswer::Lost) => return lost(shared, handover, &id, "connection"),
+        Err(NoAnswer::Lost) => return lost(shared, handover, &id, "connection").into(),
     };
-    *was_short_below = permit.answered(received.head.status.is_server_error());
+    let short_below = permit.answered(received.head.status.is_server_error());
     let head = &received.head;
     let dialect = &shared.settings.dialect;
-    match dialect.kind(head.status, &head.headers, &id) {
+    let dispatched = match dialect.kind(head.status, &head.headers, &id) {
         AnswerKind::Ran => match received.read(Some(permit)).await {
             Ok(answer) => Dispatched::Answered(Box::new(answer)),
             Err(_) => lost(shared, handover, &id, "body"),
@@ -150,6 +160,10 @@
             Dispatched::Without(AttemptResult::OtherEndpoint)
         }
         AnswerKind::Foreign => lost(shared, handover, &id, "foreign"),
+    };
+    Ran {
+        dispatched,
+        short_below,
     }
 }
 
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -14,9 +14,9 @@
 use bramblewheel_process::clock::Clock;
 use bramblewheel_process::invariants::lock;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
-use bramblewheel_types::{EndpointId, Timestamp};
+use bramblewheel_types::{EndpointId, ServiceName, Timestamp};
 use permit::{RouteShare, Waiting};
-use state::{Current, State};
+use state::{Current, RefusedCall, State};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -213,9 +213,9 @@
         self.lock().running.root_rank_of(now + remaining)
     }
 
-    /// Notes that a call of the endpoint found no room.
-    pub fn call_found_no_room(&self, now: Timestamp) {
-        self.lock().call_found_no_room = Some(now);
+    /// Notes that a call of the endpoint found no room, for `short` being short of it.
+    pub fn call_found_no_room(&self, now: Timestamp, short: ServiceName) {
+        self.lock().refused_call = Some(RefusedCall { at: now, short });
     }
 
     /// Waits for a place at the endpoint, until `until` at the latest.
--- a/crates/bramblewheel-proxy/src/local/permit.rs
+++ b/crates/bramblewheel-proxy/src/local/permit.rs
@@ -5,7 +5,7 @@
 use crate::decide::route_limit::Answered;
 use crate::decide::running_requests::RunningId;
 use bramblewheel_process::clock::Clock;
-use bramblewheel_types::Timestamp;
+use bramblewheel_types::{ServiceName, Timestamp};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,17 +35,18 @@
 }
 
 impl Permit {
-    /// The endpoint's answer has come. Returns whether it failed the request right after a call of
-    /// its own had found no room.
-    pub fn answered(&mut self, has_failed: bool) -> bool {
+    /// The endpoint's answer has come. If it failed the request right after a call of its own had found
+    /// no room, returns the service that was short.
+    pub fn answered(&mut self, has_failed: bool) -> Option<ServiceName> {
         let now = self.clock.now();
         let time = now.since(self.begun);
         let mut state = self.local.lock();
         state.note_outcome(now, has_failed);
-        let found_no_room = state.call_found_no_room;
+        let refused_call = state.refused_call.clone().filter(|_| has_failed);
         drop(state);
         self.answered = Some(Answered { time, has_failed });
-        has_failed && found_no_room.is_some_and(|at| now.since(at) < FAILS_WITHIN)
+        let recent = refused_call.filter(|call| now.since(call.at) < FAILS_WITHIN);
+        recent.map(|call| call.short)
     }
 }
 
--- a/crates/bramblewheel-proxy/src/local/state.rs
+++ b/crates/bramblewheel-proxy/src/local/state.rs
@@ -7,7 +7,7 @@
 use crate::decide::route_limit::{Answered, RouteLimit};
 use crate::decide::running_requests::RunningRequests;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
-use bramblewheel_types::{EndpointId, Timestamp};
+use bramblewheel_types::{EndpointId, ServiceName, Timestamp};
 use std::collections::HashMap;
 use tokio::sync::oneshot;
 
@@ -28,6 +28,14 @@
     pub(super) unreachable_until: Timestamp,
 }
 
+/// A call of the endpoint that found no room.
+#[derive(Clone, Debug)]
+pub(super) struct RefusedCall {
+    pub(super) at: Timestamp,
+    /// Service that was short.
+    pub(super) short: ServiceName,
+}
+
 /// What is known of the endpoint.
 #[derive(Debug, Default)]
 pub(super) struct State {
@@ -44,8 +52,8 @@
     pub(super) is_stopping: bool,
     /// Requests that run at the endpoint.
     pub(super) running: RunningRequests,
-    /// When a call of the endpoint last found no room.
-    pub(super) call_found_no_room: Option<Timestamp>,
+    /// The last call of the endpoint that found no room.
+    pub(super) refused_call: Option<RefusedCall>,
 }
 
 impl State {
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -2,12 +2,10 @@
 
 use crate::decide::admission::longest_wait;
 use crate::decide::directory::Choice;
-use crate::decide::early_refusal::RoomFound;
 use crate::decide::table::{ActiveRoute, Route};
 use crate::http::exchange::{Answer, Outgoing, OutgoingBody};
 use crate::http::fields;
 use crate::inbound::dispatch::{Attempted, Dispatched, text};
-use crate::local::MOST_IMPORTANT;
 use crate::outbound::attempt::attempt;
 use crate::outbound::ending::{Final, is_proved_not_run, send_end};
 use crate::outbound::open_send::OpenSend;
@@ -18,7 +16,6 @@
 use bramblewheel_types::{EndpointId, ServiceName};
 use http::HeaderValue;
 use http::request::Parts;
-use rand::RngExt;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -37,21 +34,23 @@
 
 /// One request of a caller.
 pub(super) struct Call<'a> {
-    shared: &'a Arc<Shared>,
-    id: HeaderValue,
-    route: Arc<ActiveRoute>,
+    pub(super) shared: &'a Arc<Shared>,
+    pub(super) id: HeaderValue,
+    pub(super) route: Arc<ActiveRoute>,
     table: TableVersion,
     arrived: Instant,
     /// Whether the local endpoint makes it for a request that it runs.
-    is_nested: bool,
+    pub(super) is_nested: bool,
     /// Rank of the request at the root of its tree, as far as that is known.
     root_rank: u32,
+    /// Service that it was sent to.
+    pub(super) target: Mutex<Option<ServiceName>>,
     /// What the daemon beside the last endpoint told.
-    last_told: Mutex<Told>,
+    pub(super) last_told: Mutex<Told>,
     /// Whether the request may have run; outlives the attempts, which the time may cut off.
     may_have_run: AtomicBool,
-    /// Whether an endpoint's daemon had no room, or there was no endpoint.
-    found_no_room: AtomicBool,
+    /// Whether an endpoint's daemon had no room for it.
+    pub(super) found_no_room: AtomicBool,
     is_over: AtomicBool,
 }
 
@@ -96,6 +95,7 @@
             arrived,
             is_nested,
             root_rank,
+            target: Mutex::default(),
             last_told: Mutex::default(),
             may_have_run: AtomicBool::new(false),
             found_no_room: AtomicBool::new(false),
@@ -144,9 +144,11 @@
         let outcome = ended.as_str();
         self.shared.metrics.request(&route.name, outcome, time);
         if outcome != "completed" {
+            let told = lock(&self.last_told);
+            let short = told.short_below.as_ref().map_or("", ServiceName::as_str);
             slog::info!(self.shared.log, "request ended"; "id" => text(&self.id),
                 "route" => &route.name, "table" => self.table.0, "outcome" => outcome,
-                "after_ms" => millis(time));
+                "after_ms" => millis(time), "root_rank" => self.root_rank, "short" => short);
         }
     }
 
@@ -155,6 +157,7 @@
             return self.not_run();
         }
         let service = self.route.next_target().clone();
+        *lock(&self.target) = Some(service.clone());
         let mut tried: Vec<EndpointId> = Vec::new();
         let mut counts = Counts::default();
         let mut is_first = true;
@@ -213,25 +216,6 @@
         Final::NotRun { refused_part }
     }
 
-    /// Whether endpoints would refuse the request, so that it is refused here. What is most important
-    /// is always sent.
-    fn is_refused_early(&self) -> bool {
-        if self.route.route.rank == MOST_IMPORTANT || self.is_nested {
-            return false;
-        }
-        let now = self.shared.clock.now();
-        let mut routing = self.shared.routing();
-        let refused_part = routing.early_refusal.refused_part(now, self.route.number);
-        if refused_part <= 0.0 || !routing.random.random_bool(refused_part) {
-            return false;
-        }
-        drop(routing);
-        self.shared.metrics.refused_early.inc();
-        slog::info!(self.shared.log, "refused early"; "id" => text(&self.id),
-            "route" => &self.route.route.name, "refused_part" => format_args!("{refused_part:.2}"));
-        true
-    }
-
     fn choose(
         &self,
         service: &ServiceName,
@@ -299,8 +283,12 @@
         let mut routing = self.shared.routing();
         let directory = &mut routing.directory;
         directory.record_end(now, &choice.endpoint, &route.name, end, told.load);
-        routing.note_nested(self.route.number, told);
+        let is_new = routing.note_nested(self.route.number, &told);
         drop(routing);
+        if is_new {
+            slog::info!(self.shared.log, "callers of route"; "route" => &route.name,
+                "is_nested" => told.is_nested, "told_by" => %choice.daemon, "last" => text(&self.id));
+        }
         *lock(&self.last_told) = told;
         dispatched
     }
@@ -316,60 +304,6 @@
         name.and_then(|name| HeaderValue::try_from(name).ok())
     }
 
-    /// Notes a call of the local endpoint that found no room, so that what it was for can be told to
-    /// have failed for that.
-    fn note_shortage(&self) {
-        if self.is_nested {
-            self.shared
-                .local
-                .call_found_no_room(self.shared.clock.now());
-        }
-    }
-
-    /// Notes what the end of the request says of the room for its like.
-    fn note_end(&self, ended: &Final) {
-        let Some(room) = self.room_found(ended) else {
-            return;
-        };
-        if room != RoomFound::Enough {
-            self.note_shortage();
-        }
-        let now = self.shared.clock.now();
-        let mut routing = self.shared.routing();
-        let early_refusal = &mut routing.early_refusal;
-        let change = early_refusal.record(now, self.route.number, room);
-        drop(routing);
-        if let Some(change) = change {
-            slog::info!(self.shared.log, "room at endpoints"; "route" => &self.route.route.name,
-                "change" => ?change, "last" => text(&self.id));
-        }
-    }
-
-    /// What the end of the request says of the room for its like; none if it says nothing.
-    fn room_found(&self, ended: &Final) -> Option<RoomFound> {
-        match ended {
-            Final::Answered(answer) if answer.status().is_server_error() => {
-                let was_short = lock(&self.last_told).was_short_below;
-                Some(if was_short {
-                    RoomFound::NoneBelow
-                } else {
-                    RoomFound::Enough
-                })
-            }
-            Final::Answered(_) => Some(RoomFound::Enough),
-            Final::NotRun { .. } if self.found_no_room.load(Ordering::Relaxed) => {
-                Some(RoomFound::NoneThere)
-            }
-            Final::NotRun { .. } | Final::Unknown | Final::TimedOut => None,
-        }
-    }
-
-    fn is_widely_refused(&self) -> bool {
-        let now = self.shared.clock.now();
-        let routing = self.shared.routing();
-        routing.early_refusal.is_widespread(now, self.route.number)
-    }
-
     /// Whether another send is allowed after one that ended without an answer; pays for it.
     fn may_send_again(
         &self,
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -5,6 +5,7 @@
 mod ending;
 pub mod liveness;
 mod open_send;
+mod room;
 
 use crate::http::body::{self, AnswerBody};
 use crate::http::exchange::OutgoingBody;
--- /dev/null
+++ b/crates/bramblewheel-proxy/src/outbound/room.rs
@@ -0,0 +1,90 @@
+//! Room for a call: whether it is refused before anything is sent, and what its end says of the room for
+//! its like.
+
+use crate::decide::early_refusal::RoomFound;
+use crate::inbound::dispatch::text;
+use crate::local::MOST_IMPORTANT;
+use crate::outbound::call::Call;
+use crate::outbound::ending::Final;
+use bramblewheel_process::invariants::lock;
+use bramblewheel_types::ServiceName;
+use rand::RngExt;
+use std::sync::atomic::Ordering;
+
+impl Call<'_> {
+    /// Whether endpoints would refuse the request, so that it is refused here. What is most important
+    /// is always sent.
+    pub(super) fn is_refused_early(&self) -> bool {
+        if self.route.route.rank == MOST_IMPORTANT || self.is_nested {
+            return false;
+        }
+        let now = self.shared.clock.now();
+        let mut routing = self.shared.routing();
+        let route = self.route.number;
+        let refused_part = routing.early_refusal.refused_part(now, route);
+        if refused_part <= 0.0 || !routing.random.random_bool(refused_part) {
+            return false;
+        }
+        let short = routing.early_refusal.short_below(route).cloned();
+        drop(routing);
+        self.shared.metrics.refused_early.inc();
+        slog::info!(self.shared.log, "refused early"; "id" => text(&self.id),
+            "route" => &self.route.route.name, "rank" => self.route.route.rank,
+            "refused_part" => format_args!("{refused_part:.2}"),
+            "short" => short.as_ref().map_or("", ServiceName::as_str));
+        true
+    }
+
+    /// Notes what the end of the request says of the room for its like. If it is a call of the local
+    /// endpoint, what it was for will fail for that.
+    pub(super) fn note_end(&self, ended: &Final) {
+        let Some(found) = self.room_found(ended) else {
+            return;
+        };
+        let now = self.shared.clock.now();
+        if self.is_nested
+            && let Some(short) = self.short_service(&found)
+        {
+            self.shared.local.call_found_no_room(now, short);
+        }
+        let mut routing = self.shared.routing();
+        let early_refusal = &mut routing.early_refusal;
+        let change = early_refusal.record(now, self.route.number, found);
+        let short = early_refusal.short_below(self.route.number).cloned();
+        drop(routing);
+        if let Some(change) = change {
+            slog::info!(self.shared.log, "room at endpoints"; "route" => &self.route.route.name,
+                "change" => ?change, "short" => short.as_ref().map_or("", ServiceName::as_str),
+                "last" => text(&self.id));
+        }
+    }
+
+    fn short_service(&self, found: &RoomFound) -> Option<ServiceName> {
+        match found {
+            RoomFound::Enough => None,
+            RoomFound::NoneThere => lock(&self.target).clone(),
+            RoomFound::NoneBelow(service) => Some(service.clone()),
+        }
+    }
+
+    /// What the end of the request says of the room for its like; none if it says nothing.
+    fn room_found(&self, ended: &Final) -> Option<RoomFound> {
+        match ended {
+            Final::Answered(answer) if answer.status().is_server_error() => {
+                let short = lock(&self.last_told).short_below.clone();
+                Some(short.map_or(RoomFound::Enough, RoomFound::NoneBelow))
+            }
+            Final::Answered(_) => Some(RoomFound::Enough),
+            Final::NotRun { .. } if self.found_no_room.load(Ordering::Relaxed) => {
+                Some(RoomFound::NoneThere)
+            }
+            Final::NotRun { .. } | Final::Unknown | Final::TimedOut => None,
+        }
+    }
+
+    pub(super) fn is_widely_refused(&self) -> bool {
+        let now = self.shared.clock.now();
+        let routing = self.shared.routing();
+        routing.early_refusal.is_widespread(now, self.route.number)
+    }
+}
--- a/crates/bramblewheel-proxy/src/shared.rs
+++ b/crates/bramblewheel-proxy/src/shared.rs
@@ -43,16 +43,16 @@
     /// Routes of nested calls that are kept in mind.
     const MAX_NESTED: usize = 512;
 
-    /// Notes what an endpoint's daemon told of a route.
-    pub fn note_nested(&mut self, route: u64, told: Told) {
+    /// Notes what an endpoint's daemon told of a route; returns whether that is new.
+    pub fn note_nested(&mut self, route: u64, told: &Told) -> bool {
+        // A daemon that tells its load tells of the route too; another one did not get that far.
         if told.load.is_none() {
-            return;
+            return false;
         }
         if !told.is_nested {
-            self.told_nested.remove(&route);
-        } else if self.told_nested.len() < Self::MAX_NESTED {
-            self.told_nested.insert(route);
+            return self.told_nested.remove(&route);
         }
+        self.told_nested.len() < Self::MAX_NESTED && self.told_nested.insert(route)
     }
 }
 
--- a/crates/bramblewheel-proxy/src/wire.rs
+++ b/crates/bramblewheel-proxy/src/wire.rs
@@ -1,7 +1,7 @@
 //! Headers between daemons: what one tells the other besides the request and its answer.
 
 use crate::decide::directory::LoadReport;
-use bramblewheel_types::EndpointId;
+use bramblewheel_types::{EndpointId, ServiceName};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::time::Duration;
 use thiserror::Error;
@@ -26,7 +26,7 @@
 const RESULT: HeaderName = HeaderName::from_static("bw-result");
 /// On an answer: the request's route is called by endpoints only.
 const NESTED: HeaderName = HeaderName::from_static("bw-nested");
-/// On a failed answer: a call that the endpoint made for it found no room.
+/// On a failed answer: the service at which a call that the endpoint made for it found no room.
 const SHORT: HeaderName = HeaderName::from_static("bw-short-below");
 /// Load of the endpoint: busy, limit and failed in a hundred, separated by commas.
 const LOAD: HeaderName = HeaderName::from_static("bw-load");
@@ -91,19 +91,18 @@
         let endpoint = endpoint.as_ref().and_then(|value| value.to_str().ok());
         let endpoint = endpoint.and_then(|text| EndpointId::new(text).ok());
         let rank = number(headers.remove(RANK));
-        let root_rank = number(headers.remove(ROOT_RANK));
+        let root_rank = headers.remove(ROOT_RANK);
         let route = number(headers.remove(ROUTE));
         let objective = number(headers.remove(OBJECTIVE));
         let remaining = number(headers.remove(REMAINING));
         let wait = number(headers.remove(WAIT));
+        let rank = rank
+            .and_then(|rank| u32::try_from(rank).ok())
+            .ok_or(InvalidHandover("bw-rank"))?;
         Ok(Self {
             endpoint: endpoint.ok_or(InvalidHandover("bw-endpoint"))?,
-            rank: rank
-                .and_then(|rank| u32::try_from(rank).ok())
-                .ok_or(InvalidHandover("bw-rank"))?,
-            root_rank: root_rank
-                .and_then(|rank| u32::try_from(rank).ok())
-                .ok_or(InvalidHandover("bw-root-rank"))?,
+            rank,
+            root_rank: read_root_rank(root_rank, rank)?,
             route: route.ok_or(InvalidHandover("bw-route"))?,
             objective: objective
                 .map(Duration::from_millis)
@@ -119,6 +118,15 @@
     }
 }
 
+/// Rank of the tree; that of the request itself where a daemon of an earlier version does not tell it.
+fn read_root_rank(told: Option<HeaderValue>, own_rank: u32) -> Result<u32, InvalidHandover> {
+    if told.is_none() {
+        return Ok(own_rank);
+    }
+    let rank = number(told).and_then(|rank| u32::try_from(rank).ok());
+    rank.ok_or(InvalidHandover("bw-root-rank"))
+}
+
 fn millis(duration: Duration) -> HeaderValue {
     HeaderValue::from(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
 }
@@ -127,6 +135,11 @@
     value?.to_str().ok()?.parse().ok()
 }
 
+/// A name that is not valid counts as none.
+fn read_service(value: &HeaderValue) -> Option<ServiceName> {
+    ServiceName::new(value.to_str().ok()?).ok()
+}
+
 fn read_load(text: &str) -> Option<LoadReport> {
     let mut numbers = text.split(',').map(str::parse);
     Some(LoadReport {
@@ -137,14 +150,14 @@
 }
 
 /// What the daemon beside the endpoint tells with an answer besides how the attempt ended.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Told {
     /// Load of the endpoint; none if it was not told or can't be read.
     pub load: Option<LoadReport>,
     /// Whether the request's route is called by endpoints only.
     pub is_nested: bool,
-    /// Whether the endpoint failed the request after a call of its own had found no room.
-    pub was_short_below: bool,
+    /// Where a call of the endpoint had found no room right before it failed the request.
+    pub short_below: Option<ServiceName>,
 }
 
 /// How an attempt ended at the daemon beside the endpoint.
@@ -205,8 +218,10 @@
         if told.is_nested {
             headers.insert(NESTED, HeaderValue::from_static(YES));
         }
-        if told.was_short_below {
-            headers.insert(SHORT, HeaderValue::from_static(YES));
+        if let Some(service) = &told.short_below {
+            let service =
+                HeaderValue::try_from(service.as_str()).expect("names consist of visible ASCII");
+            headers.insert(SHORT, service);
         }
     }
 
@@ -220,7 +235,7 @@
         let told = Told {
             load: load.and_then(read_load),
             is_nested: headers.remove(NESTED).is_some(),
-            was_short_below: headers.remove(SHORT).is_some(),
+            short_below: headers.remove(SHORT).as_ref().and_then(read_service),
         };
         Some((known, told))
     }
--- a/crates/bramblewheel-proxy/tests/call_trees.rs
+++ b/crates/bramblewheel-proxy/tests/call_trees.rs
@@ -290,20 +290,19 @@
     }
 
     fn fail(&mut self, micros: u64, id: u64) {
-        self.end(micros, id, RoomFound::NoneBelow);
+        self.end(micros, id, RoomFound::NoneBelow(service(0)));
     }
 
     fn end(&mut self, micros: u64, id: u64, found: RoomFound) {
         let tree = self.trees.remove(&id).expect("in progress");
-        let entry = &mut self.entries[tree.daemon];
-        entry.record(at(micros / 1_000), tree.kind as u64, found);
         if tree.is_counted {
             let outcomes = &mut self.outcomes[tree.kind];
-            match found {
-                RoomFound::Enough => outcomes.served += 1,
-                RoomFound::NoneThere | RoomFound::NoneBelow => outcomes.failed += 1,
-            }
+            let is_served = found == RoomFound::Enough;
+            outcomes.served += u32::from(is_served);
+            outcomes.failed += u32::from(!is_served);
         }
+        let entry = &mut self.entries[tree.daemon];
+        entry.record(at(micros / 1_000), tree.kind as u64, found);
     }
 }
 
--- a/crates/bramblewheel-proxy/tests/early_refusal.rs
+++ b/crates/bramblewheel-proxy/tests/early_refusal.rs
@@ -2,7 +2,7 @@
 //! that is offered nearly twice what it can do.
 
 use bramblewheel_proxy::decide::early_refusal::{EarlyRefusal, RoomChange, RoomFound};
-use bramblewheel_types::Timestamp;
+use bramblewheel_types::{ServiceName, Timestamp};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Reverse;
@@ -209,13 +209,13 @@
 /// some early where each of them was begun.
 #[test]
 fn work_that_is_lost_below_counts_more_than_refusals() {
-    let part_after = |found: RoomFound| {
+    let part_after = |found: &RoomFound| {
         let mut early = EarlyRefusal::default();
         let mut largest: f64 = 0.0;
         for step in 0..1_000 {
             let now = Timestamp::from_millis(step * 20);
             let end = if step % 10 == 0 {
-                found
+                found.clone()
             } else {
                 RoomFound::Enough
             };
@@ -224,6 +224,7 @@
         }
         largest
     };
-    assert_eq!(part_after(RoomFound::NoneThere), 0.0);
-    assert!(part_after(RoomFound::NoneBelow) > 0.01);
+    let deep = ServiceName::new("deep").expect("a name");
+    assert_eq!(part_after(&RoomFound::NoneThere), 0.0);
+    assert!(part_after(&RoomFound::NoneBelow(deep)) > 0.01);
 }
--- /dev/null
+++ b/crates/bramblewheel-proxy/tests/wire.rs
@@ -0,0 +1,83 @@
+//! What daemons tell each other in headers.
+
+use bramblewheel_proxy::decide::directory::LoadReport;
+use bramblewheel_proxy::wire::{AttemptResult, Handover, Told};
+use bramblewheel_types::{EndpointId, ServiceName};
+use http::{HeaderMap, HeaderValue};
+use std::time::Duration;
+
+fn handover() -> Handover {
+    Handover {
+        endpoint: EndpointId::new("kassa-1").expect("a name"),
+        rank: 1,
+        root_rank: 2,
+        route: 77,
+        objective: Duration::from_millis(300),
+        remaining: Duration::from_millis(700),
+        wait: Duration::from_millis(180),
+        caller: Some(HeaderValue::from_static("pris")),
+    }
+}
+
+fn told() -> Told {
+    Told {
+        load: Some(LoadReport {
+            busy: 3,
+            limit: 18,
+            failed_percent: 4,
+        }),
+        is_nested: true,
+        short_below: Some(ServiceName::new("lager").expect("a name")),
+    }
+}
+
+#[test]
+fn a_handover_is_read_as_it_was_written() {
+    let mut headers = HeaderMap::new();
+    handover().write(&mut headers);
+    assert!(Handover::is_on(&headers));
+    assert_eq!(Handover::take(&mut headers), Ok(handover()));
+    assert!(headers.is_empty(), "{headers:?}");
+}
+
+#[test]
+fn a_handover_whose_tree_has_no_valid_rank_is_refused() {
+    let mut headers = HeaderMap::new();
+    handover().write(&mut headers);
+    headers.insert("bw-root-rank", HeaderValue::from_static("-1"));
+    let refused = Handover::take(&mut headers).expect_err("not a rank");
+    assert!(refused.to_string().contains("bw-root-rank"), "{refused}");
+}
+
+#[test]
+fn what_is_told_with_an_answer_is_read_as_it_was_written() {
+    for told in [told(), Told::default()] {
+        let mut headers = HeaderMap::new();
+        AttemptResult::Answered.write(&told, &mut headers);
+        let taken = AttemptResult::take(&mut headers);
+        assert_eq!(taken, Some((AttemptResult::Answered, told)));
+        assert!(headers.is_empty(), "{headers:?}");
+    }
+}
+
+#[test]
+fn a_daemon_that_does_not_tell_the_rank_of_the_tree_means_that_of_the_request() {
+    let mut headers = HeaderMap::new();
+    handover().write(&mut headers);
+    headers.remove("bw-root-rank");
+    let taken = Handover::take(&mut headers).expect("valid");
+    assert_eq!(taken.root_rank, taken.rank);
+}
+
+/// What can't be read counts as not told.
+#[test]
+fn nonsense_counts_as_not_told() {
+    let mut headers = HeaderMap::new();
+    AttemptResult::Full.write(&told(), &mut headers);
+    headers.insert("bw-short-below", HeaderValue::from_static("no name at all"));
+    headers.insert("bw-load", HeaderValue::from_static("many"));
+    let (result, told) = AttemptResult::take(&mut headers).expect("a result");
+    assert_eq!(result, AttemptResult::Full);
+    assert_eq!(told.short_below, None);
+    assert_eq!(told.load, None);
+}
--- a/crates/bramblewheel/src/explain/cause.rs
+++ b/crates/bramblewheel/src/explain/cause.rs
@@ -28,6 +28,8 @@
     RefusedEarly {
         /// Part of the route's requests that was refused so.
         part: String,
+        /// Service deeper down that was short, if it was not the one that the request goes to.
+        short: Option<String>,
     },
     /// Endpoints were leaving, or not reached.
     NoEndpoint {
@@ -42,7 +44,10 @@
         broken: Option<String>,
     },
     /// The endpoint answered with an error of its own.
-    EndpointFailed,
+    EndpointFailed {
+        /// Service that was short for a call that the endpoint made, if that was the reason.
+        short: Option<String>,
+    },
     /// The time was over.
     TimedOut,
 }
@@ -60,15 +65,21 @@
                 write!(formatter, "no room, last at {endpoint}")?;
                 load.iter().try_for_each(|load| write!(formatter, " ({load})"))
             }
-            Self::RefusedEarly { part } => {
-                write!(formatter, "no room for its like, {part} of them refused early")
+            Self::RefusedEarly { part, short } => {
+                write!(formatter, "no room for its like")?;
+                short.iter().try_for_each(|short| write!(formatter, " at {short}"))?;
+                write!(formatter, ", {part} of them refused early")
             }
             Self::NoEndpoint { result } => write!(formatter, "no endpoint took it: {result}"),
             Self::AnswerLost { endpoint, broken } => {
                 write!(formatter, "the answer of {endpoint} was lost")?;
                 broken.iter().try_for_each(|what| write!(formatter, " ({what})"))
             }
-            Self::EndpointFailed => formatter.write_str("the endpoint answered with an error"),
+            Self::EndpointFailed { short } => {
+                formatter.write_str("the endpoint answered with an error")?;
+                let no_room = |short| write!(formatter, ": a call found no room at {short}");
+                short.iter().try_for_each(no_room)
+            }
             Self::TimedOut => formatter.write_str("its time was over"),
         }
     }
@@ -90,11 +101,15 @@
         }
         if let Some(line) = self.last("refused early") {
             let part = text(line, "refused_part");
-            return Cause::RefusedEarly { part };
+            let short = short_service(line);
+            return Cause::RefusedEarly { part, short };
         }
         let ended = self.last("request ended");
         match ended.and_then(|line| line.value("outcome")) {
-            Some("failed") => Cause::EndpointFailed,
+            Some("failed") => {
+                let short = ended.and_then(short_service);
+                Cause::EndpointFailed { short }
+            }
             Some("timed-out") => Cause::TimedOut,
             _ => self.cause_of_attempt(),
         }
@@ -119,7 +134,7 @@
             lines.rfind(|line| line.event() == event && line.value("endpoint") == Some(&endpoint))
         };
         match attempt.value("result").unwrap_or_default() {
-            "failed" => Cause::EndpointFailed,
+            "failed" => Cause::EndpointFailed { short: None },
             "lost" | "silent" => {
                 let broken = at_endpoint("answer lost").map(|line| text(line, "broken"));
                 Cause::AnswerLost { endpoint, broken }
@@ -142,6 +157,12 @@
     }
 }
 
+/// The service that was short, if the line names one.
+fn short_service(line: &LogLine) -> Option<String> {
+    let named = line.value("short").filter(|name| !name.is_empty());
+    named.map(str::to_owned)
+}
+
 fn text(line: &LogLine, key: &str) -> String {
     line.value(key).unwrap_or("?").to_owned()
 }
--- a/crates/bramblewheel/tests/explain.rs
+++ b/crates/bramblewheel/tests/explain.rs
@@ -90,6 +90,22 @@
     );
 }
 
+#[test]
+fn the_service_that_was_short_is_named() {
+    let refused = explained_by(
+        "level=INFO msg=\"refused early\" at=1779151084422 short=registry refused_part=0.31 rank=2 \
+         route=r-a id=r-1\n",
+    );
+    let expected = "cause=\"no room for its like at registry, 0.31 of them refused early\"";
+    assert!(refused.contains(expected), "{refused}");
+    let failed = explained_by(
+        "level=INFO msg=\"request ended\" at=1779151084422 short=registry after_ms=280 outcome=failed \
+         table=5 route=r-a id=r-1\n",
+    );
+    let expected = "the endpoint answered with an error: a call found no room at registry";
+    assert!(failed.contains(expected), "{failed}");
+}
+
 #[test]
 fn a_request_that_no_line_speaks_of_is_said_to_be_unknown() {
     let (status, text) = explained("0000000000000000");
