Send no request again that failed for want of room below

Hypothesis: a request that failed since a call of it found no room makes all its calls again when it is sent to another endpoint: that adds to the shortage, and the retry budget is spent at the top where it repeats the whole tree. Change: such a failure is final; calls are still sent on at the lowest level. The new test fails on the earlier code (two arrivals in place of one).

--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -339,9 +339,12 @@
         if !may_run_again || counts.arrivals >= route.max_attempts {
             return false;
         }
+        let is_short_below = lock(&self.last_told).short_below.is_some();
         let now = self.shared.clock.now();
         let mut routing = self.shared.routing();
         let is_allowed = match result {
+            // All its calls would be made again, of which one has just found no room.
+            AttemptResult::Answered if is_short_below => false,
             // Where many fail the cause lies deeper, and a repeat adds to it.
             AttemptResult::Answered => {
                 routing.directory.failed_share(now, service) < RARE_FAILURES
--- a/crates/bramblewheel-proxy/tests/sockets/requests.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/requests.rs
@@ -7,6 +7,7 @@
 use bramblewheel_types::{DaemonId, EndpointId, ServiceName};
 use bytes::Bytes;
 use http::StatusCode;
+use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
@@ -166,6 +167,23 @@
 }
 
 /// The second answer to one request is never given to the next.
+/// All calls of the request would be made again, of which one has just found no room.
+#[tokio::test]
+async fn a_request_that_failed_for_want_of_room_below_is_not_sent_elsewhere() {
+    let mesh = Mesh::start(2).await;
+    for daemon in &mesh.daemons {
+        let shared = daemon.shared();
+        // Ahead of the clock, so that it is recent whenever the answer comes.
+        let at = shared.clock.now() + Duration::from_secs(60);
+        let short = ServiceName::new("deep").expect("a name");
+        shared.local.call_found_no_room(at, short);
+    }
+    script(&mesh, &[Act::Fail]);
+    let answer = mesh.call(0, "/safe/item", "r-1").await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(arrivals(&mesh), 1);
+}
+
 #[tokio::test]
 async fn a_surplus_answer_reaches_nobody() {
     let mesh = Mesh::start(1).await;
