--- a/deploy/regression.sh
+++ b/deploy/regression.sh
@@ -11,6 +11,8 @@
 large="large/torgnett-large large/muscat-vault-large"
 grown="grown/torgnett-grown grown/muscat-vault-grown"
 first="sites/torgnett sites/muscat-vault"
+further="further/isarkante-pruef"
+further_grown="further-grown/isarkante-pruef-grown"
 jobs=${JOBS:-2}
 
 play() {
@@ -22,10 +24,10 @@
 
 failed=0
 case "$verb" in
-  score) for site in $large $grown $first; do play "$site" score "$SYSTEM/$site.toml"; done ;;
+  score) for site in $large $grown $further_grown $first $further; do play "$site" score "$SYSTEM/$site.toml"; done ;;
   hunt)
-    for site in $large $grown; do play "$site" hunt "$SYSTEM/$site.toml" --days 8; done
-    for site in $first; do play "$site" hunt "$SYSTEM/$site.toml" --days 40; done
+    for site in $large $grown $further_grown; do play "$site" hunt "$SYSTEM/$site.toml" --days 8; done
+    for site in $first $further; do play "$site" hunt "$SYSTEM/$site.toml" --days 40; done
     ;;
   small) for site in $large; do play "$site" score "$SYSTEM/$site.toml" --small; done ;;
   *)
