Take no route for one of nested calls because a service with few machines is seldom seen

A service with 5% of the machines now and then sends less than 3% of a route's requests, counts as a stray caller then, and its absence over 400 requests was taken as proof. Change: callers that stand for more than 0.7 of the machines say nothing.

--- a/crates/bramblewheel-proxy/src/decide/nested_routes.rs
+++ b/crates/bramblewheel-proxy/src/decide/nested_routes.rs
@@ -11,6 +11,10 @@
 /// Probability, for a route of callers from outside, with which it is taken for one of nested calls.
 /// Small, since a mistake lasts for hundreds of requests.
 const MISTAKE: f64 = 0.000_1;
+/// Largest part of the machines that the callers of a route of nested calls may stand for. A service
+/// with few machines is seen seldom by chance, and its absence alone must not tell; the services that
+/// make calls had at most half of the machines in the deployments seen.
+const MOST_COVERED: f64 = 0.7;
 /// Part of a route's requests that a caller service may have without counting as one of its callers:
 /// single requests that operators send by hand.
 const STRAY_PART: f64 = 0.03;
@@ -58,7 +62,7 @@
             return false;
         };
         let covered = machines.share_of(&callers.regular());
-        if covered >= 1.0 {
+        if covered > MOST_COVERED {
             return false;
         }
         covered.powf(f64::from(callers.total)) < MISTAKE
--- a/crates/bramblewheel-proxy/tests/call_trees.rs
+++ b/crates/bramblewheel-proxy/tests/call_trees.rs
@@ -89,6 +89,44 @@
     }
 }
 
+/// Machines of four services, the last of which has few.
+struct UnevenShares;
+
+const UNEVEN: [f64; 4] = [0.48, 0.36, 0.11, 0.05];
+
+impl MachineShares for UnevenShares {
+    fn share_of(&self, services: &[&ServiceName]) -> f64 {
+        let part_of = |number: usize| {
+            let is_named = services.contains(&&service(number));
+            if is_named { UNEVEN[number] } else { 0.0 }
+        };
+        (0..UNEVEN.len()).map(part_of).sum()
+    }
+}
+
+/// A service with few machines sends so little that it looks like a stray caller now and then.
+#[test]
+fn a_service_with_few_machines_makes_no_route_nested() {
+    for seed in 0..20 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut routes = NestedRoutes::default();
+        for _ in 0..2_000 {
+            let drawn: f64 = random.random_range(0.0..1.0);
+            let mut sum = 0.0;
+            let caller = UNEVEN.iter().position(|part| {
+                sum += part;
+                drawn < sum
+            });
+            routes.record(ROUTE, &service(caller.unwrap_or(0)));
+            assert!(!routes.is_nested(ROUTE, &UnevenShares), "seed {seed}");
+        }
+        for _ in 0..400 {
+            routes.record(ROUTE + 1, &service(0));
+        }
+        assert!(routes.is_nested(ROUTE + 1, &UnevenShares));
+    }
+}
+
 /// How calls are ordered at the narrow service, and whether trees are refused where they enter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Policy {
