--- a/crates/bramblewheel-proxy/src/decide/directory/mod.rs
+++ b/crates/bramblewheel-proxy/src/decide/directory/mod.rs
@@ -77,9 +77,9 @@
     members: Vec<EndpointId>,
     /// Those that the control group has not heard lately, the last one at the end.
     silent: Vec<EndpointId>,
-    /// Whether the order is that of the preferences.
+    /// Whether the members are in the order of the preferences.
     is_ordered: bool,
-    /// How many of them are in the daemon's zone.
+    /// How many members are in the daemon's zone.
     in_own_zone: usize,
 }
 
--- a/crates/bramblewheel-proxy/src/decide/nested_routes.rs
+++ b/crates/bramblewheel-proxy/src/decide/nested_routes.rs
@@ -50,7 +50,12 @@
         }
         let callers = self.routes.entry(route).or_default();
         callers.total += 1;
-        *callers.by_service.entry(caller.clone()).or_default() += 1;
+        match callers.by_service.get_mut(caller) {
+            Some(count) => *count += 1,
+            None => {
+                callers.by_service.insert(caller.clone(), 1);
+            }
+        }
         if callers.total >= MOST_COUNTED {
             callers.halve();
         }
--- a/crates/bramblewheel-proxy/src/http/exchange.rs
+++ b/crates/bramblewheel-proxy/src/http/exchange.rs
@@ -1,12 +1,12 @@
 //! One request and the head of its answer, with proof of what was sent.
 
-use crate::http::body::{self, BrokenBody, Held, Read, RequestBody};
+use crate::http::body::{self, AnswerBody, BrokenBody, Held, Read, RequestBody};
 use crate::http::fields;
 use crate::http::pool::{Lease, Pool};
 use crate::local::Permit;
 use bytes::Bytes;
 use http::response::Parts;
-use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -103,6 +103,18 @@
             Self::Begun(head, ..) => head.status,
         }
     }
+
+    /// The answer as it is passed on.
+    pub fn into_response(self) -> Response<AnswerBody> {
+        let (head, body) = match self {
+            Self::Whole(head, bytes) => (head, AnswerBody::whole(bytes)),
+            Self::Begun(head, first, rest, held) => (*head, AnswerBody::begun(first, rest, held)),
+        };
+        let mut response = Response::new(body);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = head.headers;
+        response
+    }
 }
 
 /// Sends a request and waits for the head of its answer. `write` sets, at the moment of sending,
@@ -154,7 +166,7 @@
     request
 }
 
-fn received(mut lease: Lease, response: http::Response<Incoming>) -> Received {
+fn received(mut lease: Lease, response: Response<Incoming>) -> Received {
     let (head, body) = response.into_parts();
     lease.idle_timeout = fields::idle_timeout(&head.headers);
     lease.is_closing = fields::is_closing(&head.headers);
--- a/crates/bramblewheel-proxy/src/inbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/inbound/mod.rs
@@ -77,13 +77,7 @@
 }
 
 fn pass_on(answer: Answer, told: &Told) -> Response<AnswerBody> {
-    let (head, body) = match answer {
-        Answer::Whole(head, bytes) => (head, AnswerBody::whole(bytes)),
-        Answer::Begun(head, first, rest, held) => (*head, AnswerBody::begun(first, rest, held)),
-    };
-    let mut response = Response::new(body);
-    *response.status_mut() = head.status;
-    *response.headers_mut() = head.headers;
+    let mut response = answer.into_response();
     AttemptResult::Answered.write(told, response.headers_mut());
     response
 }
--- a/crates/bramblewheel-proxy/src/outbound/attempt.rs
+++ b/crates/bramblewheel-proxy/src/outbound/attempt.rs
@@ -1,13 +1,12 @@
 //! One attempt of a call at the daemon beside an endpoint.
 
 use crate::decide::directory::Choice;
-use crate::http::body::AnswerBody;
-use crate::http::exchange::{self, Answer, NoAnswer, Outgoing};
+use crate::http::exchange::{self, NoAnswer, Outgoing};
 use crate::inbound::dispatch::{Attempted, Dispatched, dispatch};
 use crate::outbound::liveness::patience;
 use crate::shared::Shared;
 use crate::wire::{AttemptResult, Handover, Told};
-use http::{HeaderMap, Response};
+use http::HeaderMap;
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -72,15 +71,3 @@
         told,
     }
 }
-
-/// An endpoint's answer as it goes to the caller.
-pub(super) fn render(answer: Answer) -> Response<AnswerBody> {
-    let (head, body) = match answer {
-        Answer::Whole(head, bytes) => (head, AnswerBody::whole(bytes)),
-        Answer::Begun(head, first, rest, held) => (*head, AnswerBody::begun(first, rest, held)),
-    };
-    let mut response = Response::new(body);
-    *response.status_mut() = head.status;
-    *response.headers_mut() = head.headers;
-    response
-}
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -43,14 +43,12 @@
     pub(super) is_nested: bool,
     /// Rank of the request at the root of its tree, as far as that is known.
     root_rank: u32,
-    /// Service that it was sent to.
-    pub(super) target: Mutex<Option<ServiceName>>,
     /// What the daemon beside the last endpoint told.
     pub(super) last_told: Mutex<Told>,
     /// Whether the request may have run; outlives the attempts, which the time may cut off.
     may_have_run: AtomicBool,
-    /// Whether an endpoint's daemon had no room for it.
-    pub(super) found_no_room: AtomicBool,
+    /// Its service, if an endpoint's daemon had no room for it.
+    pub(super) full_service: Mutex<Option<ServiceName>>,
     is_over: AtomicBool,
 }
 
@@ -95,10 +93,9 @@
             arrived,
             is_nested,
             root_rank,
-            target: Mutex::default(),
             last_told: Mutex::default(),
             may_have_run: AtomicBool::new(false),
-            found_no_room: AtomicBool::new(false),
+            full_service: Mutex::default(),
             is_over: AtomicBool::new(false),
         }
     }
@@ -157,7 +154,6 @@
             return self.not_run();
         }
         let service = self.route.next_target().clone();
-        *lock(&self.target) = Some(service.clone());
         let mut tried: Vec<EndpointId> = Vec::new();
         let mut counts = Counts::default();
         let mut is_first = true;
@@ -175,7 +171,7 @@
             let dispatched = sent.await;
             let result = dispatched.result();
             if result == AttemptResult::Full {
-                self.found_no_room.store(true, Ordering::Relaxed);
+                *lock(&self.full_service) = Some(service.clone());
                 counts.waited += begun.elapsed();
             }
             let has_failed = dispatched.has_failed();
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -110,7 +110,7 @@
 
     fn render(&self, ended: Final) -> Response<AnswerBody> {
         match ended {
-            Final::Answered(answer) => attempt::render(*answer),
+            Final::Answered(answer) => answer.into_response(),
             Final::NotRun { refused_part } => {
                 let later = LATER_WHEN_REFUSED.mul_f64(refused_part);
                 self.refusal(later, RETRY_AFTER_MILLIS)
--- a/crates/bramblewheel-proxy/src/outbound/room.rs
+++ b/crates/bramblewheel-proxy/src/outbound/room.rs
@@ -9,7 +9,6 @@
 use bramblewheel_process::invariants::lock;
 use bramblewheel_types::ServiceName;
 use rand::RngExt;
-use std::sync::atomic::Ordering;
 
 impl Call<'_> {
     /// Whether endpoints would refuse the request, so that it is refused here. What is most important
@@ -50,19 +49,20 @@
         let mut routing = self.shared.routing();
         let early_refusal = &mut routing.early_refusal;
         let change = early_refusal.record(now, self.route.number, found);
+        let Some(change) = change else {
+            return;
+        };
         let short = early_refusal.short_below(self.route.number).cloned();
         drop(routing);
-        if let Some(change) = change {
-            slog::info!(self.shared.log, "room at endpoints"; "route" => &self.route.route.name,
-                "change" => ?change, "short" => short.as_ref().map_or("", ServiceName::as_str),
-                "last" => text(&self.id));
-        }
+        slog::info!(self.shared.log, "room at endpoints"; "route" => &self.route.route.name,
+            "change" => ?change, "short" => short.as_ref().map_or("", ServiceName::as_str),
+            "last" => text(&self.id));
     }
 
     fn short_service(&self, found: &RoomFound) -> Option<ServiceName> {
         match found {
             RoomFound::Enough => None,
-            RoomFound::NoneThere => lock(&self.target).clone(),
+            RoomFound::NoneThere => lock(&self.full_service).clone(),
             RoomFound::NoneBelow(service) => Some(service.clone()),
         }
     }
@@ -75,7 +75,7 @@
                 Some(short.map_or(RoomFound::Enough, RoomFound::NoneBelow))
             }
             Final::Answered(_) => Some(RoomFound::Enough),
-            Final::NotRun { .. } if self.found_no_room.load(Ordering::Relaxed) => {
+            Final::NotRun { .. } if lock(&self.full_service).is_some() => {
                 Some(RoomFound::NoneThere)
             }
             Final::NotRun { .. } | Final::Unknown | Final::TimedOut => None,
