Sight: digest of a request's content in logs, a line for an endpoint that ended

Cause of the change: in the incident the logs could not tell which requests are tries of one, nor that an endpoint had ended rather than a connection, and such lines were among those left out. Decisions are unchanged. Ruled out: naming the path in logs (it may hold what callers keep private).

--- a/crates/bramblewheel-protocol/src/lib.rs
+++ b/crates/bramblewheel-protocol/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod codec;
+pub mod content;
 pub mod control;
 pub mod packed;
 pub mod routing;
--- a/crates/bramblewheel-proxy/src/http/body.rs
+++ b/crates/bramblewheel-proxy/src/http/body.rs
@@ -1,5 +1,6 @@
 //! Bodies: kept whole while they are short, passed on as they come otherwise.
 
+use crate::decide::request_content::COUNTED_BODY_BYTES;
 use crate::http::pool::Lease;
 use crate::local::Permit;
 use bytes::{Bytes, BytesMut};
@@ -13,7 +14,7 @@
 use thiserror::Error;
 
 /// Longest body that is held until it is whole, in bytes; a longer one is passed on as it comes.
-pub const HELD_BYTES: usize = 64 * 1024;
+pub const HELD_BYTES: usize = COUNTED_BODY_BYTES;
 
 /// A body broke before its end.
 #[derive(Debug, Error)]
--- a/crates/bramblewheel-proxy/src/http/exchange.rs
+++ b/crates/bramblewheel-proxy/src/http/exchange.rs
@@ -64,6 +64,14 @@
         matches!(self, Self::Whole(_))
     }
 
+    /// The body as far as it is known; nothing of one that was passed on.
+    pub fn known(&self) -> &[u8] {
+        match self {
+            Self::Whole(bytes) | Self::Begun(bytes, _) => bytes,
+            Self::Spent => &[],
+        }
+    }
+
     fn take(&mut self, lease: &Lease) -> Option<RequestBody> {
         let is_sent = Arc::clone(&lease.is_request_sent);
         match std::mem::replace(self, Self::Spent) {
--- a/crates/bramblewheel-proxy/src/http/pool.rs
+++ b/crates/bramblewheel-proxy/src/http/pool.rs
@@ -231,6 +231,12 @@
         }
     }
 
+    /// Keeps a connection that was opened and not used.
+    pub fn give_back_unused(self) {
+        self.is_request_sent.store(true, Ordering::Release);
+        self.give_back();
+    }
+
     /// Keeps the connection for reuse, if it may carry another request; only allowed after the
     /// answer was read to its end.
     pub fn give_back(self) {
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -3,6 +3,7 @@
 use crate::dialect::AnswerKind;
 use crate::http::exchange::{self, Answer, NoAnswer, Outgoing};
 use crate::local::Refusal;
+use crate::local::end::look_for_end;
 use crate::shared::Shared;
 use crate::wire::{AttemptResult, Handover, Told};
 use bramblewheel_types::ServiceName;
@@ -129,15 +130,20 @@
     if deadline.saturating_duration_since(Instant::now()) < Duration::from_millis(1) {
         return Dispatched::Without(AttemptResult::Full).into();
     }
+    permit.sent();
     let received = match exchange::send(&pool, outgoing, address).await {
         Ok(received) => received,
         Err(NoAnswer::NotSent) => {
+            permit.not_sent();
             shared.local.was_unreachable(shared.clock.now());
             slog::info!(shared.log, "endpoint not reached"; "id" => text(&id),
                 "endpoint" => %handover.endpoint, "address" => %permit.address);
             return Dispatched::Without(AttemptResult::Unreachable).into();
         }
-        Err(NoAnswer::Lost) => return lost(shared, handover, &id, "connection").into(),
+        Err(NoAnswer::Lost) => {
+            look_for_end(shared, &handover.endpoint, permit.address);
+            return lost(shared, handover, &id, "connection").into();
+        }
     };
     let short_below = permit.answered(received.head.status.is_server_error());
     let head = &received.head;
@@ -191,7 +197,8 @@
 fn lost(shared: &Shared, handover: &Handover, id: &HeaderValue, what: &'static str) -> Dispatched {
     shared.local.has_failed(shared.clock.now());
     slog::info!(shared.log, "answer lost"; "id" => text(id),
-        "endpoint" => %handover.endpoint, "broken" => what);
+        "endpoint" => %handover.endpoint, "broken" => what,
+        "content" => handover.content.map(|content| content.to_string()));
     Dispatched::Without(AttemptResult::Lost)
 }
 
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -3,6 +3,7 @@
 //! All requests for an endpoint pass through the daemon beside it, so that this is the one place
 //! where its leaving, its identity and its limit are enforced.
 
+pub mod end;
 mod permit;
 mod state;
 
@@ -10,10 +11,12 @@
 
 use crate::decide::admission::Arrival;
 use crate::decide::directory::LoadReport;
+use crate::decide::endpoint_end::EndpointEnd;
 use crate::decide::tenants::is_most_important;
 use crate::wire::Handover;
 use bramblewheel_process::clock::Clock;
 use bramblewheel_process::invariants::lock;
+use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, ServiceName, Timestamp};
 use permit::{RouteShare, Waiting};
@@ -212,6 +215,31 @@
         self.lock().running.root_rank_of(now + remaining)
     }
 
+    /// A connection broke under a request; returns whether nobody is finding out yet if the endpoint ended.
+    pub fn begin_look(&self) -> bool {
+        let look = &mut self.lock().look;
+        look.is_due = true;
+        !std::mem::replace(&mut look.is_under_way, true)
+    }
+
+    /// Whether a connection broke since the last look; if not, the looking is over.
+    pub fn is_look_due(&self) -> bool {
+        let look = &mut self.lock().look;
+        let is_due = std::mem::take(&mut look.is_due);
+        look.is_under_way = is_due;
+        is_due
+    }
+
+    /// The endpoint has ended without a word: what it was running, if that was not taken yet.
+    pub fn take_end(&self, endpoint: &EndpointId) -> Option<EndpointEnd> {
+        self.lock().unanswered.take_end(endpoint)
+    }
+
+    /// Counts an end here; returns the contents under which most starts ended, with their number.
+    pub fn count_end(&self, end: &EndpointEnd) -> Vec<(ContentDigest, u32)> {
+        self.lock().ends_by_content.record(end)
+    }
+
     /// Notes that a call of the endpoint found no room, for `short` being short of it.
     pub fn call_found_no_room(&self, now: Timestamp, short: ServiceName) {
         self.lock().refused_call = Some(RefusedCall { at: now, short });
@@ -266,6 +294,9 @@
                 answered: None,
                 running: running.begin(begun + handover.remaining, handover.root_rank),
                 address,
+                endpoint: handover.endpoint.clone(),
+                content: handover.content,
+                is_sent: false,
             }
         };
         let Some((place, told)) = waiting else {
--- a/crates/bramblewheel-proxy/src/local/permit.rs
+++ b/crates/bramblewheel-proxy/src/local/permit.rs
@@ -5,7 +5,8 @@
 use crate::decide::route_limit::Answered;
 use crate::decide::running_requests::RunningId;
 use bramblewheel_process::clock::Clock;
-use bramblewheel_types::{ServiceName, Timestamp};
+use bramblewheel_protocol::content::ContentDigest;
+use bramblewheel_types::{EndpointId, ServiceName, Timestamp};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +25,9 @@
     pub(super) running: RunningId,
     /// Where the endpoint listens.
     pub address: SocketAddr,
+    pub(super) endpoint: EndpointId,
+    pub(super) content: Option<ContentDigest>,
+    pub(super) is_sent: bool,
 }
 
 /// A place among the requests of one route.
@@ -35,6 +39,16 @@
 }
 
 impl Permit {
+    /// The request is on its way to the endpoint: from now on it may run.
+    pub fn sent(&mut self) {
+        self.is_sent = true;
+    }
+
+    /// The endpoint could not be reached: it got nothing.
+    pub fn not_sent(&mut self) {
+        self.is_sent = false;
+    }
+
     /// The endpoint's answer has come. If it failed the request right after a call of its own had found
     /// no room, returns the service that was short.
     pub fn answered(&mut self, has_failed: bool) -> Option<ServiceName> {
@@ -55,6 +69,9 @@
         let now = self.clock.now();
         let mut state = self.local.lock();
         state.running.end(self.running);
+        if let (true, None, Some(content)) = (self.is_sent, self.answered, self.content) {
+            state.unanswered.record(now, &self.endpoint, content);
+        }
         state.end_route(now, self.route, self.answered);
         let started = state.queue.finish(now);
         state.start(started);
--- a/crates/bramblewheel-proxy/src/local/state.rs
+++ b/crates/bramblewheel-proxy/src/local/state.rs
@@ -3,6 +3,7 @@
 use super::permit::RouteShare;
 use super::{Heard, Refusal};
 use crate::decide::admission::{Admission, AdmissionQueue, Arrival, Place, Ticket};
+use crate::decide::endpoint_end::{EndsByContent, UnansweredRequests};
 use crate::decide::fading_share::FadingShare;
 use crate::decide::route_limit::{Answered, RouteLimit};
 use crate::decide::running_requests::RunningRequests;
@@ -60,6 +61,18 @@
     pub(super) running: RunningRequests,
     /// The last call of the endpoint that found no room.
     pub(super) refused_call: Option<RefusedCall>,
+    /// Requests whose answers will not come.
+    pub(super) unanswered: UnansweredRequests,
+    /// How many starts ended under which content.
+    pub(super) ends_by_content: EndsByContent,
+    pub(super) look: Look,
+}
+
+/// The look for the end of the endpoint, after connections broke.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Look {
+    pub(super) is_under_way: bool,
+    pub(super) is_due: bool,
 }
 
 impl State {
--- a/crates/bramblewheel-proxy/src/metrics.rs
+++ b/crates/bramblewheel-proxy/src/metrics.rs
@@ -49,6 +49,10 @@
     pub cancelled: Counter,
     /// Words of the endpoint that the control group did not record in time.
     pub unrecorded: Counter,
+    /// Starts of the local endpoint that ended without a word.
+    pub endpoint_ends: Counter,
+    /// Requests that ran there at the time.
+    pub lost_with_endpoints: Counter,
     /// Version of the route table in force.
     pub table_version: Gauge,
 }
@@ -75,6 +79,8 @@
             has_lease: Gauge::default(),
             cancelled: Counter::default(),
             unrecorded: Counter::default(),
+            endpoint_ends: Counter::default(),
+            lost_with_endpoints: Counter::default(),
             table_version: Gauge::default(),
         };
         metrics.register();
@@ -150,6 +156,16 @@
             "Words of the endpoint not recorded in time",
             self.unrecorded.clone(),
         );
+        registry.register(
+            "bramblewheel_endpoint_ends",
+            "Starts of the local endpoint that ended without a word",
+            self.endpoint_ends.clone(),
+        );
+        registry.register(
+            "bramblewheel_lost_with_endpoints",
+            "Different requests that ran when the local endpoint ended",
+            self.lost_with_endpoints.clone(),
+        );
         registry.register(
             "bramblewheel_table_version",
             "Route table in force",
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -14,6 +14,7 @@
 use crate::shared::Shared;
 use crate::wire::{AttemptResult, Handover, Told};
 use bramblewheel_process::invariants::lock;
+use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_protocol::routing::TableVersion;
 use bramblewheel_types::{EndpointId, ServiceName};
 use http::HeaderValue;
@@ -27,6 +28,8 @@
 /// A request of a caller that is let in.
 pub(super) struct CallerRequest {
     pub(super) id: HeaderValue,
+    /// What it has in common with its other tries.
+    pub(super) content: ContentDigest,
     pub(super) route: Arc<ActiveRoute>,
     /// Version of the table that the route stands in.
     pub(super) table: TableVersion,
@@ -43,6 +46,7 @@
 pub(super) struct Call<'a> {
     pub(super) shared: &'a Arc<Shared>,
     pub(super) id: HeaderValue,
+    pub(super) content: ContentDigest,
     pub(super) route: Arc<ActiveRoute>,
     table: TableVersion,
     from: Option<TenantRequest>,
@@ -79,6 +83,7 @@
     pub(super) fn new(shared: &'a Arc<Shared>, request: CallerRequest) -> Self {
         let CallerRequest {
             id,
+            content,
             route,
             table,
             from,
@@ -99,6 +104,7 @@
         Self {
             shared,
             id,
+            content,
             route,
             table,
             from,
@@ -174,6 +180,7 @@
             let short = told.short_below.as_ref().map_or("", ServiceName::as_str);
             slog::info!(self.shared.log, "request ended"; "id" => text(&self.id),
                 "route" => &route.name, "table" => self.table.0, "outcome" => outcome,
+                "content" => %self.content,
                 "after_ms" => millis(time), "rank" => self.rank, "root_rank" => self.root_rank,
                 "tenant" => self.tenant_name(), "short" => short);
         }
@@ -227,7 +234,7 @@
             slog::info!(self.shared.log, "attempt failed"; "id" => text(&self.id),
                 "service" => %service, "endpoint" => %choice.endpoint,
                 "result" => if has_failed { "failed" } else { result.as_str() },
-                "attempt" => tried.len(), "again" => may_go_on,
+                "attempt" => tried.len(), "again" => may_go_on, "content" => %self.content,
                 "left_ms" => millis(deadline.saturating_duration_since(Instant::now())));
             if !may_go_on {
                 return self.without_success(failed);
@@ -304,6 +311,7 @@
             caller: self.caller(),
             is_nested: self.is_nested,
             tenant: self.from.as_ref().map(|from| from.tenant.header.clone()),
+            content: Some(self.content),
         };
         let mut open = OpenSend {
             shared: self.shared,
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -9,6 +9,7 @@
 mod repeat;
 mod room;
 
+use crate::decide::request_content::RequestContent;
 use crate::http::body::{self, AnswerBody};
 use crate::http::exchange::OutgoingBody;
 use crate::http::fields::{self, KEEP_ALIVE};
@@ -16,12 +17,14 @@
 use crate::inbound::dispatch::text;
 use crate::shared::Shared;
 use access::{AccessRefusal, TableInUse, tenant_of};
+use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_types::Timestamp;
 use bytes::Bytes;
 use call::{Call, CallerRequest};
 use ending::Final;
 use http::header::{AUTHORIZATION, CONNECTION, HOST, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::{Body, Incoming};
 use rand::RngExt;
@@ -121,8 +124,10 @@
             Ok(read) => OutgoingBody::new(read, longest),
             Err(_) => return empty(StatusCode::BAD_REQUEST),
         };
+        let content = content_of(&head, &host, &body);
         let request = CallerRequest {
             id,
+            content,
             route: Arc::clone(route),
             table: router.version(),
             from,
@@ -200,6 +205,17 @@
     }
 }
 
+fn content_of(head: &Parts, host: &str, body: &OutgoingBody) -> ContentDigest {
+    let target = head.uri.path_and_query();
+    let content = RequestContent {
+        method: head.method.as_str(),
+        host,
+        target: target.map_or("", PathAndQuery::as_str),
+        body: body.known(),
+    };
+    content.digest()
+}
+
 fn host_of(head: &Parts) -> String {
     let named = head.headers.get(HOST).and_then(|value| value.to_str().ok());
     let host = named.or_else(|| head.uri.host());
--- a/crates/bramblewheel-proxy/src/wire.rs
+++ b/crates/bramblewheel-proxy/src/wire.rs
@@ -2,6 +2,7 @@
 
 use crate::decide::directory::LoadReport;
 use crate::http::fields::set_or_remove;
+use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_types::{EndpointId, ServiceName};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::time::Duration;
@@ -25,6 +26,8 @@
 const CALLER: HeaderName = HeaderName::from_static("bw-caller");
 /// Tenant that the request comes from.
 const TENANT: HeaderName = HeaderName::from_static("bw-for-tenant");
+/// Digest of the request's content, in hexadecimal digits.
+const CONTENT: HeaderName = HeaderName::from_static("bw-content");
 /// How the attempt ended at the other daemon.
 const RESULT: HeaderName = HeaderName::from_static("bw-result");
 /// On an answer: the request's route is called by endpoints only. On a request: it is made by one.
@@ -61,6 +64,8 @@
     pub is_nested: bool,
     /// Tenant that the request comes from, if its caller had a key.
     pub tenant: Option<HeaderValue>,
+    /// What the request has in common with its other tries; none from a daemon of an earlier version.
+    pub content: Option<ContentDigest>,
 }
 
 /// A request from another daemon lacks something that it must have.
@@ -82,6 +87,8 @@
         headers.insert(WAIT, millis(self.wait));
         set_or_remove(headers, &CALLER, self.caller.as_ref());
         set_or_remove(headers, &TENANT, self.tenant.as_ref());
+        let content = self.content.map(content_value);
+        set_or_remove(headers, &CONTENT, content.as_ref());
         let nested = self.is_nested.then(|| HeaderValue::from_static(YES));
         set_or_remove(headers, &NESTED, nested.as_ref());
     }
@@ -90,6 +97,7 @@
     pub fn strip(headers: &mut HeaderMap) {
         for name in [
             ENDPOINT, RANK, ROOT_RANK, ROUTE, OBJECTIVE, REMAINING, WAIT, CALLER, TENANT, NESTED,
+            CONTENT,
         ] {
             headers.remove(name);
         }
@@ -134,6 +142,7 @@
             caller: headers.remove(CALLER),
             is_nested: headers.remove(NESTED).is_some(),
             tenant: headers.remove(TENANT),
+            content: read_content(headers.remove(CONTENT))?,
         })
     }
 }
@@ -147,6 +156,18 @@
     rank.ok_or(InvalidHandover("bw-root-rank"))
 }
 
+fn content_value(content: ContentDigest) -> HeaderValue {
+    HeaderValue::try_from(content.to_string()).expect("digits are visible ASCII")
+}
+
+fn read_content(told: Option<HeaderValue>) -> Result<Option<ContentDigest>, InvalidHandover> {
+    let Some(told) = told else {
+        return Ok(None);
+    };
+    let digest = told.to_str().ok().and_then(|text| text.parse().ok());
+    digest.map(Some).ok_or(InvalidHandover("bw-content"))
+}
+
 fn millis(duration: Duration) -> HeaderValue {
     HeaderValue::from(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
 }
--- a/crates/bramblewheel-proxy/tests/wire.rs
+++ b/crates/bramblewheel-proxy/tests/wire.rs
@@ -1,5 +1,6 @@
 //! What daemons tell each other in headers.
 
+use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_proxy::decide::directory::LoadReport;
 use bramblewheel_proxy::wire::{AttemptResult, Handover, Told};
 use bramblewheel_types::{EndpointId, ServiceName};
@@ -18,6 +19,7 @@
         caller: Some(HeaderValue::from_static("pris")),
         is_nested: true,
         tenant: Some(HeaderValue::from_static("stall-7")),
+        content: Some(ContentDigest(0x0123_4567_89ab_cdef)),
     }
 }
 
