--- a/crates/bramblewheel-proxy/tests/sockets/main.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 
 mod bounds;
 mod connections;
+mod crashing_requests;
 mod liveness;
 mod requests;
 mod support;
--- a/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, JoinSet};
 
 /// What the endpoint does with one request.
 #[derive(Clone, Debug)]
@@ -42,6 +43,7 @@
 #[derive(Clone, Debug)]
 pub struct Arrival {
     pub id: String,
+    pub target: String,
     pub headers: HashMap<String, String>,
     pub body_bytes: usize,
     /// Whether it was answered when its head came.
@@ -55,6 +57,10 @@
     cancelled: usize,
     written: usize,
     forgets_after: Option<Duration>,
+    /// Target of the requests under which it ends.
+    fatal: Option<String>,
+    serving: Option<AbortHandle>,
+    has_ended: bool,
 }
 
 /// An endpoint that does what a script says; without one it answers.
@@ -73,16 +79,38 @@
             name: name.to_owned(),
             state: Arc::default(),
         };
-        let serving = endpoint.clone();
-        tokio::spawn(async move {
+        let accepting = endpoint.clone();
+        let serving = tokio::spawn(async move {
+            // All connections end with the task that accepts them.
+            let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                let endpoint = serving.clone();
-                tokio::spawn(async move { endpoint.serve(stream).await });
+                let endpoint = accepting.clone();
+                connections.spawn(async move { endpoint.serve(stream).await });
+                while connections.try_join_next().is_some() {}
             }
         });
+        endpoint.lock().serving = Some(serving.abort_handle());
         endpoint
     }
 
+    /// From now on it ends when it begins a request for this target.
+    pub fn ends_at(&self, target: &str) {
+        self.lock().fatal = Some(target.to_owned());
+    }
+
+    /// Ends as a process does that is killed: it listens no more and all connections break.
+    pub fn end(&self) {
+        let mut state = self.lock();
+        state.has_ended = true;
+        if let Some(serving) = &state.serving {
+            serving.abort();
+        }
+    }
+
+    pub fn has_ended(&self) -> bool {
+        self.lock().has_ended
+    }
+
     /// What is done with the next requests.
     pub fn script(&self, acts: &[Act]) {
         self.lock().script.extend(acts.iter().cloned());
@@ -132,6 +160,11 @@
             }
             let id = arrival.id.clone();
             let is_answered = arrival.is_answered;
+            let is_fatal = self.lock().fatal.as_ref() == Some(&arrival.target);
+            if is_fatal {
+                self.lock().arrivals.push(arrival);
+                return self.end();
+            }
             let act = {
                 let mut state = self.lock();
                 state.arrivals.push(arrival);
@@ -229,6 +262,7 @@
         read_more(stream, begun).await?;
     };
     let head = String::from_utf8_lossy(&begun[..head_end]).into_owned();
+    let target = head.split(' ').nth(1).unwrap_or_default().to_owned();
     let fields = head.lines().skip(1).filter_map(|line| line.split_once(':'));
     let headers: HashMap<String, String> = fields
         .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
@@ -254,6 +288,7 @@
     };
     Some(Arrival {
         id,
+        target,
         headers,
         body_bytes,
         is_answered,
--- a/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
@@ -51,6 +51,8 @@
     _replica: bramblewheel_control::ControlHandle,
     _folder: TempDir,
     version: u64,
+    /// Starts of endpoints after the first ones.
+    starts: usize,
     tenants: String,
     log: Logger,
 }
@@ -87,6 +89,7 @@
             _replica: replica.expect("the replica starts"),
             _folder: folder,
             version: 0,
+            starts: 0,
             tenants: tenants.to_owned(),
             log,
         };
@@ -177,6 +180,30 @@
         }
     }
 
+    /// Starts another daemon with an endpoint beside it that nobody is told of; returns its number.
+    pub async fn join(&mut self) -> usize {
+        let number = self.daemons.len();
+        let service = self.control.addresses()[0];
+        let daemon = self.start_daemon(number, service).await;
+        self.daemons.push(daemon);
+        number
+    }
+
+    /// Another start of an endpoint that has ended, under another id; it is recorded when this returns.
+    pub async fn start_again(&mut self, number: usize) {
+        let start = self.starts + 1;
+        self.starts = start;
+        let name = format!("e-{number}-{start}");
+        self.endpoints[number] = ScriptedEndpoint::start(&name).await;
+        let record = EndpointRecord {
+            endpoint: EndpointId::new(&name).expect("a name"),
+            ..self.record(number, EndpointState::Ready, 1)
+        };
+        self.daemons[number].registrar().ready(record);
+        let shared = self.daemons[number].shared();
+        eventually(|| shared.local.is_open()).await;
+    }
+
     pub async fn say(&self, number: usize, state: EndpointState, sequence: u64) {
         let record = self.record(number, state, sequence);
         let registrar = self.daemons[number].registrar();
