Keep requests under which endpoints end from endpoints, at every daemon

Cause: nothing that one daemon learned of a request reached the daemon that was sent it next. Ruled out: own repeats as the cause (40 ends in 40 tries without them), load (an idle fleet shows it). Change: the daemon beside an endpoint finds out that it ended (a new connection does not open, or another start registers) and reports what ran there, without what ended well there in the last half minute. The control group counts ends by content in its log; after three the content is in quarantine for ten minutes, told with watches and refused at the caller's daemon and beside the endpoint, 503 with the time to come back. What ended well anywhere is cleared; ends that a content in quarantine explains are blamed on nothing else. A lost request whose content was at two ends is not sent on.

--- a/crates/bramblewheel-control/src/node/applying.rs
+++ b/crates/bramblewheel-control/src/node/applying.rs
@@ -89,6 +89,11 @@
                     self.reply(id, ReplyBody::EndpointRegistered(state));
                 }
             }
+            (Purpose::Contents(ids), _) => {
+                for id in ids {
+                    self.reply(id, ReplyBody::Done);
+                }
+            }
             (
                 Purpose::Publish(_)
                 | Purpose::Operations(_)
@@ -113,7 +118,7 @@
             Purpose::Publish(id) | Purpose::Table(id) => {
                 self.unavailable(id, Unavailable::Undecided);
             }
-            Purpose::Endpoints(ids) => {
+            Purpose::Endpoints(ids) | Purpose::Contents(ids) => {
                 for id in ids {
                     self.unavailable(id, Unavailable::Undecided);
                 }
--- a/crates/bramblewheel-control/src/node/group.rs
+++ b/crates/bramblewheel-control/src/node/group.rs
@@ -30,7 +30,8 @@
         | Command::BeginReplacement(_)
         | Command::EndReplacement(_)
         | Command::ReplaceTable(_)
-        | Command::Endpoints(_) => None,
+        | Command::Endpoints(_)
+        | Command::Contents(_) => None,
     });
     addresses.collect()
 }
--- a/crates/bramblewheel-control/src/node/housekeeping.rs
+++ b/crates/bramblewheel-control/src/node/housekeeping.rs
@@ -59,6 +59,7 @@
     fn exchange(&mut self) {
         if self.is_leader() {
             self.expire_daemons();
+            self.expire_contents();
             self.record_addresses();
             self.consider_spare();
             self.clocks.keep(&self.replica.membership().voters);
@@ -76,6 +77,17 @@
         self.leases.forget_before(oldest);
     }
 
+    /// A content leaves the quarantine by the log's time, which only entries move.
+    fn expire_contents(&mut self) {
+        let due = self.state.quarantine().due_unix_millis();
+        let is_due = due
+            .zip(self.proposal_time())
+            .is_some_and(|(due, now)| due <= now);
+        if is_due && self.has_quorum() {
+            self.queue.let_time_pass();
+        }
+    }
+
     fn expire_daemons(&mut self) {
         if !self.has_quorum() {
             return;
--- a/crates/bramblewheel-control/src/node/proposals.rs
+++ b/crates/bramblewheel-control/src/node/proposals.rs
@@ -5,7 +5,7 @@
 use bramblewheel_protocol::control::{
     OperationRequest, Registration, ReplaceRequest, ReplicaAddress, SignedBundle,
 };
-use bramblewheel_protocol::routing::{EndpointRecord, ReplaceTable};
+use bramblewheel_protocol::routing::{ContentReport, EndpointRecord, ReplaceTable};
 use bramblewheel_replication::ProposalId;
 use bramblewheel_types::DaemonId;
 use std::collections::{BTreeMap, BTreeSet};
@@ -34,6 +34,8 @@
     Table(ClientRequestId),
     /// Clients' registrations of endpoints, in order.
     Endpoints(Vec<ClientRequestId>),
+    /// Clients' reports on contents, in order.
+    Contents(Vec<ClientRequestId>),
 }
 
 /// What is to be proposed with the next output, so that one sync serves it all.
@@ -49,6 +51,8 @@
     replacement: Option<Command>,
     tables: Vec<(ClientRequestId, ReplaceTable)>,
     endpoints: Vec<(ClientRequestId, EndpointRecord)>,
+    contents: Vec<(ClientRequestId, ContentReport)>,
+    lets_time_pass: bool,
 }
 
 impl Queue {
@@ -60,6 +64,15 @@
         self.endpoints.push((id, record));
     }
 
+    pub(super) fn report_content(&mut self, id: ClientRequestId, report: ContentReport) {
+        self.contents.push((id, report));
+    }
+
+    /// Brings the time to the log, for what is to be forgotten by it.
+    pub(super) fn let_time_pass(&mut self) {
+        self.lets_time_pass = true;
+    }
+
     pub(super) fn publish(&mut self, id: ClientRequestId, signed: SignedBundle) {
         self.publishes.push((id, signed));
     }
@@ -130,6 +143,10 @@
             let (ids, records) = queue.endpoints.into_iter().unzip();
             commands.push((Purpose::Endpoints(ids), Command::Endpoints(records)));
         }
+        if !queue.contents.is_empty() || queue.lets_time_pass {
+            let (ids, reports) = queue.contents.into_iter().unzip();
+            commands.push((Purpose::Contents(ids), Command::Contents(reports)));
+        }
         commands
     }
 }
@@ -183,7 +200,8 @@
             | Command::BeginReplacement(_)
             | Command::EndReplacement(_)
             | Command::ReplaceTable(_)
-            | Command::Endpoints(_) => {}
+            | Command::Endpoints(_)
+            | Command::Contents(_) => {}
         }
         self.open.insert(id, purpose);
     }
@@ -209,7 +227,8 @@
             | Purpose::Membership
             | Purpose::Replacement
             | Purpose::Table(_)
-            | Purpose::Endpoints(_) => {}
+            | Purpose::Endpoints(_)
+            | Purpose::Contents(_) => {}
         }
         Some(purpose)
     }
--- a/crates/bramblewheel-control/src/node/proposing.rs
+++ b/crates/bramblewheel-control/src/node/proposing.rs
@@ -49,7 +49,7 @@
                 }
             }
             Purpose::Table(id) => self.not_leader(*id),
-            Purpose::Endpoints(ids) => {
+            Purpose::Endpoints(ids) | Purpose::Contents(ids) => {
                 for id in ids {
                     self.not_leader(*id);
                 }
--- a/crates/bramblewheel-control/src/node/requests.rs
+++ b/crates/bramblewheel-control/src/node/requests.rs
@@ -8,7 +8,7 @@
     DaemonStatus, OperationAction, OperationRequest, PublishReply, ReplyBody, RequestBody,
     SignedBundle, Unavailable,
 };
-use bramblewheel_protocol::routing::{EndpointRecord, ReplaceTable};
+use bramblewheel_protocol::routing::{ContentReport, EndpointRecord, ReplaceTable};
 use bramblewheel_types::Millis;
 
 /// Operations in one request.
@@ -36,6 +36,7 @@
             RequestBody::Replace(request) => self.on_replace(id, request),
             RequestBody::Watch(watch) => self.on_watch(id, *watch),
             RequestBody::RegisterEndpoint(record) => self.on_register_endpoint(id, *record),
+            RequestBody::ReportContents(report) => self.on_report_contents(id, report),
             RequestBody::ReplaceTable(request) => self.on_replace_table(id, request),
             RequestBody::ReadTable => self.start_read(Reader::Table(id)),
             RequestBody::Renew(request) => self.on_renew(id, request),
@@ -94,6 +95,12 @@
         }
     }
 
+    fn on_report_contents(&mut self, id: ClientRequestId, report: ContentReport) {
+        if self.leads_or_refuses(id) {
+            self.queue.report_content(id, report);
+        }
+    }
+
     fn on_operations(&mut self, id: ClientRequestId, requests: Vec<OperationRequest>) {
         if requests.len() > MAX_OPERATIONS {
             let reason = format!("more than {MAX_OPERATIONS} operations in one request");
--- a/crates/bramblewheel-control/src/node/watches.rs
+++ b/crates/bramblewheel-control/src/node/watches.rs
@@ -5,7 +5,7 @@
 use super::output::ClientRequestId;
 use super::reads::Reader;
 use bramblewheel_protocol::control::{ReplyBody, Unavailable};
-use bramblewheel_protocol::routing::{TableVersion, WatchReply, WatchRequest};
+use bramblewheel_protocol::routing::{QuarantineList, TableVersion, WatchReply, WatchRequest};
 use bramblewheel_types::{BundleVersion, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -68,7 +68,9 @@
             .tables()
             .newer_than(watch.table_version)
             .is_some();
-        let has_news = has_table || self.state.registry().revision() > watch.registry_revision;
+        let has_endpoints = self.state.registry().revision() > watch.registry_revision;
+        let has_contents = self.state.quarantine().revision() > watch.quarantine_revision;
+        let has_news = has_table || has_endpoints || has_contents;
         if has_news || !self.may_answer_watch(&watch) {
             return self.answer_watch(id, &watch);
         }
@@ -97,6 +99,13 @@
         }
     }
 
+    /// The whole list where the daemon holds another one: it is short, and empty in calm.
+    fn quarantine_news(&self, watch: &WatchRequest) -> Option<QuarantineList> {
+        let quarantine = self.state.quarantine();
+        let is_news = quarantine.revision() > watch.quarantine_revision;
+        is_news.then(|| quarantine.list())
+    }
+
     fn answer_watch(&mut self, id: ClientRequestId, watch: &WatchRequest) {
         if !self.may_answer_watch(watch) {
             return self.no_quorum(id);
@@ -110,6 +119,7 @@
             table: self.state.tables().newer_than(watch.table_version).cloned(),
             registry_revision: registry.revision(),
             endpoints: registry.changed_since(watch.registry_revision),
+            quarantine: self.quarantine_news(watch),
             daemons: u32::try_from(daemons).unwrap_or(u32::MAX),
             replicas: addresses.map(|address| address.service).collect(),
         };
--- a/crates/bramblewheel-control/src/state/command.rs
+++ b/crates/bramblewheel-control/src/state/command.rs
@@ -4,7 +4,7 @@
 use bramblewheel_protocol::control::{
     OperationRequest, Registration, ReplaceRequest, ReplicaAddress, SignedBundle,
 };
-use bramblewheel_protocol::routing::{EndpointRecord, ReplaceTable};
+use bramblewheel_protocol::routing::{ContentReport, EndpointRecord, ReplaceTable};
 use bramblewheel_types::DaemonId;
 use serde::{Deserialize, Serialize};
 
@@ -42,6 +42,8 @@
     ReplaceTable(ReplaceTable),
     /// What daemons say of the endpoints beside them.
     Endpoints(Vec<EndpointRecord>),
+    /// What daemons say of requests under which endpoints ended; without any, only time passes.
+    Contents(Vec<ContentReport>),
 }
 
 /// A daemon whose lease is over.
--- a/crates/bramblewheel-control/src/state/mod.rs
+++ b/crates/bramblewheel-control/src/state/mod.rs
@@ -17,7 +17,7 @@
 pub use directory::{Directory, DirectoryDelta};
 pub use ledger::Ledger;
 pub use replacement::Replacement;
-pub use routing::{Registry, Tables};
+pub use routing::{Quarantine, Registry, Tables};
 
 use bramblewheel_protocol::control::{
     LogPosition, OperationReply, PublishReply, ReplicaAddress, SignedBundle,
@@ -60,7 +60,7 @@
     pub bundle: bool,
     /// Services whose endpoints changed.
     pub services: BTreeSet<ServiceName>,
-    /// Another route table is in force, or a registered endpoint changed.
+    /// Another route table is in force, a registered endpoint changed, or the quarantine did.
     pub routing: bool,
 }
 
@@ -87,6 +87,9 @@
     tables: Tables,
     #[serde(default)]
     registry: Registry,
+    /// Absent in snapshots of before there was one.
+    #[serde(default)]
+    quarantine: Quarantine,
 }
 
 impl ControlState {
@@ -133,6 +136,7 @@
             command,
         } = LoggedCommand::decode(command)?;
         self.position = position;
+        let quarantine_revision = self.quarantine.revision();
         self.advance_time(proposed_at_unix_millis);
         let mut changes = Changes::default();
         let outcome = match command {
@@ -191,7 +195,14 @@
                 changes.routing = self.registry.revision() != revision;
                 Outcome::Endpoints(states)
             }
+            Command::Contents(reports) => {
+                for report in &reports {
+                    self.quarantine.report(self.log_time_unix_millis, report);
+                }
+                Outcome::Nothing
+            }
         };
+        changes.routing |= self.quarantine.revision() != quarantine_revision;
         Ok((outcome, changes))
     }
 
@@ -208,6 +219,7 @@
             self.ledger
                 .forget_before(self.log_time_unix_millis.saturating_sub(retention));
         }
+        self.quarantine.advance_time(self.log_time_unix_millis);
     }
 
     /// Deterministic bytes of the whole state.
@@ -274,6 +286,11 @@
         &self.registry
     }
 
+    /// Requests under which endpoints ended.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Daemons and endpoints.
     pub fn directory(&self) -> &Directory {
         &self.directory
--- a/crates/bramblewheel-control/tests/routing.rs
+++ b/crates/bramblewheel-control/tests/routing.rs
@@ -97,6 +97,7 @@
         },
         table_version: TableVersion(table),
         registry_revision: revision,
+        quarantine_revision: 0,
         position: LogPosition {
             index: position,
             term: 0,
--- a/crates/bramblewheel-protocol/src/control.rs
+++ b/crates/bramblewheel-protocol/src/control.rs
@@ -4,8 +4,8 @@
 //! in any order, so that a long poll and claims share a connection.
 
 use crate::routing::{
-    EndpointRecord, EndpointState, RenewReply, RenewRequest, ReplaceTable, ReplaceTableReply,
-    StoredTable, WatchReply, WatchRequest,
+    ContentReport, EndpointRecord, EndpointState, RenewReply, RenewRequest, ReplaceTable,
+    ReplaceTableReply, StoredTable, WatchReply, WatchRequest,
 };
 use bramblewheel_types::{
     BundleDigest, BundleVersion, DaemonId, EndpointId, Millis, OperationKey, RegionName,
@@ -56,6 +56,8 @@
     Watch(Box<WatchRequest>),
     /// A daemon says something new of the endpoint beside it.
     RegisterEndpoint(Box<EndpointRecord>),
+    /// A daemon says what ran at an endpoint that ended, or what ended well; committed when it is done.
+    ReportContents(ContentReport),
     /// An operator replaces the route table.
     ReplaceTable(ReplaceTable),
     /// An operator asks for the route table in force; confirmed by a quorum.
@@ -73,6 +75,7 @@
             | Self::Bootstrap(_)
             | Self::Replace(_)
             | Self::RegisterEndpoint(_)
+            | Self::ReportContents(_)
             | Self::ReplaceTable(_) => true,
             Self::Poll(_)
             | Self::BundleStatus
@@ -100,7 +103,7 @@
     FleetStatus(Vec<DaemonStatus>),
     /// Answer to `GroupStatus`.
     GroupStatus(GroupStatus),
-    /// The replica did what was asked (bootstrap, replace).
+    /// The replica did what was asked (bootstrap, replace, reports).
     Done,
     /// Answer to `Watch`.
     Watch(Box<WatchReply>),
--- a/crates/bramblewheel-protocol/src/routing.rs
+++ b/crates/bramblewheel-protocol/src/routing.rs
@@ -5,11 +5,13 @@
 //! keep its text as the operator sent it and judge only its place in the order of versions; the
 //! operator's interface checks what it says before it is sent here.
 
+use crate::content::ContentDigest;
 use crate::control::{LogPosition, Registration};
 use crate::packed::PackedText;
 use bramblewheel_types::{DaemonId, EndpointId, Millis, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Version of a route table; 0 is that of no table.
 #[derive(
@@ -113,6 +115,47 @@
     pub revision: u64,
 }
 
+/// Time for which a content is kept from endpoints after the last end under it. Whoever sends it can't be
+/// expected to mend it sooner, and each test of it may cost an endpoint.
+pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+
+/// What a daemon says of requests that ran at the endpoint beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ContentReport {
+    /// The endpoint ended without a word.
+    EndpointEnded {
+        /// The start of the endpoint that ended.
+        endpoint: EndpointId,
+        /// What it was running, without what has ended well here lately.
+        contents: Vec<ContentDigest>,
+    },
+    /// These have ended well: they are not to blame for an end.
+    EndedWell {
+        /// Contents that daemons are told of.
+        contents: Vec<ContentDigest>,
+    },
+}
+
+/// A content that was at several ends of endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WatchedContent {
+    /// Which.
+    pub content: ContentDigest,
+    /// Starts of endpoints that ended while they ran it, as far as they are counted.
+    pub ends: u32,
+    /// Whether it is kept from endpoints.
+    pub is_quarantined: bool,
+}
+
+/// All contents that daemons are told of.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineList {
+    /// Revision of the quarantine.
+    pub revision: u64,
+    /// Contents, those in quarantine first.
+    pub contents: Vec<WatchedContent>,
+}
+
 /// A daemon asks for news of the route table and the endpoints and renews its lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WatchRequest {
@@ -123,6 +166,9 @@
     pub table_version: TableVersion,
     /// Revision of the registry that the daemon holds.
     pub registry_revision: u64,
+    /// Revision of the quarantine that the daemon holds.
+    #[serde(default)]
+    pub quarantine_revision: u64,
     /// Highest position seen from any replica.
     pub position: LogPosition,
     /// How long the replica may hold the request.
@@ -140,6 +186,9 @@
     pub registry_revision: u64,
     /// Endpoints that changed since the daemon's revision.
     pub endpoints: Vec<EndpointNews>,
+    /// The quarantine, if the daemon holds an older one.
+    #[serde(default)]
+    pub quarantine: Option<QuarantineList>,
     /// Daemons registered, to share what is allowed to all of them.
     pub daemons: u32,
     /// Service addresses of the group's replicas.
--- a/crates/bramblewheel-proxy/src/control/registrar.rs
+++ b/crates/bramblewheel-proxy/src/control/registrar.rs
@@ -1,5 +1,6 @@
 //! Brings what the local endpoint says to the control group.
 
+use crate::control::content_reports::ContentReporter;
 use crate::control::group::ControlGroup;
 use crate::local::{Heard, LocalEndpoint};
 use bramblewheel_process::clock::Clock;
@@ -30,6 +31,7 @@
 pub struct Registrar {
     local: Arc<LocalEndpoint>,
     control: Arc<ControlGroup>,
+    reporter: ContentReporter,
     clock: Clock,
     news: mpsc::UnboundedSender<EndpointRecord>,
     log: Logger,
@@ -47,6 +49,7 @@
     pub fn new(
         local: Arc<LocalEndpoint>,
         control: Arc<ControlGroup>,
+        reporter: ContentReporter,
         clock: Clock,
         log: Logger,
     ) -> (Arc<Self>, Recording) {
@@ -54,6 +57,7 @@
         let registrar = Arc::new(Self {
             local,
             control,
+            reporter,
             clock,
             news: sender,
             log,
@@ -67,7 +71,11 @@
 
     /// Takes an endpoint's word that it takes work.
     pub fn ready(&self, record: EndpointRecord) {
+        let before = self.local.record();
         let heard = self.local.hear(self.clock.now(), record.clone());
+        if heard == Heard::News {
+            self.note_succession(before, &record);
+        }
         if heard != Heard::Known {
             self.log_word(&record, heard);
         }
@@ -77,6 +85,19 @@
         }
     }
 
+    /// Another start in the place of one that said nothing of its end: that one has ended.
+    fn note_succession(&self, before: Option<EndpointRecord>, record: &EndpointRecord) {
+        let is_succeeded = |before: &EndpointRecord| {
+            before.endpoint != record.endpoint && before.state == EndpointState::Ready
+        };
+        let Some(before) = before.filter(is_succeeded) else {
+            return;
+        };
+        if let Some(end) = self.local.take_end(&before.endpoint) {
+            self.reporter.endpoint_ended(end);
+        }
+    }
+
     /// Takes an endpoint's word that it leaves or has left. Returns once that is recorded, so that
     /// no daemon, whatever is restarted, sends it work again.
     ///
--- a/crates/bramblewheel-proxy/src/control/watch.rs
+++ b/crates/bramblewheel-proxy/src/control/watch.rs
@@ -6,7 +6,8 @@
 use bramblewheel_protocol::ControlClient;
 use bramblewheel_protocol::control::{LogPosition, Registration, ReplyBody, RequestBody};
 use bramblewheel_protocol::routing::{
-    EndpointNews, EndpointState, StoredTable, TableVersion, WatchReply, WatchRequest,
+    EndpointNews, EndpointState, QuarantineList, StoredTable, TableVersion, WatchReply,
+    WatchRequest,
 };
 use bramblewheel_types::Millis;
 use std::net::SocketAddr;
@@ -96,6 +97,7 @@
                 registration: self.registration.clone(),
                 table_version: self.table,
                 registry_revision: self.revision,
+                quarantine_revision: self.shared.quarantine().revision(),
                 position: self.position,
                 wait: Millis(u64::try_from(WAIT.as_millis()).unwrap_or(u64::MAX)),
             };
@@ -126,6 +128,10 @@
         self.position = self.position.max(reply.position);
         self.shared.control.learn(reply.replicas);
         self.shared.routing().budget.share_among(reply.daemons);
+        // Before the table, with which the daemon begins to send.
+        if let Some(list) = &reply.quarantine {
+            self.install_quarantine(list);
+        }
         if let Some(table) = reply.table {
             self.install(&table);
         }
@@ -135,6 +141,20 @@
         }
     }
 
+    fn install_quarantine(&self, list: &QuarantineList) {
+        let now = self.shared.clock.now();
+        let mut quarantine = self.shared.quarantine();
+        let ended_well = quarantine.install(now, list);
+        let quarantined = quarantine.quarantined();
+        drop(quarantine);
+        let gauge = i64::try_from(quarantined).unwrap_or(i64::MAX);
+        self.shared.metrics.quarantined_contents.set(gauge);
+        slog::info!(self.shared.log, "quarantine in force"; "revision" => list.revision,
+            "watched" => list.contents.len(), "quarantined" => quarantined,
+            "ended_well_here" => ended_well.len(), "position" => self.position.index);
+        self.shared.reporter.ended_well(ended_well);
+    }
+
     /// Puts a table in force. Versions only rise within one life of the daemon.
     fn install(&mut self, stored: &StoredTable) {
         if stored.version <= self.table {
--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Puts a daemon together, runs it, and stops it without interrupting anything.
 
+use crate::control::content_reports::{self, ContentReporter};
 use crate::control::group::ControlGroup;
 use crate::control::registrar::Registrar;
 use crate::control::renewal::Renewer;
@@ -103,8 +104,14 @@
         let clock = Clock::start();
         let local = Arc::new(LocalEndpoint::default());
         let control = Arc::new(ControlGroup::new(settings.replicas.clone()));
-        let (registrar, recording) =
-            Registrar::new(Arc::clone(&local), Arc::clone(&control), clock, log.clone());
+        let (reporter, reports) = ContentReporter::new();
+        let (registrar, recording) = Registrar::new(
+            Arc::clone(&local),
+            Arc::clone(&control),
+            reporter.clone(),
+            clock,
+            log.clone(),
+        );
         let heartbeat = settings.heartbeat;
         let shared = Arc::new(Shared {
             routing: Mutex::new(Routing {
@@ -119,6 +126,8 @@
                 lease: TableLease::new(settings.key_revocation),
                 quotas: TenantQuotas::new(settings.quota),
             }),
+            quarantine: Default::default(),
+            reporter,
             router: ArcSwapOption::empty(),
             liveness: Default::default(),
             daemon_pools: Pools::new(IDLE_DAEMON_CONNECTIONS),
@@ -143,6 +152,7 @@
         );
         background.spawn(watcher.run());
         background.spawn(Renewer::new(Arc::clone(&shared), incarnation).run());
+        background.spawn(content_reports::run(Arc::clone(&shared), reports));
         background.spawn(serve_metrics(metrics, Arc::clone(&shared)));
         let stop = watch::Sender::new(false);
         let mut servers = JoinSet::new();
--- a/crates/bramblewheel-proxy/src/decide/directory/endpoint.rs
+++ b/crates/bramblewheel-proxy/src/decide/directory/endpoint.rs
@@ -183,7 +183,7 @@
             SendEnd::GivenUp(_) | SendEnd::Failed(_) => {
                 self.note_time(now, relative.unwrap_or(self.slowness));
             }
-            SendEnd::Full | SendEnd::Rejected => {}
+            SendEnd::Full | SendEnd::Quarantined | SendEnd::Rejected => {}
         }
     }
 
@@ -197,7 +197,11 @@
         let has_failed = match end {
             SendEnd::Answered(_) => false,
             SendEnd::Failed(_) | SendEnd::Rejected | SendEnd::Lost => true,
-            SendEnd::Full | SendEnd::Leaving | SendEnd::Unreachable | SendEnd::GivenUp(_) => return,
+            SendEnd::Full
+            | SendEnd::Quarantined
+            | SendEnd::Leaving
+            | SendEnd::Unreachable
+            | SendEnd::GivenUp(_) => return,
         };
         self.failed_here.record(now, has_failed, FAILURE_SMOOTHING);
     }
--- a/crates/bramblewheel-proxy/src/decide/directory/mod.rs
+++ b/crates/bramblewheel-proxy/src/decide/directory/mod.rs
@@ -48,6 +48,8 @@
     Rejected,
     /// The endpoint's daemon was full.
     Full,
+    /// The endpoint's daemon refused the request for its content, which says nothing of the endpoint.
+    Quarantined,
     /// The endpoint leaves or its daemon stops.
     Leaving,
     /// The daemon or the endpoint could not be reached.
--- a/crates/bramblewheel-proxy/src/decide/mod.rs
+++ b/crates/bramblewheel-proxy/src/decide/mod.rs
@@ -7,6 +7,7 @@
 pub mod endpoint_end;
 pub mod fading_share;
 pub mod nested_routes;
+pub mod quarantine;
 pub mod request_content;
 pub mod retry_budget;
 pub mod route_limit;
--- a/crates/bramblewheel-proxy/src/decide/request_content.rs
+++ b/crates/bramblewheel-proxy/src/decide/request_content.rs
@@ -1,7 +1,7 @@
 //! Which requests are tries of the same one.
 //!
 //! Each try of a caller has an id of its own, and callers try again at other daemons. What they send
-//! stays the same: method, host, path with its query, and body.
+//! stays the same: tenant, method, host, path with its query, and body.
 
 use bramblewheel_protocol::content::ContentDigest;
 use sha2::{Digest, Sha256};
@@ -13,6 +13,8 @@
 /// What of a request its tries have in common.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestContent<'a> {
+    /// Tenant that it comes from; empty without one. No tenant can get another's requests refused.
+    pub tenant: &'a str,
     /// Method.
     pub method: &'a str,
     /// Host that it is for.
@@ -29,6 +31,7 @@
     pub fn digest(&self) -> ContentDigest {
         let counted = self.body.len().min(COUNTED_BODY_BYTES);
         let parts = [
+            self.tenant.as_bytes(),
             self.method.as_bytes(),
             self.host.as_bytes(),
             self.target.as_bytes(),
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -6,6 +6,7 @@
 use crate::local::end::look_for_end;
 use crate::shared::Shared;
 use crate::wire::{AttemptResult, Handover, Told};
+use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_types::ServiceName;
 use http::{HeaderMap, HeaderValue};
 use std::sync::Arc;
@@ -118,6 +119,10 @@
     let Some(id) = shared.settings.dialect.id(&outgoing.headers).cloned() else {
         return Dispatched::Without(AttemptResult::Leaving).into();
     };
+    // After the wait for a slot, in which the content may have been found out.
+    if is_quarantined(shared, &id, handover.content) {
+        return Dispatched::Without(AttemptResult::Quarantined).into();
+    }
     let pool = shared.endpoint_pools.get(permit.address);
     // The time that is left is that of the moment of sending.
     let address = |headers: &mut HeaderMap| {
@@ -150,7 +155,10 @@
     let dialect = &shared.settings.dialect;
     let dispatched = match dialect.kind(head.status, &head.headers, &id) {
         AnswerKind::Ran => match received.read(Some(permit)).await {
-            Ok(answer) => Dispatched::Answered(Box::new(answer)),
+            Ok(answer) => {
+                note_good_end(shared, handover, &answer);
+                Dispatched::Answered(Box::new(answer))
+            }
             Err(_) => lost(shared, handover, &id, "body"),
         },
         AnswerKind::NotRun => {
@@ -174,6 +182,33 @@
     }
 }
 
+/// An endpoint that has answered with success did not end under the request.
+fn note_good_end(shared: &Shared, handover: &Handover, answer: &Answer) {
+    let Some(content) = handover.content.filter(|_| answer.status().is_success()) else {
+        return;
+    };
+    let now = shared.clock.now();
+    let is_to_be_told = shared.quarantine().ended_well(now, content);
+    if is_to_be_told {
+        shared.reporter.ended_well(vec![content]);
+    }
+}
+
+/// Whether a request is refused since endpoints end under its content; logs and counts it then.
+pub fn is_quarantined(shared: &Shared, id: &HeaderValue, content: Option<ContentDigest>) -> bool {
+    let quarantine = shared.quarantine();
+    let known = content.and_then(|content| quarantine.quarantine_of(content));
+    let revision = quarantine.revision();
+    drop(quarantine);
+    let Some(known) = known else {
+        return false;
+    };
+    shared.metrics.quarantined.inc();
+    slog::info!(shared.log, "quarantined"; "id" => text(id), "content" => %known.content,
+        "ends" => known.ends, "revision" => revision);
+    true
+}
+
 fn refused(
     shared: &Shared,
     handover: &Handover,
--- a/crates/bramblewheel-proxy/src/local/end.rs
+++ b/crates/bramblewheel-proxy/src/local/end.rs
@@ -3,7 +3,6 @@
 //! A broken connection alone says little: endpoints reset connections, and so do networks. A process
 //! that has ended refuses new ones.
 
-use crate::decide::endpoint_end::EndpointEnd;
 use crate::shared::Shared;
 use bramblewheel_types::EndpointId;
 use std::net::SocketAddr;
@@ -33,22 +32,8 @@
             }
             tokio::time::sleep(NOTICED_WITHIN).await;
             if let Some(end) = shared.local.take_end(&endpoint) {
-                report(&shared, &end);
+                shared.reporter.endpoint_ended(end);
             }
         }
     });
 }
-
-/// Tells of an endpoint that ended without a word.
-pub fn report(shared: &Shared, end: &EndpointEnd) {
-    let most_often = shared.local.count_end(end);
-    let most_often: Vec<String> = most_often
-        .iter()
-        .map(|(content, ends)| format!("{content}:{ends}"))
-        .collect();
-    shared.metrics.endpoint_ends.inc();
-    let running = u64::try_from(end.contents.len()).unwrap_or(u64::MAX);
-    shared.metrics.lost_with_endpoints.inc_by(running);
-    slog::warn!(shared.log, "endpoint ended"; "endpoint" => %end.endpoint,
-        "running" => running, "most_ends_here" => most_often.join(","));
-}
--- a/crates/bramblewheel-proxy/src/metrics.rs
+++ b/crates/bramblewheel-proxy/src/metrics.rs
@@ -53,6 +53,10 @@
     pub endpoint_ends: Counter,
     /// Requests that ran there at the time.
     pub lost_with_endpoints: Counter,
+    /// Requests refused since endpoints ended under their content.
+    pub quarantined: Counter,
+    /// Contents that are kept from endpoints.
+    pub quarantined_contents: Gauge,
     /// Version of the route table in force.
     pub table_version: Gauge,
 }
@@ -81,6 +85,8 @@
             unrecorded: Counter::default(),
             endpoint_ends: Counter::default(),
             lost_with_endpoints: Counter::default(),
+            quarantined: Counter::default(),
+            quarantined_contents: Gauge::default(),
             table_version: Gauge::default(),
         };
         metrics.register();
@@ -166,6 +172,16 @@
             "Different requests that ran when the local endpoint ended",
             self.lost_with_endpoints.clone(),
         );
+        registry.register(
+            "bramblewheel_quarantined",
+            "Requests refused since endpoints ended under their content",
+            self.quarantined.clone(),
+        );
+        registry.register(
+            "bramblewheel_quarantined_contents",
+            "Contents that are kept from endpoints",
+            self.quarantined_contents.clone(),
+        );
         registry.register(
             "bramblewheel_table_version",
             "Route table in force",
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -5,7 +5,7 @@
 use crate::decide::table::{ActiveRoute, Route};
 use crate::http::exchange::{Answer, Outgoing, OutgoingBody};
 use crate::http::fields;
-use crate::inbound::dispatch::{Attempted, Dispatched, text};
+use crate::inbound::dispatch::{Attempted, Dispatched, is_quarantined, text};
 use crate::outbound::access::TenantRequest;
 use crate::outbound::attempt::attempt;
 use crate::outbound::ending::{Final, is_proved_not_run, send_end};
@@ -146,7 +146,8 @@
     /// Only what may have run uses up the quota.
     fn settle_quota(&self, ended: &Final) {
         let let_in = self.from.as_ref().and_then(|from| from.let_in);
-        if let (Final::NotRun { .. }, Some(let_in)) = (ended, let_in) {
+        let has_not_run = matches!(ended, Final::NotRun { .. } | Final::Quarantined);
+        if let (true, Some(let_in)) = (has_not_run, let_in) {
             self.shared.tenant_access().quotas.take_back(let_in);
         }
     }
@@ -187,6 +188,9 @@
     }
 
     async fn attempts(&self, outgoing: &mut Outgoing, deadline: Instant) -> Final {
+        if is_quarantined(self.shared, &self.id, Some(self.content)) {
+            return Final::Quarantined;
+        }
         if self.is_refused_early() {
             return self.not_run();
         }
@@ -223,6 +227,9 @@
                 *lock(&self.full_service) = Some(service.clone());
                 counts.waited += begun.elapsed();
             }
+            if result == AttemptResult::Quarantined && !self.may_have_run.load(Ordering::Relaxed) {
+                return Final::Quarantined;
+            }
             let has_failed = dispatched.has_failed();
             if let Dispatched::Answered(answer) = dispatched {
                 if !has_failed {
--- a/crates/bramblewheel-proxy/src/outbound/ending.rs
+++ b/crates/bramblewheel-proxy/src/outbound/ending.rs
@@ -15,6 +15,8 @@
         /// Part of its route's requests that are refused, between 0 and 1.
         refused_part: f64,
     },
+    /// The request has not run and never will: endpoints end under its content.
+    Quarantined,
     /// The request may have run; its answer is lost.
     Unknown,
     /// The time is over, and the request may have run.
@@ -28,6 +30,7 @@
             Self::Answered(answer) if answer.status().is_success() => "completed",
             Self::Answered(_) => "failed",
             Self::NotRun { .. } => "not-run",
+            Self::Quarantined => "quarantined",
             Self::Unknown => "unknown",
             Self::TimedOut => "timed-out",
         }
@@ -40,6 +43,7 @@
         AttemptResult::Rejected
         | AttemptResult::OtherEndpoint
         | AttemptResult::Full
+        | AttemptResult::Quarantined
         | AttemptResult::Leaving
         | AttemptResult::Unreachable => true,
         AttemptResult::Answered | AttemptResult::Lost | AttemptResult::Silent => false,
@@ -53,6 +57,7 @@
         AttemptResult::Answered => SendEnd::Answered(time),
         AttemptResult::Rejected => SendEnd::Rejected,
         AttemptResult::Full => SendEnd::Full,
+        AttemptResult::Quarantined => SendEnd::Quarantined,
         AttemptResult::OtherEndpoint | AttemptResult::Leaving => SendEnd::Leaving,
         AttemptResult::Unreachable | AttemptResult::Silent => SendEnd::Unreachable,
         AttemptResult::Lost => SendEnd::Lost,
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -18,6 +18,7 @@
 use crate::shared::Shared;
 use access::{AccessRefusal, TableInUse, tenant_of};
 use bramblewheel_protocol::content::ContentDigest;
+use bramblewheel_protocol::routing::QUARANTINE_TIME;
 use bramblewheel_types::Timestamp;
 use bytes::Bytes;
 use call::{Call, CallerRequest};
@@ -124,7 +125,8 @@
             Ok(read) => OutgoingBody::new(read, longest),
             Err(_) => return empty(StatusCode::BAD_REQUEST),
         };
-        let content = content_of(&head, &host, &body);
+        let tenant = from.as_ref().map_or("", |from| from.tenant.name.as_str());
+        let content = content_of(&head, &host, tenant, &body);
         let request = CallerRequest {
             id,
             content,
@@ -148,6 +150,7 @@
                 let part = self.shared.routing().random.random_range(RETRY_AFTER_PARTS);
                 self.refused(objective.mul_f64(part + LATER_PART_WHEN_REFUSED * refused_part))
             }
+            Final::Quarantined => self.refused(QUARANTINE_TIME),
             Final::Unknown => empty(StatusCode::BAD_GATEWAY),
             Final::TimedOut => empty(StatusCode::GATEWAY_TIMEOUT),
         }
@@ -205,9 +208,10 @@
     }
 }
 
-fn content_of(head: &Parts, host: &str, body: &OutgoingBody) -> ContentDigest {
+fn content_of(head: &Parts, host: &str, tenant: &str, body: &OutgoingBody) -> ContentDigest {
     let target = head.uri.path_and_query();
     let content = RequestContent {
+        tenant,
         method: head.method.as_str(),
         host,
         target: target.map_or("", PathAndQuery::as_str),
--- a/crates/bramblewheel-proxy/src/outbound/repeat.rs
+++ b/crates/bramblewheel-proxy/src/outbound/repeat.rs
@@ -36,6 +36,11 @@
 }
 
 impl Call<'_> {
+    /// Whether several endpoints ended under the request's content.
+    fn is_suspect(&self) -> bool {
+        self.shared.quarantine().is_watched(self.content)
+    }
+
     /// Whether another send is allowed after one that ended without an answer; pays for it.
     pub(super) fn may_send_again(
         &self,
@@ -50,6 +55,10 @@
             return false;
         }
         match result {
+            AttemptResult::Quarantined => return false,
+            // The next endpoint might end under it as others did; its caller may try again once it is known
+            // what they ended under.
+            AttemptResult::Lost | AttemptResult::Silent if self.is_suspect() => return false,
             AttemptResult::Leaving | AttemptResult::Unreachable => {
                 counts.free_reroutes += 1;
                 return counts.free_reroutes <= MAX_FREE_REROUTES;
--- a/crates/bramblewheel-proxy/src/outbound/room.rs
+++ b/crates/bramblewheel-proxy/src/outbound/room.rs
@@ -83,7 +83,7 @@
             Final::NotRun { .. } if lock(&self.full_service).is_some() => {
                 Some(RoomFound::NoneThere)
             }
-            Final::NotRun { .. } | Final::Unknown | Final::TimedOut => None,
+            Final::NotRun { .. } | Final::Quarantined | Final::Unknown | Final::TimedOut => None,
         }
     }
 
--- a/crates/bramblewheel-proxy/src/shared.rs
+++ b/crates/bramblewheel-proxy/src/shared.rs
@@ -1,9 +1,11 @@
 //! What all parts of a daemon share.
 
+use crate::control::content_reports::ContentReporter;
 use crate::control::group::ControlGroup;
 use crate::decide::directory::Directory;
 use crate::decide::early_refusal::EarlyRefusal;
 use crate::decide::nested_routes::NestedRoutes;
+use crate::decide::quarantine::QuarantineView;
 use crate::decide::retry_budget::RetryBudget;
 use crate::decide::table::Router;
 use crate::decide::table_lease::TableLease;
@@ -80,6 +82,10 @@
     pub routing: Mutex<Routing>,
     /// Use of keys.
     pub tenant_access: Mutex<TenantAccess>,
+    /// Contents under which endpoints end.
+    pub quarantine: Mutex<QuarantineView>,
+    /// Takes what is seen of them here.
+    pub reporter: ContentReporter,
     /// The endpoint beside the daemon.
     pub local: Arc<LocalEndpoint>,
     /// When other daemons were heard last.
@@ -111,6 +117,11 @@
         lock(&self.tenant_access)
     }
 
+    /// Locks what is known of contents under which endpoints end.
+    pub fn quarantine(&self) -> MutexGuard<'_, QuarantineView> {
+        lock(&self.quarantine)
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Relaxed)
--- a/crates/bramblewheel-proxy/src/wire.rs
+++ b/crates/bramblewheel-proxy/src/wire.rs
@@ -212,6 +212,8 @@
     OtherEndpoint,
     /// The daemon refused: no slot came free in time.
     Full,
+    /// The daemon refused: endpoints end under the request's content.
+    Quarantined,
     /// The daemon refused: the endpoint is not there, leaves, or the daemon stops.
     Leaving,
     /// The endpoint could not be reached; it got nothing.
@@ -223,11 +225,12 @@
 }
 
 impl AttemptResult {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::Answered,
         Self::Rejected,
         Self::OtherEndpoint,
         Self::Full,
+        Self::Quarantined,
         Self::Leaving,
         Self::Unreachable,
         Self::Lost,
@@ -241,6 +244,7 @@
             Self::Rejected => "rejected",
             Self::OtherEndpoint => "other-endpoint",
             Self::Full => "full",
+            Self::Quarantined => "quarantined",
             Self::Leaving => "leaving",
             Self::Unreachable => "unreachable",
             Self::Lost => "lost",
--- a/crates/bramblewheel-proxy/tests/endpoint_end.rs
+++ b/crates/bramblewheel-proxy/tests/endpoint_end.rs
@@ -11,6 +11,7 @@
 
 fn content() -> RequestContent<'static> {
     RequestContent {
+        tenant: "stall-7",
         method: "POST",
         host: "shop.example",
         target: "/safe/item?size=2",
@@ -23,6 +24,10 @@
     let digest = content().digest();
     let long = vec![b'x'; COUNTED_BODY_BYTES + 1];
     let others = [
+        RequestContent {
+            tenant: "stall-8",
+            ..content()
+        },
         RequestContent {
             method: "GET",
             ..content()
