One clock that goes on while the machine is suspended

Cause: leases, quota windows, the control group's waits and the time left for requests went by the runtime's steady clock, which stands still on a suspended machine: a lease of five seconds was valid after an hour's sleep. Ruled out: a watcher that tells waits of a suspension (each wait would need a second signal). Left on the steady clock: time-outs of single exchanges with control replicas, callers' connections at rest, log rates.

--- a/crates/bramblewheel-control/src/clock.rs
+++ b/crates/bramblewheel-control/src/clock.rs
@@ -1,21 +1,21 @@
 //! The process's clocks, as the node's time.
 
 use crate::node::Now;
-use bramblewheel_types::Timestamp;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use bramblewheel_process::clock::Clock as ProcessClock;
+use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Clocks of the process. The monotonic one goes on while the process is frozen, so a lease
-/// checked after a pause is seen as over.
+/// Clocks of the process. The one that waits and leases go by counts all time that passes, so a lease checked
+/// after a pause of the process or a suspended machine is seen as over.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: Instant,
+    process: ProcessClock,
 }
 
 impl Clock {
-    /// Starts the monotonic clock at zero.
+    /// Starts the process's clock at zero.
     pub fn start() -> Self {
         Self {
-            origin: Instant::now(),
+            process: ProcessClock::start(),
         }
     }
 
@@ -25,7 +25,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH);
         let unix = unix.unwrap_or_default().as_millis();
         Now {
-            monotonic: Timestamp::ZERO + self.origin.elapsed(),
+            monotonic: self.process.now(),
             unix_millis: u64::try_from(unix).unwrap_or(u64::MAX),
         }
     }
--- a/crates/bramblewheel-control/src/node/config.rs
+++ b/crates/bramblewheel-control/src/node/config.rs
@@ -7,7 +7,8 @@
 /// The time, as the driver reads it just before each call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Now {
-    /// Monotonic clock; all waits and leases go by it. It must go on while the process is frozen.
+    /// Monotonic clock; all waits and leases go by it. It must go on while the process is paused or its
+    /// machine suspended.
     pub monotonic: Timestamp,
     /// Wall clock, in milliseconds since the Unix epoch; a leader stamps its proposals with what the
     /// clocks of a majority show.
--- a/crates/bramblewheel-daemon/src/driver.rs
+++ b/crates/bramblewheel-daemon/src/driver.rs
@@ -142,7 +142,7 @@
             let armed = self.lock().armed;
             tokio::select! {
                 () = self.sooner.notified() => {}
-                () = tokio::time::sleep_until(self.clock.instant(armed)) => {
+                () = self.clock.sleep_until(armed) => {
                     let mut state = self.lock();
                     state.armed = Timestamp::NEVER;
                     self.apply(&mut state, Event::Tick);
--- a/crates/bramblewheel-proxy/src/http/pool.rs
+++ b/crates/bramblewheel-proxy/src/http/pool.rs
@@ -1,8 +1,10 @@
 //! Kept connections to one address.
 
 use crate::http::body::RequestBody;
+use bramblewheel_process::clock::Clock;
 use bramblewheel_process::invariants::lock;
 use bramblewheel_protocol::socket;
+use bramblewheel_types::Timestamp;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::collections::{HashMap, VecDeque};
@@ -12,7 +14,6 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
 
 /// Longest wait for a connection; a machine that is cut off says nothing.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -40,14 +41,16 @@
 #[derive(Debug)]
 pub struct Pools {
     policy: IdlePolicy,
+    clock: Clock,
     pools: Mutex<HashMap<SocketAddr, Arc<Pool>>>,
 }
 
 impl Pools {
     /// No pools; those to come keep idle connections by `policy`.
-    pub fn new(policy: IdlePolicy) -> Self {
+    pub fn new(policy: IdlePolicy, clock: Clock) -> Self {
         Self {
             policy,
+            clock,
             pools: Mutex::default(),
         }
     }
@@ -59,6 +62,7 @@
             Arc::new(Pool {
                 address,
                 policy: self.policy,
+                clock: self.clock,
                 idle: Mutex::default(),
                 loss: Mutex::default(),
             })
@@ -80,6 +84,7 @@
 pub struct Pool {
     address: SocketAddr,
     policy: IdlePolicy,
+    clock: Clock,
     idle: Mutex<VecDeque<Idle>>,
     /// The last connection that broke under a request after a rest.
     loss: Mutex<Option<Loss>>,
@@ -89,14 +94,14 @@
 #[derive(Clone, Copy, Debug)]
 struct Loss {
     rest: Duration,
-    at: Instant,
+    at: Timestamp,
 }
 
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
-    since: Instant,
-    until: Instant,
+    since: Timestamp,
+    until: Timestamp,
 }
 
 /// An open connection; closed when dropped.
@@ -136,7 +141,7 @@
     /// [`ConnectFailed`]; nothing was sent.
     pub async fn acquire(self: &Arc<Self>) -> Result<Lease, ConnectFailed> {
         if let Some(idle) = self.take_idle() {
-            let rest = idle.since.elapsed();
+            let rest = self.clock.since(idle.since);
             return Ok(self.lease(idle.connection, true, rest));
         }
         self.open().await
@@ -179,29 +184,29 @@
     }
 
     /// Rest after which connections are not used again: half of the one that was too long lately.
-    fn longest_rest(&self, now: Instant) -> Duration {
+    fn longest_rest(&self, now: Timestamp) -> Duration {
         let loss = *lock(&self.loss);
-        let recent = loss.filter(|loss| now.duration_since(loss.at) < MEMORY_OF_LOSSES);
+        let recent = loss.filter(|loss| now.since(loss.at) < MEMORY_OF_LOSSES);
         recent.map_or(self.policy.longest, |loss| loss.rest / 2)
     }
 
     /// Whether a kept connection can carry the next request.
     pub fn has_idle(&self) -> bool {
-        let now = Instant::now();
+        let now = self.clock.now();
         let longest = self.longest_rest(now);
         let is_usable = |idle: &Idle| {
-            let is_fresh = idle.until > now && now.duration_since(idle.since) <= longest;
+            let is_fresh = idle.until > now && now.since(idle.since) <= longest;
             is_fresh && idle.connection.sender.is_ready()
         };
         lock(&self.idle).iter().rev().any(is_usable)
     }
 
     fn take_idle(&self) -> Option<Idle> {
-        let now = Instant::now();
+        let now = self.clock.now();
         let longest = self.longest_rest(now);
         let mut idle = lock(&self.idle);
         while let Some(last) = idle.pop_back() {
-            let is_fresh = last.until > now && now.duration_since(last.since) <= longest;
+            let is_fresh = last.until > now && now.since(last.since) <= longest;
             if is_fresh && last.connection.sender.is_ready() {
                 return Some(last);
             }
@@ -210,7 +215,7 @@
     }
 
     fn close_stale(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let is_open = |idle: &Idle| idle.until > now && !idle.connection.sender.is_closed();
         lock(&self.idle).retain(is_open);
     }
@@ -226,7 +231,7 @@
     /// have forgotten the connection, and others that rested as long are not used any more.
     pub fn broke(&self) {
         if self.is_reused {
-            let (rest, at) = (self.rest, Instant::now());
+            let (rest, at) = (self.rest, self.pool.clock.now());
             *lock(&self.pool.loss) = Some(Loss { rest, at });
         }
     }
@@ -251,7 +256,7 @@
         if idle.len() >= most {
             idle.pop_front();
         }
-        let since = Instant::now();
+        let since = self.pool.clock.now();
         idle.push_back(Idle {
             connection: self.connection,
             since,
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -7,11 +7,10 @@
 use crate::shared::Shared;
 use crate::wire::{AttemptResult, Handover, Told};
 use bramblewheel_protocol::content::ContentDigest;
-use bramblewheel_types::ServiceName;
+use bramblewheel_types::{ServiceName, Timestamp};
 use http::{HeaderMap, HeaderValue};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// How a request ended at the endpoint.
 #[derive(Debug)]
@@ -53,7 +52,7 @@
 pub async fn dispatch(
     shared: &Arc<Shared>,
     handover: &Handover,
-    arrived: Instant,
+    arrived: Timestamp,
     outgoing: &mut Outgoing,
 ) -> Attempted {
     let is_nested = note_caller(shared, handover) || handover.is_nested;
@@ -105,7 +104,7 @@
     shared: &Arc<Shared>,
     handover: &Handover,
     is_nested: bool,
-    arrived: Instant,
+    arrived: Timestamp,
     outgoing: &mut Outgoing,
 ) -> Ran {
     let deadline = arrived + handover.remaining;
@@ -126,13 +125,13 @@
     let pool = shared.endpoint_pools.get(permit.address);
     // The time that is left is that of the moment of sending.
     let address = |headers: &mut HeaderMap| {
-        let left = deadline.saturating_duration_since(Instant::now());
+        let left = shared.clock.left_until(deadline);
         let caller = handover.caller.as_ref();
         let dialect = &shared.settings.dialect;
         let tenant = handover.tenant.as_ref();
         dialect.address(headers, &handover.endpoint, left, caller, tenant);
     };
-    if deadline.saturating_duration_since(Instant::now()) < Duration::from_millis(1) {
+    if shared.clock.left_until(deadline) < Duration::from_millis(1) {
         return Dispatched::Without(AttemptResult::Full).into();
     }
     permit.sent();
--- a/crates/bramblewheel-proxy/src/inbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/inbound/mod.rs
@@ -14,7 +14,6 @@
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use std::sync::Arc;
-use tokio::time::Instant;
 
 /// Serves the listener for other daemons.
 #[derive(Debug)]
@@ -29,7 +28,7 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let arrived = Instant::now();
+        let arrived = self.shared.clock.now();
         let (mut head, incoming) = request.into_parts();
         if head.uri.path() == PING_PATH
             && head.method == Method::GET
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -23,7 +23,6 @@
 use state::{Current, RefusedCall, State};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Pause after the endpoint could not be reached, in which it is not tried again.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
@@ -254,7 +253,7 @@
         clock: Clock,
         handover: &Handover,
         is_nested: bool,
-        until: Instant,
+        until: Timestamp,
     ) -> Result<Permit, Refusal> {
         let route = RouteShare {
             route: handover.route,
@@ -262,7 +261,6 @@
             is_limited: !is_most_important(handover.rank) && !is_nested,
         };
         let begun = clock.now();
-        let wait = until.saturating_duration_since(Instant::now());
         let (address, waiting) = {
             let now = clock.now();
             let mut state = self.lock();
@@ -277,7 +275,7 @@
             let entered = state.enter(Arrival {
                 rank: handover.root_rank,
                 due: now + handover.remaining,
-                until: now + wait,
+                until,
             });
             if entered.is_err() {
                 state.end_route(now, route, None);
@@ -309,7 +307,7 @@
             place,
             is_over: false,
         };
-        match tokio::time::timeout_at(until, told).await {
+        match clock.timeout_at(until, told).await {
             Ok(Ok(true)) => {
                 waiting.is_over = true;
                 Ok(permit())
--- a/crates/bramblewheel-proxy/src/outbound/attempt.rs
+++ b/crates/bramblewheel-proxy/src/outbound/attempt.rs
@@ -6,9 +6,9 @@
 use crate::outbound::liveness::patience;
 use crate::shared::Shared;
 use crate::wire::{AttemptResult, Handover, Told};
+use bramblewheel_types::Timestamp;
 use http::HeaderMap;
 use std::sync::Arc;
-use tokio::time::Instant;
 
 /// Hands a request to the daemon beside the chosen endpoint: to this one without a hop. A daemon that
 /// falls silent meanwhile is not waited for, if the request may be repeated.
@@ -16,12 +16,12 @@
     shared: &Arc<Shared>,
     choice: &Choice,
     handover: &Handover,
-    deadline: Instant,
+    deadline: Timestamp,
     is_repeatable: bool,
     outgoing: &mut Outgoing,
 ) -> Attempted {
     if choice.daemon == shared.settings.name {
-        return dispatch(shared, handover, Instant::now(), outgoing).await;
+        return dispatch(shared, handover, shared.clock.now(), outgoing).await;
     }
     let (daemon, clock) = (choice.address, shared.clock);
     let pool = shared.daemon_pools.get(daemon);
@@ -31,7 +31,7 @@
     }
     let write = |headers: &mut HeaderMap| {
         let handover = Handover {
-            remaining: deadline.saturating_duration_since(Instant::now()),
+            remaining: clock.left_until(deadline),
             ..handover.clone()
         };
         handover.write(headers);
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -16,14 +16,13 @@
 use bramblewheel_process::invariants::lock;
 use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_protocol::routing::TableVersion;
-use bramblewheel_types::{EndpointId, ServiceName};
+use bramblewheel_types::{EndpointId, ServiceName, Timestamp};
 use http::HeaderValue;
 use http::request::Parts;
 use rand::RngExt;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// A request of a caller that is let in.
 pub(super) struct CallerRequest {
@@ -37,7 +36,7 @@
     pub(super) from: Option<TenantRequest>,
     /// Whether the table shows that an endpoint makes it.
     pub(super) is_call_by_table: bool,
-    pub(super) arrived: Instant,
+    pub(super) arrived: Timestamp,
     /// Time that its caller waits, if it says.
     pub(super) remaining: Option<Duration>,
 }
@@ -54,7 +53,7 @@
     pub(super) rank: u32,
     /// Number that stands for the requests of its route and its tenant's rank.
     pub(super) class: u64,
-    arrived: Instant,
+    arrived: Timestamp,
     /// Whether the local endpoint makes it for a request that it runs.
     pub(super) is_nested: bool,
     /// Rank of the request at the root of its tree, as far as that is known.
@@ -74,7 +73,7 @@
             self.shared.metrics.cancelled.inc();
             slog::info!(self.shared.log, "caller went away"; "id" => text(&self.id),
                 "route" => &self.route.route.name,
-                "after_ms" => millis(self.arrived.elapsed()));
+                "after_ms" => millis(self.shared.clock.since(self.arrived)));
         }
     }
 }
@@ -132,7 +131,7 @@
         let deadline = self.arrived + allowed;
         let mut outgoing = self.outgoing(head, body);
         let attempts = self.attempts(&mut outgoing, deadline);
-        let ended = match tokio::time::timeout_at(deadline, attempts).await {
+        let ended = match self.shared.clock.timeout_at(deadline, attempts).await {
             Ok(ended) => ended,
             Err(_) if self.may_have_run.load(Ordering::Relaxed) => Final::TimedOut,
             Err(_) => self.not_run(),
@@ -173,7 +172,7 @@
     fn finish(&self, ended: &Final) {
         self.is_over.store(true, Ordering::Relaxed);
         let route = &self.route.route;
-        let time = self.arrived.elapsed();
+        let time = self.shared.clock.since(self.arrived);
         let outcome = ended.as_str();
         self.shared.metrics.request(&route.name, outcome, time);
         if outcome != "completed" {
@@ -187,7 +186,7 @@
         }
     }
 
-    async fn attempts(&self, outgoing: &mut Outgoing, deadline: Instant) -> Final {
+    async fn attempts(&self, outgoing: &mut Outgoing, deadline: Timestamp) -> Final {
         if is_quarantined(self.shared, &self.id, Some(self.content)) {
             return Final::Quarantined;
         }
@@ -216,7 +215,7 @@
             if !tried.contains(&choice.endpoint) {
                 tried.push(choice.endpoint.clone());
             }
-            let begun = Instant::now();
+            let begun = self.shared.clock.now();
             let sent = self.send(&choice, outgoing, deadline, counts.waited);
             let dispatched = sent.await;
             let result = dispatched.result();
@@ -225,7 +224,7 @@
             }
             if result == AttemptResult::Full {
                 *lock(&self.full_service) = Some(service.clone());
-                counts.waited += begun.elapsed();
+                counts.waited += self.shared.clock.since(begun);
             }
             if result == AttemptResult::Quarantined && !self.may_have_run.load(Ordering::Relaxed) {
                 return Final::Quarantined;
@@ -242,7 +241,7 @@
                 "service" => %service, "endpoint" => %choice.endpoint,
                 "result" => if has_failed { "failed" } else { result.as_str() },
                 "attempt" => tried.len(), "again" => may_go_on, "content" => %self.content,
-                "left_ms" => millis(deadline.saturating_duration_since(Instant::now())));
+                "left_ms" => millis(self.shared.clock.left_until(deadline)));
             if !may_go_on {
                 return self.without_success(failed);
             }
@@ -301,12 +300,12 @@
         &self,
         choice: &Choice,
         outgoing: &mut Outgoing,
-        deadline: Instant,
+        deadline: Timestamp,
         waited: Duration,
     ) -> Dispatched {
         let route = &self.route.route;
-        let begun = Instant::now();
-        let remaining = deadline.saturating_duration_since(begun);
+        let begun = self.shared.clock.now();
+        let remaining = deadline.since(begun);
         let handover = Handover {
             endpoint: choice.endpoint.clone(),
             rank: self.rank,
@@ -345,7 +344,11 @@
             self.may_have_run.store(false, Ordering::Relaxed);
         }
         self.shared.metrics.attempt(result);
-        let end = send_end(result, dispatched.has_failed(), begun.elapsed());
+        let end = send_end(
+            result,
+            dispatched.has_failed(),
+            self.shared.clock.since(begun),
+        );
         let now = self.shared.clock.now();
         let mut routing = self.shared.routing();
         let directory = &mut routing.directory;
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -31,7 +31,6 @@
 use rand::RngExt;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Parts of its objective after which a refused caller may come back; drawn anew for each, so that they
 /// don't all come back together. A caller that comes back within its objective can still be served in time.
@@ -82,7 +81,7 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let arrived = Instant::now();
+        let arrived = self.shared.clock.now();
         let (mut head, incoming) = request.into_parts();
         let dialect = &self.shared.settings.dialect;
         let Some(id) = dialect.id(&head.headers).cloned() else {
--- a/crates/bramblewheel-proxy/src/outbound/open_send.rs
+++ b/crates/bramblewheel-proxy/src/outbound/open_send.rs
@@ -2,15 +2,14 @@
 
 use crate::decide::directory::SendEnd;
 use crate::shared::Shared;
-use bramblewheel_types::EndpointId;
-use tokio::time::Instant;
+use bramblewheel_types::{EndpointId, Timestamp};
 
 /// Tells the directory of a send that was given up, unless it ended by itself.
 pub(super) struct OpenSend<'a> {
     pub(super) shared: &'a Shared,
     pub(super) endpoint: &'a EndpointId,
     pub(super) route: &'a str,
-    pub(super) begun: Instant,
+    pub(super) begun: Timestamp,
     pub(super) is_over: bool,
 }
 
@@ -20,7 +19,7 @@
             let now = self.shared.clock.now();
             let mut routing = self.shared.routing();
             let directory = &mut routing.directory;
-            let end = SendEnd::GivenUp(self.begun.elapsed());
+            let end = SendEnd::GivenUp(now.since(self.begun));
             directory.record_end(now, self.endpoint, self.route, end, None);
         }
     }
--- a/crates/bramblewheel-proxy/src/outbound/repeat.rs
+++ b/crates/bramblewheel-proxy/src/outbound/repeat.rs
@@ -6,9 +6,8 @@
 use crate::outbound::ending::is_proved_not_run;
 use crate::wire::AttemptResult;
 use bramblewheel_process::invariants::lock;
-use bramblewheel_types::ServiceName;
+use bramblewheel_types::{ServiceName, Timestamp};
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Sends after an endpoint or its daemon was not there; they cost nobody anything.
 const MAX_FREE_REROUTES: u32 = 3;
@@ -48,9 +47,9 @@
         result: AttemptResult,
         outgoing: &Outgoing,
         counts: &mut Counts,
-        deadline: Instant,
+        deadline: Timestamp,
     ) -> bool {
-        let left = deadline.saturating_duration_since(Instant::now());
+        let left = self.shared.clock.left_until(deadline);
         if !outgoing.body.is_whole() || left < LEAST_TIME_TO_RETRY {
             return false;
         }
--- a/crates/bramblewheel-proxy/tests/sockets/connections.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/connections.rs
@@ -1,6 +1,7 @@
 //! Which connections are kept between two requests, by a listener and by a pool.
 
 use crate::support::eventually;
+use bramblewheel_process::clock::Clock;
 use bramblewheel_process::logging::silent;
 use bramblewheel_proxy::http::body::AnswerBody;
 use bramblewheel_proxy::http::pool::{IdlePolicy, Pools};
@@ -126,11 +127,11 @@
 async fn a_pool_keeps_as_many_connections_as_were_used_side_by_side() {
     const SIDE_BY_SIDE: usize = 150;
     let (address, _stop) = listening(usize::MAX).await;
-    let pool = Pools::new(IdlePolicy {
+    let idle = IdlePolicy {
         longest: Duration::from_secs(3_600),
         most: SIDE_BY_SIDE,
-    })
-    .get(address);
+    };
+    let pool = Pools::new(idle, Clock::start()).get(address);
     for is_first in [true, false] {
         let mut leases = Vec::new();
         for _ in 0..SIDE_BY_SIDE {
--- a/crates/bramblewheel-proxy/tests/sockets/liveness.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/liveness.rs
@@ -66,7 +66,7 @@
         daemon,
         address,
         liveness: Arc::default(),
-        pool: Pools::new(IDLE).get(address),
+        pool: Pools::new(IDLE, Clock::start()).get(address),
         _stop: stop,
     }
 }
