Soak: fatal requests, kept connections, series of signals, stops in turn; power lost also by spares; explain

Soak: a request that ends endpoints from half of the faults on (new check), callers that use an open connection until the process is gone, reloads and kills in series, planned stops of all daemons that overlap. The first planned stop of a run is now one of all daemons; the period is 20 s (25 s).

--- a/crates/bramblewheel-control/tests/routing.rs
+++ b/crates/bramblewheel-control/tests/routing.rs
@@ -4,13 +4,14 @@
 mod support;
 
 use bramblewheel_control::node::SparePolicy;
+use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_protocol::control::{
     LogPosition, Registration, ReplyBody, RequestBody, Unavailable,
 };
 use bramblewheel_protocol::packed::PackedText;
 use bramblewheel_protocol::routing::{
-    EndpointRecord, EndpointState, ReplaceTable, ReplaceTableReply, StoredTable, TableDigest,
-    TableVersion, WatchReply, WatchRequest,
+    ContentReport, EndpointRecord, EndpointState, ReplaceTable, ReplaceTableReply, StoredTable,
+    TableDigest, TableVersion, WatchReply, WatchRequest,
 };
 use bramblewheel_replication::ReplicaId;
 use bramblewheel_types::{DaemonId, EndpointId, Millis, RegionName, ServiceName, ZoneName};
@@ -200,6 +201,43 @@
     }
 }
 
+/// Also the machines that don't vote lose power, in whatever order they come back. What was acknowledged stays: a
+/// table, and which contents are kept from endpoints.
+#[test]
+fn what_was_acknowledged_outlasts_a_lost_disk_while_voters_and_spares_lose_power() {
+    for seed in 0..40 {
+        let mut cluster = founded(1, 400 + seed);
+        accepted(&mut cluster, &replace(0, 3, "first"));
+        for number in 0..3 {
+            let report = ContentReport::EndpointEnded {
+                endpoint: EndpointId::new(&format!("e-{number}")).expect("a name"),
+                contents: vec![ContentDigest(7)],
+            };
+            let reply = cluster.ask_leader(&RequestBody::ReportContents(report));
+            assert_eq!(reply, ReplyBody::Done);
+        }
+        let first = usize::try_from(seed % 4).expect("small");
+        let lost = usize::try_from(seed % 3).expect("small");
+        for machine in 0..4 {
+            cluster.crash(machine);
+        }
+        for machine in (0..4).map(|number| (first + number) % 4) {
+            if machine == lost {
+                cluster.restart_wiped(machine);
+            } else {
+                cluster.start(machine);
+            }
+            cluster.run(Duration::from_millis(37 * seed));
+        }
+        cluster.set_spares(FAST, vec![lost, 3]);
+        let shown = in_force(&mut cluster);
+        assert_eq!(shown, Some(table(3, "first")), "seed {seed}");
+        let leader = cluster.settle();
+        let list = cluster.node(leader).state().quarantine().list();
+        assert!(list.contents[0].is_quarantined, "seed {seed}");
+    }
+}
+
 /// A voter that returns empty at its address takes its old place at once, so that the next loss
 /// can be borne.
 #[test]
--- a/crates/bramblewheel-soak/src/check.rs
+++ b/crates/bramblewheel-soak/src/check.rs
@@ -1,6 +1,7 @@
 //! The promises, checked on what was seen from outside.
 
 use crate::history::{At, End, Events, Kind, Order, PlannedStop, Request, Run};
+use crate::traffic::FATAL_ID;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
 use std::time::Duration;
@@ -11,6 +12,10 @@
 const APPLY: Duration = Duration::from_secs(2);
 /// Time after the last fault in which service and configurations must be back.
 pub const RECOVERY: Duration = Duration::from_secs(8);
+/// Time after the third end under a request in which all daemons must know of it.
+const FOUND_OUT: Duration = Duration::from_secs(3);
+/// Runs of it that may begin after that.
+const LATE_FATAL_RUNS: usize = 3;
 /// Part of the requests after that which must succeed.
 const LEAST_SERVED: f64 = 0.9;
 
@@ -45,6 +50,7 @@
     check_reads(events, version_of, &mut found);
     check_probes(events, &mut found);
     check_planned_stops(events, &runs, &mut found);
+    check_fatal(events, &mut found);
     check_recovery(events, &mut found);
     found
 }
@@ -239,9 +245,31 @@
     is_here && *end == End::Broken && *at >= stop.told && request.sent <= stop.ended
 }
 
+/// A request under which three endpoints ended reaches them no more once all daemons are in touch again.
+fn check_fatal(events: &Events, found: &mut Vec<Breach>) {
+    let is_fatal = |run: &&Run| run.id.starts_with(FATAL_ID);
+    let mut at: Vec<At> = events
+        .runs
+        .iter()
+        .filter(is_fatal)
+        .map(|run| run.at)
+        .collect();
+    at.sort_unstable();
+    let Some(third) = at.get(2) else {
+        return;
+    };
+    let known = *third.max(&(events.calm_since + RECOVERY)) + FOUND_OUT;
+    let late = at.iter().filter(|run| **run > known).count();
+    if late > LATE_FATAL_RUNS {
+        let said = format!("{late} runs after {known:?}, {} in all", at.len());
+        breach(found, "what ends endpoints is kept from them", said);
+    }
+}
+
 fn check_recovery(events: &Events, found: &mut Vec<Breach>) {
     let from = events.calm_since + RECOVERY;
-    let late = events.requests.iter().filter(|r| r.sent > from);
+    let is_owed = |r: &&Request| r.sent > from && !r.id.starts_with(FATAL_ID);
+    let late = events.requests.iter().filter(is_owed);
     let ended: Vec<&End> = late.filter_map(|r| Some(&r.ended.as_ref()?.1)).collect();
     let is_served = |end: &&&End| matches!(end, End::Answer { status: 200, .. });
     let served = ended.iter().filter(is_served).count();
--- a/crates/bramblewheel-soak/src/endpoint.rs
+++ b/crates/bramblewheel-soak/src/endpoint.rs
@@ -1,7 +1,7 @@
 //! An endpoint beside a daemon: runs requests, says that it is there, leaves or dies.
 
 use crate::history::{History, Run};
-use crate::traffic::{Call, send};
+use crate::traffic::{Call, FATAL_BODY, send};
 use axum::Router;
 use axum::body::Body;
 use axum::extract::State;
@@ -18,10 +18,11 @@
 use rand_pcg::Pcg64Mcg;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 
 /// Time between two heartbeats.
@@ -41,8 +42,16 @@
     CutShort,
 }
 
+/// The end of an endpoint under a request.
+#[derive(Debug, Default)]
+struct Ending {
+    has_ended: AtomicBool,
+    told: Notify,
+}
+
 #[derive(Clone)]
 struct Serving {
+    ending: Arc<Ending>,
     id: Arc<str>,
     history: History,
     random: Arc<Mutex<Pcg64Mcg>>,
@@ -58,6 +67,7 @@
     sequence: Arc<AtomicU64>,
     history: History,
     beating: JoinSet<()>,
+    ending: Arc<Ending>,
     _serving: JoinSet<()>,
 }
 
@@ -76,14 +86,22 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind((address, 0)).await?;
         let address = listener.local_addr()?;
+        let ending = Arc::new(Ending::default());
         let serving = Serving {
+            ending: Arc::clone(&ending),
             id: id.as_str().into(),
             history: history.clone(),
             random: Arc::new(Mutex::new(Pcg64Mcg::seed_from_u64(seed))),
         };
         let router = Router::new().fallback(run).with_state(serving);
         let mut tasks = JoinSet::new();
-        tasks.spawn(serve(listener, router));
+        let until = Arc::clone(&ending);
+        tasks.spawn(async move {
+            tokio::select! {
+                () = serve(listener, router) => {}
+                () = until.told.notified() => {}
+            }
+        });
         let mut endpoint = Self {
             id,
             service,
@@ -92,11 +110,13 @@
             sequence: Arc::new(AtomicU64::new(0)),
             history,
             beating: JoinSet::new(),
+            ending,
             _serving: tasks,
         };
         let beat = endpoint.word("ready");
+        let ending = Arc::clone(&endpoint.ending);
         endpoint.beating.spawn(async move {
-            loop {
+            while !ending.has_ended.load(Ordering::Relaxed) {
                 // One that is lost is made up for by the next.
                 beat.say().await;
                 tokio::time::sleep(HEARTBEAT).await;
@@ -105,6 +125,11 @@
         Ok(endpoint)
     }
 
+    /// Whether a request has ended it.
+    pub fn has_ended(&self) -> bool {
+        self.ending.has_ended.load(Ordering::Relaxed)
+    }
+
     fn word(&self, state: &'static str) -> Word {
         Word {
             id: self.id.clone(),
@@ -192,7 +217,7 @@
     }
 }
 
-async fn run(State(serving): State<Serving>, headers: HeaderMap, _body: Bytes) -> Response {
+async fn run(State(serving): State<Serving>, headers: HeaderMap, body: Bytes) -> Response {
     let text = |name: &str| {
         let value = headers.get(name)?.to_str().ok()?;
         Some(value.to_owned())
@@ -221,6 +246,12 @@
         at,
     });
     tokio::time::sleep(work).await;
+    if body == FATAL_BODY {
+        // Listener and connections end with the task that serves them, and this one with them.
+        serving.ending.has_ended.store(true, Ordering::Relaxed);
+        serving.ending.told.notify_one();
+        std::future::pending::<()>().await;
+    }
     let body = wire::body(&serving.id, &id);
     let (status, body) = match act {
         Act::Fail => (StatusCode::INTERNAL_SERVER_ERROR, Body::from("failed")),
--- a/crates/bramblewheel-soak/src/load.rs
+++ b/crates/bramblewheel-soak/src/load.rs
@@ -2,6 +2,7 @@
 
 use crate::history::{Kind, Probe, Read};
 use crate::operator::Operators;
+use crate::plan::Size;
 use crate::run::Soak;
 use crate::traffic::{self, Call, DEADLINE, MARGIN, end_of, send};
 use bramblewheel_platform_client as wire;
@@ -16,6 +17,10 @@
 
 /// Mean time between two requests to a daemon.
 const REQUEST_PERIOD: Duration = Duration::from_millis(50);
+/// Time between two requests on a kept connection.
+const KEPT_PERIOD: Duration = Duration::from_millis(40);
+/// Mean time between two sends of the request that ends endpoints.
+const FATAL_PERIOD: Duration = Duration::from_millis(400);
 /// Time between two probes of a daemon's configuration.
 const PROBE_PERIOD: Duration = Duration::from_millis(250);
 
@@ -46,6 +51,58 @@
     while calls.join_next().await.is_some() {}
 }
 
+/// A caller that keeps its connection for as long as the daemon's process does.
+pub(crate) async fn kept_callers(soak: Arc<Soak>, daemon: usize) {
+    let mut kept = None;
+    let mut number = 0_u64;
+    while !soak.is_over() {
+        tokio::time::sleep(KEPT_PERIOD).await;
+        let open = match kept.take() {
+            Some(open) => Some(open),
+            None => traffic::open(soak.addresses.outbound(daemon)).await,
+        };
+        let Some(open) = open else {
+            continue;
+        };
+        number += 1;
+        let id = format!("k-{daemon}-{number}");
+        kept = traffic::call_on(open, &soak.history, daemon, id).await;
+    }
+}
+
+/// The request that ends endpoints, from half of the faults on: at any daemon, under a new id each time.
+pub(crate) async fn fatal_callers(soak: Arc<Soak>, size: Size) {
+    let mut random = Pcg64Mcg::seed_from_u64(soak.seed ^ 1 << 51);
+    tokio::time::sleep(size.length / 2).await;
+    let mut calls = JoinSet::new();
+    let mut number = 0_u64;
+    while !soak.is_over() {
+        tokio::time::sleep(FATAL_PERIOD.mul_f64(random.random_range(0.2..1.8))).await;
+        number += 1;
+        let daemon = random.random_range(0..size.daemons);
+        let id = format!("{}{number}", traffic::FATAL_ID);
+        let address = soak.addresses.outbound(daemon);
+        let history = soak.history.clone();
+        calls.spawn(traffic::call(
+            history,
+            address,
+            daemon,
+            Kind::Repeatable,
+            id,
+        ));
+        while calls.try_join_next().is_some() {}
+    }
+    while calls.join_next().await.is_some() {}
+}
+
+/// Starts the endpoint beside a daemon again whenever a request has ended it.
+pub(crate) async fn restart_ended(soak: Arc<Soak>, daemon: usize) {
+    while !soak.is_over() {
+        tokio::time::sleep(REQUEST_PERIOD).await;
+        soak.restart_if_ended(daemon).await;
+    }
+}
+
 /// Asks a daemon again and again for routes that came with some version.
 pub(crate) async fn probes(soak: Arc<Soak>, daemon: usize) {
     let mut random = Pcg64Mcg::seed_from_u64(soak.seed ^ (daemon as u64) << 40);
--- a/crates/bramblewheel-soak/src/plan.rs
+++ b/crates/bramblewheel-soak/src/plan.rs
@@ -11,8 +11,14 @@
 const CONTROL_PAUSE: Duration = Duration::from_secs(6);
 /// Time around a planned stop that is checked in which nothing else happens.
 const STOP_MARGIN: Duration = Duration::from_secs(4);
-/// Time that a planned stop and the start after it take at most.
-const STOP_TIME: Duration = Duration::from_secs(7);
+/// Time that a planned stop and the start after it take at most, and those of all daemons in turn.
+const STOP_TIME: Duration = Duration::from_secs(9);
+/// Pause between planned stops in turn.
+pub const STOPS_PAUSE: Duration = Duration::from_millis(300);
+/// Steps of a series, and the pause between them.
+pub const SERIES_STEPS: u32 = 4;
+/// Pause between the steps of a series: they come before the one before has taken full effect.
+pub const SERIES_PAUSE: Duration = Duration::from_millis(120);
 
 /// A machine of the soak.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -46,8 +52,14 @@
     Reset(Machine),
     /// The settings file changes and the process is told so.
     Reload(Machine),
+    /// The settings file changes again and again, and the process is told each time.
+    ReloadSeries(Machine),
+    /// The process is killed and started again, several times in a row.
+    KillSeries(Machine),
     /// A planned stop; the process is started again.
     Stop(usize),
+    /// Planned stops of all daemons, one after the other before the last has ended; each is started again.
+    StopsInTurn,
     /// The endpoint dies without a word; another one starts beside the daemon.
     EndpointCrash(usize),
     /// The endpoint says that it leaves, serves on and ends; another one starts.
@@ -127,7 +139,7 @@
             continue;
         }
         let machine = Machine::Daemon(number);
-        let fault = match random.random_range(0..12) {
+        let fault = match random.random_range(0..14) {
             0 | 1 => Fault::Kill(machine),
             2 => Fault::Pause(machine),
             3 => Fault::SilentInwards(machine),
@@ -137,6 +149,8 @@
             7 => Fault::Reset(machine),
             8 => Fault::Reload(machine),
             9 => Fault::EndpointCrash(number),
+            10 => Fault::ReloadSeries(machine),
+            11 => Fault::KillSeries(machine),
             _ => Fault::EndpointLeaves(number),
         };
         let lasts = millis(random, 300..4_000);
@@ -146,19 +160,25 @@
     steps
 }
 
-/// Every 25 seconds a stop that nothing else is near.
+/// Every 20 seconds a stop that nothing else is near.
 fn add_planned_stops(random: &mut impl Rng, size: Size, steps: &mut Vec<Step>) {
-    const PERIOD: Duration = Duration::from_secs(25);
+    const PERIOD: Duration = Duration::from_secs(20);
     let end = CALM_START + size.length;
     let mut at = CALM_START + PERIOD;
+    let mut is_first = true;
     while at + STOP_TIME < end {
         let free = (at.saturating_sub(STOP_MARGIN), at + STOP_TIME);
         steps.retain(|step| step.at + step.lasts < free.0 || step.at > free.1);
         steps.push(Step {
             at,
             lasts: millis(random, 100..500),
-            fault: Fault::Stop(random.random_range(0..size.daemons)),
+            fault: if is_first {
+                Fault::StopsInTurn
+            } else {
+                Fault::Stop(random.random_range(0..size.daemons))
+            },
         });
+        is_first = false;
         at += PERIOD;
     }
 }
--- a/crates/bramblewheel-soak/src/run.rs
+++ b/crates/bramblewheel-soak/src/run.rs
@@ -4,9 +4,9 @@
 use crate::endpoint::Endpoint;
 use crate::fleet::{Addresses, FleetError, Host, service_of};
 use crate::history::{End, History, PlannedStop, Request};
-use crate::load::{callers, operate, probes};
+use crate::load::{callers, fatal_callers, kept_callers, operate, probes, restart_ended};
 use crate::operator::Operators;
-use crate::plan::{Fault, Machine, Size, Step, plan};
+use crate::plan::{Fault, Machine, SERIES_PAUSE, SERIES_STEPS, STOPS_PAUSE, Size, Step, plan};
 use crate::relay::Mode;
 use crate::traffic::{Call, send};
 use bramblewheel_platform_client as wire;
@@ -25,6 +25,8 @@
 const START_TIME: Duration = Duration::from_secs(15);
 /// Traffic after the time in which service must be back.
 const CALM_END: Duration = Duration::from_secs(5);
+/// Time after which an endpoint that a request ended is started again.
+const ENDED_FOR: Duration = Duration::from_millis(1_000);
 
 /// What a soak found.
 #[derive(Debug)]
@@ -80,8 +82,11 @@
     let mut background = JoinSet::new();
     for daemon in 0..size.daemons {
         background.spawn(callers(Arc::clone(&soak), daemon));
+        background.spawn(kept_callers(Arc::clone(&soak), daemon));
         background.spawn(probes(Arc::clone(&soak), daemon));
+        background.spawn(restart_ended(Arc::clone(&soak), daemon));
     }
+    background.spawn(fatal_callers(Arc::clone(&soak), size));
     let operating = tokio::spawn(operate(Arc::clone(&soak), operators));
     strike_all(&soak, &steps).await?;
     let calm = soak.history.now();
@@ -145,6 +150,21 @@
         })
     }
 
+    /// Starts the endpoint beside a daemon again if it has ended under a request.
+    pub(crate) async fn restart_if_ended(&self, daemon: usize) {
+        let has_ended = |endpoint: &mut Option<Endpoint>| {
+            let is_over = endpoint.as_ref().is_some_and(Endpoint::has_ended);
+            is_over.then(|| endpoint.take()).is_some()
+        };
+        if !has_ended(&mut *self.endpoints[daemon].lock().await) {
+            return;
+        }
+        tokio::time::sleep(ENDED_FOR).await;
+        if let Err(error) = self.start_endpoint(daemon).await {
+            println!("endpoint beside daemon {daemon} not started again: {error}");
+        }
+    }
+
     async fn start_endpoint(&self, daemon: usize) -> Result<(), FleetError> {
         let number = self.next_endpoint.fetch_add(1, Ordering::Relaxed);
         let machine = Machine::Daemon(daemon);
@@ -185,7 +205,7 @@
         answer.is_ok_and(|answer| answer.status == StatusCode::OK)
     }
 
-    async fn strike(&self, step: Step) -> Result<(), FleetError> {
+    async fn strike(self: &Arc<Self>, step: Step) -> Result<(), FleetError> {
         match step.fault {
             Fault::Kill(machine) => self.kill(machine, step.lasts, false).await,
             Fault::KillAndWipe(machine) => self.kill(machine, step.lasts, true).await,
@@ -205,7 +225,10 @@
                 Ok(())
             }
             Fault::Reload(machine) => self.hosts[&machine].lock().await.reload(),
+            Fault::ReloadSeries(machine) => self.reload_series(machine).await,
+            Fault::KillSeries(machine) => self.kill_series(machine).await,
             Fault::Stop(daemon) => self.stop(daemon, step.lasts).await,
+            Fault::StopsInTurn => self.stop_in_turn(step.lasts).await,
             Fault::EndpointCrash(daemon) => {
                 *self.endpoints[daemon].lock().await = None;
                 tokio::time::sleep(step.lasts).await;
@@ -282,6 +305,35 @@
         Ok(())
     }
 
+    async fn reload_series(&self, machine: Machine) -> Result<(), FleetError> {
+        for _ in 0..SERIES_STEPS {
+            self.hosts[&machine].lock().await.reload()?;
+            tokio::time::sleep(SERIES_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    async fn kill_series(&self, machine: Machine) -> Result<(), FleetError> {
+        for _ in 0..SERIES_STEPS {
+            self.kill(machine, SERIES_PAUSE, false).await?;
+            tokio::time::sleep(SERIES_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    async fn stop_in_turn(self: &Arc<Self>, lasts: Duration) -> Result<(), FleetError> {
+        let mut stopping = JoinSet::new();
+        for daemon in 0..self.daemons {
+            let soak = Arc::clone(self);
+            stopping.spawn(async move { soak.stop(daemon, lasts).await });
+            tokio::time::sleep(STOPS_PAUSE).await;
+        }
+        while let Some(stopped) = stopping.join_next().await {
+            stopped.expect("a fault is carried out without a panic")?;
+        }
+        Ok(())
+    }
+
     async fn stop(&self, daemon: usize, lasts: Duration) -> Result<(), FleetError> {
         let machine = Machine::Daemon(daemon);
         let mut host = self.hosts[&machine].lock().await;
--- a/crates/bramblewheel-soak/src/traffic.rs
+++ b/crates/bramblewheel-soak/src/traffic.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,6 +16,10 @@
 pub const DEADLINE: Duration = Duration::from_millis(3_000);
 /// Time after the deadline in which an answer must have come.
 pub const MARGIN: Duration = Duration::from_millis(2_000);
+/// Body of the request that ends every endpoint which runs it.
+pub const FATAL_BODY: &str = "fatal";
+/// Beginning of that request's ids.
+pub const FATAL_ID: &str = "f-";
 /// Time for a connection to come up.
 const CONNECT: Duration = Duration::from_millis(1_000);
 
@@ -68,7 +73,7 @@
     };
     let _ = stream.set_nodelay(true);
     let asking = async {
-        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
+        let handshake = http1::handshake(TokioIo::new(stream));
         let (mut sender, connection) = handshake.await.map_err(|_| NoAnswer::Broken)?;
         let driving = tokio::spawn(connection);
         let mut request = Request::builder().method(call.method).uri(call.path);
@@ -94,9 +99,65 @@
         .unwrap_or(Err(NoAnswer::Late))
 }
 
+/// A connection that a caller keeps for as long as it works.
+pub type KeptConnection = http1::SendRequest<Full<Bytes>>;
+
+/// Opens a connection to keep; none if it does not come up.
+pub async fn open(address: SocketAddr) -> Option<KeptConnection> {
+    let connecting = timeout(CONNECT, TcpStream::connect(address)).await;
+    let stream = connecting.ok()?.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    // It ends when the other side does, or when its sender is dropped.
+    tokio::spawn(connection);
+    Some(sender)
+}
+
+/// Sends one request on a kept connection and notes what came of it; gives the connection back if it still
+/// works. It is used for as long as the other side lets it be.
+pub async fn call_on(
+    mut kept: KeptConnection,
+    history: &History,
+    daemon: usize,
+    id: String,
+) -> Option<KeptConnection> {
+    let deadline = DEADLINE.as_millis().to_string();
+    let request = Request::post(wire::path(Kind::Repeatable, daemon % 2))
+        .header("host", wire::HOST)
+        .header(wire::REQUEST_ID, &id)
+        .header(wire::DEADLINE, deadline)
+        .body(Full::new(Bytes::from(id.clone())))
+        .expect("names and paths are constants and numbers");
+    if kept.ready().await.is_err() {
+        return None;
+    }
+    let number = history.begin(id.clone(), Kind::Repeatable, daemon);
+    let asking = async {
+        let sent = kept.try_send_request(request).await;
+        let answer = sent.map_err(|error| match error.message() {
+            Some(_) => NoAnswer::NotSent,
+            None => NoAnswer::Broken,
+        })?;
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await.map_err(|_| NoAnswer::Broken)?;
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        })
+    };
+    let answer = timeout(DEADLINE + MARGIN, asking)
+        .await
+        .unwrap_or(Err(NoAnswer::Late));
+    let is_well = answer.is_ok();
+    history.end(number, end_of(&answer, &id));
+    is_well.then_some(kept)
+}
+
 /// Sends one request of a caller and notes what came of it.
 pub async fn call(history: History, address: SocketAddr, daemon: usize, kind: Kind, id: String) {
-    let service = usize::from(id.ends_with(['1', '3', '5', '7', '9']));
+    let is_fatal = id.starts_with(FATAL_ID);
+    let is_second = !is_fatal && id.ends_with(['1', '3', '5', '7', '9']);
+    let service = usize::from(is_second);
     let path = wire::path(kind, service);
     let deadline = DEADLINE.as_millis().to_string();
     let number = history.begin(id.clone(), kind, daemon);
@@ -104,7 +165,11 @@
         method: Method::POST,
         path: &path,
         headers: &[(wire::REQUEST_ID, &id), (wire::DEADLINE, &deadline)],
-        body: Bytes::from_static(b"work"),
+        body: Bytes::from_static(if is_fatal {
+            FATAL_BODY.as_bytes()
+        } else {
+            b"work"
+        }),
     };
     let answer = send(address, call, DEADLINE + MARGIN).await;
     history.end(number, end_of(&answer, &id));
--- a/crates/bramblewheel-soak/tests/check.rs
+++ b/crates/bramblewheel-soak/tests/check.rs
@@ -171,3 +171,23 @@
     let down = changed(|events| events.requests[2].ended = Some((at(20_050), answer(502, None))));
     assert_eq!(down, ["service comes back"]);
 }
+
+#[test]
+fn a_request_that_goes_on_to_end_endpoints_is_reported() {
+    let fatal_runs = |late: u64| {
+        changed(move |events| {
+            let mut times = vec![6_000, 6_100, 6_200, 6_900];
+            times.extend((0..late).map(|number| 25_000 + number * 100));
+            for (number, millis) in times.into_iter().enumerate() {
+                let id = format!("f-{number}");
+                let lost = answer(502, None);
+                let asked = request(&id, Kind::Repeatable, millis - 5, lost);
+                events.requests.push(asked);
+                events.runs.push(run(&id, "e-1", millis));
+            }
+        })
+    };
+    let few: [&str; 0] = [];
+    assert_eq!(fatal_runs(3), few);
+    assert_eq!(fatal_runs(4), ["what ends endpoints is kept from them"]);
+}
--- a/crates/bramblewheel-soak/tests/plan.rs
+++ b/crates/bramblewheel-soak/tests/plan.rs
@@ -19,9 +19,14 @@
         | Fault::Silent(machine)
         | Fault::Delay(machine, _)
         | Fault::Reset(machine)
+        | Fault::ReloadSeries(machine)
+        | Fault::KillSeries(machine)
         | Fault::Reload(machine) => matches!(machine, Machine::Control(_)),
         Fault::KillAllControl => true,
-        Fault::Stop(_) | Fault::EndpointCrash(_) | Fault::EndpointLeaves(_) => false,
+        Fault::Stop(_)
+        | Fault::StopsInTurn
+        | Fault::EndpointCrash(_)
+        | Fault::EndpointLeaves(_) => false,
     }
 }
 
@@ -54,7 +59,7 @@
         let steps = plan(seed, SIZE);
         let stops: Vec<&Step> = steps
             .iter()
-            .filter(|step| matches!(step.fault, Fault::Stop(_)))
+            .filter(|step| matches!(step.fault, Fault::Stop(_) | Fault::StopsInTurn))
             .collect();
         assert!(!stops.is_empty(), "seed {seed}");
         for stop in stops {
--- a/crates/bramblewheel/src/explain/cause.rs
+++ b/crates/bramblewheel/src/explain/cause.rs
@@ -31,6 +31,13 @@
         /// Part of its requests that was let in.
         part: String,
     },
+    /// Endpoints ended under its content, so that it was kept from them.
+    Quarantined {
+        /// Its content.
+        content: String,
+        /// Starts of endpoints that ended, as far as they are counted.
+        ends: String,
+    },
     /// No route in force fits it.
     NoRoute {
         /// Version of the table.
@@ -92,6 +99,10 @@
                 formatter,
                 "over the quota of {tenant} ({rate} a second, {let_in} let in), {part} of its requests let in"
             ),
+            Self::Quarantined { content, ends } => write!(
+                formatter,
+                "kept from endpoints: {ends} of them ended while they ran its content {content}"
+            ),
             Self::NoRoute { table } => write!(formatter, "no route in table {table}"),
             Self::CallerLeft => formatter.write_str("its caller went away"),
             Self::Overload { endpoint, load } => {
@@ -143,6 +154,12 @@
                 part: text(line, "part"),
             };
         }
+        if let Some(line) = self.last("quarantined") {
+            return Cause::Quarantined {
+                content: text(line, "content"),
+                ends: text(line, "ends"),
+            };
+        }
         if let Some(line) = self.last("no route") {
             let table = text(line, "table");
             return Cause::NoRoute { table };
--- a/crates/bramblewheel/tests/explain.rs
+++ b/crates/bramblewheel/tests/explain.rs
@@ -84,6 +84,16 @@
     );
 }
 
+#[test]
+fn a_request_that_is_kept_from_endpoints_is_told_with_its_content() {
+    let text = explained_by(
+        "level=INFO msg=quarantined at=1779151084422 revision=4 ends=3 content=0a1b id=r-1\n\
+         level=INFO msg=\"request ended\" at=1779151084422 after_ms=0 outcome=quarantined id=r-1\n",
+    );
+    let cause = "cause=\"kept from endpoints: 3 of them ended while they ran its content 0a1b\"";
+    assert!(text.contains(cause), "{text}");
+}
+
 #[test]
 fn a_request_refused_by_its_callers_daemon_is_told_so() {
     let text = explained_by(
