--- a/crates/bramblewheel-proxy/tests/sockets/crashing_requests.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/crashing_requests.rs
@@ -87,6 +87,7 @@
     assert_eq!(fleet.try_request("/safe/item").await, StatusCode::OK);
     fleet.until_refused().await;
     let ended = fleet.ended;
+    println!("{} tries, {ended} starts ended", fleet.tries - 1);
     assert!(ended >= ENDS, "refused after {ended} ends");
     for _ in 0..TRIES_AFTERWARDS {
         let status = fleet.try_request(FATAL).await;
