--- a/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
@@ -13,6 +13,8 @@
 pub enum Act {
     /// Answers with success and proof.
     Answer,
+    /// Answers with success and proof after this time.
+    AnswerAfter(Duration),
     /// Answers with success and proof, and a body of so many bytes.
     Long(usize),
     /// Refuses with proof that it did not run the request.
@@ -191,6 +193,10 @@
         };
         let (text, goes_on) = match act {
             Act::Answer => (answer("200 OK", &proof, &whole), true),
+            Act::AnswerAfter(time) => {
+                tokio::time::sleep(*time).await;
+                (answer("200 OK", &proof, &whole), true)
+            }
             Act::Long(bytes) => (answer("200 OK", &proof, &"x".repeat(*bytes)), true),
             Act::NotRun => {
                 let refusal = format!("bw-request-id: {id}\r\nbw-not-run: 1\r\n");
--- a/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
@@ -244,23 +244,33 @@
     ) -> Result<Answer, hyper::Error> {
         let address = self.daemons[number].shared().settings.outbound;
         let stream = TcpStream::connect(address).await.expect("it listens");
-        let (mut sender, connection) =
-            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-        tokio::spawn(connection);
-        let mut request = Request::post(path).header("host", HOST);
-        for (name, value) in headers {
-            request = request.header(*name, *value);
-        }
-        let request = request.body(Full::new(body)).expect("a valid request");
-        let response = sender.send_request(request).await?;
-        let (head, body) = response.into_parts();
-        let body = body.collect().await?.to_bytes();
-        Ok(Answer {
-            status: head.status,
-            headers: head.headers,
-            body,
-        })
+        call_on(stream, path, headers, body).await
+    }
+}
+
+/// Sends a request on a connection that was opened for it.
+pub async fn call_on(
+    stream: TcpStream,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: Bytes,
+) -> Result<Answer, hyper::Error> {
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let mut request = Request::post(path).header("host", HOST);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
     }
+    let request = request.body(Full::new(body)).expect("a valid request");
+    let response = sender.send_request(request).await?;
+    let (head, body) = response.into_parts();
+    let body = body.collect().await?.to_bytes();
+    Ok(Answer {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
 }
 
 /// An answer as a caller sees it, whole.
