--- a/crates/bramblewheel-soak/src/traffic.rs
+++ b/crates/bramblewheel-soak/src/traffic.rs
@@ -3,8 +3,9 @@
 use crate::history::{End, History, Kind};
 use bramblewheel_platform_client as wire;
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
@@ -85,20 +86,26 @@
             .body(Full::new(call.body))
             .expect("names and paths are constants and numbers");
         let answer = sender.send_request(request).await;
-        let (head, body) = answer.map_err(|_| NoAnswer::Broken)?.into_parts();
-        let body = body.collect().await.map_err(|_| NoAnswer::Broken)?;
+        let answer = read_whole(answer.map_err(|_| NoAnswer::Broken)?).await?;
         driving.abort();
-        Ok(Answer {
-            status: head.status,
-            headers: head.headers,
-            body: body.to_bytes(),
-        })
+        Ok(answer)
     };
     timeout(longest, asking)
         .await
         .unwrap_or(Err(NoAnswer::Late))
 }
 
+/// Reads an answer to its end.
+async fn read_whole(answer: Response<Incoming>) -> Result<Answer, NoAnswer> {
+    let (head, body) = answer.into_parts();
+    let body = body.collect().await.map_err(|_| NoAnswer::Broken)?;
+    Ok(Answer {
+        status: head.status,
+        headers: head.headers,
+        body: body.to_bytes(),
+    })
+}
+
 /// A connection that a caller keeps for as long as it works.
 pub type KeptConnection = http1::SendRequest<Full<Bytes>>;
 
@@ -137,13 +144,7 @@
             Some(_) => NoAnswer::NotSent,
             None => NoAnswer::Broken,
         })?;
-        let (head, body) = answer.into_parts();
-        let body = body.collect().await.map_err(|_| NoAnswer::Broken)?;
-        Ok(Answer {
-            status: head.status,
-            headers: head.headers,
-            body: body.to_bytes(),
-        })
+        read_whole(answer).await
     };
     let answer = timeout(DEADLINE + MARGIN, asking)
         .await
