--- a/crates/bramblewheel-proxy/src/control/content_reports.rs
+++ b/crates/bramblewheel-proxy/src/control/content_reports.rs
@@ -5,6 +5,7 @@
 use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_protocol::control::{ReplyBody, RequestBody};
 use bramblewheel_protocol::routing::ContentReport;
+use slog::Logger;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -27,6 +28,7 @@
 #[derive(Clone, Debug)]
 pub struct ContentReporter {
     seen: mpsc::Sender<Seen>,
+    log: Logger,
 }
 
 /// What is to be brought to the group.
@@ -37,9 +39,9 @@
 
 impl ContentReporter {
     /// A reporter, and what [`run`] takes.
-    pub fn new() -> (Self, WaitingReports) {
+    pub fn new(log: Logger) -> (Self, WaitingReports) {
         let (sender, seen) = mpsc::channel(MAX_WAITING);
-        (Self { seen: sender }, WaitingReports { seen })
+        (Self { seen: sender, log }, WaitingReports { seen })
     }
 
     /// The local endpoint ended without a word.
@@ -56,7 +58,9 @@
 
     /// Beyond the bound a report is left out: more ends of the same endpoint follow if there is a cause.
     fn send(&self, seen: Seen) {
-        let _ = self.seen.try_send(seen);
+        if let Err(error) = self.seen.try_send(seen) {
+            slog::warn!(self.log, "report on contents left out"; "reason" => %error);
+        }
     }
 }
 
--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -104,7 +104,7 @@
         let clock = Clock::start();
         let local = Arc::new(LocalEndpoint::default());
         let control = Arc::new(ControlGroup::new(settings.replicas.clone()));
-        let (reporter, reports) = ContentReporter::new();
+        let (reporter, reports) = ContentReporter::new(log.clone());
         let (registrar, recording) = Registrar::new(
             Arc::clone(&local),
             Arc::clone(&control),
