Sight: what is used of the bound on repeats, by service; runs that are repeated

Metrics by service and reason, gauges of the bound, a line a second while anything is repeated; a request that an endpoint got before says so to the next endpoint's daemon. No change of logic.

--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -15,7 +15,7 @@
 use crate::inbound::Inbound;
 use crate::local::LocalEndpoint;
 use crate::metrics::Metrics;
-use crate::outbound::{Outbound, caller_rest};
+use crate::outbound::{Outbound, bound_watch, caller_rest};
 use crate::settings::Settings;
 use crate::shared::{Routing, Shared, TenantAccess};
 use arc_swap::ArcSwapOption;
@@ -153,6 +153,7 @@
         background.spawn(watcher.run());
         background.spawn(Renewer::new(Arc::clone(&shared), incarnation).run());
         background.spawn(content_reports::run(Arc::clone(&shared), reports));
+        background.spawn(bound_watch::run(Arc::clone(&shared)));
         background.spawn(serve_metrics(metrics, Arc::clone(&shared)));
         let stop = watch::Sender::new(false);
         let mut servers = JoinSet::new();
--- a/crates/bramblewheel-proxy/src/decide/retry_budget.rs
+++ b/crates/bramblewheel-proxy/src/decide/retry_budget.rs
@@ -33,6 +33,19 @@
     pub window: Duration,
 }
 
+/// What a daemon has used of its part of the bound for one service, in the window that ends now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BoundUse {
+    /// The service.
+    pub service: ServiceName,
+    /// First sends.
+    pub first_sends: u32,
+    /// Repeated sends.
+    pub repeats: u32,
+    /// Repeated sends that the daemon allows itself.
+    pub allowed: f64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     begun: Timestamp,
@@ -85,13 +98,32 @@
         self.withdraw_part(now, service, FAILURE_PART)
     }
 
-    fn withdraw_part(&mut self, now: Timestamp, service: &ServiceName, part: f64) -> bool {
+    /// What is used of the bound for each service that was sent anything within the window.
+    pub fn uses(&mut self, now: Timestamp) -> Vec<BoundUse> {
+        let services: Vec<ServiceName> = self.services.keys().cloned().collect();
+        let uses = services.iter().map(|service| self.use_of(now, service));
+        uses.collect()
+    }
+
+    /// What is used of the bound for one service.
+    pub fn use_of(&mut self, now: Timestamp, service: &ServiceName) -> BoundUse {
         self.bucket(now, service);
         let buckets = &self.services[service];
         let first_sends: u32 = buckets.iter().map(|bucket| bucket.first_sends).sum();
         let repeats: u32 = buckets.iter().map(|bucket| bucket.repeats).sum();
         let share = self.terms.slack * SLACK_PART / f64::from(self.daemons);
-        let allowed = self.terms.ratio * RATIO_PART * f64::from(first_sends) + share;
+        BoundUse {
+            service: service.clone(),
+            first_sends,
+            repeats,
+            allowed: self.terms.ratio * RATIO_PART * f64::from(first_sends) + share,
+        }
+    }
+
+    fn withdraw_part(&mut self, now: Timestamp, service: &ServiceName, part: f64) -> bool {
+        let BoundUse {
+            repeats, allowed, ..
+        } = self.use_of(now, service);
         if f64::from(repeats) + 1.0 > allowed * part {
             return false;
         }
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -135,6 +135,9 @@
         return Dispatched::Without(AttemptResult::Full).into();
     }
     permit.sent();
+    if handover.repeated > 0.0 {
+        shared.metrics.repeated_runs.inc();
+    }
     let received = match exchange::send(&pool, outgoing, address).await {
         Ok(received) => received,
         Err(NoAnswer::NotSent) => {
--- a/crates/bramblewheel-proxy/src/metrics.rs
+++ b/crates/bramblewheel-proxy/src/metrics.rs
@@ -1,40 +1,74 @@
 //! Counters and histograms of a daemon, as text in the format of OpenMetrics.
 
+use crate::decide::retry_budget::BoundUse;
 use crate::wire::AttemptResult;
 use bramblewheel_process::invariants::lock;
+use bramblewheel_types::ServiceName;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 /// Upper ends of the buckets of answer times, in seconds.
 const BUCKETS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
 /// Routes with labels of their own; the others share one.
 const MAX_ROUTES: usize = 64;
-/// Label of the routes beyond that.
-const OTHER_ROUTES: &str = "other";
+/// Services with labels of their own; the others share one.
+const MAX_SERVICES: usize = 64;
+/// Label of the routes and services beyond that.
+const OTHERS: &str = "other";
 
-type RouteOutcome = Vec<(&'static str, String)>;
+type Labels = Vec<(&'static str, String)>;
 type Result = Vec<(&'static str, &'static str)>;
 
+/// Names that have a label of their own; bounded, whatever tables come.
+#[derive(Debug)]
+struct KnownNames {
+    most: usize,
+    names: Mutex<HashSet<String>>,
+}
+
+impl KnownNames {
+    fn at_most(most: usize) -> Self {
+        let names = Mutex::default();
+        Self { most, names }
+    }
+
+    fn label(&self, name: &str) -> String {
+        let mut names = lock(&self.names);
+        if names.contains(name) {
+            return name.to_owned();
+        }
+        if names.len() >= self.most {
+            return OTHERS.to_owned();
+        }
+        names.insert(name.to_owned());
+        name.to_owned()
+    }
+}
+
 /// Counters and histograms of a daemon.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    routes: Mutex<HashMap<String, ()>>,
-    requests: Family<RouteOutcome, Counter>,
-    seconds: Family<RouteOutcome, Histogram, fn() -> Histogram>,
+    routes: KnownNames,
+    services: KnownNames,
+    requests: Family<Labels, Counter>,
+    seconds: Family<Labels, Histogram, fn() -> Histogram>,
     attempts: Family<Result, Counter>,
     inbound: Family<Result, Counter>,
-    /// Sends after the first.
-    pub repeats: Counter,
-    /// Sends that the retry budget forbade.
-    pub over_budget: Counter,
+    repeats: Family<Labels, Counter>,
+    over_budget: Family<Labels, Counter>,
+    bound_used: Family<Labels, Gauge<f64, AtomicU64>>,
+    bound_allowed: Family<Labels, Gauge<f64, AtomicU64>>,
+    /// Requests sent to the local endpoint that an endpoint had got before.
+    pub repeated_runs: Counter,
     /// Requests refused here since endpoints refuse their like.
     pub refused_early: Counter,
     /// Requests without a key that somebody holds.
@@ -69,13 +103,17 @@
     fn default() -> Self {
         let mut metrics = Self {
             registry: Registry::default(),
-            routes: Mutex::default(),
+            routes: KnownNames::at_most(MAX_ROUTES),
+            services: KnownNames::at_most(MAX_SERVICES),
             requests: Family::default(),
             seconds: Family::new_with_constructor(histogram),
             attempts: Family::default(),
             inbound: Family::default(),
-            repeats: Counter::default(),
-            over_budget: Counter::default(),
+            repeats: Family::default(),
+            over_budget: Family::default(),
+            bound_used: Family::default(),
+            bound_allowed: Family::default(),
+            repeated_runs: Counter::default(),
             refused_early: Counter::default(),
             unauthorized: Counter::default(),
             over_quota: Counter::default(),
@@ -119,14 +157,29 @@
         );
         registry.register(
             "bramblewheel_repeats",
-            "Sends after the first",
+            "Sends after one that an endpoint got or may have got, by service and how that one ended",
             self.repeats.clone(),
         );
         registry.register(
             "bramblewheel_over_budget",
-            "Sends that the retry budget forbade",
+            "Repeated sends that the bound on them forbade, by service and how the send before ended",
             self.over_budget.clone(),
         );
+        registry.register(
+            "bramblewheel_retry_bound_used",
+            "Repeated sends within the window that ends now, by service",
+            self.bound_used.clone(),
+        );
+        registry.register(
+            "bramblewheel_retry_bound_allowed",
+            "Repeated sends that this daemon allows itself in that window, by service",
+            self.bound_allowed.clone(),
+        );
+        registry.register(
+            "bramblewheel_repeated_runs",
+            "Requests sent to the local endpoint that an endpoint had got before",
+            self.repeated_runs.clone(),
+        );
         registry.register(
             "bramblewheel_refused_early",
             "Requests refused by the caller's daemon since endpoints refuse their like",
@@ -191,7 +244,7 @@
 
     /// Counts a request that was answered.
     pub fn request(&self, route: &str, outcome: &'static str, time: Duration) {
-        let route = self.label(route);
+        let route = self.routes.label(route);
         let labels = vec![("route", route.clone()), ("outcome", outcome.to_owned())];
         self.requests.get_or_create(&labels).inc();
         let labels = vec![("route", route)];
@@ -199,17 +252,29 @@
         seconds.observe(time.as_secs_f64());
     }
 
-    /// Labels are bounded, whatever tables come.
-    fn label(&self, route: &str) -> String {
-        let mut routes = lock(&self.routes);
-        if routes.contains_key(route) {
-            return route.to_owned();
-        }
-        if routes.len() >= MAX_ROUTES {
-            return OTHER_ROUTES.to_owned();
-        }
-        routes.insert(route.to_owned(), ());
-        route.to_owned()
+    /// Counts a send after one that an endpoint got or may have got, and that ended so.
+    pub fn repeat(&self, service: &ServiceName, after: AttemptResult) {
+        let labels = self.repeat_labels(service, after);
+        self.repeats.get_or_create(&labels).inc();
+    }
+
+    /// Counts a repeated send that the bound forbade.
+    pub fn over_budget(&self, service: &ServiceName, after: AttemptResult) {
+        let labels = self.repeat_labels(service, after);
+        self.over_budget.get_or_create(&labels).inc();
+    }
+
+    fn repeat_labels(&self, service: &ServiceName, after: AttemptResult) -> Labels {
+        let service = self.services.label(service.as_str());
+        vec![("service", service), ("after", after.as_str().to_owned())]
+    }
+
+    /// Shows what is used of the bound on repeated sends.
+    pub fn show_bound(&self, bound: &BoundUse) {
+        let labels = vec![("service", self.services.label(bound.service.as_str()))];
+        let used = f64::from(bound.repeats);
+        self.bound_used.get_or_create(&labels).set(used);
+        self.bound_allowed.get_or_create(&labels).set(bound.allowed);
     }
 
     /// Counts a send that has ended.
--- /dev/null
+++ b/crates/bramblewheel-proxy/src/outbound/bound_watch.rs
@@ -0,0 +1,32 @@
+//! Shows what is used of the bound on repeated sends: in metrics, and in the log while anything is repeated.
+
+use crate::decide::retry_budget::BoundUse;
+use crate::shared::Shared;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two looks: a tenth of the shortest window in use, so that a breach is seen to build up.
+const LOOK_PERIOD: Duration = Duration::from_secs(1);
+
+/// Looks at the bound for as long as the daemon runs; never returns.
+pub async fn run(shared: Arc<Shared>) {
+    let mut looks = tokio::time::interval(LOOK_PERIOD);
+    loop {
+        looks.tick().await;
+        let now = shared.clock.now();
+        let uses = shared.routing().budget.uses(now);
+        for bound in &uses {
+            shared.metrics.show_bound(bound);
+            if bound.repeats > 0 {
+                log(&shared, bound);
+            }
+        }
+    }
+}
+
+fn log(shared: &Shared, bound: &BoundUse) {
+    slog::info!(shared.log, "retry bound"; "service" => %bound.service,
+        "first_sends" => bound.first_sends, "repeats" => bound.repeats,
+        "allowed" => format_args!("{:.1}", bound.allowed),
+        "repeated_runs_here" => shared.metrics.repeated_runs.get());
+}
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -216,7 +216,7 @@
                 tried.push(choice.endpoint.clone());
             }
             let begun = self.shared.clock.now();
-            let sent = self.send(&choice, outgoing, deadline, counts.waited);
+            let sent = self.send(&choice, outgoing, deadline, &counts);
             let dispatched = sent.await;
             let result = dispatched.result();
             if result == AttemptResult::Rejected && !rejected_by.contains(&choice.endpoint) {
@@ -301,7 +301,7 @@
         choice: &Choice,
         outgoing: &mut Outgoing,
         deadline: Timestamp,
-        waited: Duration,
+        counts: &Counts,
     ) -> Dispatched {
         let route = &self.route.route;
         let begun = self.shared.clock.now();
@@ -313,11 +313,12 @@
             route: self.class,
             objective: route.objective.min(route.timeout),
             remaining,
-            wait: longest_wait(route.objective, remaining).saturating_sub(waited),
+            wait: longest_wait(route.objective, remaining).saturating_sub(counts.waited),
             caller: self.caller(),
             is_nested: self.is_nested,
             tenant: self.from.as_ref().map(|from| from.tenant.header.clone()),
             content: Some(self.content),
+            repeated: if counts.arrivals > 0 { 1.0 } else { 0.0 },
         };
         let mut open = OpenSend {
             shared: self.shared,
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod attempt;
+pub mod bound_watch;
 mod call;
 mod ending;
 pub mod liveness;
--- a/crates/bramblewheel-proxy/src/outbound/repeat.rs
+++ b/crates/bramblewheel-proxy/src/outbound/repeat.rs
@@ -104,10 +104,10 @@
         };
         drop(routing);
         if is_allowed {
-            self.shared.metrics.repeats.inc();
+            self.shared.metrics.repeat(service, result);
             return true;
         }
-        self.shared.metrics.over_budget.inc();
+        self.shared.metrics.over_budget(service, result);
         false
     }
 }
--- a/crates/bramblewheel-proxy/src/wire.rs
+++ b/crates/bramblewheel-proxy/src/wire.rs
@@ -28,6 +28,8 @@
 const TENANT: HeaderName = HeaderName::from_static("bw-for-tenant");
 /// Digest of the request's content, in hexadecimal digits.
 const CONTENT: HeaderName = HeaderName::from_static("bw-content");
+/// Thousandths of the request that count as repeated: all where an endpoint got it before.
+const REPEATED: HeaderName = HeaderName::from_static("bw-repeated");
 /// How the attempt ended at the other daemon.
 const RESULT: HeaderName = HeaderName::from_static("bw-result");
 /// On an answer: the request's route is called by endpoints only. On a request: it is made by one.
@@ -66,6 +68,8 @@
     pub tenant: Option<HeaderValue>,
     /// What the request has in common with its other tries; none from a daemon of an earlier version.
     pub content: Option<ContentDigest>,
+    /// Part of the request that counts as repeated, between 0 and 1: 1 where an endpoint got it before.
+    pub repeated: f64,
 }
 
 /// A request from another daemon lacks something that it must have.
@@ -91,13 +95,15 @@
         set_or_remove(headers, &CONTENT, content.as_ref());
         let nested = self.is_nested.then(|| HeaderValue::from_static(YES));
         set_or_remove(headers, &NESTED, nested.as_ref());
+        let repeated = repeated_value(self.repeated);
+        set_or_remove(headers, &REPEATED, repeated.as_ref());
     }
 
     /// Removes what only daemons may set from a request of a caller.
     pub fn strip(headers: &mut HeaderMap) {
         for name in [
             ENDPOINT, RANK, ROOT_RANK, ROUTE, OBJECTIVE, REMAINING, WAIT, CALLER, TENANT, NESTED,
-            CONTENT,
+            CONTENT, REPEATED,
         ] {
             headers.remove(name);
         }
@@ -143,10 +149,32 @@
             is_nested: headers.remove(NESTED).is_some(),
             tenant: headers.remove(TENANT),
             content: read_content(headers.remove(CONTENT))?,
+            repeated: read_repeated(headers.remove(REPEATED))?,
         })
     }
 }
 
+/// Thousandths of a request that is repeated in part; none for one that is not.
+fn repeated_value(repeated: f64) -> Option<HeaderValue> {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a part is between 0 and 1"
+    )]
+    let thousandths = (repeated.clamp(0.0, 1.0) * 1_000.0).round() as u32;
+    (thousandths > 0).then(|| HeaderValue::from(thousandths))
+}
+
+fn read_repeated(told: Option<HeaderValue>) -> Result<f64, InvalidHandover> {
+    if told.is_none() {
+        return Ok(0.0);
+    }
+    let thousandths = number(told).and_then(|told| u16::try_from(told).ok());
+    let thousandths = thousandths.filter(|told| *told <= 1_000);
+    let thousandths = thousandths.ok_or(InvalidHandover("bw-repeated"))?;
+    Ok(f64::from(thousandths) / 1_000.0)
+}
+
 /// Rank of the tree; that of the request itself where a daemon of an earlier version does not tell it.
 fn read_root_rank(told: Option<HeaderValue>, own_rank: u32) -> Result<u32, InvalidHandover> {
     if told.is_none() {
--- a/crates/bramblewheel-proxy/tests/wire.rs
+++ b/crates/bramblewheel-proxy/tests/wire.rs
@@ -20,6 +20,7 @@
         is_nested: true,
         tenant: Some(HeaderValue::from_static("stall-7")),
         content: Some(ContentDigest(0x0123_4567_89ab_cdef)),
+        repeated: 0.125,
     }
 }
 
