--- /dev/null
+++ b/crates/bramblewheel-proxy/tests/repeat_bound/judge.rs
@@ -0,0 +1,99 @@
+//! Counts arrivals at endpoints and requests, and compares them with the bound in every window.
+
+use crate::shape::{SECONDS, TERMS};
+
+/// Time between two windows that are looked at, in milliseconds.
+const STEP_MILLIS: u64 = 100;
+
+/// Arrivals beyond the first of their request, against what is allowed, in one window of one service.
+#[derive(Clone, Debug)]
+pub struct Margin {
+    pub service: usize,
+    /// End of the window.
+    pub end_millis: u64,
+    pub extra: usize,
+    pub requests: usize,
+    pub allowed: f64,
+}
+
+impl Margin {
+    pub fn used(&self) -> f64 {
+        self.extra as f64 / self.allowed
+    }
+
+    pub fn is_kept(&self) -> bool {
+        self.extra as f64 <= self.allowed
+    }
+
+    pub fn worst_of(margins: impl Iterator<Item = Margin>) -> Margin {
+        let worst = margins.max_by(|one, other| one.used().total_cmp(&other.used()));
+        worst.expect("something was played")
+    }
+}
+
+/// What reached one service.
+#[derive(Debug, Default)]
+struct Counted {
+    /// Times of requests that callers and first runs made.
+    requests: Vec<u64>,
+    /// Times of arrivals beyond the first of their request, or of calls of repeated runs.
+    extra: Vec<u64>,
+}
+
+/// What reached all services.
+#[derive(Debug)]
+pub struct Judge {
+    services: Vec<Counted>,
+}
+
+impl Judge {
+    pub fn new(services: usize) -> Self {
+        Self {
+            services: (0..services).map(|_| Counted::default()).collect(),
+        }
+    }
+
+    pub fn request(&mut self, at: u64, service: usize) {
+        self.services[service].requests.push(at);
+    }
+
+    pub fn extra_arrival(&mut self, at: u64, service: usize) {
+        self.services[service].extra.push(at);
+    }
+
+    pub fn worst_margin(&self) -> Margin {
+        let services = 0..self.services.len();
+        Margin::worst_of(services.flat_map(|service| self.margins(service)))
+    }
+
+    fn margins(&self, service: usize) -> impl Iterator<Item = Margin> + '_ {
+        let window = TERMS.window.as_millis() as u64;
+        let counted = &self.services[service];
+        (0..=SECONDS * 1_000)
+            .step_by(STEP_MILLIS as usize)
+            .map(move |end| {
+                let extra = within(&counted.extra, end, window);
+                // Those of the window, of the one before it or of the one half a window before it.
+                let ends = [
+                    end,
+                    end.saturating_sub(window / 2),
+                    end.saturating_sub(window),
+                ];
+                let requests = ends.map(|end| within(&counted.requests, end, window));
+                let requests = requests.into_iter().max().unwrap_or_default();
+                Margin {
+                    service,
+                    end_millis: end,
+                    extra,
+                    requests,
+                    allowed: TERMS.ratio * requests as f64 + TERMS.slack,
+                }
+            })
+    }
+}
+
+/// How many of these times lie in the window before `end`; they are in order.
+fn within(times: &[u64], end: u64, window: u64) -> usize {
+    let begin = end.saturating_sub(window);
+    times.partition_point(|at| *at < end) - times.partition_point(|at| *at < begin)
+}
