Planned stops: refuse callers in the second half of the grace time

Cause: new requests were taken until a second before the end by force, and what was in progress then got half a second. Ruled out: the readiness answer, which is heeded by callers that ask; those that keep a connection open go on until the process is gone.

Change: in the second half of the grace time callers are refused as not run, with a time to come back of 10 to 60 ms, since other daemons serve them; calls of the local endpoint go on, since they belong to requests in progress.

--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -16,6 +16,7 @@
 use crate::local::LocalEndpoint;
 use crate::metrics::Metrics;
 use crate::outbound::{Outbound, bound_watch, caller_rest};
+use crate::planned_stop;
 use crate::settings::Settings;
 use crate::shared::{Routing, Shared, TenantAccess};
 use arc_swap::ArcSwapOption;
@@ -25,7 +26,7 @@
 use slog::Logger;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use thiserror::Error;
@@ -50,15 +51,6 @@
 };
 /// Time between two looks for connections that were idle for long.
 const POOL_CHECK_PERIOD: Duration = Duration::from_secs(2);
-/// Time in which whoever asks whether the daemon is ready learns that it is not: two questions.
-const NOTICE_TIME: Duration = Duration::from_millis(2_300);
-/// Time without a request after which nobody is taken to be sending any more.
-const QUIET_TIME: Duration = Duration::from_millis(250);
-/// Part of the grace time that is left for the end of connections.
-const END_TIME: Duration = Duration::from_millis(1_000);
-/// Time between two looks at what is in progress during a stop.
-const STOP_CHECK_PERIOD: Duration = Duration::from_millis(50);
-
 /// A daemon can't start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -135,6 +127,7 @@
             metrics: Metrics::default(),
             active: Default::default(),
             is_stopping: AtomicBool::new(false),
+            refuses_callers: AtomicBool::new(false),
             settings,
             clock,
             local,
@@ -201,25 +194,10 @@
     /// are closed.
     pub async fn stop(mut self) {
         let begun = Instant::now();
-        let grace = self.shared.settings.stop_grace.saturating_sub(END_TIME);
-        slog::info!(self.shared.log, "stopping"; "active" => self.shared.active.count());
-        self.shared.is_stopping.store(true, Ordering::Relaxed);
-        self.shared.local.stop();
-        let mut quiet_since = Instant::now();
-        loop {
-            tokio::time::sleep(STOP_CHECK_PERIOD).await;
-            if self.shared.active.count() > 0 {
-                quiet_since = Instant::now();
-            }
-            let is_noticed = begun.elapsed() >= NOTICE_TIME;
-            let is_quiet = quiet_since.elapsed() >= QUIET_TIME;
-            if begun.elapsed() >= grace || (is_noticed && is_quiet) {
-                break;
-            }
-        }
+        let end = planned_stop::until_quiet(&self.shared).await;
         self.stop.send_replace(true);
         let ended = async { while self.servers.join_next().await.is_some() {} };
-        let is_clean = tokio::time::timeout(END_TIME / 2, ended).await.is_ok();
+        let is_clean = tokio::time::timeout_at(begun + end, ended).await.is_ok();
         slog::info!(self.shared.log, "stopped"; "active" => self.shared.active.count(),
             "all_connections_ended" => is_clean);
     }
--- a/crates/bramblewheel-proxy/src/outbound/call.rs
+++ b/crates/bramblewheel-proxy/src/outbound/call.rs
@@ -150,8 +150,7 @@
     /// Only what may have run uses up the quota.
     fn settle_quota(&self, ended: &Final) {
         let let_in = self.from.as_ref().and_then(|from| from.let_in);
-        let has_not_run = matches!(ended, Final::NotRun { .. } | Final::Quarantined);
-        if let (true, Some(let_in)) = (has_not_run, let_in) {
+        if let (true, Some(let_in)) = (ended.has_not_run(), let_in) {
             self.shared.tenant_access().quotas.take_back(let_in);
         }
     }
@@ -195,6 +194,10 @@
         if is_quarantined(self.shared, &self.id, Some(self.content)) {
             return Final::Quarantined;
         }
+        // Calls of the local endpoint belong to requests that are in progress.
+        if !self.is_nested && self.shared.refuses_callers.load(Ordering::Relaxed) {
+            return Final::Stopping;
+        }
         if self.is_refused_early() {
             return self.not_run();
         }
--- a/crates/bramblewheel-proxy/src/outbound/ending.rs
+++ b/crates/bramblewheel-proxy/src/outbound/ending.rs
@@ -17,6 +17,8 @@
     },
     /// The request has not run and never will: endpoints end under its content.
     Quarantined,
+    /// The request has not run and never will: the daemon is about to end.
+    Stopping,
     /// The request may have run; its answer is lost.
     Unknown,
     /// The time is over, and the request may have run.
@@ -24,6 +26,14 @@
 }
 
 impl Final {
+    /// Whether the request has not run and never will.
+    pub(super) fn has_not_run(&self) -> bool {
+        match self {
+            Self::NotRun { .. } | Self::Quarantined | Self::Stopping => true,
+            Self::Answered(_) | Self::Unknown | Self::TimedOut => false,
+        }
+    }
+
     /// Name in logs and metrics.
     pub(super) fn as_str(&self) -> &'static str {
         match self {
@@ -31,6 +41,7 @@
             Self::Answered(_) => "failed",
             Self::NotRun { .. } => "not-run",
             Self::Quarantined => "quarantined",
+            Self::Stopping => "stopping",
             Self::Unknown => "unknown",
             Self::TimedOut => "timed-out",
         }
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -39,6 +39,8 @@
 /// Part of its objective by which a caller comes back later where all of its like are refused; less where a
 /// part is.
 const LATER_PART_WHEN_REFUSED: f64 = 1.0;
+/// Times after which callers of a daemon that stops may come back: at once, elsewhere, but not all in one moment.
+const STOPPING_RETRY_MILLIS: std::ops::Range<u32> = 10..60;
 /// Times after which the callers of a tenant that has used up its quota may come back, besides that by
 /// which they come later.
 const OVER_QUOTA_RETRY_MILLIS: std::ops::Range<u32> = 150..500;
@@ -151,6 +153,7 @@
                 self.refused(objective.mul_f64(part + LATER_PART_WHEN_REFUSED * refused_part))
             }
             Final::Quarantined => self.refused(QUARANTINE_TIME),
+            Final::Stopping => self.refusal(Duration::ZERO, STOPPING_RETRY_MILLIS),
             Final::Unknown => empty(StatusCode::BAD_GATEWAY),
             Final::TimedOut => empty(StatusCode::GATEWAY_TIMEOUT),
         }
--- a/crates/bramblewheel-proxy/src/outbound/room.rs
+++ b/crates/bramblewheel-proxy/src/outbound/room.rs
@@ -83,7 +83,11 @@
             Final::NotRun { .. } if lock(&self.full_service).is_some() => {
                 Some(RoomFound::NoneThere)
             }
-            Final::NotRun { .. } | Final::Quarantined | Final::Unknown | Final::TimedOut => None,
+            Final::NotRun { .. }
+            | Final::Quarantined
+            | Final::Stopping
+            | Final::Unknown
+            | Final::TimedOut => None,
         }
     }
 
--- a/crates/bramblewheel-proxy/src/shared.rs
+++ b/crates/bramblewheel-proxy/src/shared.rs
@@ -102,6 +102,8 @@
     pub active: ActiveRequests,
     /// Whether a planned stop has begun.
     pub is_stopping: AtomicBool,
+    /// Whether new requests of callers are refused, since they might not end before the daemon does.
+    pub refuses_callers: AtomicBool,
     /// Log.
     pub log: Logger,
 }
