--- a/crates/bramblewheel-proxy/src/decide/retry_bound.rs
+++ b/crates/bramblewheel-proxy/src/decide/retry_bound.rs
@@ -45,6 +45,20 @@
     Failed,
 }
 
+/// Whether a request is sent again.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RepeatDecision {
+    /// It is, and counts.
+    Allowed,
+    /// Too much of the bound is used where the calls go that would be made again.
+    UsedBelow {
+        /// The used part.
+        part: f64,
+    },
+    /// The budget has nothing left for such a request.
+    UsedUp(BoundUse),
+}
+
 #[derive(Clone, Copy, Debug)]
 struct ToldUse {
     at: Timestamp,
@@ -99,16 +113,17 @@
         !is_refused
     }
 
-    /// Whether a request of a route may be sent again; counts it then.
-    pub fn may_repeat(
+    /// Whether a request of a route is sent again; counts it then.
+    pub fn decide_repeat(
         &mut self,
         now: Timestamp,
         service: &ServiceName,
         route: u64,
         reason: RepeatReason,
-    ) -> bool {
-        if self.used_below(now, route) >= MOST_USED_BELOW {
-            return false;
+    ) -> RepeatDecision {
+        let used_below = self.used_below(now, route);
+        if used_below >= MOST_USED_BELOW {
+            return RepeatDecision::UsedBelow { part: used_below };
         }
         let part = match reason {
             RepeatReason::Unanswered { is_important: true } => 1.0,
@@ -117,7 +132,11 @@
             } => LESS_IMPORTANT_PART,
             RepeatReason::Failed => FAILURE_PART,
         };
-        self.budget.withdraw(now, service, part)
+        if self.budget.withdraw(now, service, part) {
+            RepeatDecision::Allowed
+        } else {
+            RepeatDecision::UsedUp(self.budget.use_of(now, service))
+        }
     }
 
     /// Notes what an endpoint's daemon told with an answer: the used part of the bound where the calls go
--- a/crates/bramblewheel-proxy/src/outbound/repeat.rs
+++ b/crates/bramblewheel-proxy/src/outbound/repeat.rs
@@ -1,8 +1,9 @@
 //! Whether a request is sent once more after a send that ended without a success.
 
-use crate::decide::retry_bound::RepeatReason;
+use crate::decide::retry_bound::{RepeatDecision, RepeatReason};
 use crate::decide::tenants::is_most_important;
 use crate::http::exchange::Outgoing;
+use crate::inbound::dispatch::text;
 use crate::outbound::call::Call;
 use crate::outbound::ending::is_proved_not_run;
 use crate::wire::AttemptResult;
@@ -87,35 +88,51 @@
         if !may_run_again || counts.arrivals >= most {
             return false;
         }
-        let is_short_below = lock(&self.last_told).short_below.is_some();
+        let Some(reason) = self.repeat_reason(service, result) else {
+            return false;
+        };
         let now = self.shared.clock.now();
         let mut routing = self.shared.routing();
-        let is_allowed = match result {
-            // All its calls would be made again, of which one has just found no room.
-            AttemptResult::Answered if is_short_below => false,
-            // Where many fail the cause lies deeper, and a repeat adds to it.
-            AttemptResult::Answered => {
-                routing.directory.failed_share(now, service) < RARE_FAILURES
-                    && routing.retry_bound.may_repeat(
-                        now,
-                        service,
-                        self.class,
-                        RepeatReason::Failed,
-                    )
+        let bound = &mut routing.retry_bound;
+        let decision = bound.decide_repeat(now, service, self.class, reason);
+        drop(routing);
+        self.note_repeat(service, result, &decision);
+        decision == RepeatDecision::Allowed
+    }
+
+    /// Why the request is to be sent again; none if that would help nobody.
+    fn repeat_reason(&self, service: &ServiceName, result: AttemptResult) -> Option<RepeatReason> {
+        if result != AttemptResult::Answered {
+            let is_important = is_most_important(self.root_rank);
+            return Some(RepeatReason::Unanswered { is_important });
+        }
+        // All its calls would be made again, of which one has just found no room.
+        if lock(&self.last_told).short_below.is_some() {
+            return None;
+        }
+        let now = self.shared.clock.now();
+        let failed = self.shared.routing().directory.failed_share(now, service);
+        // Where many fail the cause lies deeper, and a repeat adds to it.
+        (failed < RARE_FAILURES).then_some(RepeatReason::Failed)
+    }
+
+    fn note_repeat(&self, service: &ServiceName, after: AttemptResult, decision: &RepeatDecision) {
+        let metrics = &self.shared.metrics;
+        match decision {
+            RepeatDecision::Allowed => metrics.repeat(service, after),
+            RepeatDecision::UsedBelow { part } => {
+                metrics.over_budget(service, after);
+                slog::info!(self.shared.log, "repeat refused"; "id" => text(&self.id),
+                    "service" => %service, "used_below" => format_args!("{part:.2}"));
             }
-            _ => {
-                let is_important = is_most_important(self.root_rank);
-                let reason = RepeatReason::Unanswered { is_important };
-                let bound = &mut routing.retry_bound;
-                bound.may_repeat(now, service, self.class, reason)
+            RepeatDecision::UsedUp(bound) => {
+                metrics.over_budget(service, after);
+                slog::info!(self.shared.log, "repeat refused"; "id" => text(&self.id),
+                    "service" => %service, "used" => format_args!("{:.1}", bound.used()),
+                    "calls_of_repeats" => format_args!("{:.1}", bound.calls_of_repeats),
+                    "allowed" => format_args!("{:.1}", bound.allowed),
+                    "root_rank" => self.root_rank);
             }
-        };
-        drop(routing);
-        if is_allowed {
-            self.shared.metrics.repeat(service, result);
-            return true;
         }
-        self.shared.metrics.over_budget(service, result);
-        false
     }
 }
--- a/crates/bramblewheel-proxy/tests/failures.rs
+++ b/crates/bramblewheel-proxy/tests/failures.rs
@@ -2,7 +2,7 @@
 
 use bramblewheel_protocol::routing::{EndpointNews, EndpointRecord, EndpointState};
 use bramblewheel_proxy::decide::directory::{Directory, LoadReport, SendEnd};
-use bramblewheel_proxy::decide::retry_bound::{RepeatReason, RetryBound};
+use bramblewheel_proxy::decide::retry_bound::{RepeatDecision, RepeatReason, RetryBound};
 use bramblewheel_proxy::decide::retry_budget::{FirstSend, RetryTerms};
 use bramblewheel_types::{DaemonId, EndpointId, Millis, ServiceName, Timestamp, ZoneName};
 use rand::{RngExt, SeedableRng};
@@ -149,7 +149,10 @@
     for _ in 0..1_000 {
         assert!(bound.may_begin(now, &kassa(), send, 0.0));
     }
-    let mut may_repeat = |reason| bound.may_repeat(now, &kassa(), 1, reason);
+    let mut may_repeat = |reason| {
+        let decision = bound.decide_repeat(now, &kassa(), 1, reason);
+        decision == RepeatDecision::Allowed
+    };
     let failures = (0..1_000)
         .filter(|_| may_repeat(RepeatReason::Failed))
         .count();
--- a/crates/bramblewheel-proxy/tests/repeat_bound/fleet.rs
+++ b/crates/bramblewheel-proxy/tests/repeat_bound/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::judge::Judge;
 use crate::shape::{Calls, SECONDS, Shape, TERMS};
-use bramblewheel_proxy::decide::retry_bound::{RepeatReason, RetryBound};
+use bramblewheel_proxy::decide::retry_bound::{RepeatDecision, RepeatReason, RetryBound};
 use bramblewheel_proxy::decide::retry_budget::FirstSend;
 use bramblewheel_proxy::decide::running_requests::{RunningId, RunningRequest, RunningRequests};
 use bramblewheel_types::{ServiceName, Timestamp};
@@ -431,7 +431,7 @@
         };
         let route = route_of(call.service, call.makes_calls);
         let bound = &mut self.daemons[call.daemon].bound;
-        bound.may_repeat(at(now), service, route, reason)
+        bound.decide_repeat(at(now), service, route, reason) == RepeatDecision::Allowed
     }
 
     fn call_ended(&mut self, now: u64, id: CallId, is_success: bool) {
