--- a/deploy/regression.sh
+++ b/deploy/regression.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the regression sites of docs/REGRESSION.md on the users' bench: score, hunt or small.
+# Plays the regression sites of docs/REGRESSION.md on the users' bench: score, hunt, deadly or small.
 # BENCH names the bench's program, SYSTEM the folder with the folders of sites, WHY the reason, JOBS how
 # many days are played side by side.
 set -u
@@ -31,9 +31,20 @@
     for site in $large $grown $further_grown; do play "$site" hunt "$SYSTEM/$site.toml" --days 8; done
     for site in $first $further; do play "$site" hunt "$SYSTEM/$site.toml" --days 40; done
     ;;
+  # Requests that end endpoints; days drawn by seed.
+  deadly)
+    for site in $first $further; do
+      echo "== deadly $site"
+      python3 deploy/deadly.py "$BENCH" "$SYSTEM/$site.toml" --days 8 || failed=1
+    done
+    for site in $shifted $grown $further_grown $large; do
+      echo "== deadly $site"
+      python3 deploy/deadly.py "$BENCH" "$SYSTEM/$site.toml" --days 2 || failed=1
+    done
+    ;;
   small) for site in $large; do play "$site" score "$SYSTEM/$site.toml" --small; done ;;
   *)
-    echo "usage: regression.sh score|hunt|small" >&2
+    echo "usage: regression.sh score|hunt|deadly|small" >&2
     exit 2
     ;;
 esac
