Command line: what a fleet used of the bound on repeats, from logs; causes of refused repeats and of planned stops

retry-bound adds up the lines of all daemons per service and second and names the peak and who used it; explain tells a call refused for the bound and a caller refused by a stopping daemon.

--- a/crates/bramblewheel/src/commands.rs
+++ b/crates/bramblewheel/src/commands.rs
@@ -47,6 +47,7 @@
         },
         Command::Replay(options) => replay::replay(&options),
         Command::Explain(options) => explain::explain(&options),
+        Command::RetryBound(options) => explain::retry_bound(&options),
     }
 }
 
--- a/crates/bramblewheel/src/commands/explain.rs
+++ b/crates/bramblewheel/src/commands/explain.rs
@@ -1,18 +1,14 @@
-//! `explain`: one request's timeline and cause, from logs.
+//! `explain` and `retry-bound`: what logs say of one request, and of the bound on repeats.
 
 use crate::error::CommandError;
-use crate::explain::{Timeline, gather};
-use crate::options::ExplainRequest;
+use crate::explain::{LogLine, Timeline, gather, retry_bound};
+use crate::options::{ExplainRequest, RetryBoundLogs};
 use crate::output::print;
 use std::fs;
 use std::path::PathBuf;
 
 pub fn explain(options: &ExplainRequest) -> Result<(), CommandError> {
-    let logs: Vec<(String, String)> = options
-        .logs
-        .iter()
-        .map(read)
-        .collect::<Result<_, CommandError>>()?;
+    let logs = read_all(&options.logs)?;
     let named = logs
         .iter()
         .map(|(name, text)| (name.as_str(), text.as_str()));
@@ -25,6 +21,28 @@
     Ok(())
 }
 
+/// How much of the bound on repeats was used, from the logs of the daemons.
+pub fn retry_bound(options: &RetryBoundLogs) -> Result<(), CommandError> {
+    let logs = read_all(&options.logs)?;
+    let parsed = logs.iter().flat_map(|(name, text)| {
+        let lines = text.lines();
+        lines.filter_map(|line| LogLine::parse(name, line))
+    });
+    let lines: Vec<LogLine> = parsed.collect();
+    let peaks = retry_bound::peaks(&lines);
+    if peaks.is_empty() {
+        let text = "no line tells of a repeat".to_owned();
+        return Err(CommandError::Refused(text));
+    }
+    let described = peaks.iter().map(|peak| format!("{peak}\n"));
+    print(&described.collect::<String>());
+    Ok(())
+}
+
+fn read_all(paths: &[PathBuf]) -> Result<Vec<(String, String)>, CommandError> {
+    paths.iter().map(read).collect()
+}
+
 fn read(path: &PathBuf) -> Result<(String, String), CommandError> {
     let text = fs::read_to_string(path).map_err(|error| CommandError::file(path, error))?;
     let name = path.file_stem().unwrap_or_default();
--- a/crates/bramblewheel/src/explain/cause.rs
+++ b/crates/bramblewheel/src/explain/cause.rs
@@ -38,6 +38,13 @@
         /// Starts of endpoints that ended, as far as they are counted.
         ends: String,
     },
+    /// Its daemon stops and refuses callers: refused before it ran.
+    Stopping,
+    /// A run that is itself a repeat made it, and the bound on repeats was used up.
+    CallOfRepeat {
+        /// The service that it was for.
+        service: String,
+    },
     /// No route in force fits it.
     NoRoute {
         /// Version of the table.
@@ -103,6 +110,11 @@
                 formatter,
                 "kept from endpoints: {ends} of them ended while they ran its content {content}"
             ),
+            Self::Stopping => formatter.write_str("refused at once: its daemon stops"),
+            Self::CallOfRepeat { service } => write!(
+                formatter,
+                "a repeated run made it, and the bound on repeats at {service} was used up"
+            ),
             Self::NoRoute { table } => write!(formatter, "no route in table {table}"),
             Self::CallerLeft => formatter.write_str("its caller went away"),
             Self::Overload { endpoint, load } => {
@@ -160,6 +172,10 @@
                 ends: text(line, "ends"),
             };
         }
+        if let Some(line) = self.last("call of a repeated run refused") {
+            let service = text(line, "service");
+            return Cause::CallOfRepeat { service };
+        }
         if let Some(line) = self.last("no route") {
             let table = text(line, "table");
             return Cause::NoRoute { table };
@@ -176,6 +192,7 @@
                 Cause::EndpointFailed { short }
             }
             Some("timed-out") => Cause::TimedOut,
+            Some("stopping") => Cause::Stopping,
             _ => self.cause_of_attempt(),
         }
     }
--- a/crates/bramblewheel/src/explain/mod.rs
+++ b/crates/bramblewheel/src/explain/mod.rs
@@ -2,6 +2,7 @@
 
 mod cause;
 mod line;
+pub mod retry_bound;
 
 pub use line::LogLine;
 
--- a/crates/bramblewheel/src/help.rs
+++ b/crates/bramblewheel/src/help.rs
@@ -4,7 +4,7 @@
 use crate::options::{
     Arguments, BootstrapGroup, BundleArguments, CheckBundle, ControlArguments, ControlQuery,
     DiffBundles, ExplainRequest, FleetArguments, KeysArguments, NewBundle, NewKey, PublishBundle,
-    ReplaceReplica, ReplayTrace, SignBundle,
+    ReplaceReplica, ReplayTrace, RetryBoundLogs, SignBundle,
 };
 use crate::output;
 use gumdrop::Options;
@@ -210,6 +210,15 @@
             "bramblewheel explain 9c41d07be2a35f68 all-machines.log"
         ]
     ),
+    page!(
+        RetryBoundLogs,
+        ["retry-bound"],
+        "FILE...",
+        "Add up what all daemons used of the bound on repeats, for each service and second, and show\n\
+         for each service the moment at which the largest part was used, and by which processes.\n\
+         From 1.00 on the daemons' own parts are used up; the bound itself is somewhat wider.",
+        &["bramblewheel retry-bound all-machines.log"]
+    ),
 ];
 
 impl Page {
--- a/crates/bramblewheel/src/options.rs
+++ b/crates/bramblewheel/src/options.rs
@@ -34,6 +34,8 @@
     Replay(ReplayTrace),
     #[options(help = "show what logs say of one request, and why it ended so")]
     Explain(ExplainRequest),
+    #[options(help = "show how much of the bound on repeats a fleet used, by service, from logs")]
+    RetryBound(RetryBoundLogs),
 }
 
 /// Arguments of `bundle`.
@@ -337,3 +339,13 @@
     #[options(free, help = "logs of the processes that it passed")]
     pub logs: Vec<PathBuf>,
 }
+
+/// Arguments of `retry-bound`.
+#[derive(Debug, Options)]
+#[options(help = "")]
+pub struct RetryBoundLogs {
+    #[options(help = "print help")]
+    pub help: bool,
+    #[options(free, required, help = "logs of the daemons")]
+    pub logs: Vec<PathBuf>,
+}
--- a/crates/bramblewheel/tests/explain.rs
+++ b/crates/bramblewheel/tests/explain.rs
@@ -155,3 +155,46 @@
         assert!(text.contains(&format!("cause=\"{cause}\"")), "{text}");
     }
 }
+
+/// Lines of two daemons that use up the bound on repeats.
+const RETRY_BOUND_LOG: &str = "retry-bound.txt";
+
+/// The daemons' parts are added up, each by its last line that is fresh: 9 and 21.5 of 42 in the second look.
+#[test]
+fn the_bound_on_repeats_is_added_up_over_the_fleet() {
+    let data = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data");
+    let log = data.join(RETRY_BOUND_LOG).display().to_string();
+    let folder = TempDir::new().expect("a folder");
+    let run = run_in(folder.path(), &["retry-bound", &log]);
+    assert_eq!(run.status, 0, "{}", run.err);
+    let lines: Vec<&str> = run.out.lines().collect();
+    let stock = "service=stock at=1774724342 used_part=0.73 repeats=11 calls_of_repeats=20 allowed=42 processes=2 \
+                 most_by=\"sidecar-north-2 22, sidecar-north-1 9\"";
+    assert_eq!(lines[0], stock);
+    assert!(lines[1].starts_with("service=reports"), "{lines:?}");
+}
+
+#[test]
+fn a_repeat_that_the_bound_forbade_shows_what_was_used() {
+    let (status, text) = explained_from(RETRY_BOUND_LOG, "1f2e");
+    assert_eq!(status, 0, "{text}");
+    assert!(text.contains("repeat refused  used_below=0.74"), "{text}");
+    let cause = "cause=\"the answer of i-a70f233120 was lost\"";
+    assert!(text.contains(cause), "{text}");
+}
+
+#[test]
+fn a_call_of_a_repeated_run_leads_to_the_bound() {
+    let (status, text) = explained_from(RETRY_BOUND_LOG, "3b4c");
+    assert_eq!(status, 0, "{text}");
+    let cause = "cause=\"a repeated run made it, and the bound on repeats at stock was used up\"";
+    assert!(text.contains(cause), "{text}");
+}
+
+#[test]
+fn a_caller_refused_by_a_stopping_daemon_is_told_from_a_want_of_room() {
+    let (status, text) = explained_from(RETRY_BOUND_LOG, "5d6e");
+    assert_eq!(status, 0, "{text}");
+    let cause = "cause=\"refused at once: its daemon stops\"";
+    assert!(text.contains(cause), "{text}");
+}
