--- a/crates/bramblewheel-proxy/tests/sockets/main.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/main.rs
@@ -5,5 +5,6 @@
 mod crashing_requests;
 mod liveness;
 mod requests;
+mod retry_bound;
 mod support;
 mod tenants;
