--- a/deploy/regression.sh
+++ b/deploy/regression.sh
@@ -35,11 +35,11 @@
   deadly)
     for site in $first $further; do
       echo "== deadly $site"
-      python3 deploy/deadly.py "$BENCH" "$SYSTEM/$site.toml" --days 8 || failed=1
+      python3 examples/days/deadly.py "$BENCH" "$SYSTEM/$site.toml" --days 8 || failed=1
     done
     for site in $shifted $grown $further_grown $large; do
       echo "== deadly $site"
-      python3 deploy/deadly.py "$BENCH" "$SYSTEM/$site.toml" --days 2 || failed=1
+      python3 examples/days/deadly.py "$BENCH" "$SYSTEM/$site.toml" --days 2 || failed=1
     done
     ;;
   small) for site in $large; do play "$site" score "$SYSTEM/$site.toml" --small; done ;;
--- a/examples/days/altered.py
+++ b/examples/days/altered.py
@@ -12,12 +12,11 @@
 import concurrent.futures
 import pathlib
 import random
-import re
-import subprocess
 import sys
 import tempfile
 import tomllib
 
+import bench_run
 from variants import dump
 
 # Slots of the narrow service and of the wide one, as parts of what they are.
@@ -70,12 +69,7 @@
 def play(bench, source, folder, seed, day):
     target = folder / f"{source.stem}-altered-{seed}.toml"
     why = f"trial: deployments not seen: {source.stem} altered by seed {seed}, {day}"
-    command = [bench, "run", str(target), day, "--no-cpu", "--why", why]
-    result = subprocess.run(command, capture_output=True, text=True)
-    lines = (result.stdout + result.stderr).splitlines()
-    verdict = next((line for line in lines if line.startswith(day)), " ".join(lines[-3:]))
-    broken = [line for line in lines if re.match(r"[A-Z]+ at ", line)]
-    return f"seed {seed}: {verdict[:110]}", broken
+    return f"seed {seed}", *bench_run.play(bench, target, day, why, ["--no-cpu"])
 
 
 def main():
@@ -88,7 +82,6 @@
     parser.add_argument("--days", default="scale-1,scale-2")
     flags = parser.parse_args()
     seeds = range(flags.first, flags.first + flags.copies)
-    has_broken = False
     with tempfile.TemporaryDirectory() as folder, concurrent.futures.ThreadPoolExecutor(flags.jobs) as pool:
         folder = pathlib.Path(folder)
         for wire in flags.site.parent.glob("*.json"):
@@ -97,9 +90,8 @@
             target = folder / f"{flags.site.stem}-altered-{seed}.toml"
             target.write_text(dump(altered(flags.site, seed)))
         runs = [(seed, day) for seed in seeds for day in flags.days.split(",")]
-        for line, broken in pool.map(lambda run: play(flags.bench, flags.site, folder, *run), runs):
-            print(line, *broken, sep="\n    ", flush=True)
-            has_broken |= bool(broken)
+        played = pool.map(lambda run: play(flags.bench, flags.site, folder, *run), runs)
+        has_broken = bench_run.print_all(played)
     sys.exit(1 if has_broken else 0)
 
 
--- a/deploy/deadly.py
+++ b/examples/days/deadly.py
@@ -12,12 +12,12 @@
 import concurrent.futures
 import pathlib
 import random
-import re
-import subprocess
 import sys
 import tempfile
 import tomllib
 
+import bench_run
+
 
 def drawn_fault(classes, draw):
     at = round(draw.uniform(0.5, 15.0), 2)
@@ -38,12 +38,7 @@
     day = folder / f"deadly-{seed}.toml"
     day.write_text(day_text(site, seed))
     why = f"requests that end endpoints, drawn by seed {seed}"
-    command = [bench, "run", str(source), str(day), "--why", why, *options]
-    result = subprocess.run(command, capture_output=True, text=True)
-    lines = (result.stdout + result.stderr).splitlines()
-    verdict = next((line for line in lines if line.startswith("deadly")), " ".join(lines[-3:]))
-    broken = [line for line in lines if re.match(r"[A-Z]+ at ", line)]
-    return f"seed {seed}: {verdict[:120]}", broken
+    return f"seed {seed}", *bench_run.play(bench, source, day, why, options)
 
 
 def main():
@@ -57,13 +52,10 @@
     flags = parser.parse_args()
     site = tomllib.loads(flags.site.read_text())
     options = ["--no-cpu"] if flags.no_cpu else []
-    has_broken = False
     with tempfile.TemporaryDirectory() as folder, concurrent.futures.ThreadPoolExecutor(flags.jobs) as pool:
         seeds = range(flags.first, flags.first + flags.days)
         played = pool.map(lambda seed: play(flags.bench, flags.site, options, pathlib.Path(folder), site, seed), seeds)
-        for line, broken in played:
-            print(line, *broken, sep="\n    ", flush=True)
-            has_broken |= bool(broken)
+        has_broken = bench_run.print_all(played)
     sys.exit(1 if has_broken else 0)
 
 
--- a/examples/days/variants.py
+++ b/examples/days/variants.py
@@ -13,10 +13,11 @@
 import pathlib
 import random
 import shutil
-import subprocess
 import tempfile
 import tomllib
 
+import bench_run
+
 # Kinds of trouble with the strengths that the bench's list of kinds allows, and their variants.
 FAULTS = [
     ("burst", {"x": 1.6, "for_s": 5.0}, [""]),
@@ -187,13 +188,9 @@
     target = folder / f"{name}.toml"
     target.write_text(dump(site))
     why = f"deployments not seen: {source.stem} as {name}, seed {seed}"
-    command = [bench, "run", str(target), name, "--why", why]
-    result = subprocess.run(command, capture_output=True, text=True)
-    lines = (result.stdout + result.stderr).splitlines()
-    verdict = next((line for line in lines if line.startswith(name)), " ".join(lines[-3:]))
+    verdict, broken = bench_run.play(bench, target, name, why)
     entries = site["day"][0]["plan"] + site["day"][0]["faults"] + [site["day"][0]["closing"]]
     troubles = ", ".join(f"{entry['kind']} {entry.get('how', '')}".strip() for entry in entries)
-    broken = [line for line in lines if line.startswith("rules broken")]
     return verdict, troubles, broken
 
 
