--- a/crates/bramblewheel-proxy/tests/quarantine_fleet.rs
+++ b/crates/bramblewheel-proxy/tests/quarantine_fleet.rs
@@ -46,6 +46,8 @@
     LocalOnly,
     /// All that ran at an end is blamed, whether it ends well or not.
     BlameAll,
+    /// As the product, but what was lost is never sent on by its daemon.
+    NeverSentOn,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -85,6 +87,8 @@
     fatal_ends: Vec<u64>,
     /// Sends of it that reached an endpoint.
     fatal_sends: Vec<u64>,
+    /// Other requests that were lost with endpoints until their callers gave up.
+    given_up: u32,
     /// First and last refusal of each content that ends well.
     refused: std::collections::BTreeMap<ContentDigest, (u64, u64)>,
 }
@@ -201,7 +205,7 @@
         let is_dropped = match self.variant {
             Variant::NoMemory => true,
             Variant::BlameAll => matches!(report, ContentReport::EndedWell { .. }),
-            Variant::Product | Variant::LocalOnly => false,
+            Variant::Product | Variant::LocalOnly | Variant::NeverSentOn => false,
         };
         if is_dropped {
             return;
@@ -344,7 +348,8 @@
     /// Sent on by its daemon, then again by its caller, elsewhere.
     fn lost(&mut self, mut what: Try) {
         let is_suspect = self.daemons[what.entry].view.is_watched(what.content);
-        if what.sends < MAX_SENDS && !is_suspect {
+        let is_sent_on = self.variant != Variant::NeverSentOn;
+        if is_sent_on && what.sends < MAX_SENDS && !is_suspect {
             return self.later(1..10, Message::Again(what));
         }
         if what.tries < MAX_TRIES {
@@ -352,6 +357,8 @@
             what.sends = 0;
             what.entry = self.random.random_range(0..self.daemons.len());
             self.later(50..300, Message::Again(what));
+        } else if what.content != FATAL {
+            self.found.given_up += 1;
         }
     }
 
@@ -417,6 +424,28 @@
     assert!(refused_in_calm <= 1, "{refused_in_calm} refused without it");
 }
 
+/// What sending on a lost request is worth: the ends that it adds, against the requests of others whose callers
+/// give up. Both ways find the fatal request out.
+#[test]
+fn lost_requests_are_sent_on_at_the_cost_of_few_ends() {
+    let figures = |variant| {
+        let runs = (0..SEEDS).map(|seed| Fleet::new(variant, seed).run());
+        let sums = runs.map(|found| (found.fatal_ends.len(), found.given_up));
+        sums.fold((0, 0), |sum, run| (sum.0 + run.0, sum.1 + run.1))
+    };
+    let (ends, given_up) = figures(Variant::Product);
+    let (ends_alone, given_up_alone) = figures(Variant::NeverSentOn);
+    println!(
+        "sent on: {ends} ends, {given_up} others given up; never: {ends_alone} and {given_up_alone}"
+    );
+    assert_eq!(breaches(Variant::NeverSentOn, SEEDS), []);
+    assert!(
+        given_up * 2 < given_up_alone,
+        "{given_up}, {given_up_alone}"
+    );
+    assert!(ends <= ends_alone * 3 / 2, "{ends}, {ends_alone}");
+}
+
 #[test]
 fn unsafe_variants_are_caught() {
     for variant in [Variant::NoMemory, Variant::LocalOnly, Variant::BlameAll] {
