Logs and metrics tell where a caller's service came from

Callers' requests reached endpoints under the name of a service that their machine does not run, and no log line or metric could tell whether a heartbeat, a record taken over at the daemon's start or the request itself brought the name.

- `request ended` and `attempt failed` have `caller`: the service that is set as the caller's.
- `caller is of no known service` at the endpoint's daemon: the name came with the request.
- `endpoint adopted` has the service.
- Counters bramblewheel_identity_mismatches{differs} and bramblewheel_unknown_callers.

Who runs on a machine is one type, MachineIdentity, made from the settings; the settings file gains the endpoint's address. It only compares here: what a heartbeat changes is as before. Recorded log lines and metrics are extended, none is changed.

--- a/crates/bramblewheel-decisions/src/lib.rs
+++ b/crates/bramblewheel-decisions/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod exemption;
 pub mod fading_share;
 pub mod incarnations;
+pub mod machine_identity;
 pub mod nested_routes;
 pub mod quarantine;
 pub mod request_class;
--- a/crates/bramblewheel-decisions/src/table/router.rs
+++ b/crates/bramblewheel-decisions/src/table/router.rs
@@ -7,7 +7,7 @@
 use crate::tenants::TenantDirectory;
 use bramblewheel_protocol::routing::TableVersion;
 use bramblewheel_types::ServiceName;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -27,6 +27,7 @@
     caller_rest: Option<Duration>,
     longest_body: usize,
     tenants: TenantDirectory,
+    services: BTreeSet<ServiceName>,
 }
 
 /// A route in force, with what the choice among its targets needs.
@@ -63,6 +64,7 @@
             caller_rest: table.caller_rest,
             longest_body: table.longest_body.unwrap_or(usize::MAX),
             tenants: TenantDirectory::new(table.tenants),
+            services: table.services.into_keys().collect(),
         }
     }
 
@@ -81,6 +83,11 @@
         &self.tenants
     }
 
+    /// Whether the table names a service.
+    pub fn has_service(&self, service: &ServiceName) -> bool {
+        self.services.contains(service)
+    }
+
     /// Longest body of a request, in bytes.
     pub fn longest_body(&self) -> usize {
         self.longest_body
--- a/crates/bramblewheel-proxy/src/control/mod.rs
+++ b/crates/bramblewheel-proxy/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod content_reports;
 pub mod group;
+pub mod line_limit;
 pub mod registrar;
 pub mod renewal;
 pub mod watch;
--- a/crates/bramblewheel-proxy/src/control/watch.rs
+++ b/crates/bramblewheel-proxy/src/control/watch.rs
@@ -202,7 +202,8 @@
             if let Some(update) = beside.clone().rfind(takes_work) {
                 self.shared.local.adopt(now, &update.record);
                 slog::info!(self.shared.log, "endpoint adopted"; "sequence" => update.record.sequence,
-                    "endpoint" => %update.record.endpoint, "revision" => update.revision);
+                    "endpoint" => %update.record.endpoint, "service" => %update.record.service,
+                    "revision" => update.revision);
             }
         }
         for update in beside {
--- a/crates/bramblewheel-proxy/src/daemon/parts.rs
+++ b/crates/bramblewheel-proxy/src/daemon/parts.rs
@@ -60,7 +60,7 @@
     /// Puts a daemon's state together; `incarnation` also seeds its random choices.
     pub(super) fn new(settings: Settings, incarnation: u64, log: Logger) -> Self {
         let clock = Clock::start();
-        let local = Arc::new(LocalEndpoint::default());
+        let local = Arc::new(LocalEndpoint::new(settings.identity()));
         let control = Arc::new(ControlGroup::new(settings.replicas.clone()));
         let (reporter, reports) = ContentReporter::new(log.clone());
         let endpoint_pools = Arc::new(Pools::new(IDLE_ENDPOINT_CONNECTIONS, clock));
@@ -83,6 +83,7 @@
             endpoint_pools,
             metrics: Metrics::default(),
             in_progress: Default::default(),
+            heartbeat_lines: Default::default(),
             stop: Default::default(),
             settings,
             clock,
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -65,7 +65,8 @@
     outgoing: &mut Outgoing,
     progress: &Progress,
 ) -> Attempted {
-    let is_likely_nested = note_caller(shared, handover) || handover.is_likely_nested;
+    let id = shared.settings.dialect.id(&outgoing.headers);
+    let is_likely_nested = note_caller(shared, handover, id) || handover.is_likely_nested;
     let Ran {
         dispatched,
         short_downstream,
@@ -106,12 +107,29 @@
     }
 }
 
+/// Logs and counts a request that is said to come from a service which the table in force does not name.
+fn note_unknown_caller(
+    shared: &Shared,
+    handover: &Handover,
+    id: Option<&HeaderValue>,
+    caller: &ServiceName,
+) {
+    let router = shared.router.load();
+    let Some(router) = router.as_ref().filter(|router| !router.has_service(caller)) else {
+        return;
+    };
+    shared.metrics.unknown_callers.inc();
+    slog::info!(shared.log, "caller is of no known service"; "id" => id.map_or("", text),
+        "caller" => %caller, "endpoint" => %handover.endpoint, "table" => router.version().0);
+}
+
 /// Counts where the request came from; returns whether its class is likely called by endpoints only.
-fn note_caller(shared: &Shared, handover: &Handover) -> bool {
+fn note_caller(shared: &Shared, handover: &Handover, id: Option<&HeaderValue>) -> bool {
     let caller = handover.caller.as_ref().and_then(|name| name.to_str().ok());
     let Some(caller) = caller.and_then(|name| ServiceName::new(name).ok()) else {
         return false;
     };
+    note_unknown_caller(shared, handover, id, &caller);
     let mut routing = shared.routing();
     let routing = &mut *routing;
     routing.nested_routes.record(handover.class, &caller);
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -19,6 +19,7 @@
 use bramblewheel_decisions::endpoint_crash::EndpointCrash;
 use bramblewheel_decisions::fading_share::whole_percent;
 use bramblewheel_decisions::incarnations::Origin;
+use bramblewheel_decisions::machine_identity::MachineIdentity;
 use bramblewheel_decisions::request_class::RequestClass;
 use bramblewheel_process::invariants::lock;
 use bramblewheel_protocol::content::ContentDigest;
@@ -77,12 +78,26 @@
 }
 
 /// The endpoint beside the daemon.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LocalEndpoint {
+    identity: MachineIdentity,
     state: Mutex<State>,
 }
 
 impl LocalEndpoint {
+    /// The endpoint of a machine, of which nothing has been heard.
+    pub fn new(identity: MachineIdentity) -> Self {
+        Self {
+            identity,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Who runs on the machine.
+    pub fn identity(&self) -> &MachineIdentity {
+        &self.identity
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         lock(&self.state)
     }
--- a/crates/bramblewheel-proxy/src/metrics.rs
+++ b/crates/bramblewheel-proxy/src/metrics.rs
@@ -7,6 +7,7 @@
 
 use crate::in_progress::{Sender, Stage};
 use crate::wire::AttemptResult;
+use bramblewheel_decisions::machine_identity::IdentityMismatch;
 use bramblewheel_decisions::retry_budget::BoundUse;
 use bramblewheel_process::invariants::lock;
 use bramblewheel_types::ServiceName;
@@ -155,6 +156,14 @@
     pub unreadable: Counter = Counter::default() =>
         "bramblewheel_unreadable":
         "Words of the endpoint left out since they can't be read or placed",
+    /// Heartbeats and records that don't agree with the machine's settings, by what differs.
+    identity_mismatches: Family<FixedLabels, Counter> = Family::default() =>
+        "bramblewheel_identity_mismatches":
+        "Heartbeats and records of endpoints that differ from the machine's settings",
+    /// Requests that are said to come from a service which the table in force does not name.
+    pub unknown_callers: Counter = Counter::default() =>
+        "bramblewheel_unknown_callers":
+        "Requests for the local endpoint whose caller is of no known service",
     /// Heartbeats of the endpoint that the control group did not record in time.
     pub unrecorded: Counter = Counter::default() =>
         "bramblewheel_unrecorded": "Words of the endpoint not recorded in time",
@@ -211,6 +220,12 @@
         self.cut_off.get_or_create(&labels).inc();
     }
 
+    /// Counts a heartbeat or record that differs from the machine's settings.
+    pub fn identity_mismatch(&self, mismatch: IdentityMismatch) {
+        let labels = vec![("differs", mismatch.as_str())];
+        self.identity_mismatches.get_or_create(&labels).inc();
+    }
+
     fn retry_labels(&self, service: &ServiceName, after: AttemptResult) -> Labels {
         let service = self.services.label(service.as_str());
         vec![("service", service), ("after", after.as_str().to_owned())]
--- a/crates/bramblewheel-proxy/src/outbound/attempt.rs
+++ b/crates/bramblewheel-proxy/src/outbound/attempt.rs
@@ -13,7 +13,7 @@
 use crate::wire::{AnswerReport, Handover};
 use bramblewheel_decisions::directory::{AttemptEnd, Choice};
 use bramblewheel_process::invariants::lock;
-use bramblewheel_types::Timestamp;
+use bramblewheel_types::{ServiceName, Timestamp};
 use http::HeaderValue;
 use std::sync::atomic::Ordering;
 
@@ -111,12 +111,12 @@
     }
 
     /// Name of the service on this machine, which the request comes from.
-    fn caller(&self) -> Option<HeaderValue> {
+    pub(super) fn caller(&self) -> Option<HeaderValue> {
         let registered = self.shared.local.record();
         let settings = &self.shared.settings;
         let name = match &registered {
             Some(record) => Some(record.service.as_str()),
-            None => settings.service.as_deref(),
+            None => settings.service.as_ref().map(ServiceName::as_str),
         };
         name.and_then(|name| HeaderValue::try_from(name).ok())
     }
--- a/crates/bramblewheel-proxy/src/outbound/attempts.rs
+++ b/crates/bramblewheel-proxy/src/outbound/attempts.rs
@@ -135,6 +135,7 @@
             "service" => %service, "endpoint" => %choice.endpoint, "result" => result,
             "attempt" => attempts.tried.len(), "again" => decision.is_again(),
             "reason" => decision.as_str(), "content" => %self.content,
+            "caller" => self.caller().as_ref().map_or("", text),
             "left_ms" => Millis::of(self.shared.clock.left_until(self.deadline)).0);
     }
 
--- a/crates/bramblewheel-proxy/src/outbound/caller_request.rs
+++ b/crates/bramblewheel-proxy/src/outbound/caller_request.rs
@@ -178,7 +178,7 @@
                 .map_or("", ServiceName::as_str);
             slog::info!(self.shared.log, "request ended"; "id" => text(&self.id),
                 "route" => &route.name, "table" => self.table.0, "outcome" => outcome,
-                "content" => %self.content,
+                "content" => %self.content, "caller" => self.caller().as_ref().map_or("", text),
                 "after_ms" => Millis::of(time).0, "rank" => self.rank, "root_rank" => self.root_rank,
                 "tenant" => self.tenant_name(), "short" => short);
         }
--- a/crates/bramblewheel-proxy/src/settings.rs
+++ b/crates/bramblewheel-proxy/src/settings.rs
@@ -3,9 +3,10 @@
 //! Owns no file format: the program that starts the daemon reads and checks them.
 
 use crate::dialect::Dialect;
+use bramblewheel_decisions::machine_identity::MachineIdentity;
 use bramblewheel_decisions::retry_budget::RetryBoundSettings;
 use bramblewheel_decisions::tenant_quota::QuotaSettings;
-use bramblewheel_types::{DaemonId, RegionName, ZoneName};
+use bramblewheel_types::{DaemonId, RegionName, ServiceName, ZoneName};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -18,8 +19,10 @@
     pub zone: ZoneName,
     /// Region it runs in.
     pub region: RegionName,
-    /// Name of the service whose endpoint it stands beside, while none has registered.
-    pub service: Option<String>,
+    /// Service of the endpoint that it stands beside; none where there is none.
+    pub service: Option<ServiceName>,
+    /// Where that endpoint listens; none where its heartbeats say so.
+    pub endpoint_address: Option<SocketAddr>,
     /// Listener for requests of callers on this machine.
     pub outbound: SocketAddr,
     /// Listener for requests that other daemons hand over.
@@ -47,6 +50,15 @@
 }
 
 impl Settings {
+    /// Who runs on the daemon's machine.
+    pub fn identity(&self) -> MachineIdentity {
+        MachineIdentity {
+            service: self.service.clone(),
+            zone: self.zone.clone(),
+            endpoint_address: self.endpoint_address,
+        }
+    }
+
     /// What the inbound listener binds.
     pub fn inbound_bound(&self) -> SocketAddr {
         let ip = self.bind.unwrap_or(self.inbound.ip());
--- a/crates/bramblewheel-proxy/src/shared.rs
+++ b/crates/bramblewheel-proxy/src/shared.rs
@@ -5,6 +5,7 @@
 
 use crate::control::content_reports::ContentReporter;
 use crate::control::group::ControlGroup;
+use crate::control::line_limit::LineLimit;
 use crate::http::pool::Pools;
 use crate::in_progress::RequestsInProgress;
 use crate::local::LocalEndpoint;
@@ -104,6 +105,8 @@
     pub metrics: Metrics,
     /// Requests that are not answered.
     pub in_progress: RequestsInProgress,
+    /// Bounds the lines on heartbeats.
+    pub heartbeat_lines: LineLimit,
     /// The planned stop of the daemon.
     pub stop: PlannedStop,
     /// Log.
--- a/crates/bramblewheel-proxy/tests/endpoint_starts.rs
+++ b/crates/bramblewheel-proxy/tests/endpoint_starts.rs
@@ -4,6 +4,7 @@
 //!
 //! Ways that are not safe are played on the same histories, and must be caught.
 
+use bramblewheel_decisions::machine_identity::MachineIdentity;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_proxy::local::{HeartbeatResult, LocalEndpoint};
 use bramblewheel_types::{DaemonId, EndpointId, Millis, ServiceName, Timestamp, ZoneName};
@@ -105,6 +106,15 @@
     }
 }
 
+/// The endpoint of a machine whose settings name its service, zone and address.
+fn local_endpoint() -> LocalEndpoint {
+    LocalEndpoint::new(MachineIdentity {
+        service: Some(ServiceName::new("kassa").expect("a name")),
+        zone: ZoneName::new("north").expect("a name"),
+        endpoint_address: Some(([127, 0, 0, 1], 9001).into()),
+    })
+}
+
 fn record(heartbeat: &Heartbeat, way: Way) -> EndpointRecord {
     let endpoint = EndpointId::new("e").expect("a name");
     let started = (way != Way::StartIgnored).then_some(heartbeat.started);
@@ -128,7 +138,7 @@
 }
 
 fn play(history: &History, way: Way) -> Seen {
-    let local = LocalEndpoint::default();
+    let local = local_endpoint();
     let mut has_left = false;
     let mut last = None;
     let mut open = Vec::new();
--- a/crates/bramblewheel-proxy/tests/local_endpoint.rs
+++ b/crates/bramblewheel-proxy/tests/local_endpoint.rs
@@ -1,9 +1,19 @@
 //! Heartbeats of the endpoint beside a daemon that come late or out of order.
 
+use bramblewheel_decisions::machine_identity::MachineIdentity;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_proxy::local::{HeartbeatResult, LocalEndpoint};
 use bramblewheel_types::{DaemonId, EndpointId, Millis, ServiceName, Timestamp, ZoneName};
 
+/// The endpoint of a machine whose settings name its service, zone and address.
+fn local_endpoint() -> LocalEndpoint {
+    LocalEndpoint::new(MachineIdentity {
+        service: Some(ServiceName::new("kassa").expect("a name")),
+        zone: ZoneName::new("north").expect("a name"),
+        endpoint_address: Some(([127, 0, 0, 1], 9001).into()),
+    })
+}
+
 fn id(name: &str) -> EndpointId {
     EndpointId::new(name).expect("a name")
 }
@@ -35,7 +45,7 @@
 /// has registered: the new one keeps its place.
 #[test]
 fn a_late_word_of_an_earlier_start_changes_nothing() {
-    let local = LocalEndpoint::default();
+    let local = local_endpoint();
     assert_eq!(
         local.take_heartbeat(at(0), &mut ready("old", 1)),
         HeartbeatResult::Changed
@@ -62,7 +72,7 @@
 /// only.
 #[test]
 fn a_start_that_was_displaced_by_mistake_comes_back() {
-    let local = LocalEndpoint::default();
+    let local = local_endpoint();
     local.take_heartbeat(at(0), &mut ready("new", 1));
     local.take_heartbeat(at(1_000), &mut ready("old", 3));
     assert_eq!(current(&local), id("old"));
@@ -81,7 +91,7 @@
 /// Another endpoint answers at the address: the next heartbeat of whoever is there counts at once.
 #[test]
 fn after_a_replacement_was_seen_the_next_word_counts() {
-    let local = LocalEndpoint::default();
+    let local = local_endpoint();
     local.take_heartbeat(at(0), &mut ready("new", 1));
     local.take_heartbeat(at(1_000), &mut ready("old", 3));
     local.was_replaced(&id("old"));
@@ -115,7 +125,7 @@
 #[test]
 fn a_start_under_the_same_name_is_taken_at_once() {
     for ends_as_planned in [false, true] {
-        let local = LocalEndpoint::default();
+        let local = local_endpoint();
         for sequence in 1..20 {
             say(
                 &local,
@@ -159,7 +169,7 @@
         for b in (0..4).filter(|b| *b != a) {
             for c in (0..4).filter(|c| ![a, b].contains(c)) {
                 let d = 6 - a - b - c;
-                let local = LocalEndpoint::default();
+                let local = local_endpoint();
                 say(&local, 0, heartbeat("e", 1_000, 6, EndpointState::Ready));
                 say(&local, 100, heartbeat("e", 2_000, 1, EndpointState::Ready));
                 for (place, number) in [a, b, c, d].into_iter().enumerate() {
@@ -197,7 +207,7 @@
         [2, 1, 0],
     ] {
         for place in 0..=3 {
-            let local = LocalEndpoint::default();
+            let local = local_endpoint();
             let mut heartbeats: Vec<EndpointRecord> =
                 order.iter().map(|number| former[*number].clone()).collect();
             heartbeats.insert(place, heartbeat("e", 2_000, 1, EndpointState::Ready));
@@ -214,7 +224,7 @@
 /// former is silent.
 #[test]
 fn a_start_whose_clock_stepped_back_is_served_after_some_words() {
-    let local = LocalEndpoint::default();
+    let local = local_endpoint();
     say(&local, 0, heartbeat("e", 900_000, 9, EndpointState::Ready));
     let mut opened_at = None;
     for sequence in 1..10 {
@@ -236,7 +246,7 @@
 #[test]
 fn a_burst_of_words_that_were_held_up_opens_nothing() {
     for has_left in [false, true] {
-        let local = LocalEndpoint::default();
+        let local = local_endpoint();
         say(&local, 0, heartbeat("e", 2_000, 1, EndpointState::Ready));
         if has_left {
             say(
@@ -263,7 +273,7 @@
 /// is that of the latest start.
 #[test]
 fn a_word_without_a_start_is_left_out_after_one_with_it() {
-    let local = LocalEndpoint::default();
+    let local = local_endpoint();
     say(&local, 0, heartbeat("e", 2_000, 1, EndpointState::Ready));
     assert_eq!(
         say(&local, 100, ready("e", 50)),
@@ -285,7 +295,7 @@
 /// What runs at a start of the endpoint is given up once a later one is heard, also where its connections stay open.
 #[tokio::test]
 async fn the_wait_for_a_former_start_ends_with_the_first_word_of_a_later_one() {
-    let local = std::sync::Arc::new(LocalEndpoint::default());
+    let local = std::sync::Arc::new(local_endpoint());
     say(&local, 0, heartbeat("e", 1_000, 1, EndpointState::Ready));
     let waiting = std::sync::Arc::clone(&local);
     let former = id("e").started_at(Some(1_000));
--- a/crates/bramblewheel-proxy/tests/pinned_metrics.rs
+++ b/crates/bramblewheel-proxy/tests/pinned_metrics.rs
@@ -1,5 +1,6 @@
 //! Names and labels of the metrics stay as they are: dashboards and alerts of the users hold them.
 
+use bramblewheel_decisions::machine_identity::IdentityMismatch;
 use bramblewheel_decisions::retry_budget::BoundUse;
 use bramblewheel_proxy::in_progress::{Sender, Stage};
 use bramblewheel_proxy::metrics::Metrics;
@@ -8,12 +9,13 @@
 use std::time::Duration;
 
 /// Metrics of a daemon and their kinds, by name.
-const METRICS: [&str; 24] = [
+const METRICS: [&str; 26] = [
     "bramblewheel_attempts counter",
     "bramblewheel_cancelled counter",
     "bramblewheel_cut_off counter",
     "bramblewheel_endpoint_ends counter",
     "bramblewheel_has_lease gauge",
+    "bramblewheel_identity_mismatches counter",
     "bramblewheel_inbound counter",
     "bramblewheel_lost_with_endpoints counter",
     "bramblewheel_over_budget counter",
@@ -30,13 +32,14 @@
     "bramblewheel_retry_bound_used gauge",
     "bramblewheel_table_version gauge",
     "bramblewheel_unauthorized counter",
+    "bramblewheel_unknown_callers counter",
     "bramblewheel_unreadable counter",
     "bramblewheel_unrecorded counter",
     "bramblewheel_without_lease counter",
 ];
 
 /// One line of each metric with labels.
-const LABELLED: [&str; 10] = [
+const LABELLED: [&str; 11] = [
     "bramblewheel_requests_total{route=\"pay\",outcome=\"answered\"} 1",
     "bramblewheel_request_seconds_bucket{le=\"0.05\",route=\"pay\"} 1",
     "bramblewheel_attempts_total{result=\"full\"} 1",
@@ -45,6 +48,7 @@
     "bramblewheel_over_budget_total{service=\"kassa\",after=\"rejected\"} 1",
     "bramblewheel_refused_calls_of_repeats_total{service=\"kassa\"} 1",
     "bramblewheel_cut_off_total{from=\"caller\",stage=\"reading-its-body\"} 1",
+    "bramblewheel_identity_mismatches_total{differs=\"other-service\"} 1",
     "bramblewheel_retry_bound_used{service=\"kassa\"} 3.0",
     "bramblewheel_retry_bound_allowed{service=\"kassa\"} 5.0",
 ];
@@ -59,6 +63,7 @@
     metrics.retry(&service, AttemptResult::Lost);
     metrics.over_budget(&service, AttemptResult::Rejected);
     metrics.refused_call(&service);
+    metrics.identity_mismatch(IdentityMismatch::Service);
     metrics.cut_off(Sender::Caller, Stage::Reading);
     metrics.show_bound(&BoundUse {
         service,
