Red tests: one heartbeat of another endpoint renames a machine's requests and takes its endpoint out of service

What callers saw: endpoints ran requests under the name of a service that their machine does not run.

Ruled out: headers that callers send (0 of 476 requests renamed).

--- /dev/null
+++ b/crates/bramblewheel-proxy/tests/sockets/foreign_heartbeats.rs
@@ -0,0 +1,182 @@
+//! Heartbeats that come to a daemon but are not of the endpoint on its machine.
+//!
+//! What users saw: endpoints ran requests whose caller was named as a service that the machine where they began does
+//! not run.
+
+use crate::support::endpoint::ScriptedEndpoint;
+use crate::support::{Mesh, eventually};
+use bramblewheel_protocol::control::{ReplyBody, RequestBody};
+use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
+use bramblewheel_types::{EndpointId, ServiceName, ZoneName};
+use http::StatusCode;
+
+/// When the endpoint of the tests started, in Unix milliseconds.
+const STARTED: u64 = 1_000_000;
+
+/// A mesh of one daemon whose endpoint has said when it started.
+async fn mesh_with_start() -> Mesh {
+    let mut mesh = Mesh::start(1).await;
+    mesh.restart_under_its_id(0, STARTED).await;
+    let shared = mesh.daemons[0].shared().clone();
+    let is_recorded = || {
+        let record = shared.local.record();
+        record.is_some_and(|record| record.endpoint.started() == Some(STARTED))
+    };
+    eventually(|| is_recorded() && shared.local.is_open()).await;
+    mesh
+}
+
+/// A heartbeat under the id and start of the daemon's own endpoint that names another service.
+fn of_another_service(mesh: &Mesh, service: &str, sequence: u64) -> EndpointRecord {
+    let own = mesh.record(0, EndpointState::Ready, sequence);
+    EndpointRecord {
+        endpoint: own.endpoint.clone().started_at(Some(STARTED)),
+        service: ServiceName::new(service).expect("a name"),
+        ..own
+    }
+}
+
+/// Sends a heartbeat to the daemon, whatever comes of it.
+async fn send(mesh: &Mesh, record: EndpointRecord) {
+    let registrar = mesh.daemons[0].registrar();
+    if record.state == EndpointState::Ready {
+        registrar.ready(record);
+    } else {
+        // Whether the group has recorded it does not matter here.
+        let _ = registrar.end(record).await;
+    }
+}
+
+/// Requests sent one after the other, all of which must be served with the name of the machine's service.
+async fn assert_served(mesh: &Mesh, endpoint: &ScriptedEndpoint, case: &str) {
+    for number in 0..20 {
+        let id = format!("{case}-{number}");
+        let answer = mesh.call(0, "/safe/item", &id).await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK, "{id}");
+    }
+    for arrival in endpoint.arrivals() {
+        let caller = &arrival.headers["bw-caller-service"];
+        assert_eq!(caller, "kassa", "{}", arrival.id);
+    }
+}
+
+#[tokio::test]
+async fn a_heartbeat_of_another_service_renames_no_request() {
+    for (service, sequence) in [("x1925ab", 2), ("pris", 2), ("x1925ab", 1_000_000)] {
+        let mesh = mesh_with_start().await;
+        send(&mesh, of_another_service(&mesh, service, sequence)).await;
+        assert_served(&mesh, &mesh.endpoints[0], service).await;
+    }
+}
+
+#[tokio::test]
+async fn a_heartbeat_of_another_endpoint_takes_none_out_of_service() {
+    let mesh = mesh_with_start().await;
+    let foreign = || of_another_service(&mesh, "x1925ab", 2);
+    let own_start = foreign().endpoint;
+    let cases = [
+        (
+            "far-ahead",
+            EndpointRecord {
+                sequence: 1_000_000,
+                ..foreign()
+            },
+        ),
+        (
+            "later-start",
+            EndpointRecord {
+                endpoint: own_start.clone().started_at(Some(2 * STARTED)),
+                ..foreign()
+            },
+        ),
+        (
+            "other-id",
+            EndpointRecord {
+                endpoint: EndpointId::new("e-9").expect("a name"),
+                ..foreign()
+            },
+        ),
+        (
+            "draining",
+            EndpointRecord {
+                state: EndpointState::Draining,
+                ..foreign()
+            },
+        ),
+        (
+            "other-zone",
+            EndpointRecord {
+                service: ServiceName::new("kassa").expect("a name"),
+                zone: ZoneName::new("south").expect("a name"),
+                endpoint: EndpointId::new("e-8").expect("a name"),
+                ..foreign()
+            },
+        ),
+    ];
+    let mut out_of_service = Vec::new();
+    for (case, record) in cases {
+        let mesh = mesh_with_start().await;
+        send(&mesh, record).await;
+        // The endpoint's own next heartbeat.
+        let next = EndpointRecord {
+            endpoint: own_start.clone(),
+            ..mesh.record(0, EndpointState::Ready, 3)
+        };
+        send(&mesh, next).await;
+        let mut failed = 0;
+        for number in 0..20 {
+            let id = format!("{case}-{number}");
+            let answer = mesh.call(0, "/safe/item", &id).await.expect("an answer");
+            failed += usize::from(answer.status != StatusCode::OK);
+        }
+        if failed > 0 {
+            out_of_service.push(format!("{case}: {failed} of 20 failed"));
+        }
+    }
+    assert!(out_of_service.is_empty(), "{out_of_service:#?}");
+}
+
+/// The control group holds a record of another service beside this daemon, from before such heartbeats were left
+/// out; the daemon starts again and asks the group what it stands beside.
+#[tokio::test]
+async fn a_foreign_record_does_not_come_back_at_a_restart() {
+    let mut mesh = mesh_with_start().await;
+    let foreign = EndpointRecord {
+        endpoint: EndpointId::new("e-9").expect("a name"),
+        ..of_another_service(&mesh, "x1925ab", 1)
+    };
+    let own = EndpointRecord {
+        endpoint: foreign.endpoint.clone(),
+        ..mesh.record(0, EndpointState::Ready, 4)
+    };
+    drop(mesh.daemons.remove(0));
+    let body = RequestBody::RegisterEndpoint(Box::new(foreign.clone()));
+    let reply = mesh.control.request(&body, crate::support::PATIENCE).await;
+    assert_eq!(
+        reply.ok(),
+        Some(ReplyBody::EndpointRegistered(EndpointState::Ready))
+    );
+    let replica = mesh.control.addresses()[0];
+    let daemon = mesh.start_daemon(0, replica).await;
+    let shared = daemon.shared().clone();
+    mesh.daemons.push(daemon);
+    eventually(|| shared.is_ready()).await;
+    let beside = shared.local.record().map(|record| record.service);
+    assert_ne!(
+        beside,
+        Some(foreign.service),
+        "it is not beside this daemon"
+    );
+    let next = EndpointRecord {
+        endpoint: EndpointId::new("e-0")
+            .expect("a name")
+            .started_at(Some(STARTED)),
+        address: shared.settings.inbound,
+        ..own
+    };
+    send(&mesh, next).await;
+    eventually(|| shared.local.is_open()).await;
+    let kassa = ServiceName::new("kassa").expect("a name");
+    eventually(|| shared.routing().directory.endpoints_of(&kassa) == 1).await;
+    assert_served(&mesh, &mesh.endpoints[0], "restarted").await;
+}
