A daemon takes over at its start only an endpoint that its settings name

What callers saw: none of them reported it. A heartbeat of another service that a daemon had taken before came back with its next start, so that its requests went out under the wrong name until the endpoint's next heartbeat.

Cause: the daemon took over the last record that the control group held beside its name, whatever service, zone or address it named.

Why the fix works: the same check as for heartbeats stands in LocalEndpoint::adopt; a record that fails it is logged and counted, and the endpoint's own heartbeat registers it as after any start. The stored records stay readable.

--- a/crates/bramblewheel-proxy/src/control/watch.rs
+++ b/crates/bramblewheel-proxy/src/control/watch.rs
@@ -12,7 +12,7 @@
     EndpointState, EndpointUpdate, QuarantineList, StoredTable, TableVersion, WatchReply,
     WatchRequest,
 };
-use bramblewheel_types::Millis;
+use bramblewheel_types::{Millis, Timestamp};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -184,6 +184,24 @@
             "routes" => routes, "tenants" => tenants, "position" => self.position.index);
     }
 
+    /// Takes over the endpoint that was beside this daemon before its start.
+    fn adopt(&self, now: Timestamp, update: &EndpointUpdate) {
+        let record = &update.record;
+        match self.shared.local.adopt(now, record) {
+            Ok(()) => {
+                slog::info!(self.shared.log, "endpoint adopted"; "sequence" => record.sequence,
+                    "endpoint" => %record.endpoint, "service" => %record.service,
+                    "revision" => update.revision);
+            }
+            Err(mismatch) => {
+                self.shared.metrics.identity_mismatch(mismatch);
+                slog::warn!(self.shared.log, "endpoint not adopted"; "differs" => mismatch.as_str(),
+                    "endpoint" => %record.endpoint, "service" => %record.service,
+                    "revision" => update.revision);
+            }
+        }
+    }
+
     fn apply(&mut self, endpoints: &[EndpointUpdate]) {
         let now = self.shared.clock.now();
         {
@@ -200,10 +218,7 @@
             self.has_adopted = true;
             let takes_work = |update: &&EndpointUpdate| update.record.state == EndpointState::Ready;
             if let Some(update) = beside.clone().rfind(takes_work) {
-                self.shared.local.adopt(now, &update.record);
-                slog::info!(self.shared.log, "endpoint adopted"; "sequence" => update.record.sequence,
-                    "endpoint" => %update.record.endpoint, "service" => %update.record.service,
-                    "revision" => update.revision);
+                self.adopt(now, update);
             }
         }
         for update in beside {
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -155,11 +155,16 @@
         false
     }
 
-    /// Takes over, at the start of the daemon, the endpoint that it stood beside before.
-    pub fn adopt(&self, now: Timestamp, record: &EndpointRecord) {
+    /// Takes over, at the start of the daemon, the endpoint that it stood beside before. What the control group has recorded
+    /// may be of an endpoint that was here earlier, or of none that ever was.
+    ///
+    /// # Errors
+    /// [`IdentityMismatch`] when the record does not agree with the machine's settings; nothing is taken over.
+    pub fn adopt(&self, now: Timestamp, record: &EndpointRecord) -> Result<(), IdentityMismatch> {
+        self.identity.check(record)?;
         let mut state = self.lock();
         if state.current.is_some() {
-            return;
+            return Ok(());
         }
         state.incarnations.adopt(now, &record.endpoint);
         state.queue.set_slots(record.slots);
@@ -170,6 +175,7 @@
             last_heartbeat: None,
             unreachable_until: Timestamp::ZERO,
         });
+        Ok(())
     }
 
     /// Ends with the first heartbeat of a later incarnation of this endpoint: what runs at the earlier one is lost.
--- a/crates/bramblewheel-proxy/tests/sockets/foreign_heartbeats.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/foreign_heartbeats.rs
@@ -148,8 +148,11 @@
     assert!(out_of_service.is_empty(), "{out_of_service:#?}");
 }
 
-/// The control group holds a record of another service beside this daemon, from before such heartbeats were left
-/// out; the daemon starts again and asks the group what it stands beside.
+/// A daemon stood beside a service that its machine does not run from its start on: the control group held a record of it,
+/// from a heartbeat of before, and the daemon took over what the group had recorded without comparing it with its settings.
+///
+/// Evidence: the record is put into the group while the daemon is down; before the fix the daemon names that service as its own
+/// when it is ready.
 #[tokio::test]
 async fn a_foreign_record_does_not_come_back_at_a_restart() {
     let mut mesh = mesh_with_start().await;
