Changed settings change who runs on a machine, at once

What callers would see: with the check of heartbeats against the settings, an endpoint of another service that comes to a machine while its daemon runs is refused until the daemon is started again, since a changed settings file changed the seeds alone.

Cause: service, zone and address were read once, at the start.

Why the fix works: the identity is replaced as a whole, under the lock under which records are checked and taken; an endpoint that does not agree with it takes no work from then on and is told to the group as silent.

--- a/crates/bramblewheel-proxy/src/control/registrar.rs
+++ b/crates/bramblewheel-proxy/src/control/registrar.rs
@@ -7,10 +7,11 @@
 use crate::control::group::ControlGroup;
 use crate::http::pool::Pools;
 use crate::local::{HeartbeatResult, LocalEndpoint};
-use bramblewheel_decisions::machine_identity::IdentityMismatch;
+use bramblewheel_decisions::machine_identity::{IdentityMismatch, MachineIdentity};
 use bramblewheel_process::clock::Clock;
 use bramblewheel_protocol::control::{ReplyBody, RequestBody};
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
+use bramblewheel_types::ServiceName;
 use slog::Logger;
 use std::sync::Arc;
 use std::time::Duration;
@@ -84,6 +85,23 @@
         (registrar, recording)
     }
 
+    /// Takes over who runs on this machine from changed settings.
+    pub fn set_identity(&self, identity: MachineIdentity) {
+        let before = self.local.identity();
+        if *before == identity {
+            return;
+        }
+        slog::info!(self.log, "machine runs another endpoint";
+            "service" => identity.service.as_ref().map_or("", ServiceName::as_str),
+            "before" => before.service.as_ref().map_or("", ServiceName::as_str));
+        let Some(displaced) = self.local.set_identity(identity) else {
+            return;
+        };
+        self.endpoint_pools.forget(displaced.endpoint_address);
+        // The receiver lives as long as the daemon.
+        let _ = self.updates.send(displaced);
+    }
+
     /// Takes a heartbeat of an endpoint that takes work.
     pub fn ready(&self, mut record: EndpointRecord) -> HeartbeatResult {
         let before = self.local.record();
--- a/crates/bramblewheel-proxy/src/control/watch.rs
+++ b/crates/bramblewheel-proxy/src/control/watch.rs
@@ -57,7 +57,7 @@
         let registration = Registration {
             daemon: settings.name.clone(),
             incarnation,
-            zone: settings.zone.clone(),
+            zone: settings.identity.zone.clone(),
             region: settings.region.clone(),
             endpoint: None,
         };
--- a/crates/bramblewheel-proxy/src/daemon/parts.rs
+++ b/crates/bramblewheel-proxy/src/daemon/parts.rs
@@ -60,7 +60,7 @@
     /// Puts a daemon's state together; `incarnation` also seeds its random choices.
     pub(super) fn new(settings: Settings, incarnation: u64, log: Logger) -> Self {
         let clock = Clock::start();
-        let local = Arc::new(LocalEndpoint::new(settings.identity()));
+        let local = Arc::new(LocalEndpoint::new(settings.identity.clone()));
         let control = Arc::new(ControlGroup::new(settings.replicas.clone()));
         let (reporter, reports) = ContentReporter::new(log.clone());
         let endpoint_pools = Arc::new(Pools::new(IDLE_ENDPOINT_CONNECTIONS, clock));
@@ -123,7 +123,7 @@
 
 fn routing(settings: &Settings, clock: Clock, incarnation: u64) -> Routing {
     Routing {
-        directory: Directory::new(settings.zone.clone(), settings.name.clone()),
+        directory: Directory::new(settings.identity.zone.clone(), settings.name.clone()),
         early_refusal: EarlyRefusal::default(),
         nested_routes: Default::default(),
         reported_nested: Default::default(),
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -15,6 +15,7 @@
 
 pub use permit::Permit;
 
+use arc_swap::ArcSwap;
 use bramblewheel_decisions::directory::LoadReport;
 use bramblewheel_decisions::endpoint_crash::EndpointCrash;
 use bramblewheel_decisions::fading_share::whole_percent;
@@ -26,7 +27,7 @@
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, ServiceName, Timestamp};
 use state::{CallWithoutCapacity, Current, State};
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 /// Pause after the endpoint could not be reached, in which nothing is sent to it. Chosen, not measured.
@@ -83,7 +84,8 @@
 /// The endpoint beside the daemon.
 #[derive(Debug)]
 pub struct LocalEndpoint {
-    identity: MachineIdentity,
+    /// Changed only under the lock of the state, so that a record is checked and taken under one identity.
+    identity: ArcSwap<MachineIdentity>,
     state: Mutex<State>,
 }
 
@@ -91,14 +93,30 @@
     /// The endpoint of a machine, of which nothing has been heard.
     pub fn new(identity: MachineIdentity) -> Self {
         Self {
-            identity,
+            identity: ArcSwap::from_pointee(identity),
             state: Mutex::default(),
         }
     }
 
-    /// Who runs on the machine.
-    pub fn identity(&self) -> &MachineIdentity {
-        &self.identity
+    /// Who runs on the machine, as its settings say now.
+    pub fn identity(&self) -> Arc<MachineIdentity> {
+        self.identity.load_full()
+    }
+
+    /// Takes over who runs on the machine from changed settings. An endpoint that does not agree with them takes no work
+    /// from now on; returns its record as silent, for the control group.
+    pub fn set_identity(&self, identity: MachineIdentity) -> Option<EndpointRecord> {
+        let mut state = self.lock();
+        let is_other = |current: &mut Current| identity.check(&current.record).is_err();
+        let displaced = state.current.take_if(is_other);
+        if displaced.is_some() {
+            state.refuse_waiting();
+        }
+        self.identity.store(Arc::new(identity));
+        displaced.map(|displaced| EndpointRecord {
+            state: displaced.record.state.max(EndpointState::Silent),
+            ..displaced.record
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -111,10 +129,10 @@
     /// One that does not agree with the machine's settings is left out before anything is kept of it: its id, start,
     /// sequence number and state say nothing of the endpoint that runs here.
     pub fn take_heartbeat(&self, now: Timestamp, record: &mut EndpointRecord) -> HeartbeatResult {
-        if let Err(mismatch) = self.identity.check(record) {
+        let mut state = self.lock();
+        if let Err(mismatch) = self.identity.load().check(record) {
             return HeartbeatResult::OfAnotherMachine(mismatch);
         }
-        let mut state = self.lock();
         match state.origin(now, record) {
             Origin::Newest(id) => record.endpoint = id,
             Origin::Earlier => return HeartbeatResult::Late,
@@ -161,8 +179,8 @@
     /// # Errors
     /// [`IdentityMismatch`] when the record does not agree with the machine's settings; nothing is taken over.
     pub fn adopt(&self, now: Timestamp, record: &EndpointRecord) -> Result<(), IdentityMismatch> {
-        self.identity.check(record)?;
         let mut state = self.lock();
+        self.identity.load().check(record)?;
         if state.current.is_some() {
             return Ok(());
         }
--- a/crates/bramblewheel-proxy/src/outbound/attempt.rs
+++ b/crates/bramblewheel-proxy/src/outbound/attempt.rs
@@ -113,7 +113,8 @@
     /// Name of the service on this machine, which the request comes from: the settings say it. A heartbeat may be delayed
     /// or sent by another program, so that it never names the caller.
     pub(super) fn caller(&self) -> Option<HeaderValue> {
-        let service = self.shared.local.identity().service.as_ref()?;
+        let identity = self.shared.local.identity();
+        let service = identity.service.as_ref()?;
         let name = HeaderValue::try_from(service.as_str());
         Some(name.expect("names consist of visible ASCII"))
     }
--- a/crates/bramblewheel-proxy/src/settings.rs
+++ b/crates/bramblewheel-proxy/src/settings.rs
@@ -6,7 +6,7 @@
 use bramblewheel_decisions::machine_identity::MachineIdentity;
 use bramblewheel_decisions::retry_budget::RetryBoundSettings;
 use bramblewheel_decisions::tenant_quota::QuotaSettings;
-use bramblewheel_types::{DaemonId, RegionName, ServiceName, ZoneName};
+use bramblewheel_types::{DaemonId, RegionName};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -15,14 +15,11 @@
 pub struct Settings {
     /// Stable name of the daemon.
     pub name: DaemonId,
-    /// Zone it runs in.
-    pub zone: ZoneName,
     /// Region it runs in.
     pub region: RegionName,
-    /// Service of the endpoint that it stands beside; none where there is none.
-    pub service: Option<ServiceName>,
-    /// Where that endpoint listens; none where its heartbeats say so.
-    pub endpoint_address: Option<SocketAddr>,
+    /// Who runs on its machine when it starts; [`LocalEndpoint::identity`](crate::local::LocalEndpoint::identity) says
+    /// who does later.
+    pub identity: MachineIdentity,
     /// Listener for requests of callers on this machine.
     pub outbound: SocketAddr,
     /// Listener for requests that other daemons hand over.
@@ -50,15 +47,6 @@
 }
 
 impl Settings {
-    /// Who runs on the daemon's machine.
-    pub fn identity(&self) -> MachineIdentity {
-        MachineIdentity {
-            service: self.service.clone(),
-            zone: self.zone.clone(),
-            endpoint_address: self.endpoint_address,
-        }
-    }
-
     /// What the inbound listener binds.
     pub fn inbound_bound(&self) -> SocketAddr {
         let ip = self.bind.unwrap_or(self.inbound.ip());
--- a/crates/bramblewheel-proxy/tests/sockets/foreign_heartbeats.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/foreign_heartbeats.rs
@@ -4,9 +4,11 @@
 //! not run.
 
 use crate::support::endpoint::ScriptedEndpoint;
-use crate::support::{Mesh, eventually};
+use crate::support::{Mesh, eventually, identity};
+use bramblewheel_decisions::machine_identity::IdentityMismatch;
 use bramblewheel_protocol::control::{ReplyBody, RequestBody};
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
+use bramblewheel_proxy::local::HeartbeatResult;
 use bramblewheel_types::{EndpointId, ServiceName, ZoneName};
 use http::StatusCode;
 
@@ -195,3 +197,44 @@
     eventually(|| shared.routing().directory.endpoints_of(&kassa) == 1).await;
     assert_served(&mesh, &mesh.endpoints[0], "restarted").await;
 }
+
+/// The machine goes to another service while its daemon runs: the settings say so. The new endpoint is served with its first
+/// heartbeat, requests go out under its service's name, and nothing reaches the endpoint that was there, whose late heartbeats
+/// change nothing.
+#[tokio::test]
+async fn a_machine_that_goes_to_another_service_is_served_with_its_first_heartbeat() {
+    let mesh = Mesh::start(2).await;
+    let (shared, registrar) = (mesh.daemons[0].shared(), mesh.daemons[0].registrar());
+    registrar.set_identity(identity("pris"));
+    assert!(!shared.local.is_open());
+    let late = mesh.record(0, EndpointState::Ready, 9);
+    let of_another = HeartbeatResult::OfAnotherMachine(IdentityMismatch::Service);
+    assert_eq!(registrar.ready(late), of_another);
+    let kassa = ServiceName::new("kassa").expect("a name");
+    let endpoints_of = |service: &ServiceName| {
+        let daemons = mesh.daemons.iter();
+        let counts =
+            daemons.map(|daemon| daemon.shared().routing().directory.endpoints_of(service));
+        counts.collect::<Vec<_>>()
+    };
+    eventually(|| endpoints_of(&kassa) == [1, 1]).await;
+    let new = ScriptedEndpoint::start("n-1").await;
+    let record = EndpointRecord {
+        endpoint: EndpointId::new("n-1").expect("a name"),
+        service: ServiceName::new("pris").expect("a name"),
+        endpoint_address: new.address,
+        ..mesh.record(0, EndpointState::Ready, 1)
+    };
+    assert_eq!(registrar.ready(record.clone()), HeartbeatResult::Changed);
+    eventually(|| shared.local.is_open()).await;
+    eventually(|| endpoints_of(&record.service) == [1, 1]).await;
+    for number in 0..10 {
+        let id = format!("r-{number}");
+        let answer = mesh.call(0, "/safe/item", &id).await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK, "{id}");
+    }
+    assert!(mesh.endpoints[0].arrivals().is_empty());
+    for arrival in mesh.endpoints[1].arrivals() {
+        assert_eq!(arrival.headers["bw-caller-service"], "pris");
+    }
+}
--- a/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
@@ -8,6 +8,7 @@
     AdminSettings, FormationSettings, ListenSettings, LogSettings, SpareSettings, StorageSettings,
     TimingSettings,
 };
+use bramblewheel_decisions::machine_identity::MachineIdentity;
 use bramblewheel_decisions::retry_budget::RetryBoundSettings;
 use bramblewheel_decisions::table::{Route, RouteTable, ServiceSettings, Target};
 use bramblewheel_decisions::tenant_quota::QuotaSettings;
@@ -110,10 +111,8 @@
         let [outbound, inbound, metrics] = claim_addresses();
         let settings = Settings {
             name: DaemonId::new(&format!("daemon-{number}")).expect("a name"),
-            zone: ZoneName::new("north").expect("a name"),
             region: RegionName::new("west").expect("a name"),
-            service: Some(ServiceName::new("kassa").expect("a name")),
-            endpoint_address: None,
+            identity: identity("kassa"),
             outbound,
             inbound,
             bind: None,
@@ -172,7 +171,7 @@
             daemon: settings.name.clone(),
             address: settings.inbound,
             endpoint_address: self.endpoints[number].address,
-            zone: settings.zone.clone(),
+            zone: settings.identity.zone.clone(),
             slots: 8,
             state,
             sequence,
@@ -261,6 +260,15 @@
     }
 }
 
+/// Who runs on the machine of a daemon beside an endpoint of this service.
+pub fn identity(service: &str) -> MachineIdentity {
+    MachineIdentity {
+        service: Some(ServiceName::new(service).expect("a name")),
+        zone: ZoneName::new("north").expect("a name"),
+        endpoint_address: None,
+    }
+}
+
 /// Sends a request on a connection that was opened for it.
 pub async fn call_on(
     stream: TcpStream,
