--- a/crates/bramblewheel-proxy/src/control/registrar.rs
+++ b/crates/bramblewheel-proxy/src/control/registrar.rs
@@ -224,9 +224,9 @@
     }
 
     fn log_heartbeat(&self, record: &EndpointRecord, result: HeartbeatResult) {
-        slog::info!(self.log, "endpoint says"; "endpoint" => %record.endpoint,
+        slog::info!(self.log, "endpoint heartbeat"; "endpoint" => %record.endpoint,
             "service" => %record.service, "state" => ?record.state, "slots" => record.slots,
-            "sequence" => record.sequence, "taken_as" => result.as_str());
+            "sequence" => record.sequence, "result" => result.as_str());
     }
 
     async fn record(
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -63,10 +63,10 @@
     /// Name in logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Known => "Known",
-            Self::Changed => "News",
-            Self::Late => "Late",
-            Self::WithoutStart => "Untold",
+            Self::Known => "known",
+            Self::Changed => "changed",
+            Self::Late => "late",
+            Self::WithoutStart => "missing-start",
             Self::OfAnotherMachine(mismatch) => mismatch.as_str(),
         }
     }
