A deregistration of an endpoint that is not known here keeps nothing at the daemon before it is recorded

What callers would see: 256 deregistrations under made-up ids cleared what a daemon keeps of the order of its endpoint's starts and heartbeats (by reading; not run), so that a delayed heartbeat could count again.

Cause: such a report went through the local endpoint like one of the endpoint itself.

Why the fix works: it goes to the control group alone, which knows the daemon beside the endpoint.

--- a/crates/bramblewheel-proxy/src/control/registrar.rs
+++ b/crates/bramblewheel-proxy/src/control/registrar.rs
@@ -179,7 +179,11 @@
             // A later start has followed, so that the one that leaves is gone already.
             return Ok(());
         }
-        match self.record(&record, END_TIMEOUT).await {
+        self.record_end(&record).await
+    }
+
+    async fn record_end(&self, record: &EndpointRecord) -> Result<(), EndError> {
+        match self.record(record, END_TIMEOUT).await {
             Ok(_) => Ok(()),
             Err(RecordError::Unsettled) => Err(EndError::NotRecorded),
             Err(RecordError::Rejected) => Err(EndError::BesideAnotherDaemon),
@@ -194,13 +198,15 @@
     pub async fn deregister(&self, endpoint: EndpointId) -> Result<(), EndError> {
         let known = self.local.record();
         let known = known.filter(|record| record.endpoint.name() == endpoint.name());
-        let gone = match known {
-            Some(record) => EndpointRecord {
-                endpoint,
-                state: EndpointState::Gone,
-                ..record
-            },
-            None => self.gone_unknown(endpoint)?,
+        let Some(known) = known else {
+            // Anybody can send any id: nothing is kept of it here before the group has recorded it.
+            let gone = self.gone_unknown(endpoint)?;
+            return self.record_end(&gone).await;
+        };
+        let gone = EndpointRecord {
+            endpoint,
+            state: EndpointState::Gone,
+            ..known
         };
         self.end(gone).await
     }
