Soak: readable heartbeats of another writer, and checks that such heartbeats can break

The soak sent heartbeats that can't be read, and readable ones with an early start only, which is left out for that alone; its check of the caller's service could not fail. Now another writer sends readable heartbeats of all forms and deregistrations of endpoints elsewhere, in series and over restarts. New checks: foreign heartbeats are refused, by form; every endpoint has work at the end (a service with three endpoints hides the loss of one). Heartbeats are called so in its code.

--- a/crates/bramblewheel-soak/src/check/mod.rs
+++ b/crates/bramblewheel-soak/src/check/mod.rs
@@ -1,5 +1,6 @@
 //! The promises, checked on what was seen from outside.
 
+mod foreign_heartbeats;
 mod planned_stops;
 
 use crate::history::{At, End, Events, Kind, Order, Request, Run};
@@ -60,6 +61,7 @@
     planned_stops::check(events, &runs, &mut found);
     check_fatal(events, &mut found);
     check_recovery(events, &mut found);
+    foreign_heartbeats::check(events, &mut found);
     found
 }
 
--- a/crates/bramblewheel-soak/src/endpoint/word.rs
+++ b/crates/bramblewheel-soak/src/endpoint/heartbeat.rs
@@ -1,4 +1,4 @@
-//! What an endpoint says of itself to the daemon beside it.
+//! Heartbeats of an endpoint to the daemon beside it.
 
 use crate::traffic::{Call, send};
 use bramblewheel_platform_client as wire;
@@ -13,8 +13,8 @@
 /// Time for the answer to a call of an endpoint.
 pub(super) const ANSWER_TIME: Duration = Duration::from_millis(1_000);
 
-/// What an endpoint says of itself.
-pub(super) struct Word {
+/// Sends the heartbeats of one endpoint in one state.
+pub(super) struct HeartbeatSender {
     pub(super) id: String,
     pub(super) service: &'static str,
     pub(super) address: SocketAddr,
@@ -25,9 +25,9 @@
     pub(super) sequence: Arc<AtomicU64>,
 }
 
-impl Word {
-    /// Returns whether it was acknowledged.
-    pub(super) async fn say(&self) -> bool {
+impl HeartbeatSender {
+    /// Sends the next heartbeat; returns whether it was acknowledged.
+    pub(super) async fn send(&self) -> bool {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let heartbeat = Heartbeat {
             service: self.service,
@@ -36,7 +36,7 @@
             slots: self.slots,
             state: self.state,
             sequence,
-            started: self.started_unix_millis,
+            started: Some(self.started_unix_millis),
         };
         let call = Call {
             method: Method::POST,
--- a/crates/bramblewheel-soak/src/endpoint/mod.rs
+++ b/crates/bramblewheel-soak/src/endpoint/mod.rs
@@ -1,6 +1,6 @@
-//! An endpoint beside a daemon: runs requests, says that it is there, leaves or dies.
+//! An endpoint beside a daemon: runs requests, sends heartbeats, leaves or dies.
 
-mod word;
+mod heartbeat;
 mod work;
 
 use crate::history::{History, Leaving, RunEnd};
@@ -13,6 +13,7 @@
 use axum::response::Response;
 use bramblewheel_platform_client as wire;
 use bytes::Bytes;
+use heartbeat::{ANSWER_TIME, HeartbeatSender};
 use http::{Method, Uri};
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -28,7 +29,6 @@
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
-use word::{ANSWER_TIME, Word};
 use work::OpenRun;
 
 /// Time between two heartbeats.
@@ -92,6 +92,19 @@
     pub seed: u64,
 }
 
+/// What another writer can know of an endpoint.
+#[derive(Clone, Debug)]
+pub struct EndpointIdentity {
+    /// Its id.
+    pub id: String,
+    /// When it started, in Unix milliseconds.
+    pub started_unix_millis: u64,
+    /// Sequence number of its last heartbeat.
+    pub sequence: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
 /// A running endpoint; dropping it is its death.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -162,12 +175,12 @@
             ending,
             _serving: tasks,
         };
-        let beat = endpoint.word("ready");
+        let beat = endpoint.heartbeat_sender("ready");
         let ending = Arc::clone(&endpoint.ending);
         endpoint.beating.spawn(async move {
             while !ending.has_ended.load(Ordering::Relaxed) {
                 // One that is lost is made up for by the next.
-                beat.say().await;
+                beat.send().await;
                 tokio::time::sleep(HEARTBEAT).await;
             }
         });
@@ -179,14 +192,24 @@
         &self.id
     }
 
-    /// Sends words that no endpoint says, under this one's id.
-    pub async fn say_spoiled(&self) {
-        for word in wire::spoiled_words(self.service, self.address) {
+    /// What another writer can know of it.
+    pub fn identity(&self) -> EndpointIdentity {
+        EndpointIdentity {
+            id: self.id.clone(),
+            started_unix_millis: self.started_unix_millis,
+            sequence: self.sequence.load(Ordering::Relaxed),
+            address: self.address,
+        }
+    }
+
+    /// Sends heartbeats that can't be read, under this one's id.
+    pub async fn send_invalid_heartbeats(&self) {
+        for heartbeat in wire::invalid_heartbeats(self.service, self.address) {
             let call = Call {
                 method: Method::POST,
                 path: &wire::heartbeat_path(&self.id),
                 headers: &[("content-type", "application/json")],
-                body: Bytes::from(word),
+                body: Bytes::from(heartbeat),
             };
             // What comes of them shows in what the endpoint gets.
             let _ = send(self.admin, call, ANSWER_TIME).await;
@@ -198,8 +221,8 @@
         self.ending.has_ended.load(Ordering::Relaxed)
     }
 
-    fn word(&self, state: &'static str) -> Word {
-        Word {
+    fn heartbeat_sender(&self, state: &'static str) -> HeartbeatSender {
+        HeartbeatSender {
             id: self.id.clone(),
             service: self.service,
             address: self.address,
@@ -215,9 +238,9 @@
     pub async fn leave(mut self) {
         const TRIES: u32 = 10;
         self.beating.shutdown().await;
-        let word = self.word("draining");
+        let leaving = self.heartbeat_sender("draining");
         for _ in 0..TRIES {
-            if word.say().await {
+            if leaving.send().await {
                 let at = self.history.now();
                 self.history.events().leaving.push(Leaving {
                     endpoint: self.id.clone(),
--- /dev/null
+++ b/crates/bramblewheel-soak/src/foreign.rs
@@ -0,0 +1,207 @@
+//! Another writer: sends heartbeats to a daemon that are not of the endpoint beside it, and deregistrations of endpoints
+//! elsewhere.
+//!
+//! Owns nothing; what is drawn depends on the soak's seed and the step. Relies on the endpoints for what such a writer can know.
+
+use crate::endpoint::EndpointIdentity;
+use crate::fleet::service_of;
+use crate::history::ForeignMessage;
+use crate::plan::{Machine, Step};
+use crate::run::Soak;
+use crate::traffic::{Call, send};
+use bramblewheel_platform_client as wire;
+use bramblewheel_platform_client::Heartbeat;
+use bytes::Bytes;
+use http::Method;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time between two foreign heartbeats.
+const PERIOD: Duration = Duration::from_millis(40);
+/// Time for the answer to one.
+const ANSWER_TIME: Duration = Duration::from_millis(1_000);
+/// Sequence numbers by which a heartbeat is far ahead of the endpoint's own.
+const FAR_AHEAD: u64 = 1_000_000;
+/// Time by which a later start follows the endpoint's own, in milliseconds.
+const LATER: u64 = 600_000;
+/// Slots that a foreign heartbeat states.
+const SLOTS: u32 = 4_000_000_000;
+/// One in so many messages is a deregistration of an endpoint elsewhere.
+const DEREGISTRATION_IN: u32 = 8;
+
+/// Whose id a message names.
+#[derive(Clone, Copy, Debug)]
+enum Id {
+    Own,
+    Elsewhere,
+    Unknown,
+}
+
+/// Which start it names.
+#[derive(Clone, Copy, Debug)]
+enum Start {
+    Missing,
+    Earlier,
+    Same,
+    Later,
+}
+
+/// Which sequence number it has.
+#[derive(Clone, Copy, Debug)]
+enum Sequence {
+    Behind,
+    Next,
+    FarAhead,
+}
+
+/// What one foreign heartbeat says.
+#[derive(Clone, Copy, Debug)]
+struct Form {
+    service: &'static str,
+    id: Id,
+    start: Start,
+    sequence: Sequence,
+    has_own_address: bool,
+    state: &'static str,
+}
+
+/// A value of a list.
+fn one_of<T: Copy>(random: &mut Pcg64Mcg, values: &[T]) -> T {
+    values[random.random_range(0..values.len())]
+}
+
+impl Form {
+    fn draw(random: &mut Pcg64Mcg, other_service: &'static str) -> Self {
+        Self {
+            service: one_of(random, &[wire::UNKNOWN_SERVICE, other_service]),
+            id: one_of(random, &[Id::Own, Id::Elsewhere, Id::Unknown]),
+            start: one_of(
+                random,
+                &[Start::Missing, Start::Earlier, Start::Same, Start::Later],
+            ),
+            sequence: one_of(
+                random,
+                &[Sequence::Behind, Sequence::Next, Sequence::FarAhead],
+            ),
+            has_own_address: random.random_bool(0.5),
+            state: one_of(random, &["ready", "draining"]),
+        }
+    }
+
+    fn id(self, own: &EndpointIdentity, elsewhere: &EndpointIdentity, number: u64) -> String {
+        match self.id {
+            Id::Own => own.id.clone(),
+            Id::Elsewhere => elsewhere.id.clone(),
+            Id::Unknown => format!("w-{number}"),
+        }
+    }
+
+    fn started(self, named: &EndpointIdentity) -> Option<u64> {
+        match self.start {
+            Start::Missing => None,
+            Start::Earlier => Some(1),
+            Start::Same => Some(named.started_unix_millis),
+            Start::Later => Some(named.started_unix_millis + LATER),
+        }
+    }
+
+    fn sequence(self, named: &EndpointIdentity) -> u64 {
+        match self.sequence {
+            Sequence::Behind => 0,
+            Sequence::Next => named.sequence + 1,
+            Sequence::FarAhead => named.sequence + FAR_AHEAD,
+        }
+    }
+}
+
+/// A message of another writer, ready to be sent.
+struct Message {
+    form: String,
+    path: String,
+    body: String,
+}
+
+impl Message {
+    fn draw(
+        random: &mut Pcg64Mcg,
+        own: &EndpointIdentity,
+        elsewhere: &EndpointIdentity,
+        other_service: &'static str,
+    ) -> Self {
+        if random.random_ratio(1, DEREGISTRATION_IN) {
+            return Self {
+                form: "deregistration of an endpoint elsewhere".to_owned(),
+                path: wire::deregister_path(&elsewhere.id),
+                body: wire::leaving_body(elsewhere.started_unix_millis),
+            };
+        }
+        let form = Form::draw(random, other_service);
+        let named = match form.id {
+            Id::Elsewhere => elsewhere,
+            Id::Own | Id::Unknown => own,
+        };
+        let heartbeat = Heartbeat {
+            service: form.service,
+            address: if form.has_own_address {
+                own.address
+            } else {
+                elsewhere.address
+            },
+            zone: "north",
+            slots: SLOTS,
+            state: form.state,
+            sequence: form.sequence(named),
+            started: form.started(named),
+        };
+        Self {
+            form: format!("{form:?}"),
+            path: wire::heartbeat_path(&form.id(own, elsewhere, random.random())),
+            body: heartbeat.body(),
+        }
+    }
+}
+
+impl Soak {
+    /// Sends foreign heartbeats to a daemon for the time of the step.
+    pub(crate) async fn send_foreign_heartbeats(&self, daemon: usize, step: Step) {
+        let at = u64::try_from(step.at.as_millis()).unwrap_or(u64::MAX);
+        let mut random = Pcg64Mcg::seed_from_u64(self.seed ^ at.rotate_left(16));
+        let end = Instant::now() + step.lasts;
+        while Instant::now() < end {
+            tokio::time::sleep(PERIOD).await;
+            let elsewhere = (daemon + random.random_range(1..self.daemons.max(2))) % self.daemons;
+            let own = self.identity_beside(daemon).await;
+            let elsewhere = self.identity_beside(elsewhere).await;
+            let (Some(own), Some(elsewhere)) = (own, elsewhere) else {
+                continue;
+            };
+            let other_service = service_of(daemon + 1, self.services());
+            let message = Message::draw(&mut random, &own, &elsewhere, other_service);
+            self.send_foreign(daemon, message).await;
+        }
+    }
+
+    async fn identity_beside(&self, daemon: usize) -> Option<EndpointIdentity> {
+        let endpoint = self.endpoints[daemon].lock().await;
+        endpoint.as_ref().map(|endpoint| endpoint.identity())
+    }
+
+    async fn send_foreign(&self, daemon: usize, message: Message) {
+        let call = Call {
+            method: Method::POST,
+            path: &message.path,
+            headers: &[("content-type", "application/json")],
+            body: Bytes::from(message.body),
+        };
+        let admin = self.addresses.admin(Machine::Daemon(daemon));
+        let answer = send(admin, call, ANSWER_TIME).await;
+        let is_acknowledged = answer.is_ok_and(|answer| answer.status.is_success());
+        self.history.events().foreign.push(ForeignMessage {
+            daemon,
+            form: message.form,
+            is_acknowledged,
+        });
+    }
+}
--- a/crates/bramblewheel-soak/src/history.rs
+++ b/crates/bramblewheel-soak/src/history.rs
@@ -124,6 +124,17 @@
     pub at: At,
 }
 
+/// What another writer sent to a daemon as of the endpoint beside it, or of one elsewhere.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ForeignMessage {
+    /// Daemon that it was sent to.
+    pub daemon: usize,
+    /// What it said.
+    pub form: String,
+    /// Whether the daemon acknowledged it.
+    pub is_acknowledged: bool,
+}
+
 /// An order of an operator.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -193,6 +204,10 @@
     pub reads: Vec<Read>,
     /// Probes.
     pub probes: Vec<Probe>,
+    /// Heartbeats and deregistrations of another writer.
+    pub foreign: Vec<ForeignMessage>,
+    /// Daemons, each with an endpoint that must have work after the last fault; 0 where that is not checked.
+    pub daemons: usize,
     /// Planned stops.
     pub planned_stops: Vec<PlannedStop>,
     /// When the first fault struck, where service before it is the measure of service after the last; without it, nearly
--- a/crates/bramblewheel-soak/src/lib.rs
+++ b/crates/bramblewheel-soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod check;
 pub mod endpoint;
 pub mod fleet;
+mod foreign;
 pub mod history;
 mod load;
 pub mod operator;
--- a/crates/bramblewheel-soak/src/main.rs
+++ b/crates/bramblewheel-soak/src/main.rs
@@ -98,8 +98,8 @@
         }
     };
     println!(
-        "seed {seed}: {} faults, {} requests ({} served), {} changes of the configuration",
-        verdict.faults, verdict.requests, verdict.served, verdict.orders
+        "seed {seed}: {} faults, {} foreign heartbeats, {} requests ({} served), {} changes of the configuration",
+        verdict.faults, verdict.foreign, verdict.requests, verdict.served, verdict.orders
     );
     for breach in &verdict.breaches {
         println!("BROKEN {breach}");
--- a/crates/bramblewheel-soak/src/plan.rs
+++ b/crates/bramblewheel-soak/src/plan.rs
@@ -20,6 +20,9 @@
 /// Pause between the steps of a series: they come before the one before has taken full effect.
 pub const SERIES_PAUSE: Duration = Duration::from_millis(120);
 
+/// Tells the draws of foreign heartbeats from those of other faults.
+const FOREIGN_SEED: u64 = 1 << 52;
+
 /// A machine of the soak.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Machine {
@@ -64,18 +67,20 @@
     Surge(u32),
     /// Planned stops of all daemons, one after the other before the last has ended; each is started again.
     StopsInTurn,
-    /// The endpoint dies without a word; another one starts beside the daemon.
+    /// The endpoint dies without notice; another one starts beside the daemon.
     EndpointCrash(usize),
     /// The endpoint says that it leaves, serves on and ends; another one starts.
     EndpointLeaves(usize),
-    /// The endpoint dies without a word and starts again under its id after the time.
+    /// The endpoint dies without notice and starts again under its id after the time.
     EndpointRestart(usize),
     /// The endpoint leaves as planned and starts again under its id.
     EndpointRestartAfterLeaving(usize),
     /// All endpoints die at once and start again under their ids after the time.
     AllEndpointsRestart,
-    /// Words that no endpoint says come under the endpoint's id.
-    SpoiledWords(usize),
+    /// Heartbeats that can't be read come under the endpoint's id.
+    InvalidHeartbeats(usize),
+    /// Another writer sends readable heartbeats, which are not of the endpoint on the machine, for the time.
+    ForeignHeartbeats(usize),
 }
 
 /// A fault and its time.
@@ -111,6 +116,7 @@
         lasts: millis(&mut random, 200..1_500),
         fault: Fault::AllEndpointsRestart,
     });
+    steps.extend(foreign_steps(seed, size));
     add_planned_stops(&mut random, size, &mut steps);
     steps.sort_by_key(|step| step.at);
     steps
@@ -171,7 +177,7 @@
             11 => Fault::KillSeries(machine),
             12 | 13 => Fault::EndpointRestart(number),
             14 => Fault::EndpointRestartAfterLeaving(number),
-            15 => Fault::SpoiledWords(number),
+            15 => Fault::InvalidHeartbeats(number),
             _ => Fault::EndpointLeaves(number),
         };
         let lasts = millis(random, 300..4_000);
@@ -181,6 +187,23 @@
     steps
 }
 
+/// Foreign heartbeats come at any time, also while the daemon or a replica is struck, so that they are drawn apart.
+fn foreign_steps(seed: u64, size: Size) -> Vec<Step> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed ^ FOREIGN_SEED);
+    let end = CALM_START + size.length;
+    let mut at = CALM_START;
+    let mut steps = Vec::new();
+    while at < end {
+        at += millis(&mut random, 500..4_000);
+        steps.push(Step {
+            at,
+            lasts: millis(&mut random, 100..4_000),
+            fault: Fault::ForeignHeartbeats(random.random_range(0..size.daemons)),
+        });
+    }
+    steps
+}
+
 /// Every 20 seconds a stop that nothing else is near.
 fn add_planned_stops(random: &mut impl Rng, size: Size, steps: &mut Vec<Step>) {
     const PERIOD: Duration = Duration::from_secs(20);
--- a/crates/bramblewheel-soak/src/run.rs
+++ b/crates/bramblewheel-soak/src/run.rs
@@ -42,6 +42,8 @@
     pub orders: usize,
     /// Faults that struck.
     pub faults: usize,
+    /// Heartbeats and deregistrations that another writer sent.
+    pub foreign: usize,
 }
 
 /// A running soak.
@@ -128,6 +130,9 @@
         events.first_fault = Some(at);
         events.is_overloaded = soak.workload.fills_slots();
     }
+    if matches!(play, Play::Faults) {
+        soak.history.events().daemons = size.daemons;
+    }
     let operating = tokio::spawn(operate(Arc::clone(&soak), operators));
     strike_all(&soak, &steps).await?;
     let calm = soak.history.now();
@@ -282,6 +287,11 @@
         answer.is_ok_and(|answer| answer.status == StatusCode::OK)
     }
 
+    /// Services of the endpoints.
+    pub(crate) fn services(&self) -> usize {
+        self.workload.services
+    }
+
     /// Factor of the usual load.
     pub(crate) fn surge(&self) -> f64 {
         f64::from(self.surge_percent.load(Ordering::Relaxed)) / 100.0
@@ -307,6 +317,7 @@
             served: events.requests.iter().filter(is_served).count(),
             orders: events.orders.iter().filter(is_taken).count(),
             faults,
+            foreign: events.foreign.len(),
         }
     }
 }
--- a/crates/bramblewheel-soak/src/strike.rs
+++ b/crates/bramblewheel-soak/src/strike.rs
@@ -66,12 +66,16 @@
                 self.restart_endpoint(daemon, step.lasts, true).await
             }
             Fault::AllEndpointsRestart => self.restart_all_endpoints(step.lasts).await,
-            Fault::SpoiledWords(daemon) => {
+            Fault::InvalidHeartbeats(daemon) => {
                 if let Some(endpoint) = &*self.endpoints[daemon].lock().await {
-                    endpoint.say_spoiled().await;
+                    endpoint.send_invalid_heartbeats().await;
                 }
                 Ok(())
             }
+            Fault::ForeignHeartbeats(daemon) => {
+                self.send_foreign_heartbeats(daemon, step).await;
+                Ok(())
+            }
         }
     }
 
--- a/crates/bramblewheel-soak/tests/check.rs
+++ b/crates/bramblewheel-soak/tests/check.rs
@@ -3,7 +3,8 @@
 use bramblewheel_platform_client as wire;
 use bramblewheel_soak::check::check;
 use bramblewheel_soak::history::{
-    At, End, Events, Kind, Leaving, Order, PlannedStop, Probe, Read, Request, Run, RunEnd,
+    At, End, Events, ForeignMessage, Kind, Leaving, Order, PlannedStop, Probe, Read, Request, Run,
+    RunEnd,
 };
 use std::time::Duration;
 
@@ -217,3 +218,41 @@
     assert_eq!(fatal_runs(3), few);
     assert_eq!(fatal_runs(4), ["what ends endpoints is kept from them"]);
 }
+
+#[test]
+fn foreign_heartbeats_that_are_taken_are_reported() {
+    let foreign = |is_acknowledged| ForeignMessage {
+        daemon: 0,
+        form: "draining".to_owned(),
+        is_acknowledged,
+    };
+    let refused = changed(|events| events.foreign.push(foreign(false)));
+    assert!(refused.is_empty());
+    let taken = changed(|events| events.foreign.extend([foreign(true), foreign(true)]));
+    assert_eq!(
+        taken,
+        ["foreign heartbeats are refused"],
+        "one for each form"
+    );
+    let renamed = changed(|events| {
+        events.runs[0].caller_service = Some(wire::UNKNOWN_SERVICE.to_owned());
+    });
+    assert_eq!(renamed, ["caller's service"]);
+}
+
+#[test]
+fn an_endpoint_that_gets_no_work_any_more_is_reported() {
+    // Requests run beside daemon 1 alone.
+    let idle = changed(|events| events.daemons = 2);
+    assert_eq!(idle, ["every endpoint has work"]);
+    let late = changed(|events| {
+        events.daemons = 2;
+        let beside = |millis| Run {
+            daemon: 0,
+            ..run("r-3", "e-2", millis)
+        };
+        events.requests[2].kind = Kind::Repeatable;
+        events.runs.push(beside(20_020));
+    });
+    assert!(late.is_empty());
+}
--- a/crates/bramblewheel-soak/tests/plan.rs
+++ b/crates/bramblewheel-soak/tests/plan.rs
@@ -29,7 +29,8 @@
         | Fault::EndpointRestart(_)
         | Fault::EndpointRestartAfterLeaving(_)
         | Fault::AllEndpointsRestart
-        | Fault::SpoiledWords(_)
+        | Fault::InvalidHeartbeats(_)
+        | Fault::ForeignHeartbeats(_)
         | Fault::EndpointCrash(_)
         | Fault::EndpointLeaves(_) => false,
     }
