--- a/crates/bramblewheel-soak/src/endpoint/mod.rs
+++ b/crates/bramblewheel-soak/src/endpoint/mod.rs
@@ -1,5 +1,6 @@
 //! An endpoint beside a daemon: runs requests, sends heartbeats, leaves or dies.
 
+mod broken_body;
 mod heartbeat;
 mod work;
 
@@ -12,6 +13,7 @@
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::Response;
 use bramblewheel_platform_client as wire;
+use broken_body::cut_short;
 use bytes::Bytes;
 use heartbeat::{ANSWER_TIME, HeartbeatSender};
 use http::{Method, Uri};
@@ -335,29 +337,6 @@
     answer.expect("a valid answer")
 }
 
-/// A body that breaks after its first half.
-fn cut_short(body: &str) -> Body {
-    let half = Bytes::copy_from_slice(&body.as_bytes()[..body.len() / 2]);
-    Body::new(Broken(Some(half)))
-}
-
-struct Broken(Option<Bytes>);
-
-impl http_body::Body for Broken {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        _: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<http_body::Frame<Bytes>, io::Error>>> {
-        std::task::Poll::Ready(Some(match self.0.take() {
-            Some(half) => Ok(http_body::Frame::data(half)),
-            None => Err(io::Error::other("cut short")),
-        }))
-    }
-}
-
 impl Serving {
     /// A request of plain callers: short work, and a body that is short but for some.
     async fn run_plain(&self, id: &str, act: Act, open: OpenRun, body: &[u8]) -> Response {
