An endpoint whose record changes its service leaves the lists of the former one: daemons no longer stop

Cause: one heartbeat named another service under the id of an endpoint. The record went to all daemons; each kept the endpoint in the lists of both services, and once it was gone the former list named an id without a record.

Why the fix works: an id leaves the lists of its former service and zone before it enters others, and the record kept is the new one.

--- a/crates/bramblewheel-decisions/src/directory/mod.rs
+++ b/crates/bramblewheel-decisions/src/directory/mod.rs
@@ -119,6 +119,7 @@
     /// Takes over a change of an endpoint.
     pub fn apply(&mut self, now: Timestamp, update: &EndpointUpdate) {
         let record = update.record.clone();
+        self.leave_former_service(&record);
         let is_known = self.endpoints.contains_key(&record.endpoint);
         match record.state {
             EndpointState::Ready => self.join(now, record),
@@ -129,6 +130,22 @@
         }
     }
 
+    /// An id is in the lists of one service and zone only, also where a record names others than the one before it: a choice
+    /// relies on a record for each id in a list.
+    fn leave_former_service(&mut self, record: &EndpointRecord) {
+        let Some(known) = self.endpoints.get_mut(&record.endpoint) else {
+            return;
+        };
+        let former = &known.record;
+        if former.service == record.service && former.zone == record.zone {
+            return;
+        }
+        if let Some(service) = self.by_service.get_mut(&former.service) {
+            service.leave(&record.endpoint, former.zone == self.zone);
+        }
+        known.record = record.clone();
+    }
+
     fn join(&mut self, now: Timestamp, record: EndpointRecord) {
         let service = self.by_service.entry(record.service.clone()).or_default();
         service.join(&record.endpoint, record.zone == self.zone);
