--- a/crates/bramblewheel-soak/src/check/mod.rs
+++ b/crates/bramblewheel-soak/src/check/mod.rs
@@ -62,6 +62,7 @@
     check_fatal(events, &mut found);
     check_recovery(events, &mut found);
     foreign_heartbeats::check(events, &mut found);
+    check_processes(events, &mut found);
     found
 }
 
@@ -232,6 +233,13 @@
     }
 }
 
+fn check_processes(events: &Events, found: &mut Vec<Breach>) {
+    for ended in &events.ended_processes {
+        let said = format!("{:?} at {:?}", ended.machine, ended.at);
+        breach(found, "no process ends by itself", said);
+    }
+}
+
 /// A request under which three endpoints ended reaches them no more once all daemons are in touch again.
 fn check_fatal(events: &Events, found: &mut Vec<Breach>) {
     let is_fatal = |run: &&Run| run.id.starts_with(FATAL_ID);
--- a/crates/bramblewheel-soak/src/history.rs
+++ b/crates/bramblewheel-soak/src/history.rs
@@ -3,6 +3,7 @@
 
 pub use bramblewheel_platform_client::Kind;
 
+use crate::plan::Machine;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -135,6 +136,15 @@
     pub is_acknowledged: bool,
 }
 
+/// A process that ended although nobody had stopped or killed it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndedProcess {
+    /// Where it ran.
+    pub machine: Machine,
+    /// When that was noticed.
+    pub at: At,
+}
+
 /// An order of an operator.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -204,6 +214,8 @@
     pub reads: Vec<Read>,
     /// Probes.
     pub probes: Vec<Probe>,
+    /// Processes that ended by themselves, each time with the machine.
+    pub ended_processes: Vec<EndedProcess>,
     /// Heartbeats and deregistrations of another writer.
     pub foreign: Vec<ForeignMessage>,
     /// Daemons, each with an endpoint that must have work after the last fault; 0 where that is not checked.
--- a/crates/bramblewheel-soak/src/load.rs
+++ b/crates/bramblewheel-soak/src/load.rs
@@ -1,6 +1,6 @@
 //! What goes on during a soak whatever strikes: callers, probes of the configuration, operators.
 
-use crate::history::{Asked, Kind, Probe, Read};
+use crate::history::{Asked, EndedProcess, Kind, Probe, Read};
 use crate::operator::Operators;
 use crate::plan::Size;
 use crate::run::Soak;
@@ -103,6 +103,32 @@
     }
 }
 
+/// Notes processes that end by themselves, and starts them again as whoever runs them does.
+pub(crate) async fn watch_processes(soak: Arc<Soak>) {
+    while !soak.is_over() {
+        tokio::time::sleep(PROBE_PERIOD).await;
+        for (machine, host) in &soak.hosts {
+            // One that is being stopped or killed is no matter of this.
+            let Ok(mut host) = host.try_lock() else {
+                continue;
+            };
+            if !host.has_ended() {
+                continue;
+            }
+            let at = soak.history.now();
+            let ended = EndedProcess {
+                machine: *machine,
+                at,
+            };
+            soak.history.events().ended_processes.push(ended);
+            soak.count_life(*machine);
+            if let Err(error) = host.start() {
+                println!("{machine:?} not started again: {error}");
+            }
+        }
+    }
+}
+
 /// Asks a daemon again and again for routes that came with some version.
 pub(crate) async fn probes(soak: Arc<Soak>, daemon: usize) {
     let mut random = Pcg64Mcg::seed_from_u64(soak.seed ^ (daemon as u64) << 40);
--- a/crates/bramblewheel-soak/src/run.rs
+++ b/crates/bramblewheel-soak/src/run.rs
@@ -4,7 +4,9 @@
 use crate::endpoint::{Endpoint, EndpointSettings};
 use crate::fleet::{Addresses, FleetError, Host, service_of};
 use crate::history::{End, History, Request};
-use crate::load::{callers, fatal_callers, kept_callers, operate, probes, restart_ended};
+use crate::load::{
+    callers, fatal_callers, kept_callers, operate, probes, restart_ended, watch_processes,
+};
 use crate::operator::Operators;
 use crate::plan::{Machine, Size, Step, plan};
 use crate::stop_plan;
@@ -121,6 +123,7 @@
         background.spawn(probes(Arc::clone(&soak), daemon));
         background.spawn(restart_ended(Arc::clone(&soak), daemon));
     }
+    background.spawn(watch_processes(Arc::clone(&soak)));
     if matches!(play, Play::Faults) {
         background.spawn(fatal_callers(Arc::clone(&soak), size));
     }
--- a/crates/bramblewheel-soak/src/strike.rs
+++ b/crates/bramblewheel-soak/src/strike.rs
@@ -111,7 +111,7 @@
         Ok(())
     }
 
-    fn count_life(&self, machine: Machine) {
+    pub(crate) fn count_life(&self, machine: Machine) {
         if let Machine::Daemon(number) = machine {
             self.lives[number].fetch_add(1, Ordering::SeqCst);
         }
--- a/crates/bramblewheel-soak/tests/check.rs
+++ b/crates/bramblewheel-soak/tests/check.rs
@@ -3,9 +3,10 @@
 use bramblewheel_platform_client as wire;
 use bramblewheel_soak::check::check;
 use bramblewheel_soak::history::{
-    At, End, Events, ForeignMessage, Kind, Leaving, Order, PlannedStop, Probe, Read, Request, Run,
-    RunEnd,
+    At, End, EndedProcess, Events, ForeignMessage, Kind, Leaving, Order, PlannedStop, Probe, Read,
+    Request, Run, RunEnd,
 };
+use bramblewheel_soak::plan::Machine;
 use std::time::Duration;
 
 fn at(millis: u64) -> At {
@@ -240,6 +241,16 @@
     assert_eq!(renamed, ["caller's service"]);
 }
 
+#[test]
+fn a_process_that_ends_by_itself_is_reported() {
+    let ended = EndedProcess {
+        machine: Machine::Daemon(1),
+        at: at(700),
+    };
+    let found = changed(|events| events.ended_processes.push(ended));
+    assert_eq!(found, ["no process ends by itself"]);
+}
+
 #[test]
 fn an_endpoint_that_gets_no_work_any_more_is_reported() {
     // Requests run beside daemon 1 alone.
