An endpoint that the group does not know yet is not ended by the word of another daemon

Cause: somebody deregistered it at another daemon while it started. The group knew no daemon beside it, recorded it as gone, and an end is final for a start, so that its own heartbeats never counted.

Why the fix works: a daemon reports an endpoint that it has never heard without slots; the leader rejects such an end unless something is known of the endpoint beside that daemon. A daemon that has started again can still end its own endpoint.

Test: an_endpoint_that_nobody_knows_yet_is_not_ended_by_another_daemon failed before (EndpointRegistered(Gone)).

--- a/crates/bramblewheel-control/src/node/requests.rs
+++ b/crates/bramblewheel-control/src/node/requests.rs
@@ -99,6 +99,11 @@
             let reason = format!("endpoint {endpoint} is beside {daemon}");
             return self.reply(id, ReplyBody::Rejected(reason));
         }
+        if self.state.registry().ends_unknown(&record) {
+            let (endpoint, daemon) = (&record.endpoint, &record.daemon);
+            let reason = format!("no endpoint {endpoint} is known beside {daemon}");
+            return self.reply(id, ReplyBody::Rejected(reason));
+        }
         self.queue.register_endpoint(id, record);
     }
 
--- a/crates/bramblewheel-control/src/state/routing/registry.rs
+++ b/crates/bramblewheel-control/src/state/routing/registry.rs
@@ -99,6 +99,18 @@
         (known.daemon != report.daemon && !is_over).then_some(&known.daemon)
     }
 
+    /// Whether a report ends an endpoint that its daemon has never heard, which it says by stating no slots, and of which
+    /// nothing is known beside that daemon. Recorded, it would close an endpoint that has not registered yet.
+    pub fn ends_unknown(&self, report: &EndpointRecord) -> bool {
+        if !report.state.is_final() || report.slots > 0 {
+            return false;
+        }
+        let mut known = self
+            .starts_of(&report.endpoint)
+            .filter_map(|start| self.endpoint(start));
+        !known.any(|known| known.daemon == report.daemon)
+    }
+
     /// All starts of an endpoint that are known, the earliest first.
     fn starts_of(&self, endpoint: &EndpointId) -> impl DoubleEndedIterator<Item = &EndpointId> {
         let first = endpoint.clone().started_at(None);
--- a/crates/bramblewheel-control/tests/endpoints.rs
+++ b/crates/bramblewheel-control/tests/endpoints.rs
@@ -185,3 +185,36 @@
         assert_eq!(starts(&mut cluster, "e"), known);
     }
 }
+
+/// An endpoint was out of service from its start on: somebody deregistered it at a daemon that is not beside it before it had
+/// registered, the group recorded it as gone, and its own heartbeats never counted.
+///
+/// Evidence: fault soak, seed 7114: one deregistration of an endpoint elsewhere acknowledged while that endpoint started; no request ran
+/// beside its daemon to the end of the run.
+#[test]
+fn an_endpoint_that_nobody_knows_yet_is_not_ended_by_another_daemon() {
+    let without_slots = |record: EndpointRecord| EndpointRecord { slots: 0, ..record };
+    for known in [None, Some(EndpointState::Silent), Some(EndpointState::Gone)] {
+        for started in [2_000, 1_000_000] {
+            let mut cluster = founded(0, 13);
+            if let Some(state) = known {
+                register(&mut cluster, start("e", 1_000, EndpointState::Ready, 1));
+                register(&mut cluster, start("e", 1_000, state, 2));
+            }
+            let end = without_slots(start("e", started, EndpointState::Gone, 0));
+            let report = RequestBody::RegisterEndpoint(Box::new(beside("daemon-2", end)));
+            let reply = cluster.ask_leader(&report);
+            assert!(
+                matches!(reply, ReplyBody::Rejected(_)),
+                "{known:?}: {reply:?}"
+            );
+            let opened = register(&mut cluster, start("e", started, EndpointState::Ready, 1));
+            assert_eq!(opened, EndpointState::Ready, "{known:?}");
+        }
+    }
+    // The daemon beside it may have started again, and does not know it.
+    let mut cluster = founded(0, 14);
+    register(&mut cluster, start("e", 1_000, EndpointState::Ready, 1));
+    let end = without_slots(start("e", 1_000, EndpointState::Gone, 0));
+    assert_eq!(register(&mut cluster, end), EndpointState::Gone);
+}
--- a/crates/bramblewheel-proxy/src/control/registrar.rs
+++ b/crates/bramblewheel-proxy/src/control/registrar.rs
@@ -38,16 +38,16 @@
     /// It is not of the endpoint on this machine.
     #[error(transparent)]
     OfAnotherMachine(IdentityMismatch),
-    /// The endpoint is beside another daemon.
-    #[error("the endpoint is beside another daemon")]
-    BesideAnotherDaemon,
+    /// The control group knows no such endpoint beside this daemon.
+    #[error("no such endpoint is known beside this daemon")]
+    NotBesideThisDaemon,
 }
 
 /// Why the control group has not recorded a report.
 enum RecordError {
     /// No replica has settled it.
     Unsettled,
-    /// It never will: the endpoint is beside another daemon.
+    /// It never will: the endpoint is not beside this daemon.
     Rejected,
 }
 
@@ -186,7 +186,7 @@
         match self.record(record, END_TIMEOUT).await {
             Ok(_) => Ok(()),
             Err(RecordError::Unsettled) => Err(EndError::NotRecorded),
-            Err(RecordError::Rejected) => Err(EndError::BesideAnotherDaemon),
+            Err(RecordError::Rejected) => Err(EndError::NotBesideThisDaemon),
         }
     }
 
@@ -211,7 +211,7 @@
         self.end(gone).await
     }
 
-    /// The record of an endpoint of this machine that has left and is not known here.
+    /// The record of an endpoint of this machine that has left and is not known here: without slots.
     fn gone_unknown(&self, endpoint: EndpointId) -> Result<EndpointRecord, EndError> {
         let identity = self.local.identity();
         let no_endpoint = EndError::OfAnotherMachine(IdentityMismatch::NoEndpoint);
@@ -253,7 +253,7 @@
         Ok(state)
     }
 
-    /// One that is beside another daemon makes room for the endpoint of this machine, whose next heartbeat counts.
+    /// One that is not beside this daemon makes room for the endpoint of this machine, whose next heartbeat counts.
     fn not_recorded(
         &self,
         record: &EndpointRecord,
