--- a/crates/bramblewheel-decisions/src/machine_identity.rs
+++ b/crates/bramblewheel-decisions/src/machine_identity.rs
@@ -7,7 +7,8 @@
 //! Reason: whoever reaches the listener for heartbeats can send one, and a heartbeat may be delayed until another
 //! endpoint runs here. The settings come from those who placed the endpoint.
 //!
-//! Seen in: log lines and metric of heartbeats that don't agree with the settings.
+//! Seen in: metric `bramblewheel_identity_mismatches` (by what differs); log lines `heartbeat differs from the settings`,
+//! `endpoint not adopted` and `machine runs another endpoint`.
 
 use bramblewheel_protocol::routing::EndpointRecord;
 use bramblewheel_types::{ServiceName, ZoneName};
--- a/crates/bramblewheel-proxy/src/control/registrar.rs
+++ b/crates/bramblewheel-proxy/src/control/registrar.rs
@@ -19,14 +19,13 @@
 use thiserror::Error;
 use tokio::sync::mpsc;
 
-/// Longest time for one attempt to record a heartbeat; chosen, not measured.
+/// Longest time for one attempt to record a heartbeat.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
-/// Pause before the next attempt; chosen, not measured.
+/// Pause before the next attempt.
 const PAUSE: Duration = Duration::from_millis(100);
-/// Time in which an endpoint that leaves is answered; it asks again when it gets no answer. Chosen, not
-/// measured.
+/// Time in which an endpoint that leaves is answered; it asks again when it gets no answer.
 const END_TIMEOUT: Duration = Duration::from_millis(850);
-/// Heartbeats that may be missing before an endpoint counts as silent; chosen, not measured.
+/// Heartbeats that may be missing before an endpoint counts as silent.
 const MISSED_HEARTBEATS: u32 = 4;
 
 /// Why an endpoint's report that it leaves is not acknowledged.
@@ -117,6 +116,7 @@
         }
         slog::info!(self.log, "machine runs another endpoint";
             "service" => identity.service.as_ref().map_or("", ServiceName::as_str),
+            "zone" => %identity.zone, "address" => identity.endpoint_address.map(|address| address.to_string()),
             "before" => before.service.as_ref().map_or("", ServiceName::as_str));
         let Some(displaced) = self.local.set_identity(identity) else {
             return;
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -30,7 +30,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-/// Pause after the endpoint could not be reached, in which nothing is sent to it. Chosen, not measured.
+/// Pause after the endpoint could not be reached, in which nothing is sent to it.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
 
 /// Why a request may not go to the endpoint; it got nothing.
