Comments and test names in plain terms; the unknown service of tests has a plain name

Names and comments only: no logic, no check. Tests of the proxy's sockets and heartbeats, of the directory and of the soak's checks ran after it.

--- a/crates/bramblewheel-control/src/state/routing/registry.rs
+++ b/crates/bramblewheel-control/src/state/routing/registry.rs
@@ -99,7 +99,7 @@
         (known.daemon != report.daemon && !is_over).then_some(&known.daemon)
     }
 
-    /// Whether a report ends an endpoint that its daemon has never heard, which it says by stating no slots, and of which
+    /// Whether a report ends an endpoint that never sent its daemon a heartbeat, which a record without slots means, and of which
     /// nothing is known beside that daemon. Recorded, it would close an endpoint that has not registered yet.
     pub fn ends_unknown(&self, report: &EndpointRecord) -> bool {
         if !report.state.is_final() || report.slots > 0 {
--- a/crates/bramblewheel-decisions/src/machine_identity.rs
+++ b/crates/bramblewheel-decisions/src/machine_identity.rs
@@ -26,7 +26,7 @@
     pub endpoint_address: Option<SocketAddr>,
 }
 
-/// What a record says otherwise than the settings of the machine.
+/// How a record differs from the settings of the machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum IdentityMismatch {
     /// The settings name no service: the machine has no endpoint.
--- a/crates/bramblewheel-decisions/tests/directory.rs
+++ b/crates/bramblewheel-decisions/tests/directory.rs
@@ -8,7 +8,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashMap;
 
-const SERVICES: [&str; 3] = ["kassa", "pris", "x1925ab"];
+const SERVICES: [&str; 3] = ["kassa", "pris", "nobody"];
 const ZONES: [&str; 2] = ["north", "south"];
 const STATES: [EndpointState; 4] = [
     EndpointState::Ready,
@@ -77,11 +77,11 @@
         );
         directory.apply(
             Timestamp::from_millis(0),
-            &update("e-1", "x1925ab", "north", last),
+            &update("e-1", "nobody", "north", last),
         );
         directory.apply(
             Timestamp::from_millis(0),
-            &update("e-1", "x1925ab", "north", EndpointState::Gone),
+            &update("e-1", "nobody", "north", EndpointState::Gone),
         );
         for service in SERVICES {
             assert_eq!(choose(&mut directory, service), None, "{last:?}");
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -90,7 +90,7 @@
 }
 
 impl LocalEndpoint {
-    /// The endpoint of a machine, of which nothing has been heard.
+    /// The endpoint of a machine, before its first heartbeat.
     pub fn new(identity: MachineIdentity) -> Self {
         Self {
             identity: ArcSwap::from_pointee(identity),
--- a/crates/bramblewheel-proxy/tests/foreign_heartbeats.rs
+++ b/crates/bramblewheel-proxy/tests/foreign_heartbeats.rs
@@ -50,7 +50,7 @@
 fn foreign() -> Vec<EndpointRecord> {
     let mut all = Vec::new();
     let who = [
-        ("x1925ab", "north"),
+        ("nobody", "north"),
         ("pris", "north"),
         ("kassa", "south"),
         ("kassa", "north"),
@@ -167,7 +167,7 @@
     for number in 0..100_000_u64 {
         let record = EndpointRecord {
             endpoint: id(&format!("f-{number}"), Some(number)),
-            service: service("x1925ab"),
+            service: service("nobody"),
             ..own(STARTED, number, EndpointState::Ready)
         };
         take(&local, 10 + number / 10, &record);
@@ -178,8 +178,8 @@
 }
 
 #[test]
-fn what_differs_is_told() {
-    let told = |local: &LocalEndpoint, record: EndpointRecord| take(local, 1, &record).result;
+fn the_first_difference_is_the_reason() {
+    let result_of = |local: &LocalEndpoint, record: EndpointRecord| take(local, 1, &record).result;
     let of = HeartbeatResult::OfAnotherMachine;
     let local = machine(Some("kassa"), Some(OWN_ADDRESS.into()));
     let ready = || own(STARTED, 1, EndpointState::Ready);
@@ -187,23 +187,26 @@
         service: service("pris"),
         ..ready()
     };
-    assert_eq!(told(&local, other), of(IdentityMismatch::Service));
+    assert_eq!(result_of(&local, other), of(IdentityMismatch::Service));
     let other = EndpointRecord {
         zone: zone("south"),
         ..ready()
     };
-    assert_eq!(told(&local, other), of(IdentityMismatch::Zone));
+    assert_eq!(result_of(&local, other), of(IdentityMismatch::Zone));
     let other = EndpointRecord {
         endpoint_address: ([127, 0, 0, 2], 1).into(),
         ..ready()
     };
-    assert_eq!(told(&local, other.clone()), of(IdentityMismatch::Address));
-    assert_eq!(told(&local, ready()), HeartbeatResult::Changed);
+    assert_eq!(
+        result_of(&local, other.clone()),
+        of(IdentityMismatch::Address)
+    );
+    assert_eq!(result_of(&local, ready()), HeartbeatResult::Changed);
     let any_address = machine(Some("kassa"), None);
-    assert_eq!(told(&any_address, other), HeartbeatResult::Changed);
+    assert_eq!(result_of(&any_address, other), HeartbeatResult::Changed);
     let without_endpoint = machine(None, None);
     assert_eq!(
-        told(&without_endpoint, ready()),
+        result_of(&without_endpoint, ready()),
         of(IdentityMismatch::NoEndpoint)
     );
     assert!(without_endpoint.record().is_none());
--- a/crates/bramblewheel-proxy/tests/line_limit.rs
+++ b/crates/bramblewheel-proxy/tests/line_limit.rs
@@ -1,4 +1,4 @@
-//! Log lines of events that others cause stay bounded, and their number is told.
+//! Log lines of events that others cause stay bounded, and the lines give the number of the others.
 
 use bramblewheel_proxy::control::line_limit::LineLimit;
 use bramblewheel_types::Timestamp;
--- a/crates/bramblewheel-proxy/tests/sockets/foreign_heartbeats.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/foreign_heartbeats.rs
@@ -71,7 +71,7 @@
 /// of 232 to the end of the watch after a sequence number far ahead, none after headers that callers send themselves.
 #[tokio::test]
 async fn a_heartbeat_of_another_service_renames_no_request() {
-    for (service, sequence) in [("x1925ab", 2), ("pris", 2), ("x1925ab", 1_000_000)] {
+    for (service, sequence) in [("nobody", 2), ("pris", 2), ("nobody", 1_000_000)] {
         let mesh = mesh_with_start().await;
         send(&mesh, of_another_service(&mesh, service, sequence)).await;
         assert_served(&mesh, &mesh.endpoints[0], service).await;
@@ -87,7 +87,7 @@
 #[tokio::test]
 async fn a_heartbeat_of_another_endpoint_takes_none_out_of_service() {
     let mesh = mesh_with_start().await;
-    let foreign = || of_another_service(&mesh, "x1925ab", 2);
+    let foreign = || of_another_service(&mesh, "nobody", 2);
     let own_start = foreign().endpoint;
     let cases = [
         (
@@ -161,7 +161,7 @@
     let mut mesh = mesh_with_start().await;
     let foreign = EndpointRecord {
         endpoint: EndpointId::new("e-9").expect("a name"),
-        ..of_another_service(&mesh, "x1925ab", 1)
+        ..of_another_service(&mesh, "nobody", 1)
     };
     let own = EndpointRecord {
         endpoint: foreign.endpoint.clone(),
--- a/crates/bramblewheel-soak/src/foreign.rs
+++ b/crates/bramblewheel-soak/src/foreign.rs
@@ -56,7 +56,7 @@
     FarAhead,
 }
 
-/// What one foreign heartbeat says.
+/// Contents of one foreign heartbeat.
 #[derive(Clone, Copy, Debug)]
 struct Form {
     service: &'static str,
