Test: a foreign record in a data folder does not come back

A daemon that starts takes over what the control group has recorded beside it, and checks it against its settings since the incident of wrong callers' services. The test covered a group that goes on; the same holds now for a control replica that reads the foreign record from its data folder.

Seen to fail: with the comparison in LocalEndpoint::adopt left out, both cases fail ("it is not beside this daemon").

--- a/crates/bramblewheel-proxy/tests/sockets/foreign_heartbeats.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/foreign_heartbeats.rs
@@ -160,6 +160,22 @@
 /// when it is ready.
 #[tokio::test]
 async fn a_foreign_record_does_not_come_back_at_a_restart() {
+    restart_with_a_foreign_record(ReplicaMeanwhile::GoesOn).await;
+}
+
+/// The same with a record that the control replica reads from its data folder.
+#[tokio::test]
+async fn a_foreign_record_in_a_data_folder_does_not_come_back() {
+    restart_with_a_foreign_record(ReplicaMeanwhile::Restarts).await;
+}
+
+/// What the control replica does while the daemon is down.
+enum ReplicaMeanwhile {
+    GoesOn,
+    Restarts,
+}
+
+async fn restart_with_a_foreign_record(replica: ReplicaMeanwhile) {
     let mut mesh = mesh_with_start().await;
     let foreign = EndpointRecord {
         endpoint: EndpointId::new("e-9").expect("a name"),
@@ -176,8 +192,10 @@
         reply.ok(),
         Some(ReplyBody::EndpointRegistered(EndpointState::Ready))
     );
-    let replica = mesh.control.addresses()[0];
-    let daemon = mesh.start_daemon(0, replica).await;
+    if let ReplicaMeanwhile::Restarts = replica {
+        mesh.restart_replica().await;
+    }
+    let daemon = mesh.start_daemon(0, mesh.control.addresses()[0]).await;
     let shared = daemon.shared().clone();
     mesh.daemons.push(daemon);
     eventually(|| shared.is_ready()).await;
--- a/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
@@ -50,7 +50,8 @@
     pub control: ControlGroup,
     pub daemons: Vec<Daemon>,
     pub endpoints: Vec<ScriptedEndpoint>,
-    _replica: bramblewheel_control::ControlHandle,
+    replica: bramblewheel_control::ControlHandle,
+    replica_settings: bramblewheel_control::Settings,
     _folder: TempDir,
     version: u64,
     /// Starts of endpoints after the first ones.
@@ -81,12 +82,13 @@
         let folder = TempDir::new().expect("a folder");
         let [peer, service, admin] = claim_addresses();
         let settings = replica_settings(folder.path(), peer, service, admin);
-        let replica = bramblewheel_control::start(settings, silent()).await;
+        let replica = bramblewheel_control::start(settings.clone(), silent()).await;
         let mut mesh = Self {
             control: ControlGroup::new(vec![service]),
             daemons: Vec::new(),
             endpoints: Vec::new(),
-            _replica: replica.expect("the replica starts"),
+            replica: replica.expect("the replica starts"),
+            replica_settings: settings,
             _folder: folder,
             version: 0,
             starts: 0,
@@ -138,6 +140,15 @@
         daemon.expect("the daemon starts")
     }
 
+    /// Stops the control replica as planned and starts it again on its data folder.
+    pub async fn restart_replica(&mut self) {
+        self.replica.stop();
+        self.replica.stopped().await.expect("a planned stop");
+        self.replica_settings.formation.first_start = false;
+        let replica = bramblewheel_control::start(self.replica_settings.clone(), silent()).await;
+        self.replica = replica.expect("the replica starts");
+    }
+
     /// Puts the next version of the table in force, with other tenants.
     pub async fn replace_table_with(&mut self, tenants: &str) {
         self.tenants = tenants.to_owned();
