Soak: control replicas may begin with an earlier program; messages to the daemons' interface stand once

Beside it: the call of the interface for endpoints and its time-out stood in three files of the soak; they are in endpoint_interface.rs now. What is sent is unchanged, but that a deregistration of an endpoint has the content type of the other messages.

--- a/crates/bramblewheel-soak/src/endpoint/heartbeat.rs
+++ b/crates/bramblewheel-soak/src/endpoint/heartbeat.rs
@@ -1,17 +1,11 @@
 //! Heartbeats of an endpoint to the daemon beside it.
 
-use crate::traffic::{Call, send};
+use crate::endpoint_interface;
 use bramblewheel_platform_client as wire;
 use bramblewheel_platform_client::Heartbeat;
-use bytes::Bytes;
-use http::Method;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
-
-/// Time for the answer to a call of an endpoint.
-pub(super) const ANSWER_TIME: Duration = Duration::from_millis(1_000);
 
 /// Sends the heartbeats of one endpoint in one state.
 pub(super) struct HeartbeatSender {
@@ -38,13 +32,7 @@
             sequence,
             started: Some(self.started_unix_millis),
         };
-        let call = Call {
-            method: Method::POST,
-            path: &wire::heartbeat_path(&self.id),
-            headers: &[("content-type", "application/json")],
-            body: Bytes::from(heartbeat.body()),
-        };
-        let answer = send(self.admin, call, ANSWER_TIME).await;
-        answer.is_ok_and(|answer| answer.status.is_success())
+        let path = wire::heartbeat_path(&self.id);
+        endpoint_interface::post(self.admin, &path, heartbeat.body()).await
     }
 }
--- a/crates/bramblewheel-soak/src/endpoint/mod.rs
+++ b/crates/bramblewheel-soak/src/endpoint/mod.rs
@@ -4,8 +4,9 @@
 mod heartbeat;
 mod work;
 
+use crate::endpoint_interface;
 use crate::history::{History, Leaving, RunEnd};
-use crate::traffic::{Call, FATAL_BODY, send};
+use crate::traffic::FATAL_BODY;
 use crate::workload::{RequestKind, Workload};
 use axum::Router;
 use axum::body::Body;
@@ -14,9 +15,8 @@
 use axum::response::Response;
 use bramblewheel_platform_client as wire;
 use broken_body::cut_short;
-use bytes::Bytes;
-use heartbeat::{ANSWER_TIME, HeartbeatSender};
-use http::{Method, Uri};
+use heartbeat::HeartbeatSender;
+use http::Uri;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
@@ -207,14 +207,9 @@
     /// Sends heartbeats that can't be read, under this one's id.
     pub async fn send_invalid_heartbeats(&self) {
         for heartbeat in wire::invalid_heartbeats(self.service, self.address) {
-            let call = Call {
-                method: Method::POST,
-                path: &wire::heartbeat_path(&self.id),
-                headers: &[("content-type", "application/json")],
-                body: Bytes::from(heartbeat),
-            };
             // What comes of them shows in what the endpoint gets.
-            let _ = send(self.admin, call, ANSWER_TIME).await;
+            let path = wire::heartbeat_path(&self.id);
+            endpoint_interface::post(self.admin, &path, heartbeat).await;
         }
     }
 
@@ -254,14 +249,13 @@
         }
         tokio::time::sleep(SERVES_ON).await;
         let path = wire::deregister_path(&self.id);
-        let call = Call {
-            method: Method::POST,
-            path: &path,
-            headers: &[],
-            body: Bytes::from(wire::leaving_body(self.started_unix_millis)),
-        };
         // It ends all the same.
-        let _ = send(self.admin, call, ANSWER_TIME).await;
+        endpoint_interface::post(
+            self.admin,
+            &path,
+            wire::leaving_body(self.started_unix_millis),
+        )
+        .await;
     }
 }
 
--- a/crates/bramblewheel-soak/src/fleet.rs
+++ b/crates/bramblewheel-soak/src/fleet.rs
@@ -87,13 +87,32 @@
     }
 }
 
+/// The programs under test.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// What the processes run.
+    pub current: PathBuf,
+    /// What control replicas run until they are started for the second time, if that is another program.
+    pub earlier_replica: Option<PathBuf>,
+}
+
+impl Programs {
+    fn at_start(&self, machine: Machine, is_first: bool) -> &Path {
+        let earlier = self.earlier_replica.as_ref();
+        match (machine, earlier) {
+            (Machine::Control(_), Some(earlier)) if is_first => earlier,
+            _ => &self.current,
+        }
+    }
+}
+
 /// One machine: its relays, its files and its process.
 #[derive(Debug)]
 pub struct Host {
     machine: Machine,
     addresses: Addresses,
     relays: Vec<Relay>,
-    program: PathBuf,
+    programs: Programs,
     folder: PathBuf,
     seeds: Vec<SocketAddr>,
     /// Services of the endpoints.
@@ -113,7 +132,7 @@
         addresses: Addresses,
         replicas: usize,
         services: usize,
-        program: &Path,
+        programs: &Programs,
         folder: &Path,
     ) -> Result<Self, FleetError> {
         let ports = match machine {
@@ -135,7 +154,7 @@
             machine,
             addresses,
             relays,
-            program: program.to_owned(),
+            programs: programs.clone(),
             folder,
             seeds: (0..replicas).map(seed).collect(),
             services,
@@ -192,7 +211,7 @@
     /// When it can't be started.
     pub fn start(&mut self) -> Result<(), FleetError> {
         let settings = self.write_settings()?;
-        self.is_first_start = false;
+        let program = self.programs.at_start(self.machine, self.is_first_start);
         let file = self.folder.join("log");
         let log = OpenOptions::new().create(true).append(true).open(&file);
         let log = log.map_err(failed(file.display().to_string()))?;
@@ -201,7 +220,7 @@
             Machine::Control(_) => "control",
             Machine::Daemon(_) => "daemon",
         };
-        let child = Command::new(&self.program)
+        let child = Command::new(program)
             .arg("--settings")
             .arg(settings)
             .arg(role)
@@ -210,8 +229,9 @@
             .stderr(Stdio::from(errors))
             .kill_on_drop(true)
             .spawn()
-            .map_err(failed(self.program.display().to_string()))?;
+            .map_err(failed(program.display().to_string()))?;
         self.child = Some(child);
+        self.is_first_start = false;
         Ok(())
     }
 
--- a/crates/bramblewheel-soak/src/foreign.rs
+++ b/crates/bramblewheel-soak/src/foreign.rs
@@ -4,15 +4,13 @@
 //! Owns nothing; what is drawn depends on the soak's seed and the step. Relies on the endpoints for what such a writer can know.
 
 use crate::endpoint::EndpointIdentity;
+use crate::endpoint_interface;
 use crate::fleet::service_of;
 use crate::history::ForeignMessage;
 use crate::plan::{Machine, Step};
 use crate::run::Soak;
-use crate::traffic::{Call, send};
 use bramblewheel_platform_client as wire;
 use bramblewheel_platform_client::Heartbeat;
-use bytes::Bytes;
-use http::Method;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
@@ -20,8 +18,6 @@
 
 /// Time between two foreign heartbeats.
 const PERIOD: Duration = Duration::from_millis(40);
-/// Time for the answer to one.
-const ANSWER_TIME: Duration = Duration::from_millis(1_000);
 /// Sequence numbers by which a heartbeat is far ahead of the endpoint's own.
 const FAR_AHEAD: u64 = 1_000_000;
 /// Time by which a later start follows the endpoint's own, in milliseconds.
@@ -189,15 +185,8 @@
     }
 
     async fn send_foreign(&self, daemon: usize, message: Message) {
-        let call = Call {
-            method: Method::POST,
-            path: &message.path,
-            headers: &[("content-type", "application/json")],
-            body: Bytes::from(message.body),
-        };
         let admin = self.addresses.admin(Machine::Daemon(daemon));
-        let answer = send(admin, call, ANSWER_TIME).await;
-        let is_acknowledged = answer.is_ok_and(|answer| answer.status.is_success());
+        let is_acknowledged = endpoint_interface::post(admin, &message.path, message.body).await;
         self.history.events().foreign.push(ForeignMessage {
             daemon,
             form: message.form,
--- a/crates/bramblewheel-soak/src/lib.rs
+++ b/crates/bramblewheel-soak/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod check;
 pub mod endpoint;
+mod endpoint_interface;
 pub mod fleet;
 mod foreign;
 pub mod history;
--- a/crates/bramblewheel-soak/src/main.rs
+++ b/crates/bramblewheel-soak/src/main.rs
@@ -1,6 +1,6 @@
 //! Runs the fault soak: `bramblewheel-soak --seconds 60`.
 
-use bramblewheel_soak::fleet::Addresses;
+use bramblewheel_soak::fleet::{Addresses, Programs};
 use bramblewheel_soak::plan::Size;
 use bramblewheel_soak::run::{Play, run};
 use bramblewheel_soak::workload::draw::draw;
@@ -44,6 +44,9 @@
         default = "target/release/bramblewheel-platform"
     )]
     program: PathBuf,
+    /// program of the control replicas until each is started for the second time
+    #[options(no_short, meta = "FILE")]
+    earlier_replica_program: Option<PathBuf>,
     /// where logs are kept; a temporary folder without it
     #[options(no_short, meta = "FOLDER")]
     folder: Option<PathBuf>,
@@ -80,17 +83,12 @@
     };
     let offset = u8::try_from(seed % NETWORKS).expect("fewer than 256 networks");
     let network = FIRST_NETWORK + offset;
+    let programs = Programs {
+        current: flags.program,
+        earlier_replica: flags.earlier_replica_program,
+    };
     println!("seed {seed}, logs in {}", folder.display());
-    let verdict = match run(
-        seed,
-        &play,
-        size,
-        Addresses { network },
-        &flags.program,
-        &folder,
-    )
-    .await
-    {
+    let verdict = match run(seed, &play, size, Addresses { network }, &programs, &folder).await {
         Ok(verdict) => verdict,
         Err(error) => {
             eprintln!("bramblewheel-soak: {error}");
--- a/crates/bramblewheel-soak/src/run.rs
+++ b/crates/bramblewheel-soak/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::check::{Breach, RECOVERY, check};
 use crate::endpoint::{Endpoint, EndpointSettings};
-use crate::fleet::{Addresses, FleetError, Host, service_of};
+use crate::fleet::{Addresses, FleetError, Host, Programs, service_of};
 use crate::history::{End, History, Request};
 use crate::load::{
     callers, fatal_callers, kept_callers, operate, probes, restart_ended, watch_processes,
@@ -99,12 +99,12 @@
     play: &Play,
     size: Size,
     addresses: Addresses,
-    program: &Path,
+    programs: &Programs,
     folder: &Path,
 ) -> Result<Verdict, FleetError> {
     let steps = play.steps(seed, size);
     let workload = Arc::new(play.workload());
-    let soak = Soak::prepare(seed, workload, size, addresses, program, folder);
+    let soak = Soak::prepare(seed, workload, size, addresses, programs, folder);
     let soak = Arc::new(soak.await?);
     for host in soak.hosts.values() {
         host.lock().await.start()?;
@@ -190,7 +190,7 @@
         workload: Arc<Workload>,
         size: Size,
         addresses: Addresses,
-        program: &Path,
+        programs: &Programs,
         folder: &Path,
     ) -> Result<Self, FleetError> {
         let control = (0..size.replicas).map(Machine::Control);
@@ -202,7 +202,7 @@
                 addresses,
                 size.replicas,
                 workload.services,
-                program,
+                programs,
                 folder,
             );
             hosts.insert(machine, Arc::new(Mutex::new(host.await?)));
