Soak: deregistrations of endpoints elsewhere can be left out

Cause: which daemon reports an end is asked by the leader of the control group, and a leader of the earlier version does not ask. The question is asked before the log, not when an entry is applied, so that replicas of both versions hold the same state.

So protection from foreign deregistrations begins when the leader has the current version.

--- a/crates/bramblewheel-soak/src/foreign.rs
+++ b/crates/bramblewheel-soak/src/foreign.rs
@@ -27,6 +27,15 @@
 /// One in so many messages is a deregistration of an endpoint elsewhere.
 const DEREGISTRATION_IN: u32 = 8;
 
+/// Which messages of another writer are sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ForeignMessages {
+    /// Heartbeats, and deregistrations of endpoints elsewhere.
+    All,
+    /// Heartbeats alone: control replicas that don't ask which daemon reports an end take the deregistrations.
+    Heartbeats,
+}
+
 /// Whose id a message names.
 #[derive(Clone, Copy, Debug)]
 enum Id {
@@ -114,6 +123,7 @@
 
 /// A message of another writer, ready to be sent.
 struct Message {
+    is_deregistration: bool,
     form: String,
     path: String,
     body: String,
@@ -128,6 +138,7 @@
     ) -> Self {
         if random.random_ratio(1, DEREGISTRATION_IN) {
             return Self {
+                is_deregistration: true,
                 form: "deregistration of an endpoint elsewhere".to_owned(),
                 path: wire::deregister_path(&elsewhere.id),
                 body: wire::leaving_body(elsewhere.started_unix_millis),
@@ -152,6 +163,7 @@
             started: form.started(named),
         };
         Self {
+            is_deregistration: false,
             form: format!("{form:?}"),
             path: wire::heartbeat_path(&form.id(own, elsewhere, random.random())),
             body: heartbeat.body(),
@@ -175,6 +187,9 @@
             };
             let other_service = service_of(daemon + 1, self.services());
             let message = Message::draw(&mut random, &own, &elsewhere, other_service);
+            if message.is_deregistration && self.foreign_messages == ForeignMessages::Heartbeats {
+                continue;
+            }
             self.send_foreign(daemon, message).await;
         }
     }
--- a/crates/bramblewheel-soak/src/lib.rs
+++ b/crates/bramblewheel-soak/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod endpoint;
 mod endpoint_interface;
 pub mod fleet;
-mod foreign;
+pub mod foreign;
 pub mod history;
 mod load;
 pub mod operator;
--- a/crates/bramblewheel-soak/src/main.rs
+++ b/crates/bramblewheel-soak/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs the fault soak: `bramblewheel-soak --seconds 60`.
 
 use bramblewheel_soak::fleet::{Addresses, Programs};
+use bramblewheel_soak::foreign::ForeignMessages;
 use bramblewheel_soak::plan::Size;
 use bramblewheel_soak::run::{Play, run};
 use bramblewheel_soak::workload::draw::draw;
@@ -47,6 +48,9 @@
     /// program of the control replicas until each is started for the second time
     #[options(no_short, meta = "FILE")]
     earlier_replica_program: Option<PathBuf>,
+    /// send no deregistrations of endpoints elsewhere, which earlier control replicas take
+    #[options(no_short)]
+    no_foreign_deregistrations: bool,
     /// where logs are kept; a temporary folder without it
     #[options(no_short, meta = "FOLDER")]
     folder: Option<PathBuf>,
@@ -57,7 +61,8 @@
     let flags = Flags::parse_args_default_or_exit();
     let seed = flags.seed.unwrap_or_else(rand::random);
     let play = match flags.planned_stops.as_deref() {
-        None => Play::Faults,
+        None if flags.no_foreign_deregistrations => Play::Faults(ForeignMessages::Heartbeats),
+        None => Play::Faults(ForeignMessages::All),
         Some("drawn") => Play::PlannedStops(draw(seed)),
         Some(file) => match read(Path::new(file)) {
             Ok(workload) => Play::PlannedStops(workload),
--- a/crates/bramblewheel-soak/src/run.rs
+++ b/crates/bramblewheel-soak/src/run.rs
@@ -3,6 +3,7 @@
 use crate::check::{Breach, RECOVERY, check};
 use crate::endpoint::{Endpoint, EndpointSettings};
 use crate::fleet::{Addresses, FleetError, Host, Programs, service_of};
+use crate::foreign::ForeignMessages;
 use crate::history::{End, History, Request};
 use crate::load::{
     callers, fatal_callers, kept_callers, operate, probes, restart_ended, watch_processes,
@@ -62,6 +63,7 @@
     /// Load in percent of the usual one.
     pub(crate) surge_percent: AtomicU32,
     workload: Arc<Workload>,
+    pub(crate) foreign_messages: ForeignMessages,
     pub(crate) seed: u64,
 }
 
@@ -69,7 +71,7 @@
 #[derive(Clone, Debug)]
 pub enum Play {
     /// Faults of all kinds, with plain callers.
-    Faults,
+    Faults(ForeignMessages),
     /// Planned stops of all forms, with the callers of a workload.
     PlannedStops(Workload),
 }
@@ -77,17 +79,24 @@
 impl Play {
     fn steps(&self, seed: u64, size: Size) -> Vec<Step> {
         match self {
-            Self::Faults => plan(seed, size),
+            Self::Faults(_) => plan(seed, size),
             Self::PlannedStops(_) => stop_plan::plan(seed, size),
         }
     }
 
     fn workload(&self) -> Workload {
         match self {
-            Self::Faults => Workload::plain(),
+            Self::Faults(_) => Workload::plain(),
             Self::PlannedStops(workload) => workload.clone(),
         }
     }
+
+    fn foreign_messages(&self) -> ForeignMessages {
+        match self {
+            Self::Faults(foreign) => *foreign,
+            Self::PlannedStops(_) => ForeignMessages::All,
+        }
+    }
 }
 
 /// Runs the programs at `program` with the faults of a seed; files go to `folder`.
@@ -103,8 +112,7 @@
     folder: &Path,
 ) -> Result<Verdict, FleetError> {
     let steps = play.steps(seed, size);
-    let workload = Arc::new(play.workload());
-    let soak = Soak::prepare(seed, workload, size, addresses, programs, folder);
+    let soak = Soak::prepare(seed, play, size, addresses, programs, folder);
     let soak = Arc::new(soak.await?);
     for host in soak.hosts.values() {
         host.lock().await.start()?;
@@ -124,7 +132,7 @@
         background.spawn(restart_ended(Arc::clone(&soak), daemon));
     }
     background.spawn(watch_processes(Arc::clone(&soak)));
-    if matches!(play, Play::Faults) {
+    if matches!(play, Play::Faults(_)) {
         background.spawn(fatal_callers(Arc::clone(&soak), size));
     }
     if let (Play::PlannedStops(_), Some(first)) = (play, steps.first()) {
@@ -133,7 +141,7 @@
         events.first_fault = Some(at);
         events.is_overloaded = soak.workload.fills_slots();
     }
-    if matches!(play, Play::Faults) {
+    if matches!(play, Play::Faults(_)) {
         soak.history.events().daemons = size.daemons;
     }
     let operating = tokio::spawn(operate(Arc::clone(&soak), operators));
@@ -152,7 +160,7 @@
 }
 
 fn spawn_callers(background: &mut JoinSet<()>, soak: &Arc<Soak>, play: &Play, daemon: usize) {
-    if matches!(play, Play::Faults) {
+    if matches!(play, Play::Faults(_)) {
         background.spawn(callers(Arc::clone(soak), daemon));
         background.spawn(kept_callers(Arc::clone(soak), daemon));
         return;
@@ -187,12 +195,13 @@
 impl Soak {
     async fn prepare(
         seed: u64,
-        workload: Arc<Workload>,
+        play: &Play,
         size: Size,
         addresses: Addresses,
         programs: &Programs,
         folder: &Path,
     ) -> Result<Self, FleetError> {
+        let workload = Arc::new(play.workload());
         let control = (0..size.replicas).map(Machine::Control);
         let machines = control.chain((0..size.daemons).map(Machine::Daemon));
         let mut hosts = BTreeMap::new();
@@ -218,6 +227,7 @@
             is_over: AtomicBool::new(false),
             surge_percent: AtomicU32::new(100),
             workload,
+            foreign_messages: play.foreign_messages(),
             seed,
         })
     }
