--- a/crates/bramblewheel-soak/src/endpoint/work.rs
+++ b/crates/bramblewheel-soak/src/endpoint/work.rs
@@ -1,6 +1,6 @@
 //! How an endpoint runs a request of a workload: work, calls, and an answer that is written piece by piece.
 
-use super::Serving;
+use super::serving::Serving;
 use crate::history::{Run, RunEnd};
 use crate::workload::RequestKind;
 use crate::workload_traffic::{CallOfEndpoint, call_for};
