--- a/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
@@ -2,12 +2,10 @@
 //! endpoints.
 
 pub mod endpoint;
+mod replica;
 
 use self::endpoint::ScriptedEndpoint;
-use bramblewheel_control::settings::{
-    AdminSettings, FormationSettings, ListenSettings, LogSettings, SpareSettings, StorageSettings,
-    TimingSettings,
-};
+use self::replica::replica_settings;
 use bramblewheel_decisions::machine_identity::MachineIdentity;
 use bramblewheel_decisions::retry_budget::RetryBoundSettings;
 use bramblewheel_decisions::table::{Route, RouteTable, ServiceSettings, Target};
@@ -377,33 +375,3 @@
     let all = text.split(';').filter(|stated| !stated.is_empty());
     all.map(tenant).collect()
 }
-
-fn replica_settings(
-    folder: &std::path::Path,
-    peer: SocketAddr,
-    service: SocketAddr,
-    admin: SocketAddr,
-) -> bramblewheel_control::Settings {
-    bramblewheel_control::Settings {
-        name: DaemonId::new("control-1").expect("a name"),
-        zone: ZoneName::new("north").expect("a name"),
-        region: RegionName::new("west").expect("a name"),
-        data_folder: folder.join("control"),
-        listen: ListenSettings {
-            peer,
-            service,
-            admin,
-            bind: None,
-        },
-        timing: TimingSettings::default(),
-        storage: StorageSettings::default(),
-        formation: FormationSettings {
-            founders: vec![peer],
-            first_start: true,
-            unsigned_tables: true,
-        },
-        spare: SpareSettings::default(),
-        admin: AdminSettings::default(),
-        log: LogSettings::default(),
-    }
-}
