Log members, steps of a replacement, and why it waits

No line said who is a member of the control group, which step a replacement has reached, for which replicas or why it waits, so that the hypotheses on the unreadable configuration left the same lines. A node now reports such decisions as events, which its driver logs, one line each: member changed (with term and index), replacement proposed (with the reason), begun, ended, and waits (at most once a second). No decision changes.

--- a/crates/bramblewheel-control/src/node/applying.rs
+++ b/crates/bramblewheel-control/src/node/applying.rs
@@ -21,6 +21,7 @@
         };
         self.state = ControlState::decode(&snapshot.data)
             .expect("the leader's snapshot must hold a state that this program version can decode");
+        self.report_membership(snapshot.term, snapshot.index, snapshot.membership);
         // Anything may have changed between the old and the new state.
         for id in self.polls.all() {
             self.answer_held(id);
@@ -36,14 +37,24 @@
                 index: entry.index.0,
                 term: entry.term.0,
             };
-            let Payload::Command(command) = entry.payload else {
-                self.state.skip(position);
-                continue;
+            let command = match entry.payload {
+                Payload::Command(command) => command,
+                Payload::Empty => {
+                    self.state.skip(position);
+                    continue;
+                }
+                Payload::Membership(membership) => {
+                    self.state.skip(position);
+                    self.report_membership(entry.term, entry.index, membership);
+                    continue;
+                }
             };
+            let replacement = self.state.replacement().cloned();
             let applied = self.state.apply(position, &command).expect(
                 "a committed entry must hold a command that this program version can decode",
             );
             changes.merge(applied.changes);
+            self.report_replacement(replacement.as_ref(), entry.index);
             if !self.proposals.is_empty() {
                 self.outcomes.insert(position.index, applied.outcome);
             }
--- a/crates/bramblewheel-control/src/node/bootstrap.rs
+++ b/crates/bramblewheel-control/src/node/bootstrap.rs
@@ -65,6 +65,7 @@
             term: snapshot.term.0,
         };
         let state = first_state(position)?;
+        self.applied_membership = snapshot.membership.clone();
         snapshot.data = state.encode();
         // Messages of voters that were bootstrapped earlier may have raised the term already. There is
         // no vote to keep, since a replica without a group never votes.
--- /dev/null
+++ b/crates/bramblewheel-control/src/node/events.rs
@@ -0,0 +1,129 @@
+//! What a node decided or learned about its group, for the driver's log.
+
+use bramblewheel_protocol::control::ReplicaAddress;
+use bramblewheel_replication::{LogIndex, ReplicaId, Term};
+use std::fmt;
+
+/// A decision of a node, or a change of what it knows about its group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NodeEvent {
+    /// A committed entry changed the membership.
+    MemberChanged {
+        /// The member.
+        replica: ReplicaId,
+        /// What became of it.
+        change: MemberChange,
+        /// Term of the entry.
+        term: Term,
+        /// Index of the entry.
+        index: LogIndex,
+    },
+    /// A committed entry began a replacement or changed the one in progress.
+    ReplacementBegun {
+        /// Replicas to be removed.
+        lost: Vec<ReplicaId>,
+        /// Replica that replaces them.
+        new: ReplicaAddress,
+        /// New replica of the replacement that this one continues, if any.
+        instead_of: Option<ReplicaId>,
+        /// Index of the entry.
+        index: LogIndex,
+    },
+    /// A committed entry ended the replacement in progress.
+    ReplacementEnded {
+        /// The new replica.
+        new: ReplicaId,
+        /// Index of the entry.
+        index: LogIndex,
+    },
+    /// The leader proposes to begin a replacement.
+    ReplacementProposed {
+        /// Replica to be removed; `None` if the replacement only adds one.
+        lost: Option<ReplicaId>,
+        /// Replica that replaces it.
+        new: ReplicaAddress,
+        /// Why.
+        reason: ReplacementReason,
+    },
+    /// The replacement in progress can't take its next step yet.
+    ReplacementWaits {
+        /// The new replica.
+        new: ReplicaId,
+        /// Why.
+        reason: WaitReason,
+    },
+}
+
+/// How a member changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberChange {
+    /// It became a learner.
+    LearnerAdded,
+    /// It became a voter.
+    VoterAdded,
+    /// It is no longer a member.
+    Removed,
+}
+
+/// Why a leader replaces or adds a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplacementReason {
+    /// The machine of a voter returned without its disk.
+    VoterReset,
+    /// The group has too few voters.
+    VoterMissing,
+    /// A voter was silent for too long.
+    VoterSilent,
+}
+
+/// Why a replacement waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitReason {
+    /// A membership change is not committed yet.
+    MembershipChangePending,
+    /// The new replica has not synced enough of the log.
+    NotCaughtUp {
+        /// Last entry that it has synced.
+        synced: LogIndex,
+        /// Last entry that is committed.
+        committed: LogIndex,
+    },
+    /// The leader is to be removed and no other voter can take over.
+    NoSuccessor,
+    /// The new replica has not synced its promotion.
+    PromotionNotSynced,
+}
+
+impl fmt::Display for MemberChange {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::LearnerAdded => "learner_added",
+            Self::VoterAdded => "voter_added",
+            Self::Removed => "removed",
+        })
+    }
+}
+
+impl fmt::Display for ReplacementReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::VoterReset => "voter_reset",
+            Self::VoterMissing => "voter_missing",
+            Self::VoterSilent => "voter_silent",
+        })
+    }
+}
+
+impl fmt::Display for WaitReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::MembershipChangePending => formatter.write_str("membership_change_pending"),
+            Self::NotCaughtUp { synced, committed } => {
+                let (synced, committed) = (synced.0, committed.0);
+                write!(formatter, "not_caught_up:{synced}_of_{committed}")
+            }
+            Self::NoSuccessor => formatter.write_str("no_successor"),
+            Self::PromotionNotSynced => formatter.write_str("promotion_not_synced"),
+        }
+    }
+}
--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -12,10 +12,12 @@
 pub mod config;
 mod daemons;
 pub mod durable;
+pub mod events;
 mod group;
 mod housekeeping;
 mod inputs;
 mod leases;
+mod membership_events;
 pub mod message;
 mod metrics;
 mod output;
@@ -33,6 +35,7 @@
 
 pub use config::{NodeConfig, Now};
 pub use durable::Durable;
+pub use events::NodeEvent;
 pub use message::{Hello, PeerMessage, Renewal};
 pub use metrics::NodeMetrics;
 pub use output::{ClientRequestId, NodeOutput};
@@ -41,7 +44,7 @@
 use crate::state::{ControlState, MalformedState, Outcome};
 use bramblewheel_protocol::control::{Registration, ReplicaAddress, ReplyBody, Unavailable};
 use bramblewheel_replication::{
-    ProposalId, Replica, ReplicaConfig, ReplicaId, RestoredState, Role, Snapshot, Write,
+    Membership, ProposalId, Replica, ReplicaConfig, ReplicaId, RestoredState, Role, Snapshot, Write,
 };
 use bramblewheel_types::Timestamp;
 use bundle_updates::BundleUpdateCache;
@@ -101,6 +104,11 @@
     unreported_registrations: Vec<Registration>,
     messages: Vec<(ReplicaId, PeerMessage)>,
     replies: Vec<(ClientRequestId, ReplyBody)>,
+    events: Vec<NodeEvent>,
+    /// Membership of the last entry applied.
+    applied_membership: Membership,
+    /// Time of the latest event that a replacement waits.
+    wait_reported: Option<Timestamp>,
     bootstrap_write: Option<Write>,
     own_snapshot: Option<Snapshot>,
     recorded_group: Option<u64>,
@@ -120,6 +128,8 @@
         now: Now,
     ) -> Result<Self, MalformedState> {
         let state = restored_state(&restored)?;
+        let snapshot = restored.snapshot.as_ref();
+        let applied_membership = snapshot.map(|snapshot| snapshot.membership.clone());
         let reported_addresses = group::addresses_in(&restored.entries);
         let next_id = first_id(config.seed);
         let replica = Replica::new(replica_config(&config), restored, now.monotonic);
@@ -149,6 +159,9 @@
             unreported_registrations: Vec::new(),
             messages: Vec::new(),
             replies: Vec::new(),
+            events: Vec::new(),
+            applied_membership: applied_membership.unwrap_or_default(),
+            wait_reported: None,
             bootstrap_write: None,
             own_snapshot: None,
             recorded_group: None,
@@ -192,6 +205,7 @@
             joined_group: self.take_joined_group(),
             messages: own.chain(std::mem::take(&mut self.messages)).collect(),
             replies: std::mem::take(&mut self.replies),
+            events: std::mem::take(&mut self.events),
         }
     }
 
--- a/crates/bramblewheel-control/src/node/output.rs
+++ b/crates/bramblewheel-control/src/node/output.rs
@@ -1,5 +1,6 @@
 //! Outputs of a node for its driver.
 
+use super::events::NodeEvent;
 use super::message::PeerMessage;
 use bramblewheel_protocol::control::ReplyBody;
 use bramblewheel_replication::{ReplicaId, Snapshot, Write};
@@ -10,7 +11,7 @@
 
 /// Work for the driver, in this order: sync `write` and `snapshot` (see
 /// [`Durable`](super::durable::Durable)), call [`persisted`](super::ControlNode::persisted), then
-/// send `messages` and `replies`.
+/// send `messages` and `replies`, and log `events`.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct NodeOutput {
     /// Changes of the log that must be synced before anything else in this output is done.
@@ -23,6 +24,8 @@
     pub messages: Vec<(ReplicaId, PeerMessage)>,
     /// Replies to the clients that are still connected.
     pub replies: Vec<(ClientRequestId, ReplyBody)>,
+    /// Decisions and changes for the log, oldest first.
+    pub events: Vec<NodeEvent>,
 }
 
 impl NodeOutput {
--- a/crates/bramblewheel-control/src/node/replacement.rs
+++ b/crates/bramblewheel-control/src/node/replacement.rs
@@ -8,11 +8,14 @@
 //! The replacement is recorded in the log and each step follows from the membership in force, so that
 //! a new leader continues where the previous one stopped.
 
+use super::events::WaitReason;
 use super::output::ClientRequestId;
 use super::{ControlNode, group};
 use crate::state::Replacement;
 use bramblewheel_protocol::control::{ReplaceRequest, ReplyBody, Unavailable};
-use bramblewheel_replication::{LogIndex, MembershipChange, ReplicaId};
+use bramblewheel_replication::{
+    LogIndex, MembershipChange, MembershipError, ReplicaId, TransferError,
+};
 use bramblewheel_types::Timestamp;
 use std::time::Duration;
 
@@ -37,7 +40,7 @@
 enum Step {
     Change(MembershipChange),
     TransferLeadership,
-    Wait,
+    Wait(WaitReason),
     Done,
 }
 
@@ -130,11 +133,14 @@
         match self.next_step(current) {
             Step::Change(change) => self.change_membership(change),
             Step::TransferLeadership => {
-                // Refused while no follower can take over; retried with the next step.
-                let _ = self.replica.transfer_leadership(self.now.monotonic);
+                // Retried with the next step.
+                let transfer = self.replica.transfer_leadership(self.now.monotonic);
+                if transfer == Err(TransferError::NoTarget) {
+                    self.report_wait(ReplicaId(new), WaitReason::NoSuccessor);
+                }
             }
             Step::Done => self.queue.end_replacement(new),
-            Step::Wait => {}
+            Step::Wait(reason) => self.report_wait(ReplicaId(new), reason),
         }
     }
 
@@ -142,7 +148,7 @@
         let new = ReplicaId(current.new_replica().replica);
         let membership = self.replica.membership();
         if !self.replica.membership_is_committed() || self.proposals.has_membership() {
-            return Step::Wait;
+            return Step::Wait(WaitReason::MembershipChangePending);
         }
         if current.lost().contains(&self.replica.id().0) {
             return Step::TransferLeadership;
@@ -158,7 +164,7 @@
             return if self.lag_of(new) <= MAX_LAG_FOR_REMOVAL {
                 Step::Change(MembershipChange::Remove(lost))
             } else {
-                Step::Wait
+                Step::Wait(self.not_caught_up(new))
             };
         }
         if membership.learners.contains(&new) {
@@ -168,7 +174,14 @@
         if self.lag_of(new) == 0 {
             Step::Done
         } else {
-            Step::Wait
+            Step::Wait(WaitReason::PromotionNotSynced)
+        }
+    }
+
+    fn not_caught_up(&self, new: ReplicaId) -> WaitReason {
+        WaitReason::NotCaughtUp {
+            synced: self.replica.match_index(new).unwrap_or(LogIndex(0)),
+            committed: self.replica.commit_index(),
         }
     }
 
@@ -190,8 +203,13 @@
     fn change_membership(&mut self, change: MembershipChange) {
         let id = self.fresh_proposal();
         let now = self.now.monotonic;
-        if self.replica.propose_membership(now, id, change).is_ok() {
-            self.proposals.add_membership_change(id);
+        match self.replica.propose_membership(now, id, change) {
+            Ok(()) => self.proposals.add_membership_change(id),
+            Err(MembershipError::NotCaughtUp { replica, .. }) => {
+                let reason = self.not_caught_up(replica);
+                self.report_wait(replica, reason);
+            }
+            Err(_) => {}
         }
     }
 
--- a/crates/bramblewheel-control/src/node/spares.rs
+++ b/crates/bramblewheel-control/src/node/spares.rs
@@ -6,6 +6,7 @@
 //! Decides by the offers of spares and the last contact with each replica; `replacement` executes the
 //! replacement.
 
+use super::events::{NodeEvent, ReplacementReason};
 use super::message::PeerMessage;
 use super::{ControlNode, Now};
 use bramblewheel_protocol::control::{ReplaceRequest, ReplicaAddress};
@@ -111,11 +112,11 @@
         let Some(policy) = self.spares.policy.filter(|_| self.may_begin_replacement()) else {
             return;
         };
-        let immediate = self
-            .request_for_reset_voter()
-            .or_else(|| self.request_for_missing_voter(policy.voters));
-        if let Some(request) = immediate {
-            return self.queue.begin_replacement(request);
+        if let Some(request) = self.request_for_reset_voter() {
+            return self.propose_replacement(request, ReplacementReason::VoterReset);
+        }
+        if let Some(request) = self.request_for_missing_voter(policy.voters) {
+            return self.propose_replacement(request, ReplacementReason::VoterMissing);
         }
         let begun = self.state.replacement_begun_unix_millis();
         let period = Millis::of(policy.period).0;
@@ -123,19 +124,29 @@
         if self.proposal_time().is_none_or(is_in_period) {
             return;
         }
-        let Some(lost) = self.only_silent_voter(policy.silence) else {
-            return;
-        };
+        if let Some(request) = self.request_for_silent_voter(policy.silence) {
+            self.propose_replacement(request, ReplacementReason::VoterSilent);
+        }
+    }
+
+    /// Request to replace the only voter that has been silent for `silence`.
+    fn request_for_silent_voter(&self, silence: Duration) -> Option<ReplaceRequest> {
+        let lost = self.only_silent_voter(silence)?;
         let membership = self.replica.membership();
         let mut spares = self.spares.fresh_offers(self.now.monotonic);
-        let Some(spare) = spares.find(|spare| !membership.contains(ReplicaId(spare.replica)))
-        else {
-            return;
-        };
-        let request = ReplaceRequest {
+        let spare = spares.find(|spare| !membership.contains(ReplicaId(spare.replica)))?;
+        Some(ReplaceRequest {
             lost: lost.0,
             replacement: spare.clone(),
-        };
+        })
+    }
+
+    fn propose_replacement(&mut self, request: ReplaceRequest, reason: ReplacementReason) {
+        self.events.push(NodeEvent::ReplacementProposed {
+            lost: (request.lost != NO_REPLICA).then_some(ReplicaId(request.lost)),
+            new: request.replacement.clone(),
+            reason,
+        });
         self.queue.begin_replacement(request);
     }
 
--- a/crates/bramblewheel-control/src/server/mod.rs
+++ b/crates/bramblewheel-control/src/server/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod error;
+mod event_log;
 mod exposition;
 mod founding;
 mod handle;
--- a/crates/bramblewheel-control/src/server/node_thread.rs
+++ b/crates/bramblewheel-control/src/server/node_thread.rs
@@ -2,6 +2,7 @@
 //!
 //! Tasks of the listeners send it the inputs, and `PeerSenders` sends its messages.
 
+use super::event_log;
 use super::input::{ConnectionId, Input, Inspection};
 use super::peer_out::PeerSenders;
 use crate::clock::Clock;
@@ -210,6 +211,9 @@
         for (id, body) in output.replies {
             clients.reply(id, body);
         }
+        for event in &output.events {
+            event_log::write(&self.log, event);
+        }
     }
 
     fn log_leadership(&self, was_leader: &mut bool) {
