Offer a spare by the whole status of the group that it read

The simulated cluster makes offers as the server does: from the status of a member with a quorum, to the voters that this member names. No decision changes.

--- a/crates/bramblewheel-control/src/node/spares.rs
+++ b/crates/bramblewheel-control/src/node/spares.rs
@@ -9,7 +9,7 @@
 use super::events::{NodeEvent, ReplacementReason};
 use super::message::PeerMessage;
 use super::{ControlNode, Now};
-use bramblewheel_protocol::control::{ReplaceRequest, ReplicaAddress};
+use bramblewheel_protocol::control::{GroupStatus, ReplaceRequest, ReplicaAddress};
 use bramblewheel_replication::{ReplicaId, Term};
 use bramblewheel_types::{Millis, Timestamp};
 use std::collections::BTreeMap;
@@ -92,18 +92,19 @@
     }
 
     /// Offers this replica as a spare to the voters of a group that it does not belong to, because it
-    /// never joined or because it was replaced while it was down. Call every few seconds.
-    pub fn offer_as_spare(&mut self, now: Now, members: Vec<ReplicaAddress>) {
+    /// never joined or because it was replaced while it was down. Call every few seconds with the status
+    /// that a member with a quorum has just sent.
+    pub fn offer_as_spare(&mut self, now: Now, group: GroupStatus) {
         self.now = now;
         let own = self.replica.id().0;
-        let is_member = members.iter().any(|member| member.replica == own);
-        if is_member || self.has_quorum() {
+        let is_voter = group.voters.iter().any(|voter| voter.replica == own);
+        if is_voter || self.has_quorum() {
             return;
         }
-        for member in members {
+        for voter in group.voters {
             let offer = PeerMessage::SpareOffer(self.config.address.clone());
-            self.messages.push((ReplicaId(member.replica), offer));
-            self.reported_addresses.insert(member.replica, member);
+            self.messages.push((ReplicaId(voter.replica), offer));
+            self.reported_addresses.insert(voter.replica, voter);
         }
     }
 
--- a/crates/bramblewheel-control/src/server/input.rs
+++ b/crates/bramblewheel-control/src/server/input.rs
@@ -1,7 +1,7 @@
 //! Inputs that tasks send to the node's thread.
 
 use crate::node::{Hello, NodeMetrics, PeerMessage};
-use bramblewheel_protocol::control::{ControlReply, ControlRequest, ReplicaAddress};
+use bramblewheel_protocol::control::{ControlReply, ControlRequest, GroupStatus};
 use bramblewheel_replication::ReplicaId;
 use std::sync::mpsc as blocking;
 use tokio::sync::{mpsc, oneshot};
@@ -27,8 +27,8 @@
     Closed(ConnectionId),
     /// The admin listener requests the node's status.
     Inspect(oneshot::Sender<Inspection>),
-    /// Members of a group to offer this replica to as a spare.
-    OfferSpare(Vec<ReplicaAddress>),
+    /// Status of a group to offer this replica to as a spare.
+    OfferSpare(Box<GroupStatus>),
     /// A planned stop begins.
     Stop,
 }
--- a/crates/bramblewheel-control/src/server/node_thread.rs
+++ b/crates/bramblewheel-control/src/server/node_thread.rs
@@ -164,7 +164,7 @@
                     is_stopping: stop_by.is_some(),
                 });
             }
-            Input::OfferSpare(members) => self.node.offer_as_spare(now, members),
+            Input::OfferSpare(group) => self.node.offer_as_spare(now, *group),
             Input::Stop => {
                 stop_by.get_or_insert(now.monotonic + self.stop_timeout);
                 self.node.stop(now);
--- a/crates/bramblewheel-control/src/server/spare_offers.rs
+++ b/crates/bramblewheel-control/src/server/spare_offers.rs
@@ -1,7 +1,7 @@
 //! Offers this replica as a spare to the members of a group.
 
 use super::input::{Input, Inputs};
-use bramblewheel_protocol::control::{ReplicaAddress, ReplyBody, RequestBody};
+use bramblewheel_protocol::control::{GroupStatus, ReplyBody, RequestBody};
 use bramblewheel_protocol::request_any;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -32,16 +32,17 @@
 async fn offer(members: watch::Receiver<Vec<SocketAddr>>, interval: Duration, inputs: Inputs) {
     loop {
         let members = members.borrow().clone();
-        let voters = group_voters(&members).await;
-        if !voters.is_empty() && inputs.send(Input::OfferSpare(voters)).is_err() {
+        if let Some(group) = group_status(&members).await
+            && inputs.send(Input::OfferSpare(Box::new(group))).is_err()
+        {
             return;
         }
         tokio::time::sleep(interval).await;
     }
 }
 
-/// Voters of the group, from the first reply of a member that has contact with a quorum.
-async fn group_voters(members: &[SocketAddr]) -> Vec<ReplicaAddress> {
+/// Status of the group, from the first reply of a member that has contact with a quorum.
+async fn group_status(members: &[SocketAddr]) -> Option<GroupStatus> {
     let (replies, mut first_reply) = mpsc::channel(members.len().max(1));
     let mut requests = JoinSet::new();
     for member in members.iter().copied() {
@@ -51,10 +52,10 @@
             if let Ok(ReplyBody::GroupStatus(status)) = reply
                 && status.has_quorum
             {
-                let _ = replies.send(status.voters).await;
+                let _ = replies.send(status).await;
             }
         });
     }
     drop(replies);
-    first_reply.recv().await.unwrap_or_default()
+    first_reply.recv().await
 }
--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -6,7 +6,7 @@
     ClientRequestId, ControlNode, Durable, NodeConfig, NodeOutput, Now, PeerMessage, SparePolicy,
 };
 use bramblewheel_protocol::control::{
-    BootstrapRequest, ReplicaAddress, ReplyBody, RequestBody, Unavailable,
+    BootstrapRequest, GroupStatus, ReplicaAddress, ReplyBody, RequestBody, Unavailable,
 };
 use bramblewheel_replication::ReplicaId;
 use bramblewheel_storage::{MemoryFileSystem, StorageConfig};
@@ -224,20 +224,31 @@
 
     fn make_offers(&mut self) {
         self.offers_due = self.now + Duration::from_secs(5);
-        let addresses = (0..self.machines.len()).map(|machine| self.address(machine));
-        let addresses: Vec<ReplicaAddress> = addresses.collect();
         for spare in self.spares.clone() {
-            if self.machines[spare].running.is_none() {
+            if self.machines[spare].running.is_none() || self.cut.contains(&spare) {
                 continue;
             }
-            let now = self.clocks(spare);
-            let mut members = addresses.clone();
-            members.remove(spare);
-            self.node_mut(spare).offer_as_spare(now, members);
-            self.drive(spare);
+            if let Some(group) = self.status_with_quorum(spare) {
+                let now = self.clocks(spare);
+                self.node_mut(spare).offer_as_spare(now, group);
+                self.drive(spare);
+            }
         }
     }
 
+    /// Status of the group as seen by the first machine other than `asking` that has a quorum.
+    fn status_with_quorum(&self, asking: usize) -> Option<GroupStatus> {
+        let machines = self.machines.iter().enumerate();
+        let reachable = machines.filter(|(number, machine)| {
+            *number != asking && !machine.is_frozen && !self.cut.contains(number)
+        });
+        let nodes = reachable.filter_map(|(number, machine)| {
+            let (node, _) = machine.running.as_ref()?;
+            Some(node.group_status(self.clocks(number)))
+        });
+        nodes.into_iter().find(|status| status.has_quorum)
+    }
+
     /// Cuts the power of a machine; unsynced writes are lost.
     pub fn crash(&mut self, machine: usize) {
         self.machines[machine].running = None;
