Two red tests: a disk lost again on the same machine, after its replacement and during it

The first test ends in the state that the users' record shows: the voters are the two others, the learner is an identity that no longer exists, and the living replica of the machine is outside.

--- /dev/null
+++ b/crates/bramblewheel-control/tests/lost_disks.rs
@@ -0,0 +1,107 @@
+//! Disks lost several times in a row, also while a replacement is in progress.
+
+mod support;
+
+use bramblewheel_replication::{Membership, ReplicaId};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use support::cluster::Cluster;
+use support::founded::{FAST, expect_accepted, founded, replace};
+
+/// Interval at which a replica without a group offers itself.
+const OFFER_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after the last fault within which the group must be whole again.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// A group of three whose machines offer themselves whenever they are not in it.
+fn group(seed: u64) -> Cluster {
+    group_with_spares(0, seed)
+}
+
+fn group_with_spares(spares: usize, seed: u64) -> Cluster {
+    let mut cluster = founded(spares, seed);
+    cluster.offer_interval = OFFER_INTERVAL;
+    cluster.set_spares(FAST, (0..3 + spares).collect());
+    expect_accepted(&mut cluster, &replace(0, 3, "first"));
+    cluster
+}
+
+fn membership(cluster: &mut Cluster) -> Membership {
+    let leader = cluster.settle();
+    cluster.node(leader).replica().membership().clone()
+}
+
+fn identity(cluster: &Cluster, machine: usize) -> ReplicaId {
+    ReplicaId(cluster.address(machine).replica)
+}
+
+/// Expects that the given machines are the voters, under their current identities, and nothing else is
+/// in progress.
+fn expect_whole(cluster: &mut Cluster, machines: [usize; 3], context: &str) {
+    let members = membership(cluster);
+    let expected = machines.map(|machine| identity(cluster, machine));
+    assert_eq!(
+        members.voters,
+        BTreeSet::from(expected),
+        "{context}: voters"
+    );
+    assert_eq!(members.learners, BTreeSet::new(), "{context}: learners");
+    let leader = cluster.settle();
+    let replacement = cluster.node(leader).state().replacement();
+    assert_eq!(replacement, None, "{context}");
+}
+
+fn follower(cluster: &mut Cluster) -> usize {
+    (cluster.settle() + 1) % 3
+}
+
+/// Runs until a machine is a learner under its current identity.
+fn run_until_learner(cluster: &mut Cluster, machine: usize) {
+    for _ in 0..5_000 {
+        cluster.run(Duration::from_millis(1));
+        let new = identity(cluster, machine);
+        if let Some(leader) = cluster.leader()
+            && cluster
+                .node(leader)
+                .replica()
+                .membership()
+                .learners
+                .contains(&new)
+        {
+            return;
+        }
+    }
+    panic!("machine {machine} did not become a learner");
+}
+
+#[test]
+fn living_voter_is_not_replaced_by_an_earlier_identity_of_its_machine() {
+    for (seed, pause) in [0, 1, 2, 5, 12, 28].into_iter().enumerate() {
+        let mut cluster = group(700 + seed as u64);
+        let machine = follower(&mut cluster);
+        cluster.restart_wiped(machine);
+        cluster.run(RECOVERY + Duration::from_secs(pause));
+        expect_whole(&mut cluster, [0, 1, 2], "after the first loss");
+        cluster.restart_wiped(machine);
+        cluster.run(RECOVERY);
+        expect_whole(
+            &mut cluster,
+            [0, 1, 2],
+            &format!("{pause} s after the first"),
+        );
+    }
+}
+
+#[test]
+fn replacement_continues_with_the_next_identity_after_its_new_replica_lost_its_disk() {
+    for step in 0..20 {
+        let mut cluster = group(720 + step);
+        let machine = follower(&mut cluster);
+        cluster.restart_wiped(machine);
+        run_until_learner(&mut cluster, machine);
+        cluster.run(Duration::from_millis(5 * step));
+        cluster.restart_wiped(machine);
+        cluster.run(RECOVERY);
+        expect_whole(&mut cluster, [0, 1, 2], &format!("step {step}"));
+    }
+}
--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -50,6 +50,8 @@
     /// Machines that offer themselves as spares.
     spares: Vec<usize>,
     offers_due: Timestamp,
+    /// Time between two offers of a spare.
+    pub offer_interval: Duration,
     /// Milliseconds by which all wall clocks were advanced in addition to the time that passed.
     skipped_millis: i64,
     /// Whether replies are dropped from now on.
@@ -76,6 +78,7 @@
             spare_policy: None,
             spares: Vec::new(),
             offers_due: Timestamp::ZERO,
+            offer_interval: Duration::from_secs(5),
             skipped_millis: 0,
             drops_replies: false,
             read_replies: Vec::new(),
@@ -223,7 +226,7 @@
     }
 
     fn make_offers(&mut self) {
-        self.offers_due = self.now + Duration::from_secs(5);
+        self.offers_due = self.now + self.offer_interval;
         for spare in self.spares.clone() {
             if self.machines[spare].running.is_none() || self.cut.contains(&spare) {
                 continue;
