Forget the progress of a removed replica when it is added again

Cause, first part: a leader keeps sending to a replica that it removed, for one election time-out, so that the replica learns of its removal. When the replica was added again within that time, as happens when a replacement names an identity that has just been replaced, the leader went on with its old progress and took a replica that no longer exists for one that has the whole log. The replacement then removed the living voter.

Ruled out: the check of the learner's lag itself; it compares what the leader believes, and that was wrong.

A replica that is added again starts with unknown progress, so that only what it answers from then on counts.

--- a/crates/bramblewheel-replication/src/reconfiguration.rs
+++ b/crates/bramblewheel-replication/src/reconfiguration.rs
@@ -35,8 +35,10 @@
             self.check_caught_up(replica)?;
         }
         self.append_proposal(id, Payload::Membership(next));
-        if let MembershipChange::Remove(replica) = change {
-            self.keep_informing_removed(replica);
+        match change {
+            MembershipChange::Remove(replica) => self.keep_informing_removed(replica),
+            MembershipChange::AddLearner { replica, .. } => self.forget_removed(replica),
+            MembershipChange::PromoteLearner(_) => {}
         }
         self.sync_peers();
         Ok(())
@@ -95,6 +97,17 @@
         }
     }
 
+    /// Forgets the progress of a removed replica that is added again, as it may have lost its entries.
+    fn forget_removed(&mut self, replica: ReplicaId) {
+        let Some(leadership) = self.leadership_mut() else {
+            return;
+        };
+        leadership
+            .removed
+            .take_if(|removed| removed.replica == replica);
+        leadership.peers.remove(&replica);
+    }
+
     /// Stops sending to a removed replica once it has received its removal, or after the deadline.
     pub(crate) fn release_removed(&mut self) {
         let now = self.now;
--- a/crates/bramblewheel-replication/tests/scenarios.rs
+++ b/crates/bramblewheel-replication/tests/scenarios.rs
@@ -231,6 +231,32 @@
     );
 }
 
+#[test]
+fn entries_synced_before_a_removal_are_not_counted_when_the_replica_is_added_again() {
+    let mut cluster = Cluster::new(3, 11);
+    let leader = cluster.settle();
+    cluster.propose(leader).expect("leader runs");
+    cluster.run(Duration::from_millis(200));
+    let lost = followers(&cluster, leader)[0];
+    cluster.crash(lost);
+    let removal = MembershipChange::Remove(lost);
+    let propose =
+        |replica: &mut Replica, now| replica.propose_membership(now, ProposalId(1 << 41), removal);
+    cluster
+        .with(leader, propose)
+        .expect("leader runs")
+        .expect("two voters remain");
+    cluster.run(Duration::from_millis(20));
+    let propose = |replica: &mut Replica, now| {
+        replica.propose_membership(now, ProposalId(2 << 41), add_learner(lost))
+    };
+    cluster
+        .with(leader, propose)
+        .expect("leader runs")
+        .expect("the removal is committed");
+    assert_eq!(cluster.replica(leader).match_index(lost), Some(LogIndex(0)));
+}
+
 #[test]
 fn a_removed_leader_steps_down_once_its_removal_is_committed() {
     let mut cluster = Cluster::new(3, 10);
