Promote a learner that keeps up, also while it answers more slowly than heartbeats are sent

A replacement removes the lost voter and then promotes the new replica; until then the group has no voter to spare.

Cause of a long wait there: a promotion asked for an answer to the current or the last round and for all entries of that round. A new replica whose answers take longer than two heartbeat intervals (a slow disk, a slowed machine) never met that while entries were appended, although it kept up; and the replacement ended only at a moment at which the new voter lacked no entry at all, so that no later loss was repaired.

Ruled out: the limit of 64 entries for the removal, which the learner met at once.

A learner is now caught up if it has synced all that the leader's log held at some time within the last election time-out, which is how fresh a follower has to be to keep its leader anyway. The replacement ends when the new voter has synced the entry that promoted it.

--- a/crates/bramblewheel-control/src/node/replacement.rs
+++ b/crates/bramblewheel-control/src/node/replacement.rs
@@ -21,9 +21,6 @@
 
 /// How long a client waits for the replacement. It may then send the same request again and continue to wait.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(60);
-/// Entries that the learner may lack when the lost replica is removed. The promotion has its own
-/// check.
-const MAX_LAG_FOR_REMOVAL: u64 = 64;
 
 /// Clients that wait for the end of a replacement.
 #[derive(Debug, Default)]
@@ -161,7 +158,7 @@
         }
         let mut lost = current.lost().iter().map(|lost| ReplicaId(*lost));
         if let Some(lost) = lost.find(|lost| membership.contains(*lost)) {
-            return if self.lag_of(new) <= MAX_LAG_FOR_REMOVAL {
+            return if self.is_caught_up(new) {
                 Step::Change(MembershipChange::Remove(lost))
             } else {
                 Step::Wait(self.not_caught_up(new))
@@ -170,14 +167,20 @@
         if membership.learners.contains(&new) {
             return Step::Change(MembershipChange::PromoteLearner(new));
         }
-        // Finished once the new replica has all committed entries, including its own promotion.
-        if self.lag_of(new) == 0 {
+        if self.has_synced_membership(new) {
             Step::Done
         } else {
             Step::Wait(WaitReason::PromotionNotSynced)
         }
     }
 
+    /// Whether a member has synced the membership in force, and with it its own promotion. It may lack later
+    /// entries: under load there is always one that it has not synced yet.
+    fn has_synced_membership(&self, member: ReplicaId) -> bool {
+        let synced = self.replica.match_index(member);
+        member == self.replica.id() || synced >= Some(self.replica.membership_index())
+    }
+
     fn not_caught_up(&self, new: ReplicaId) -> WaitReason {
         WaitReason::NotCaughtUp {
             synced: self.replica.match_index(new).unwrap_or(LogIndex(0)),
@@ -185,17 +188,10 @@
         }
     }
 
-    /// Number of committed entries that a member is not known to have synced.
-    fn lag_of(&self, member: ReplicaId) -> u64 {
-        if member == self.replica.id() {
-            return 0;
-        }
-        let synced = self.replica.match_index(member).unwrap_or(LogIndex(0));
-        let committed = self.replica.commit_index();
-        if synced.0 == 0 {
-            return u64::MAX;
-        }
-        committed.0.saturating_sub(synced.0)
+    /// Whether a member could be promoted now. The lost replica is removed only then, since the group has one
+    /// voter less until the promotion.
+    fn is_caught_up(&self, member: ReplicaId) -> bool {
+        member == self.replica.id() || self.replica.is_caught_up(member)
     }
 
     /// Proposes a membership change. A refused change, such as the promotion of a learner that is
--- a/crates/bramblewheel-control/tests/lost_disks.rs
+++ b/crates/bramblewheel-control/tests/lost_disks.rs
@@ -105,3 +105,26 @@
         expect_whole(&mut cluster, [0, 1, 2], &format!("step {step}"));
     }
 }
+
+#[test]
+fn replacement_ends_while_entries_are_appended_faster_than_the_new_replica_answers() {
+    for seed in 770..775 {
+        let mut cluster = group(seed);
+        let machine = follower(&mut cluster);
+        let lost = identity(&cluster, machine);
+        cluster.restart_wiped(machine);
+        cluster.delay(machine, Duration::from_millis(70));
+        let leader = cluster.settle();
+        for version in 0..1_000 {
+            cluster.send(leader, replace(version, version + 4, "next"));
+            cluster.run(Duration::from_millis(10));
+        }
+        let replica = cluster.node(leader).replica();
+        let new = identity(&cluster, machine);
+        let voters = &replica.membership().voters;
+        assert!(voters.contains(&new), "seed {seed}: not promoted");
+        assert!(!voters.contains(&lost), "seed {seed}: not removed");
+        let replacement = cluster.node(leader).state().replacement();
+        assert_eq!(replacement, None, "seed {seed}: not ended");
+    }
+}
--- a/crates/bramblewheel-replication/src/commitment.rs
+++ b/crates/bramblewheel-replication/src/commitment.rs
@@ -31,7 +31,7 @@
             return;
         };
         if let Some(start) = start {
-            progress.on_answer(round, start, token, now);
+            progress.on_answer(round, start.at, token, now);
         }
         match result {
             AppendResult::Matched { index } if index <= self.log.last_index() => {
@@ -47,6 +47,9 @@
                 progress.on_conflict(round, previous_index, possible);
             }
         }
+        if let Some(start) = start {
+            progress.note_catch_up(start);
+        }
         self.release_removed();
         self.prove_tokens();
         self.confirm_reads();
--- a/crates/bramblewheel-replication/src/leader.rs
+++ b/crates/bramblewheel-replication/src/leader.rs
@@ -58,10 +58,10 @@
         let Some(leadership) = self.leadership_mut() else {
             return;
         };
-        leadership.begin_round(now);
+        leadership.begin_round(now, last_index);
         leadership.heartbeat_due = heartbeat_due;
         for progress in leadership.peers.values_mut() {
-            progress.on_round_begun(last_index);
+            progress.on_round_begun();
         }
         if commit >= leadership.first_index {
             let round = leadership.round;
--- a/crates/bramblewheel-replication/src/leadership.rs
+++ b/crates/bramblewheel-replication/src/leadership.rs
@@ -31,6 +31,17 @@
     pub(crate) deadline: Timestamp,
 }
 
+/// Start of a round.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RoundStart {
+    /// Number of the round.
+    round: u64,
+    /// Time of the start.
+    pub(crate) at: Timestamp,
+    /// Last entry of the leader's log at that time.
+    pub(crate) last_index: LogIndex,
+}
+
 /// State that a replica holds only while it leads.
 #[derive(Debug)]
 pub(crate) struct Leadership {
@@ -42,8 +53,8 @@
     pub(crate) peers: BTreeMap<ReplicaId, Progress>,
     /// Current round; each message carries it and each answer returns it.
     pub(crate) round: u64,
-    /// Start times of rounds, oldest first.
-    round_starts: VecDeque<(u64, Timestamp)>,
+    /// Starts of rounds, oldest first.
+    round_starts: VecDeque<RoundStart>,
     /// Time at which the next round begins at the latest.
     pub(crate) heartbeat_due: Timestamp,
     /// Reads not answered yet.
@@ -73,18 +84,22 @@
     }
 
     /// Starts the next round.
-    pub(crate) fn begin_round(&mut self, now: Timestamp) {
+    pub(crate) fn begin_round(&mut self, now: Timestamp, last_index: LogIndex) {
         self.round += 1;
-        self.round_starts.push_back((self.round, now));
+        self.round_starts.push_back(RoundStart {
+            round: self.round,
+            at: now,
+            last_index,
+        });
         if self.round_starts.len() > KEPT_ROUND_STARTS {
             self.round_starts.pop_front();
         }
     }
 
-    /// Start time of a round; `None` if it is no longer kept.
-    pub(crate) fn round_start(&self, round: u64) -> Option<Timestamp> {
-        let (first, _) = *self.round_starts.front()?;
+    /// Start of a round; `None` if it is no longer kept.
+    pub(crate) fn round_start(&self, round: u64) -> Option<RoundStart> {
+        let first = self.round_starts.front()?.round;
         let offset = usize::try_from(round.checked_sub(first)?).ok()?;
-        self.round_starts.get(offset).map(|(_, start)| *start)
+        self.round_starts.get(offset).copied()
     }
 }
--- a/crates/bramblewheel-replication/src/progress.rs
+++ b/crates/bramblewheel-replication/src/progress.rs
@@ -1,5 +1,6 @@
 //! Replication progress of one other replica, tracked by the leader.
 
+use crate::leadership::RoundStart;
 use crate::message::ContactToken;
 use crate::types::LogIndex;
 use bramblewheel_types::Timestamp;
@@ -56,8 +57,8 @@
     waiting_token: Option<(ContactToken, Timestamp)>,
     /// The follower's last token after which a quorum answered; sent back to it.
     pub(crate) proven_token: Option<ContactToken>,
-    /// Last entry of the leader's log when the latest round began.
-    pub(crate) catch_up_target: LogIndex,
+    /// Latest time at which the leader's log held no entry that the follower has not synced since.
+    pub(crate) caught_up_at: Option<Timestamp>,
 }
 
 impl Progress {
@@ -72,7 +73,7 @@
             sent_commit: LogIndex(0),
             waiting_token: None,
             proven_token: None,
-            catch_up_target: last_index,
+            caught_up_at: None,
         }
     }
 
@@ -104,8 +105,7 @@
     }
 
     /// Prepares a new round, in which a probe that may be lost is sent again.
-    pub(crate) fn on_round_begun(&mut self, last_index: LogIndex) {
-        self.catch_up_target = last_index;
+    pub(crate) fn on_round_begun(&mut self) {
         if let Flow::Probe { waiting } = &mut self.flow {
             *waiting = false;
         }
@@ -156,6 +156,14 @@
         }
     }
 
+    /// Records whether the follower has synced all entries that the leader's log held at the start of a round
+    /// that it answered.
+    pub(crate) fn note_catch_up(&mut self, start: RoundStart) {
+        if self.match_index >= start.last_index {
+            self.caught_up_at = self.caught_up_at.max(Some(start.at));
+        }
+    }
+
     /// Marks the waiting token as proven if it arrived before `contact`, the start of a round that a quorum
     /// answered.
     pub(crate) fn prove_token(&mut self, contact: Timestamp) {
--- a/crates/bramblewheel-replication/src/reconfiguration.rs
+++ b/crates/bramblewheel-replication/src/reconfiguration.rs
@@ -5,13 +5,13 @@
 use crate::membership::MembershipChange;
 use crate::progress::Progress;
 use crate::replica::Replica;
-use crate::types::{Payload, ProposalId, ReplicaId};
+use crate::types::{LogIndex, Payload, ProposalId, ReplicaId};
 use bramblewheel_types::Timestamp;
 
 impl Replica {
     /// Proposes to change the membership by one replica.
     ///
-    /// A promoted learner has synced the log up to the start of the latest round;
+    /// A learner is promoted only if it [is caught up](Self::is_caught_up);
     /// [`match_index`](Self::match_index) tells whether it has synced the promotion itself.
     ///
     /// # Errors
@@ -31,8 +31,16 @@
             return Err(MembershipError::ChangeInProgress);
         }
         let next = self.membership().changed(&change)?;
-        if let MembershipChange::PromoteLearner(replica) = change {
-            self.check_caught_up(replica)?;
+        if let MembershipChange::PromoteLearner(replica) = change
+            && !self.is_caught_up(replica)
+        {
+            let synced = self.match_index(replica).unwrap_or(LogIndex(0));
+            let wanted = self.log.last_index();
+            return Err(MembershipError::NotCaughtUp {
+                replica,
+                synced,
+                wanted,
+            });
         }
         self.append_proposal(id, Payload::Membership(next));
         match change {
@@ -44,21 +52,17 @@
         Ok(())
     }
 
-    fn check_caught_up(&self, replica: ReplicaId) -> Result<(), MembershipError> {
-        let leadership = self.leadership().ok_or(self.not_leader())?;
-        let progress = leadership
-            .peers
-            .get(&replica)
-            .ok_or(MembershipError::UnknownReplica(replica))?;
-        let answers_now = progress.acked_round + 1 >= leadership.round;
-        if answers_now && progress.match_index >= progress.catch_up_target {
-            return Ok(());
-        }
-        Err(MembershipError::NotCaughtUp {
-            replica,
-            synced: progress.match_index,
-            wanted: progress.catch_up_target,
-        })
+    /// Whether another member has synced all entries that this leader's log held at some time within the last
+    /// election time-out. `false` if this replica is not the leader.
+    ///
+    /// A member that answers, but takes longer than a heartbeat interval to sync, can still be caught up while
+    /// entries are appended all the time.
+    pub fn is_caught_up(&self, replica: ReplicaId) -> bool {
+        let progress = self
+            .leadership()
+            .and_then(|leadership| leadership.peers.get(&replica));
+        let caught_up_at = progress.and_then(|progress| progress.caught_up_at);
+        caught_up_at.is_some_and(|at| at + self.config.election_timeout >= self.now)
     }
 
     /// Updates the peers to the membership in force.
--- a/crates/bramblewheel-replication/src/status.rs
+++ b/crates/bramblewheel-replication/src/status.rs
@@ -51,6 +51,12 @@
         self.log.membership().1
     }
 
+    /// Index of the entry with the membership in force. If that entry is compacted, the index of an entry
+    /// after it up to which the log is compacted.
+    pub fn membership_index(&self) -> LogIndex {
+        self.log.membership().0
+    }
+
     /// Whether the membership in force is committed.
     pub fn membership_is_committed(&self) -> bool {
         self.log.membership().0 <= self.commit
