Use only offers of spares that include the latest change of the group

Cause: a leader kept an offer for 30 s, whatever became of the replica that made it. When a machine lost its disk twice, the offer of its second identity still stood after the third one had taken its place. It named no member, at the address of a voter, and so counted as proof that this voter had lost its disk. Which of two identities of a machine is the later one was guessed from what had arrived last.

Weighed: identities that were members never come back (forbids the return of a voter that was replaced while it was cut off, and says nothing of identities that offered themselves and never joined); a start counter or clock of the machine (is lost with the disk, or steps); an offer bound to the connection of its maker (needs a message and an answer more, and a connection can outlive its maker behind a cut).

Why this works: an offer now names the last entry that a member had applied when the spare read its status, so the spare was running after all that the log records up to there. If the log names another identity at the same address by then, that one came earlier, since a machine has one data folder at a time. The leader counts only offers that include its latest membership and replacement, in any order of arrival. A member that still answers is not replaced in any case. Ignored offers are logged with the reason. Offers of earlier versions carry no entry and count as made when they arrive, so that a mixed group repairs itself as before; earlier replicas read the new offers (test).

--- a/crates/bramblewheel-control/src/node/events.rs
+++ b/crates/bramblewheel-control/src/node/events.rs
@@ -52,6 +52,13 @@
         /// Why.
         reason: WaitReason,
     },
+    /// The leader does not use the offer of a spare.
+    OfferIgnored {
+        /// The spare.
+        replica: ReplicaId,
+        /// Why.
+        reason: IgnoredOffer,
+    },
 }
 
 /// How a member changed.
@@ -94,6 +101,23 @@
     PromotionNotSynced,
 }
 
+/// Why an offer is not used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IgnoredOffer {
+    /// It was made to another group.
+    OtherGroup,
+    /// It was made before the latest change of the members or of the replacement in progress, or before a
+    /// later offer from the same address. The spare may have lost its data since.
+    Outdated {
+        /// Last entry that the offer includes.
+        includes: LogIndex,
+        /// Entry that it must include.
+        required: LogIndex,
+    },
+    /// The member at the spare's address answers.
+    MemberAnswers(ReplicaId),
+}
+
 impl fmt::Display for MemberChange {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
@@ -127,3 +151,15 @@
         }
     }
 }
+
+impl fmt::Display for IgnoredOffer {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::OtherGroup => formatter.write_str("other_group"),
+            Self::Outdated { includes, required } => {
+                write!(formatter, "outdated:{}_of_{}", includes.0, required.0)
+            }
+            Self::MemberAnswers(member) => write!(formatter, "member_answers:{:016x}", member.0),
+        }
+    }
+}
--- a/crates/bramblewheel-control/src/node/inputs.rs
+++ b/crates/bramblewheel-control/src/node/inputs.rs
@@ -32,9 +32,9 @@
             PeerMessage::Clock { unix_millis } => {
                 self.clocks.note(from, unix_millis, now.monotonic);
             }
-            PeerMessage::SpareOffer(address) => {
-                if address.replica == from.0 && self.is_leader() {
-                    self.spares.record_offer(address, now.monotonic);
+            PeerMessage::SpareOffer(offer) => {
+                if offer.replica == from.0 && self.is_leader() {
+                    self.record_offer(offer);
                 }
             }
             PeerMessage::TenantUsage(sums) => {
--- a/crates/bramblewheel-control/src/node/message.rs
+++ b/crates/bramblewheel-control/src/node/message.rs
@@ -5,6 +5,7 @@
 use bramblewheel_replication::Message;
 use bramblewheel_types::{BundleVersion, DaemonId};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// First frame of a connection between replicas.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,7 +35,7 @@
         unix_millis: u64,
     },
     /// From a replica that is in no group: it may replace a lost one.
-    SpareOffer(ReplicaAddress),
+    SpareOffer(SpareOffer),
     /// To all replicas: sums of the requests admitted for tenants by the daemons that report to the sender.
     TenantUsage(Vec<TenantUsage>),
     /// To the leader: request for a quorum-checked read.
@@ -51,6 +52,54 @@
     },
 }
 
+/// A replica offers itself as a spare.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpareOffer {
+    /// Its identity.
+    pub replica: u64,
+    /// Its name from the settings.
+    pub name: String,
+    /// Its address for messages from other replicas.
+    pub peer: SocketAddr,
+    /// Its address for daemons and operators.
+    pub service: SocketAddr,
+    /// What it read of the group before; absent in offers of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub basis: Option<OfferBasis>,
+}
+
+/// Status of a group, as read by a spare before its offer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OfferBasis {
+    /// The group.
+    pub group: Option<u64>,
+    /// Last entry that the member which was asked had applied.
+    pub applied_index: u64,
+}
+
+impl SpareOffer {
+    /// Offer of the replica with this address.
+    pub fn new(address: ReplicaAddress, basis: OfferBasis) -> Self {
+        Self {
+            replica: address.replica,
+            name: address.name,
+            peer: address.peer,
+            service: address.service,
+            basis: Some(basis),
+        }
+    }
+
+    /// Identity, name and addresses of the replica.
+    pub fn into_address(self) -> ReplicaAddress {
+        ReplicaAddress {
+            replica: self.replica,
+            name: self.name,
+            peer: self.peer,
+            service: self.service,
+        }
+    }
+}
+
 /// A daemon renewed its lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renewal {
--- a/crates/bramblewheel-control/src/node/metrics.rs
+++ b/crates/bramblewheel-control/src/node/metrics.rs
@@ -66,7 +66,7 @@
             bundle_deltas_sent: self.bundle_updates.counts.deltas_sent,
             whole_bundles_sent: self.bundle_updates.counts.whole_sent,
             operations_decided: self.counters.operations_decided,
-            spares: self.spares.fresh_offers(now.monotonic).count() as u64,
+            spares: self.spares.offers.valid(now.monotonic).len() as u64,
         }
     }
 }
--- a/crates/bramblewheel-control/src/node/spares.rs
+++ b/crates/bramblewheel-control/src/node/spares.rs
@@ -6,19 +6,20 @@
 //! Decides by the offers of spares and the last contact with each replica; `replacement` executes the
 //! replacement.
 
-use super::events::{NodeEvent, ReplacementReason};
-use super::message::PeerMessage;
+use super::events::{IgnoredOffer, NodeEvent, ReplacementReason};
+use super::message::{OfferBasis, PeerMessage, SpareOffer};
+use super::offers::{GroupView, Offers};
 use super::{ControlNode, Now};
 use bramblewheel_protocol::control::{GroupStatus, ReplaceRequest, ReplicaAddress};
-use bramblewheel_replication::{ReplicaId, Term};
+use bramblewheel_replication::{LogIndex, ReplicaId, Term};
 use bramblewheel_types::{Millis, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Age up to which an offer is valid. The driver makes one every 5 to 10 s.
-const OFFER_LIFETIME: Duration = Duration::from_secs(30);
 /// Silence up to which a voter counts as in contact. Followers answer every heartbeat.
 const CONTACT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Heartbeats without a message of a member up to which the member counts as answering.
+const MISSED_HEARTBEATS: u32 = 4;
 
 /// Id for "no replica", used as the lost replica of a replacement that only adds one.
 const NO_REPLICA: u64 = 0;
@@ -38,7 +39,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Spares {
     policy: Option<SparePolicy>,
-    offers: BTreeMap<ReplicaId, (ReplicaAddress, Timestamp)>,
+    pub(super) offers: Offers,
     /// Time of the last message of each replica.
     last_contact: BTreeMap<ReplicaId, Timestamp>,
     /// Term in which this replica leads, and the time at which it began.
@@ -55,13 +56,6 @@
         self.last_contact.insert(replica, now);
     }
 
-    pub(super) fn record_offer(&mut self, address: ReplicaAddress, now: Timestamp) {
-        let replica = ReplicaId(address.replica);
-        self.offers
-            .retain(|_, (_, at)| now.since(*at) <= OFFER_LIFETIME);
-        self.offers.insert(replica, (address, now));
-    }
-
     /// Records whether this replica leads. Silence before its leadership does not count.
     pub(super) fn note_leadership(&mut self, now: Timestamp, term: Option<Term>) {
         if self.leading.map(|(term, _)| term) != term {
@@ -76,13 +70,6 @@
         let last = contact.max(since);
         last.map_or(Duration::ZERO, |last| now.since(last))
     }
-
-    /// Spares whose latest offer is still valid.
-    pub(super) fn fresh_offers(&self, now: Timestamp) -> impl Iterator<Item = &ReplicaAddress> {
-        let offers = self.offers.values();
-        let fresh = offers.filter(move |(_, at)| now.since(*at) <= OFFER_LIFETIME);
-        fresh.map(|(address, _)| address)
-    }
 }
 
 impl ControlNode {
@@ -101,15 +88,57 @@
         if is_voter || self.has_quorum() {
             return;
         }
+        let basis = OfferBasis {
+            group: group.group,
+            applied_index: group.position.index,
+        };
         for voter in group.voters {
-            let offer = PeerMessage::SpareOffer(self.config.address.clone());
-            self.messages.push((ReplicaId(voter.replica), offer));
+            let offer = SpareOffer::new(self.config.address.clone(), basis);
+            let message = PeerMessage::SpareOffer(offer);
+            self.messages.push((ReplicaId(voter.replica), message));
             self.reported_addresses.insert(voter.replica, voter);
         }
     }
 
+    /// Records the offer of a spare to this leader.
+    pub(super) fn record_offer(&mut self, offer: SpareOffer) {
+        let spare = ReplicaId(offer.replica);
+        let group = self.state.group();
+        let applied = LogIndex(self.state.position().index);
+        let now = self.now.monotonic;
+        if let Err(reason) = self.spares.offers.record(offer, group, applied, now) {
+            self.report_ignored_offer(spare, reason);
+        }
+    }
+
+    fn report_ignored_offer(&mut self, replica: ReplicaId, reason: IgnoredOffer) {
+        if self
+            .spares
+            .offers
+            .should_report(replica, self.now.monotonic)
+        {
+            let event = NodeEvent::OfferIgnored { replica, reason };
+            self.events.push(event);
+        }
+    }
+
+    /// Requires offers to include the latest change of the group.
+    fn update_required_offers(&mut self) {
+        let view = GroupView {
+            term: self.replica.term(),
+            membership: self.replica.membership().clone(),
+            replacement: self.state.replacement().cloned(),
+        };
+        let applied = LogIndex(self.state.position().index);
+        let last = applied.max(self.replica.membership_index());
+        self.spares.offers.require(view, last);
+    }
+
     /// Begins a replacement if the policy requires one.
     pub(super) fn use_spare_if_due(&mut self) {
+        if self.has_applied_earlier_terms() {
+            self.update_required_offers();
+        }
         let Some(policy) = self.spares.policy.filter(|_| self.may_begin_replacement()) else {
             return;
         };
@@ -133,9 +162,7 @@
     /// Request to replace the only voter that has been silent for `silence`.
     fn request_for_silent_voter(&self, silence: Duration) -> Option<ReplaceRequest> {
         let lost = self.only_silent_voter(silence)?;
-        let membership = self.replica.membership();
-        let mut spares = self.spares.fresh_offers(self.now.monotonic);
-        let spare = spares.find(|spare| !membership.contains(ReplicaId(spare.replica)))?;
+        let spare = self.spare_outside_group()?;
         Some(ReplaceRequest {
             lost: lost.0,
             replacement: spare.clone(),
@@ -151,39 +178,58 @@
         self.queue.begin_replacement(request);
     }
 
+    /// The spare with the latest valid offer that is not a member.
+    fn spare_outside_group(&self) -> Option<&ReplicaAddress> {
+        let membership = self.replica.membership();
+        let spares = self.spares.offers.valid(self.now.monotonic);
+        let mut spares = spares.into_iter();
+        spares.find(|spare| !membership.contains(ReplicaId(spare.replica)))
+    }
+
     /// Request to replace a voter whose address now belongs to a spare: its machine returned without
     /// its disk.
-    fn request_for_reset_voter(&self) -> Option<ReplaceRequest> {
-        let membership = self.replica.membership();
+    fn request_for_reset_voter(&mut self) -> Option<ReplaceRequest> {
         let own = self.replica.id();
-        let has_address_of = |spare: &ReplicaAddress, voter: ReplicaId| {
-            let address = self.recorded_address(voter);
-            voter != own && address.is_some_and(|address| address.peer == spare.peer)
-        };
-        let reset_voter = self
-            .spares
-            .fresh_offers(self.now.monotonic)
-            .find_map(|spare| {
-                let is_new = !membership.contains(ReplicaId(spare.replica));
-                let mut voters = membership.voters.iter().copied();
-                let lost = voters.find(|voter| is_new && has_address_of(spare, *voter))?;
-                Some((lost, spare.clone()))
-            });
-        reset_voter.map(|(lost, replacement)| ReplaceRequest {
+        let others = self.replica.membership().voters.iter().copied();
+        let reset = others
+            .filter(|voter| *voter != own)
+            .find_map(|voter| Some((voter, self.spare_at_address_of(voter)?.clone())));
+        let (lost, replacement) = reset?;
+        if self.answers(lost) {
+            let reason = IgnoredOffer::MemberAnswers(lost);
+            self.report_ignored_offer(ReplicaId(replacement.replica), reason);
+            return None;
+        }
+        Some(ReplaceRequest {
             lost: lost.0,
             replacement,
         })
     }
 
+    /// The spare at the recorded address of a member, which proves that the member's data is lost.
+    fn spare_at_address_of(&self, member: ReplicaId) -> Option<&ReplicaAddress> {
+        let address = self.recorded_address(member)?;
+        let membership = self.replica.membership();
+        let spares = self.spares.offers.valid(self.now.monotonic);
+        let mut spares = spares.into_iter();
+        spares.find(|spare| {
+            spare.peer == address.peer && !membership.contains(ReplicaId(spare.replica))
+        })
+    }
+
+    /// Whether a replica has sent a message within the last few heartbeats.
+    fn answers(&self, replica: ReplicaId) -> bool {
+        let silence = self.spares.silence_of(replica, self.now.monotonic);
+        silence < self.config.heartbeat * MISSED_HEARTBEATS
+    }
+
     /// Request to add a voter without removing one, if the group has fewer than `voters`.
     fn request_for_missing_voter(&self, voters: usize) -> Option<ReplaceRequest> {
         let membership = self.replica.membership();
         if membership.voters.len() >= voters {
             return None;
         }
-        let is_new = |spare: &&ReplicaAddress| !membership.contains(ReplicaId(spare.replica));
-        let mut spares = self.spares.fresh_offers(self.now.monotonic);
-        let spare = spares.find(is_new)?;
+        let spare = self.spare_outside_group()?;
         Some(ReplaceRequest {
             lost: NO_REPLICA,
             replacement: spare.clone(),
--- a/crates/bramblewheel-control/src/server/event_log.rs
+++ b/crates/bramblewheel-control/src/server/event_log.rs
@@ -32,6 +32,9 @@
         NodeEvent::ReplacementWaits { new, reason } => {
             slog::info!(log, "replacement waits"; "new" => hex(*new), "reason" => %reason);
         }
+        NodeEvent::OfferIgnored { replica, reason } => {
+            slog::info!(log, "offer ignored"; "replica" => hex(*replica), "reason" => %reason);
+        }
     }
 }
 
--- a/crates/bramblewheel-control/tests/pinned_forms/replication.rs
+++ b/crates/bramblewheel-control/tests/pinned_forms/replication.rs
@@ -1,10 +1,12 @@
 //! Messages between replicas.
 
-use crate::forms::Comparison;
+use crate::forms::{Comparison, bytes_of};
 use crate::messages::address;
 use crate::routing::usage;
 use crate::support::registration;
-use bramblewheel_control::node::{Hello, PeerMessage, Renewal};
+use bramblewheel_control::node::{Hello, OfferBasis, PeerMessage, Renewal, SpareOffer};
+use bramblewheel_protocol::codec::{self, LENGTH_PREFIX};
+use bramblewheel_protocol::control::ReplicaAddress;
 use bramblewheel_replication::{
     AppendResult, Body, ContactToken, Entry, LogIndex, Membership, Message, Payload, ReplicaId,
     Snapshot, Term,
@@ -139,6 +141,15 @@
         incarnation: 4,
         bundle_version: BundleVersion(7),
     };
+    let basis = OfferBasis {
+        group: Some(77),
+        applied_index: 12,
+    };
+    let offer = SpareOffer::new(address(9), basis);
+    let earlier_offer = SpareOffer {
+        basis: None,
+        ..offer.clone()
+    };
     let messages = [
         ("announcement", PeerMessage::Announcement),
         (
@@ -152,7 +163,8 @@
                 unix_millis: 1_796_256_413_478,
             },
         ),
-        ("spare-offer", PeerMessage::SpareOffer(address(9))),
+        ("spare-offer", PeerMessage::SpareOffer(earlier_offer)),
+        ("spare-offer-with-basis", PeerMessage::SpareOffer(offer)),
         ("tenant-usage", PeerMessage::TenantUsage(usage())),
         ("read-request", PeerMessage::ReadRequest { id: 3 }),
         ("read-reply", PeerMessage::ReadReply { id: 3, index: 12 }),
@@ -162,3 +174,16 @@
     }
     comparison.finish();
 }
+
+/// A message of a replica from before offers had a basis.
+#[derive(Debug, PartialEq, serde::Deserialize)]
+enum EarlierMessage {
+    SpareOffer(ReplicaAddress),
+}
+
+#[test]
+fn offer_with_a_basis_is_read_by_an_earlier_replica() {
+    let bytes = bytes_of("peer.spare-offer-with-basis");
+    let read: EarlierMessage = codec::decode(&bytes[LENGTH_PREFIX..]).expect("readable");
+    assert_eq!(read, EarlierMessage::SpareOffer(address(9)));
+}
