Count an offer from the address of a lost new replica as proof that it is gone

A second way into the same state as the first: the disk is lost again while its replacement is in progress.

Cause: nothing ended or changed a replacement whose new replica was lost, except an operator; no other replacement began meanwhile, so that the lost voter stayed for good and the next loss stopped the group.

Change: a leader with a policy for spares continues a replacement with the replica that now offers itself at the address of the new one, which proves that the new one's data is lost (the offer includes the entry that named it). Silence proves nothing: after the policy's silence the voter that was to be removed stays if it answers again, and otherwise another spare takes the place of the new replica, which is no voter yet or, if it is one, is treated as any silent voter. The log had the means for this already, as the operator's second request; state and messages keep their form.

Ruled out: a time limit on a replacement, since a slow new replica can be the only way to a whole group.

--- a/crates/bramblewheel-control/src/node/events.rs
+++ b/crates/bramblewheel-control/src/node/events.rs
@@ -36,7 +36,7 @@
         /// Index of the entry.
         index: LogIndex,
     },
-    /// The leader proposes to begin a replacement.
+    /// The leader proposes to begin a replacement, or to change the one in progress.
     ReplacementProposed {
         /// Replica to be removed; `None` if the replacement only adds one.
         lost: Option<ReplicaId>,
@@ -81,6 +81,12 @@
     VoterMissing,
     /// A voter was silent for too long.
     VoterSilent,
+    /// The machine of the new replica of the replacement in progress returned without its data.
+    NewReplicaReset,
+    /// The new replica of the replacement in progress was silent for too long.
+    NewReplicaSilent,
+    /// The new replica was silent for too long, and the voter to be removed answers again.
+    LostReplicaReturned,
 }
 
 /// Why a replacement waits.
@@ -134,6 +140,9 @@
             Self::VoterReset => "voter_reset",
             Self::VoterMissing => "voter_missing",
             Self::VoterSilent => "voter_silent",
+            Self::NewReplicaReset => "new_replica_reset",
+            Self::NewReplicaSilent => "new_replica_silent",
+            Self::LostReplicaReturned => "lost_replica_returned",
         })
     }
 }
--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -10,6 +10,7 @@
 mod bundle_updates;
 mod clocks;
 pub mod config;
+mod continuation;
 mod daemons;
 pub mod durable;
 pub mod events;
--- a/crates/bramblewheel-control/src/node/spares.rs
+++ b/crates/bramblewheel-control/src/node/spares.rs
@@ -14,6 +14,7 @@
 use bramblewheel_replication::{LogIndex, ReplicaId, Term};
 use bramblewheel_types::{Millis, Timestamp};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Silence up to which a voter counts as in contact. Followers answer every heartbeat.
@@ -111,7 +112,7 @@
         }
     }
 
-    fn report_ignored_offer(&mut self, replica: ReplicaId, reason: IgnoredOffer) {
+    pub(super) fn report_ignored_offer(&mut self, replica: ReplicaId, reason: IgnoredOffer) {
         if self
             .spares
             .offers
@@ -134,14 +135,23 @@
         self.spares.offers.require(view, last);
     }
 
-    /// Begins a replacement if the policy requires one.
+    /// Begins or continues a replacement if the policy requires it.
     pub(super) fn use_spare_if_due(&mut self) {
         if self.has_applied_earlier_terms() {
             self.update_required_offers();
         }
-        let Some(policy) = self.spares.policy.filter(|_| self.may_begin_replacement()) else {
+        let Some(policy) = self.spares.policy.filter(|_| self.may_change_replacement()) else {
             return;
         };
+        if self.state.replacement().is_some() {
+            return self.continue_replacement(policy.silence);
+        }
+        if self.replica.membership().learners.is_empty() {
+            self.begin_replacement_if_due(policy);
+        }
+    }
+
+    fn begin_replacement_if_due(&mut self, policy: SparePolicy) {
         if let Some(request) = self.request_for_reset_voter() {
             return self.propose_replacement(request, ReplacementReason::VoterReset);
         }
@@ -169,7 +179,11 @@
         })
     }
 
-    fn propose_replacement(&mut self, request: ReplaceRequest, reason: ReplacementReason) {
+    pub(super) fn propose_replacement(
+        &mut self,
+        request: ReplaceRequest,
+        reason: ReplacementReason,
+    ) {
         self.events.push(NodeEvent::ReplacementProposed {
             lost: (request.lost != NO_REPLICA).then_some(ReplicaId(request.lost)),
             new: request.replacement.clone(),
@@ -179,7 +193,7 @@
     }
 
     /// The spare with the latest valid offer that is not a member.
-    fn spare_outside_group(&self) -> Option<&ReplicaAddress> {
+    pub(super) fn spare_outside_group(&self) -> Option<&ReplicaAddress> {
         let membership = self.replica.membership();
         let spares = self.spares.offers.valid(self.now.monotonic);
         let mut spares = spares.into_iter();
@@ -208,17 +222,24 @@
 
     /// The spare at the recorded address of a member, which proves that the member's data is lost.
     fn spare_at_address_of(&self, member: ReplicaId) -> Option<&ReplicaAddress> {
-        let address = self.recorded_address(member)?;
+        self.spare_at(self.recorded_address(member)?.peer)
+    }
+
+    /// The spare with a valid offer from an address that is not a member.
+    pub(super) fn spare_at(&self, address: SocketAddr) -> Option<&ReplicaAddress> {
         let membership = self.replica.membership();
         let spares = self.spares.offers.valid(self.now.monotonic);
         let mut spares = spares.into_iter();
-        spares.find(|spare| {
-            spare.peer == address.peer && !membership.contains(ReplicaId(spare.replica))
-        })
+        spares.find(|spare| spare.peer == address && !membership.contains(ReplicaId(spare.replica)))
+    }
+
+    /// Whether a replica has been silent for `silence` towards this leader.
+    pub(super) fn is_silent_for(&self, replica: ReplicaId, silence: Duration) -> bool {
+        self.spares.silence_of(replica, self.now.monotonic) >= silence
     }
 
     /// Whether a replica has sent a message within the last few heartbeats.
-    fn answers(&self, replica: ReplicaId) -> bool {
+    pub(super) fn answers(&self, replica: ReplicaId) -> bool {
         let silence = self.spares.silence_of(replica, self.now.monotonic);
         silence < self.config.heartbeat * MISSED_HEARTBEATS
     }
@@ -236,16 +257,15 @@
         })
     }
 
-    fn may_begin_replacement(&self) -> bool {
-        let is_busy = self.state.replacement().is_some()
-            || self.queue.has_replacement()
-            || self.proposals.has_replacement();
-        let membership = self.replica.membership();
+    /// Whether a replacement may be begun or changed now, since nothing about the members is undecided.
+    fn may_change_replacement(&self) -> bool {
+        let is_busy = self.queue.has_replacement()
+            || self.proposals.has_replacement()
+            || self.proposals.has_membership();
         !is_busy
             && self.has_quorum()
             && self.has_applied_earlier_terms()
             && self.replica.membership_is_committed()
-            && membership.learners.is_empty()
     }
 
     /// The voter that has been silent for `silence`, if all other voters are in contact. Several silent
--- a/crates/bramblewheel-control/tests/lost_disks.rs
+++ b/crates/bramblewheel-control/tests/lost_disks.rs
@@ -128,3 +128,52 @@
         assert_eq!(replacement, None, "seed {seed}: not ended");
     }
 }
+
+#[test]
+fn replacement_whose_new_replica_is_gone_continues_with_another_spare() {
+    for seed in 750..755 {
+        let mut cluster = group_with_spares(2, seed);
+        let lost = follower(&mut cluster);
+        cluster.crash(lost);
+        let new = wait_for_learner_on(&mut cluster, [3, 4]);
+        cluster.crash(new);
+        cluster.run(RECOVERY);
+        let other = if new == 3 { 4 } else { 3 };
+        let mut machines = [0, 1, 2];
+        machines[lost] = other;
+        expect_whole(&mut cluster, machines, &format!("seed {seed}"));
+    }
+}
+
+/// Runs until one of two machines is a learner; returns it.
+fn wait_for_learner_on(cluster: &mut Cluster, machines: [usize; 2]) -> usize {
+    for _ in 0..10_000 {
+        cluster.run(Duration::from_millis(1));
+        let Some(leader) = cluster.leader() else {
+            continue;
+        };
+        let learners = &cluster.node(leader).replica().membership().learners;
+        let learner = machines
+            .into_iter()
+            .find(|machine| learners.contains(&identity(cluster, *machine)));
+        if let Some(learner) = learner {
+            return learner;
+        }
+    }
+    panic!("no spare became a learner");
+}
+
+#[test]
+fn replacement_is_given_up_when_the_silent_voter_returns_and_the_new_replica_is_gone() {
+    for seed in 760..765 {
+        let mut cluster = group_with_spares(1, seed);
+        let silent = follower(&mut cluster);
+        cluster.cut_off(silent);
+        cluster.set_spares(FAST, vec![3]);
+        let new = wait_for_learner_on(&mut cluster, [3, 3]);
+        cluster.crash(new);
+        cluster.heal();
+        cluster.run(RECOVERY);
+        expect_whole(&mut cluster, [0, 1, 2], &format!("seed {seed}"));
+    }
+}
