Promote a learner without waiting for it where that does not raise the quorum

Between the removal of a lost voter and the promotion of the new replica the group has two voters; if the new replica stopped answering just then, the group stayed so until it answered again, although its data was there.

Cause: a promotion always asked for a learner that is caught up. That protects a group whose quorum grows by the promotion, as from three voters to four. From two to three the quorum stays two: all that could decide before still can, and the new voter's log counts as soon as it is back.

A group with an odd number of voters still asks for a learner that is caught up.

--- a/crates/bramblewheel-control/tests/lost_disks.rs
+++ b/crates/bramblewheel-control/tests/lost_disks.rs
@@ -177,3 +177,21 @@
         expect_whole(&mut cluster, [0, 1, 2], &format!("seed {seed}"));
     }
 }
+
+#[test]
+fn group_is_not_left_with_two_voters_when_the_new_replica_stops_answering() {
+    for step in 0..40 {
+        let mut cluster = group(780 + step);
+        let machine = follower(&mut cluster);
+        cluster.restart_wiped(machine);
+        run_until_learner(&mut cluster, machine);
+        cluster.run(Duration::from_millis(5 * step));
+        cluster.crash(machine);
+        cluster.run(Duration::from_secs(1));
+        let voters = membership(&mut cluster).voters;
+        assert_eq!(voters.len(), 3, "step {step}");
+        cluster.start(machine);
+        cluster.run(RECOVERY);
+        expect_whole(&mut cluster, [0, 1, 2], &format!("step {step}"));
+    }
+}
--- a/crates/bramblewheel-replication/src/membership.rs
+++ b/crates/bramblewheel-replication/src/membership.rs
@@ -28,6 +28,11 @@
         self.voters.contains(&replica) || self.learners.contains(&replica)
     }
 
+    /// Number of voters that make a quorum.
+    pub fn quorum_size(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
     /// All voters and learners.
     pub fn members(&self) -> impl Iterator<Item = ReplicaId> {
         self.voters.iter().chain(&self.learners).copied()
--- a/crates/bramblewheel-replication/src/reconfiguration.rs
+++ b/crates/bramblewheel-replication/src/reconfiguration.rs
@@ -11,8 +11,10 @@
 impl Replica {
     /// Proposes to change the membership by one replica.
     ///
-    /// A learner is promoted only if it [is caught up](Self::is_caught_up);
-    /// [`match_index`](Self::match_index) tells whether it has synced the promotion itself.
+    /// A learner whose promotion raises the number of voters needed for a quorum must be
+    /// [caught up](Self::is_caught_up). Any other promotion can't make the group less available, and an
+    /// even group waits for none. [`match_index`](Self::match_index) tells whether the new voter has synced
+    /// the promotion itself.
     ///
     /// # Errors
     /// [`MembershipError`] when the change is not possible now; nothing was appended.
@@ -31,7 +33,9 @@
             return Err(MembershipError::ChangeInProgress);
         }
         let next = self.membership().changed(&change)?;
+        let raises_quorum = next.quorum_size() > self.membership().quorum_size();
         if let MembershipChange::PromoteLearner(replica) = change
+            && raises_quorum
             && !self.is_caught_up(replica)
         {
             let synced = self.match_index(replica).unwrap_or(LogIndex(0));
--- a/crates/bramblewheel-replication/tests/scenarios.rs
+++ b/crates/bramblewheel-replication/tests/scenarios.rs
@@ -216,6 +216,30 @@
     cluster.heal_and_check();
 }
 
+#[test]
+fn a_group_of_two_does_not_wait_for_a_silent_learner_to_get_a_third_voter() {
+    let mut cluster = Cluster::new(3, 12);
+    let leader = cluster.settle();
+    let [lost, other] = [
+        followers(&cluster, leader)[0],
+        followers(&cluster, leader)[1],
+    ];
+    cluster.add(id(4), RestoredState::default());
+    commit_change(&mut cluster, add_learner(id(4))).expect("no change is pending");
+    commit_change(&mut cluster, MembershipChange::Remove(lost)).expect("two voters remain");
+    cluster.crash(id(4));
+    cluster.run(Duration::from_secs(2));
+    commit_change(&mut cluster, MembershipChange::PromoteLearner(id(4)))
+        .expect("two of three voters are as many as two of two");
+    cluster.start(id(4));
+    cluster.run(Duration::from_secs(1));
+    cluster.crash(other);
+    cluster.run(Duration::from_secs(2));
+    let leader = cluster.settle();
+    cluster.propose(leader).expect("two of three are a quorum");
+    cluster.heal_and_check();
+}
+
 #[test]
 fn a_second_membership_change_is_refused_while_one_is_pending() {
     let mut cluster = Cluster::new(3, 9);
