Replace no other voter by a spare on the machine of a lost voter

One voter was silent, cut off, when another one's disk was lost. The offer of the wiped machine's new identity did not count for its own voter yet, which had been heard a moment ago, and in the same step it was taken as a spare for the silent voter. That one was removed; a dead voter and one living were left.

Cause: a spare for a silent or missing voter was any that is no member, also one whose address proves that another voter is lost. The code before had the same choice, when the wiped machine offered itself while two voters were wanted.

A spare at a voter's address can now replace only this voter.

--- a/crates/bramblewheel-control/src/node/spares.rs
+++ b/crates/bramblewheel-control/src/node/spares.rs
@@ -192,12 +192,20 @@
         self.queue.begin_replacement(request);
     }
 
-    /// The spare with the latest valid offer that is not a member.
+    /// The spare with the latest valid offer that is not a member and whose machine has no other member. One on a
+    /// voter's machine can replace only this voter, which is lost.
     pub(super) fn spare_outside_group(&self) -> Option<&ReplicaAddress> {
         let membership = self.replica.membership();
+        let voters = membership.voters.iter().copied();
+        let addresses: Vec<SocketAddr> = voters
+            .filter_map(|voter| Some(self.recorded_address(voter)?.peer))
+            .collect();
         let spares = self.spares.offers.valid(self.now.monotonic);
         let mut spares = spares.into_iter();
-        spares.find(|spare| !membership.contains(ReplicaId(spare.replica)))
+        spares.find(|spare| {
+            let is_member = membership.contains(ReplicaId(spare.replica));
+            !is_member && !addresses.contains(&spare.peer)
+        })
     }
 
     /// Request to replace a voter whose address now belongs to a spare: its machine returned without
--- a/crates/bramblewheel-control/tests/lost_disks.rs
+++ b/crates/bramblewheel-control/tests/lost_disks.rs
@@ -216,3 +216,21 @@
         assert!(with_two <= LONGEST_COMMIT_MS, "seed {seed}: {with_two} ms");
     }
 }
+
+#[test]
+fn spare_on_the_machine_of_a_lost_voter_replaces_no_other_voter() {
+    for seed in 820..830 {
+        let mut cluster = group(seed);
+        let leader = cluster.settle();
+        let [wiped, silent] = [(leader + 1) % 3, (leader + 2) % 3];
+        let silent_identity = identity(&cluster, silent);
+        cluster.cut_off(silent);
+        cluster.run(FAST.silence + Duration::from_millis(100));
+        cluster.restart_wiped(wiped);
+        cluster.run(Duration::from_secs(3));
+        cluster.heal();
+        cluster.run(RECOVERY);
+        expect_whole(&mut cluster, [0, 1, 2], &format!("seed {seed}"));
+        assert_eq!(identity(&cluster, silent), silent_identity, "seed {seed}");
+    }
+}
