Add a replica to a group only if it is caught up

A promotion that does not raise the quorum waits for nothing, so that the group is not left with a voter less after a removal. Where nothing was removed, that would have made a voter of a spare that had stopped answering before it had any of the log.

--- a/crates/bramblewheel-control/src/node/replacement.rs
+++ b/crates/bramblewheel-control/src/node/replacement.rs
@@ -165,7 +165,12 @@
             };
         }
         if membership.learners.contains(&new) {
-            return Step::Change(MembershipChange::PromoteLearner(new));
+            // Once the group has a voter less, a new replica that stops answering must not delay the promotion.
+            return if current.removes_replica() || self.is_caught_up(new) {
+                Step::Change(MembershipChange::PromoteLearner(new))
+            } else {
+                Step::Wait(self.not_caught_up(new))
+            };
         }
         if self.has_synced_membership(new) {
             Step::Done
--- a/crates/bramblewheel-control/tests/lost_disks.rs
+++ b/crates/bramblewheel-control/tests/lost_disks.rs
@@ -234,3 +234,23 @@
         assert_eq!(identity(&cluster, silent), silent_identity, "seed {seed}");
     }
 }
+
+#[test]
+fn spare_that_stopped_answering_is_not_added_as_a_voter() {
+    for seed in 840..845 {
+        let mut cluster = Cluster::founded(2, 3, seed, 1_000_000);
+        cluster.offer_interval = OFFER_INTERVAL;
+        cluster.set_spares(FAST, vec![2]);
+        let leader = cluster.settle();
+        while cluster.node(leader).state().replacement().is_none() {
+            cluster.run(Duration::from_millis(1));
+        }
+        cluster.crash(2);
+        cluster.run(Duration::from_secs(2));
+        let voters = membership(&mut cluster).voters;
+        assert_eq!(voters.len(), 2, "seed {seed}");
+        cluster.start(2);
+        cluster.run(RECOVERY);
+        expect_whole(&mut cluster, [0, 1, 2], &format!("seed {seed}"));
+    }
+}
