Keep a silent voter until its replacement is a voter

A frozen or cut off voter, whose data was there, was removed in favour of a spare on another machine; before the spare was a voter, one of the two remaining voters was lost. The silent voter came back, and its data counted no more.

Cause: every replacement removed first and promoted then. That is right for a voter whose data is gone: promoting first would make four voters of which one never answers, and could not bear the loss of the new one. For a voter that is only silent it gives up a copy that is there.

Weighed: removal first in all cases; promotion first in all cases; one exchange of both under joint quorums, which bears either loss but needs a membership form that earlier replicas would misread during a rolling upgrade. The order now follows from what is known: a new replica at the address of the lost one proves that its data is gone; in any other case the new replica is promoted first. Learners that are lost are removed at once, as no quorum depends on them.

--- a/crates/bramblewheel-control/src/node/replacement.rs
+++ b/crates/bramblewheel-control/src/node/replacement.rs
@@ -1,9 +1,14 @@
 //! Replacement of a lost replica, one membership change at a time.
 //!
-//! The steps are: add the new replica as a learner, wait until it has the log, remove the lost replica,
-//! promote the learner. The lost replica is removed before the promotion because it still counts
-//! towards the quorum. With the new voter added first, a group of three would need three of four
-//! voters, so that a failure of the new replica would stop the group.
+//! The new replica is added as a learner and receives the log. What follows depends on what is known of the
+//! lost replica:
+//!
+//! - If the new replica has the address of the lost one, the data of the lost one is gone. The lost replica is
+//!   removed before the promotion. With the new voter added first, a group of three would need three of four
+//!   voters, of which one never answers, and could not bear that the new replica loses its data too.
+//! - Otherwise the lost replica may only be silent and may return with its data. It is removed after the
+//!   promotion. With the removal first, a group of three would have two voters for a moment, and could not
+//!   bear that one of them loses its data, although the silent one has a copy.
 //!
 //! The replacement is recorded in the log and each step follows from the membership in force, so that
 //! a new leader continues where the previous one stopped.
@@ -12,9 +17,9 @@
 use super::output::ClientRequestId;
 use super::{ControlNode, group};
 use crate::state::Replacement;
-use bramblewheel_protocol::control::{ReplaceRequest, ReplyBody, Unavailable};
+use bramblewheel_protocol::control::{ReplaceRequest, ReplicaAddress, ReplyBody, Unavailable};
 use bramblewheel_replication::{
-    LogIndex, MembershipChange, MembershipError, ReplicaId, TransferError,
+    LogIndex, Membership, MembershipChange, MembershipError, ReplicaId, TransferError,
 };
 use bramblewheel_types::Timestamp;
 use std::time::Duration;
@@ -41,6 +46,12 @@
     Done,
 }
 
+/// Members that a replacement removes.
+fn lost_members(current: &Replacement, membership: &Membership) -> impl Iterator<Item = ReplicaId> {
+    let lost = current.lost().iter().map(|lost| ReplicaId(*lost));
+    lost.filter(|lost| membership.contains(*lost))
+}
+
 impl ControlNode {
     pub(super) fn on_replace(&mut self, id: ClientRequestId, request: ReplaceRequest) {
         if !self.ensure_leader(id) {
@@ -156,21 +167,15 @@
                 description: group::describe(current.new_replica()),
             });
         }
-        let mut lost = current.lost().iter().map(|lost| ReplicaId(*lost));
-        if let Some(lost) = lost.find(|lost| membership.contains(*lost)) {
-            return if self.is_caught_up(new) {
-                Step::Change(MembershipChange::Remove(lost))
-            } else {
-                Step::Wait(self.not_caught_up(new))
-            };
+        if let Some(step) = self.step_before_promotion(current) {
+            return step;
         }
         if membership.learners.contains(&new) {
-            // Once the group has a voter less, a new replica that stops answering must not delay the promotion.
-            return if current.removes_replica() || self.is_caught_up(new) {
-                Step::Change(MembershipChange::PromoteLearner(new))
-            } else {
-                Step::Wait(self.not_caught_up(new))
-            };
+            return self.promotion(current);
+        }
+        let mut lost = lost_members(current, membership);
+        if let Some(lost) = lost.next() {
+            return Step::Change(MembershipChange::Remove(lost));
         }
         if self.has_synced_membership(new) {
             Step::Done
@@ -179,6 +184,38 @@
         }
     }
 
+    /// Removal of a learner that is lost, or of a voter whose data is known to be lost.
+    fn step_before_promotion(&self, current: &Replacement) -> Option<Step> {
+        let membership = self.replica.membership();
+        let mut lost = lost_members(current, membership);
+        if let Some(learner) = lost.find(|lost| membership.learners.contains(lost)) {
+            return Some(Step::Change(MembershipChange::Remove(learner)));
+        }
+        let new = ReplicaId(current.new_replica().replica);
+        let mut lost = lost_members(current, membership);
+        let voter = lost.find(|lost| self.has_address_of(*lost, current.new_replica()))?;
+        if self.is_caught_up(new) {
+            return Some(Step::Change(MembershipChange::Remove(voter)));
+        }
+        Some(Step::Wait(self.not_caught_up(new)))
+    }
+
+    /// Promotion of the new replica.
+    fn promotion(&self, current: &Replacement) -> Step {
+        let new = ReplicaId(current.new_replica().replica);
+        // Once the group has a voter less, a new replica that stops answering must not delay the promotion.
+        if current.removes_replica() || self.is_caught_up(new) {
+            Step::Change(MembershipChange::PromoteLearner(new))
+        } else {
+            Step::Wait(self.not_caught_up(new))
+        }
+    }
+
+    fn has_address_of(&self, member: ReplicaId, new: &ReplicaAddress) -> bool {
+        let address = self.recorded_address(member);
+        address.is_some_and(|address| address.peer == new.peer)
+    }
+
     /// Whether a member has synced the membership in force, and with it its own promotion. It may lack later
     /// entries: under load there is always one that it has not synced yet.
     fn has_synced_membership(&self, member: ReplicaId) -> bool {
--- a/crates/bramblewheel-control/tests/lost_disks.rs
+++ b/crates/bramblewheel-control/tests/lost_disks.rs
@@ -254,3 +254,20 @@
         expect_whole(&mut cluster, [0, 1, 2], &format!("seed {seed}"));
     }
 }
+
+#[test]
+fn silent_voter_stays_a_voter_until_the_new_replica_is_one() {
+    for step in 0..40 {
+        let mut cluster = group_with_spares(1, 860 + step);
+        let leader = cluster.settle();
+        let [silent, other] = [(leader + 1) % 3, (leader + 2) % 3];
+        cluster.freeze(silent);
+        wait_for_learner_on(&mut cluster, [3, 3]);
+        cluster.run(Duration::from_millis(step));
+        cluster.crash(leader);
+        cluster.run(Duration::from_secs(1));
+        cluster.thaw(silent);
+        cluster.run(RECOVERY);
+        expect_whole(&mut cluster, [silent, other, 3], &format!("step {step}"));
+    }
+}
