Report refused votes and elections without a quorum as events of the replica

Output has a list of events: VoteRefused, at the replica that refuses, with the reason and both last entries, also for requests that are ignored without an answer; and ElectionWithoutQuorum, when an election times out, with who granted, refused and was silent. Replica::last_heard tells when a member was last heard. Messages and their forms are unchanged.

--- a/crates/bramblewheel-replication/src/lib.rs
+++ b/crates/bramblewheel-replication/src/lib.rs
@@ -9,6 +9,7 @@
 mod compaction;
 pub mod config;
 pub mod error;
+pub mod events;
 mod follower;
 mod leader;
 mod leadership;
@@ -31,6 +32,7 @@
 
 pub use config::ReplicaConfig;
 pub use error::{CompactError, MembershipError, NotLeader, TransferError};
+pub use events::{Ballot, Event, FailedElection, LastEntry, RefusalReason, VoteRefusal};
 pub use membership::MembershipChange;
 pub use message::{AppendResult, Body, ContactToken, Message};
 pub use output::{Output, ProposalResult, ReadResult};
--- a/crates/bramblewheel-replication/src/output.rs
+++ b/crates/bramblewheel-replication/src/output.rs
@@ -1,11 +1,12 @@
 //! Output of a replica for its driver to carry out.
 
+use crate::events::Event;
 use crate::message::Message;
 use crate::types::{Entry, LogIndex, ProposalId, ReadId, ReplicaId, Snapshot, Term, Write};
 
 /// Actions for the driver, to be carried out in this order: sync `write`, call
 /// [`persisted`](crate::Replica::persisted), send `messages`, install the snapshot, apply
-/// `committed`, then report `proposals` and answer `reads`.
+/// `committed`, then report `proposals`, answer `reads` and log `events`.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Output {
     /// Changes to sync before any other action.
@@ -20,6 +21,8 @@
     pub proposals: Vec<(ProposalId, ProposalResult)>,
     /// Results of reads; a ready read is answered from the state after `committed` is applied.
     pub reads: Vec<(ReadId, ReadResult)>,
+    /// Observations to log, oldest first.
+    pub events: Vec<Event>,
 }
 
 impl Output {
--- a/crates/bramblewheel-replication/src/replica.rs
+++ b/crates/bramblewheel-replication/src/replica.rs
@@ -6,6 +6,7 @@
 
 use crate::config::ReplicaConfig;
 use crate::error::NotLeader;
+use crate::events::Event;
 use crate::log::Log;
 use crate::message::{Body, ContactToken, Message};
 use crate::output::{Output, ProposalResult, ReadResult};
@@ -17,6 +18,7 @@
 use bramblewheel_types::Timestamp;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
 
 /// One replica of the log, without any I/O of its own.
 ///
@@ -48,6 +50,8 @@
     pub(crate) delivered: LogIndex,
     pub(crate) role: RoleState,
     pub(crate) leader: Option<ReplicaId>,
+    /// Time of the last message of each member.
+    pub(crate) last_heard: BTreeMap<ReplicaId, Timestamp>,
     /// Time of the last message from a leader of the current term.
     pub(crate) leader_contact: Option<Timestamp>,
     /// Latest time after which a leader is proven to have had contact with a quorum.
@@ -57,6 +61,7 @@
     pub(crate) installed_snapshot: Option<Snapshot>,
     pub(crate) proposal_results: Vec<(ProposalId, ProposalResult)>,
     pub(crate) read_results: Vec<(ReadId, ReadResult)>,
+    pub(crate) events: Vec<Event>,
 }
 
 impl Replica {
@@ -87,6 +92,7 @@
             now,
             role: RoleState::Follower,
             leader: None,
+            last_heard: BTreeMap::new(),
             leader_contact: None,
             quorum_contact: None,
             election_due: now,
@@ -94,6 +100,7 @@
             installed_snapshot: None,
             proposal_results: Vec::new(),
             read_results: Vec::new(),
+            events: Vec::new(),
         };
         if let Some(membership) = bootstrap {
             replica.bootstrap(membership);
@@ -126,6 +133,7 @@
             installed_snapshot: self.installed_snapshot.take(),
             proposals: std::mem::take(&mut self.proposal_results),
             reads: std::mem::take(&mut self.read_results),
+            events: std::mem::take(&mut self.events),
         }
     }
 
--- a/crates/bramblewheel-replication/src/role.rs
+++ b/crates/bramblewheel-replication/src/role.rs
@@ -28,11 +28,38 @@
 #[derive(Debug)]
 pub(crate) enum RoleState {
     Follower,
-    PreCandidate { granted: BTreeSet<ReplicaId> },
-    Candidate { granted: BTreeSet<ReplicaId> },
+    PreCandidate(Votes),
+    Candidate(Votes),
     Leader(Box<Leadership>),
 }
 
+/// Answers to the candidate of an election.
+#[derive(Clone, Debug)]
+pub(crate) struct Votes {
+    pub(crate) granted: BTreeSet<ReplicaId>,
+    pub(crate) refused: BTreeSet<ReplicaId>,
+}
+
+impl Votes {
+    /// Begins an election with the candidate's own vote.
+    pub(crate) fn of(candidate: ReplicaId) -> Self {
+        Self {
+            granted: BTreeSet::from([candidate]),
+            refused: BTreeSet::new(),
+        }
+    }
+
+    /// Counts an answer; a granted vote is never taken back.
+    pub(crate) fn count(&mut self, voter: ReplicaId, is_granted: bool) {
+        if is_granted {
+            self.refused.remove(&voter);
+            self.granted.insert(voter);
+        } else if !self.granted.contains(&voter) {
+            self.refused.insert(voter);
+        }
+    }
+}
+
 impl Replica {
     /// Becomes a follower of `leader`, if known, and adopts `term` if it is higher.
     pub(crate) fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>) {
--- a/crates/bramblewheel-replication/src/status.rs
+++ b/crates/bramblewheel-replication/src/status.rs
@@ -15,8 +15,8 @@
     pub fn role(&self) -> Role {
         match self.role {
             RoleState::Follower => Role::Follower,
-            RoleState::PreCandidate { .. } => Role::PreCandidate,
-            RoleState::Candidate { .. } => Role::Candidate,
+            RoleState::PreCandidate(_) => Role::PreCandidate,
+            RoleState::Candidate(_) => Role::Candidate,
             RoleState::Leader(_) => Role::Leader,
         }
     }
@@ -57,6 +57,11 @@
         self.log.membership().0
     }
 
+    /// Time at which the last message of another member was processed; `None` if there was none since the start.
+    pub fn last_heard(&self, member: ReplicaId) -> Option<Timestamp> {
+        self.last_heard.get(&member).copied()
+    }
+
     /// Whether the membership in force is committed.
     pub fn membership_is_committed(&self) -> bool {
         self.log.membership().0 <= self.commit
--- a/crates/bramblewheel-replication/src/step.rs
+++ b/crates/bramblewheel-replication/src/step.rs
@@ -3,6 +3,7 @@
 //! Applies the rules on terms, which hold for every message, and passes the message on to the handler in
 //! the module of the role.
 
+use crate::events::{Ballot, LastEntry, RefusalReason, VoteAsked};
 use crate::message::{Body, Message};
 use crate::replica::Replica;
 use crate::role::RoleState;
@@ -26,7 +27,8 @@
         if from == self.config.id {
             return;
         }
-        if message.term > self.hard_state.term && !self.accept_term(&message) {
+        self.note_heard(from);
+        if message.term > self.hard_state.term && !self.accept_term(from, &message) {
             return;
         }
         // A replica with an older term may still grant a pre-vote for the next term.
@@ -39,21 +41,16 @@
     }
 
     fn dispatch(&mut self, from: ReplicaId, message: Message) {
+        if let Some(asked) = vote_asked(from, &message) {
+            return self.on_vote_asked(asked);
+        }
         match message.body {
-            Body::PreVoteRequest {
-                candidate_term,
-                last_index,
-                last_term,
-            } => self.on_pre_vote_request(from, candidate_term, last_index, last_term),
+            // Handled above.
+            Body::PreVoteRequest { .. } | Body::VoteRequest { .. } => {}
             Body::PreVoteResponse {
                 candidate_term,
                 granted,
             } => self.on_pre_vote_response(from, candidate_term, granted),
-            Body::VoteRequest {
-                last_index,
-                last_term,
-                transfer: _,
-            } => self.on_vote_request(from, last_index, last_term),
             Body::VoteResponse { granted } => self.on_vote_response(from, granted),
             Body::Append { .. } => self.on_append(from, message.body),
             Body::InstallSnapshot { snapshot, round } => {
@@ -68,6 +65,16 @@
         }
     }
 
+    /// Records the time of a member's message. Former members are forgotten.
+    fn note_heard(&mut self, from: ReplicaId) {
+        let membership = self.log.membership().1;
+        self.last_heard
+            .retain(|replica, _| membership.contains(*replica));
+        if membership.contains(from) {
+            self.last_heard.insert(from, self.now);
+        }
+    }
+
     /// Advances the clock. A leader that has lost its quorum in the meantime steps down before it does
     /// anything else, also after the process was frozen.
     pub(crate) fn advance_clock(&mut self, now: Timestamp) {
@@ -78,21 +85,39 @@
     }
 
     /// Adopts the higher term of a message; `false` if the message must be ignored.
-    fn accept_term(&mut self, message: &Message) -> bool {
-        match &message.body {
-            // A replica that loses a pre-vote must not raise the term of others.
-            Body::PreVoteRequest { .. } => true,
-            Body::VoteRequest { .. } if !self.is_initialised() => false,
-            Body::VoteRequest { transfer, .. } if !transfer && self.has_leader_contact() => false,
-            _ => {
-                self.become_follower(message.term, None);
-                true
+    fn accept_term(&mut self, from: ReplicaId, message: &Message) -> bool {
+        if let Some(reason) = self.reason_to_ignore(message) {
+            if let Some(asked) = vote_asked(from, message) {
+                self.report_refusal(asked, reason);
             }
+            return false;
+        }
+        // A replica that loses a pre-vote must not raise the term of others.
+        if !matches!(message.body, Body::PreVoteRequest { .. }) {
+            self.become_follower(message.term, None);
         }
+        true
+    }
+
+    /// Why a vote request of a higher term is ignored, so that it doesn't raise this replica's term.
+    fn reason_to_ignore(&self, message: &Message) -> Option<RefusalReason> {
+        let Body::VoteRequest { transfer, .. } = message.body else {
+            return None;
+        };
+        if !self.is_initialised() {
+            return Some(RefusalReason::NoMembership);
+        }
+        let has_contact = !transfer && self.has_leader_contact();
+        has_contact.then_some(RefusalReason::LeaderContact {
+            leader: self.leader,
+        })
     }
 
     /// Refuses a message of an older term, so that its sender learns the current term.
     fn refuse_old_term(&mut self, from: ReplicaId, message: Message) {
+        if let Some(asked) = vote_asked(from, &message) {
+            self.report_refusal(asked, RefusalReason::OlderTerm);
+        }
         match message.body {
             Body::PreVoteRequest { candidate_term, .. } => {
                 let granted = false;
@@ -118,3 +143,29 @@
         }
     }
 }
+
+/// The vote or pre-vote that a message asks for, if it does.
+fn vote_asked(from: ReplicaId, message: &Message) -> Option<VoteAsked> {
+    let (ballot, term, last_term, last_index) = match message.body {
+        Body::PreVoteRequest {
+            candidate_term,
+            last_index,
+            last_term,
+        } => (Ballot::PreVote, candidate_term, last_term, last_index),
+        Body::VoteRequest {
+            last_index,
+            last_term,
+            transfer: _,
+        } => (Ballot::Vote, message.term, last_term, last_index),
+        _ => return None,
+    };
+    Some(VoteAsked {
+        candidate: from,
+        ballot,
+        term,
+        last: LastEntry {
+            term: last_term,
+            index: last_index,
+        },
+    })
+}
