Report elections, a lost quorum and refused requests as events of a node

Cause: a replica without a quorum refused reads without a line, and nothing told whom it had last heard, when it lost the quorum, and whose vote it asked for in vain.

New events: vote refused, election without quorum (from the replica of the log, one a second per candidate or kind, with the number left out), quorum lost, quorum regained, requests refused without a quorum (their number, and each member with the time since it was heard). ReportLimit bounds what can repeat.

--- a/crates/bramblewheel-control/src/lib.rs
+++ b/crates/bramblewheel-control/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 pub mod node;
+mod report_limit;
 pub mod server;
 pub mod settings;
 pub mod state;
--- a/crates/bramblewheel-control/src/node/events.rs
+++ b/crates/bramblewheel-control/src/node/events.rs
@@ -1,8 +1,10 @@
 //! What a node decided or learned about its group, for the driver's log.
 
+use super::member_contact::MemberContact;
 use bramblewheel_protocol::control::ReplicaAddress;
-use bramblewheel_replication::{LogIndex, ReplicaId, Term};
+use bramblewheel_replication::{FailedElection, LogIndex, ReplicaId, Term, VoteRefusal};
 use std::fmt;
+use std::time::Duration;
 
 /// A decision of a node, or a change of what it knows about its group.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,6 +54,49 @@
         /// Why.
         reason: WaitReason,
     },
+    /// This replica refused its vote to another one.
+    VoteRefused {
+        /// The vote, and why it was refused.
+        refusal: VoteRefusal,
+        /// Refusals to the same candidate without an event since the last one.
+        without_line: u64,
+    },
+    /// An election of this replica timed out without the votes of a quorum.
+    ElectionWithoutQuorum {
+        /// Who granted, who refused and who was silent.
+        election: FailedElection,
+        /// Such elections without an event since the last one.
+        without_line: u64,
+    },
+    /// Contact with a quorum is no longer proven within the lease.
+    QuorumLost {
+        /// Term of this replica.
+        term: Term,
+        /// Leader of the term, if known.
+        leader: Option<ReplicaId>,
+        /// Members of the group, and when they were heard.
+        members: Vec<MemberContact>,
+    },
+    /// Contact with a quorum is proven again, or for the first time.
+    QuorumRegained {
+        /// Time since the event that it was lost, or since the start.
+        after: Duration,
+        /// Term of this replica.
+        term: Term,
+        /// Leader of the term, if known.
+        leader: Option<ReplicaId>,
+    },
+    /// Reads or changes were refused because there was no quorum.
+    RequestsRefused {
+        /// How many since the last event of this kind.
+        refused: u64,
+        /// Term of this replica.
+        term: Term,
+        /// Leader of the term, if known.
+        leader: Option<ReplicaId>,
+        /// Members of the group, and when they were heard.
+        members: Vec<MemberContact>,
+    },
 }
 
 /// How a member changed.
--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -12,11 +12,13 @@
 pub mod config;
 mod daemons;
 pub mod durable;
+mod election_events;
 pub mod events;
 mod group;
 mod housekeeping;
 mod inputs;
 mod leases;
+mod member_contact;
 mod membership_events;
 pub mod message;
 mod metrics;
@@ -24,6 +26,7 @@
 mod polls;
 mod proposals;
 mod proposing;
+mod quorum_events;
 mod reading;
 mod reads;
 mod renewals;
@@ -36,6 +39,7 @@
 pub use config::{NodeConfig, Now};
 pub use durable::Durable;
 pub use events::NodeEvent;
+pub use member_contact::{Heard, MemberContact};
 pub use message::{Hello, PeerMessage, Renewal};
 pub use metrics::NodeMetrics;
 pub use output::{ClientRequestId, NodeOutput};
@@ -49,10 +53,12 @@
 use bramblewheel_types::Timestamp;
 use bundle_updates::BundleUpdateCache;
 use clocks::Clocks;
+use election_events::ElectionReports;
 use leases::Leases;
 use metrics::Counters;
 use polls::HeldPolls;
 use proposals::{Proposals, Queue};
+use quorum_events::QuorumReports;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use reads::Reads;
@@ -109,6 +115,8 @@
     applied_membership: Membership,
     /// Time of the latest event that a replacement waits.
     wait_reported: Option<Timestamp>,
+    election_reports: ElectionReports,
+    quorum_reports: QuorumReports,
     bootstrap_write: Option<Write>,
     own_snapshot: Option<Snapshot>,
     recorded_group: Option<u64>,
@@ -162,6 +170,8 @@
             events: Vec::new(),
             applied_membership: applied_membership.unwrap_or_default(),
             wait_reported: None,
+            election_reports: ElectionReports::default(),
+            quorum_reports: QuorumReports::new(now.monotonic),
             bootstrap_write: None,
             own_snapshot: None,
             recorded_group: None,
@@ -193,6 +203,7 @@
         let changes = self.apply(output.committed);
         self.reply_to_proposals(output.proposals);
         self.finish_reads(output.reads);
+        self.report_elections(output.events);
         self.answer_polls(&changes);
         if changes.routing {
             self.answer_watches();
@@ -243,6 +254,7 @@
     }
 
     fn reply_unavailable(&mut self, id: ClientRequestId, why: Unavailable) {
+        self.note_unavailable(&why);
         self.reply(id, ReplyBody::Unavailable(why));
     }
 
--- a/crates/bramblewheel-control/src/node/reading.rs
+++ b/crates/bramblewheel-control/src/node/reading.rs
@@ -118,13 +118,13 @@
             | Reader::Table(id)
             | Reader::BundleStatus(id)
             | Reader::Operations(id, _) => {
-                self.reply_no_quorum(id);
+                self.reply_unconfirmed(id);
             }
             Reader::Renewals(renewals) => {
                 for renewal in renewals {
                     // The daemon reports to another replica from now on.
                     self.usage.forget(&renewal.request);
-                    self.reply_no_quorum(renewal.id);
+                    self.reply_unconfirmed(renewal.id);
                 }
             }
             // The read times out at the other replica.
@@ -132,6 +132,14 @@
         }
     }
 
+    /// Refuses a read that no quorum confirmed, perhaps while contact with one is still proven.
+    fn reply_unconfirmed(&mut self, id: ClientRequestId) {
+        if self.has_quorum() {
+            self.quorum_reports.count_refused();
+        }
+        self.reply_no_quorum(id);
+    }
+
     pub(super) fn reply_no_quorum(&mut self, id: ClientRequestId) {
         self.reply_unavailable(id, Unavailable::NoQuorum);
     }
--- a/crates/bramblewheel-control/src/server/event_log.rs
+++ b/crates/bramblewheel-control/src/server/event_log.rs
@@ -1,7 +1,8 @@
 //! Log lines for the events of a node.
 
-use crate::node::NodeEvent;
+use crate::node::{MemberContact, NodeEvent};
 use bramblewheel_replication::ReplicaId;
+use bramblewheel_types::Millis;
 use slog::Logger;
 
 /// Writes one line for an event.
@@ -32,9 +33,53 @@
         NodeEvent::ReplacementWaits { new, reason } => {
             slog::info!(log, "replacement waits"; "new" => hex(*new), "reason" => %reason);
         }
+        NodeEvent::VoteRefused {
+            refusal,
+            without_line,
+        } => slog::info!(log, "vote refused"; "without_line" => without_line,
+            "own_term" => refusal.own_term.0, "candidate_term" => refusal.candidate_term.0,
+            "own_last" => %refusal.own_last, "candidate_last" => %refusal.candidate_last,
+            "reason" => %refusal.reason, "ballot" => %refusal.ballot,
+            "candidate" => hex(refusal.candidate)),
+        NodeEvent::ElectionWithoutQuorum {
+            election,
+            without_line,
+        } => slog::warn!(log, "election without quorum"; "without_line" => without_line,
+            "silent" => list(&election.silent), "refused" => list(&election.refused),
+            "granted" => list(&election.granted), "ballot" => %election.ballot,
+            "term" => election.term.0),
+        NodeEvent::QuorumLost {
+            term,
+            leader,
+            members,
+        } => slog::warn!(log, "quorum lost"; "members" => contacts(members),
+            "leader" => leader.map(hex), "term" => term.0),
+        NodeEvent::QuorumRegained {
+            after,
+            term,
+            leader,
+        } => slog::info!(log, "quorum regained"; "leader" => leader.map(hex), "term" => term.0,
+            "after_ms" => Millis::of(*after).0),
+        NodeEvent::RequestsRefused {
+            refused,
+            term,
+            leader,
+            members,
+        } => slog::warn!(log, "requests refused without a quorum"; "members" => contacts(members),
+            "leader" => leader.map(hex), "term" => term.0, "refused" => refused),
     }
 }
 
+fn list(replicas: &[ReplicaId]) -> String {
+    let replicas: Vec<String> = replicas.iter().copied().map(hex).collect();
+    replicas.join(",")
+}
+
+fn contacts(members: &[MemberContact]) -> String {
+    let members: Vec<String> = members.iter().map(ToString::to_string).collect();
+    members.join(",")
+}
+
 fn hex(replica: ReplicaId) -> String {
     format!("{:016x}", replica.0)
 }
--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -3,7 +3,8 @@
 
 use super::signed;
 use bramblewheel_control::node::{
-    ClientRequestId, ControlNode, Durable, NodeConfig, NodeOutput, Now, PeerMessage, SparePolicy,
+    ClientRequestId, ControlNode, Durable, NodeConfig, NodeEvent, NodeOutput, Now, PeerMessage,
+    SparePolicy,
 };
 use bramblewheel_protocol::control::{
     BootstrapRequest, GroupStatus, ReplicaAddress, ReplyBody, RequestBody, Unavailable,
@@ -60,6 +61,8 @@
     pub drops_replies: bool,
     /// Read replies between replicas, to be delivered again by [`Cluster::repeat_read_replies`].
     read_replies: Vec<(ReplicaId, ReplicaId, PeerMessage)>,
+    /// Events of all machines, oldest first.
+    pub events: Vec<(Timestamp, usize, NodeEvent)>,
 }
 
 impl Cluster {
@@ -85,6 +88,7 @@
             skipped_millis: 0,
             drops_replies: false,
             read_replies: Vec::new(),
+            events: Vec::new(),
         };
         for machine in 0..count {
             cluster.machines.push(Machine {
@@ -476,6 +480,9 @@
             }
             self.network.insert(key, (from, to, message));
         }
+        let events = output.events.into_iter();
+        self.events
+            .extend(events.map(|event| (self.now, machine, event)));
         if !self.drops_replies {
             self.replies.extend(output.replies);
         }
