Show the members, the voters heard and the replacement in progress as metrics

Cause: no metric told how many voters a group has, how many of them a replica hears, or that a replacement does not end.

bramblewheel_control_voters, _voters_heard, _learners, _replacement_age_ms (the replica's wall clock minus the log time at which the replacement began) and _replacement_entries_missing (at the leader).

--- a/crates/bramblewheel-control/src/node/member_contact.rs
+++ b/crates/bramblewheel-control/src/node/member_contact.rs
@@ -2,6 +2,7 @@
 
 use super::ControlNode;
 use bramblewheel_replication::ReplicaId;
+use bramblewheel_types::Timestamp;
 use std::fmt;
 use std::time::Duration;
 
@@ -46,17 +47,17 @@
         let contact_of = |replica: ReplicaId| MemberContact {
             replica,
             is_voter: membership.voters.contains(&replica),
-            heard: self.heard(replica),
+            heard: self.heard(replica, self.now.monotonic),
         };
         membership.members().map(contact_of).collect()
     }
 
-    pub(super) fn heard(&self, member: ReplicaId) -> Heard {
+    pub(super) fn heard(&self, member: ReplicaId, now: Timestamp) -> Heard {
         if member == self.replica.id() {
             return Heard::Itself;
         }
         match self.replica.last_heard(member) {
-            Some(at) => Heard::Ago(self.now.monotonic.since(at)),
+            Some(at) => Heard::Ago(now.since(at)),
             None => Heard::Never,
         }
     }
--- a/crates/bramblewheel-control/src/node/metrics.rs
+++ b/crates/bramblewheel-control/src/node/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a node.
 
-use super::{ControlNode, Now};
+use super::{ControlNode, Heard, Now};
+use bramblewheel_replication::ReplicaId;
+use bramblewheel_types::Timestamp;
 
 /// Gauges and counters of a node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -37,6 +39,19 @@
     pub operations_decided: u64,
     /// Spares with a valid offer to this replica.
     pub spares: u64,
+    /// Voters of the membership in force.
+    pub voters: u64,
+    /// Voters heard within the election time-out, with this replica. A follower hears only the leader
+    /// regularly.
+    pub voters_heard: u64,
+    /// Learners of the membership in force.
+    pub learners: u64,
+    /// Milliseconds by this replica's wall clock since the log time at which the replacement in progress
+    /// began; 0 if there is none.
+    pub replacement_age_millis: u64,
+    /// Committed entries that the new replica of the replacement in progress is not known to have synced;
+    /// 0 unless this replica leads.
+    pub replacement_entries_missing: u64,
 }
 
 /// Counters of [`NodeMetrics`].
@@ -50,6 +65,7 @@
 impl ControlNode {
     /// Current values of the metrics.
     pub fn metrics(&self, now: Now) -> NodeMetrics {
+        let membership = self.replica.membership();
         NodeMetrics {
             is_leader: self.is_leader(),
             has_quorum: self.replica.has_quorum(now.monotonic),
@@ -67,6 +83,38 @@
             whole_bundles_sent: self.bundle_updates.counts.whole_sent,
             operations_decided: self.counters.operations_decided,
             spares: self.spares.fresh_offers(now.monotonic).count() as u64,
+            voters: membership.voters.len() as u64,
+            voters_heard: self.voters_heard(now.monotonic),
+            learners: membership.learners.len() as u64,
+            replacement_age_millis: self.replacement_age_millis(now),
+            replacement_entries_missing: self.replacement_entries_missing(),
         }
     }
+
+    fn voters_heard(&self, now: Timestamp) -> u64 {
+        let is_heard = |voter: &&ReplicaId| match self.heard(**voter, now) {
+            Heard::Itself => true,
+            Heard::Never => false,
+            Heard::Ago(age) => age <= self.config.election,
+        };
+        let voters = self.replica.membership().voters.iter();
+        voters.filter(is_heard).count() as u64
+    }
+
+    fn replacement_age_millis(&self, now: Now) -> u64 {
+        if self.state.replacement().is_none() {
+            return 0;
+        }
+        let begun = self.state.replacement_begun_unix_millis();
+        now.unix_millis.saturating_sub(begun)
+    }
+
+    fn replacement_entries_missing(&self) -> u64 {
+        let Some(replacement) = self.state.replacement().filter(|_| self.is_leader()) else {
+            return 0;
+        };
+        let new = ReplicaId(replacement.new_replica().replica);
+        let synced = self.replica.match_index(new).unwrap_or_default();
+        self.replica.commit_index().0.saturating_sub(synced.0)
+    }
 }
--- a/crates/bramblewheel-control/src/server/exposition.rs
+++ b/crates/bramblewheel-control/src/server/exposition.rs
@@ -10,6 +10,7 @@
 pub(super) fn write(metrics: &NodeMetrics) -> String {
     let mut registry = Registry::with_prefix("bramblewheel_control");
     register_gauges(&mut registry, metrics);
+    register_membership(&mut registry, metrics);
     register_counters(&mut registry, metrics);
     let mut text = String::new();
     encode(&mut text, &registry).expect("writing to a string can't fail");
@@ -53,6 +54,36 @@
             metrics.spares,
         ),
     ];
+    register_all(registry, gauges);
+}
+
+fn register_membership(registry: &mut Registry, metrics: &NodeMetrics) {
+    let gauges = [
+        ("voters", "Voters of the group", metrics.voters),
+        (
+            "voters_heard",
+            "Voters heard within the election time-out, with this replica",
+            metrics.voters_heard,
+        ),
+        ("learners", "Learners of the group", metrics.learners),
+        (
+            "replacement_age_ms",
+            "Milliseconds since the replacement in progress began, 0 if none",
+            metrics.replacement_age_millis,
+        ),
+        (
+            "replacement_entries_missing",
+            "Entries that the new replica of the replacement lacks, as far as this leader knows",
+            metrics.replacement_entries_missing,
+        ),
+    ];
+    register_all(registry, gauges);
+}
+
+fn register_all<const N: usize>(
+    registry: &mut Registry,
+    gauges: [(&'static str, &'static str, u64); N],
+) {
     for (name, help, value) in gauges {
         let gauge: Gauge = Gauge::default();
         gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
--- a/crates/bramblewheel-control/tests/events.rs
+++ b/crates/bramblewheel-control/tests/events.rs
@@ -271,3 +271,49 @@
     let left_out: u64 = refusals.iter().map(|(_, (_, left_out))| left_out).sum();
     assert!(left_out > 0, "an election starts every 0.3 to 0.6 s");
 }
+
+#[test]
+fn metrics_show_the_members_that_are_heard_and_a_replacement_that_does_not_end() {
+    let mut cluster = founded(0, 808);
+    expect_accepted(&mut cluster, &replace(0, 3, "first"));
+    cluster.run(Duration::from_secs(1));
+    let leader = cluster.settle();
+    let metrics = cluster.metrics(leader);
+    assert_eq!(
+        (metrics.voters, metrics.voters_heard, metrics.learners),
+        (3, 3, 0)
+    );
+    assert_eq!(metrics.replacement_age_millis, 0);
+    assert_eq!(metrics.replacement_entries_missing, 0);
+    let machine = others(leader)[0];
+    cluster.set_spares(FAST, vec![0, 1, 2]);
+    cluster.offer_interval = Duration::from_millis(250);
+    cluster.restart_wiped(machine);
+    run_until_learner(&mut cluster, leader);
+    cluster.crash(machine);
+    cluster.run(Duration::from_secs(10));
+    let metrics = cluster.metrics(leader);
+    assert_eq!((metrics.voters_heard, metrics.learners), (2, 1));
+    let age = metrics.replacement_age_millis;
+    assert!((10_000..15_000).contains(&age), "{age}");
+    let missing = metrics.replacement_entries_missing;
+    let applied = metrics.applied_index;
+    assert!((1..=applied).contains(&missing), "{missing} of {applied}");
+    let follower = cluster.metrics(others(leader)[1]);
+    assert_eq!(
+        follower.replacement_entries_missing, 0,
+        "known to the leader only"
+    );
+    assert!(follower.replacement_age_millis >= 10_000);
+}
+
+/// Runs until the leader has a learner, in steps in which the learner can't get the log.
+fn run_until_learner(cluster: &mut Cluster, leader: usize) {
+    for _ in 0..20_000 {
+        cluster.run(Duration::from_micros(100));
+        if cluster.metrics(leader).learners == 1 {
+            return;
+        }
+    }
+    panic!("no learner after two seconds");
+}
--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -3,8 +3,8 @@
 
 use super::signed;
 use bramblewheel_control::node::{
-    ClientRequestId, ControlNode, Durable, NodeConfig, NodeEvent, NodeOutput, Now, PeerMessage,
-    SparePolicy,
+    ClientRequestId, ControlNode, Durable, NodeConfig, NodeEvent, NodeMetrics, NodeOutput, Now,
+    PeerMessage, SparePolicy,
 };
 use bramblewheel_protocol::control::{
     BootstrapRequest, GroupStatus, ReplicaAddress, ReplyBody, RequestBody, Unavailable,
@@ -322,6 +322,10 @@
         &self.machines[machine].running.as_ref().expect("runs").0
     }
 
+    pub fn metrics(&self, machine: usize) -> NodeMetrics {
+        self.node(machine).metrics(self.clocks(machine))
+    }
+
     fn node_mut(&mut self, machine: usize) -> &mut ControlNode {
         &mut self.machines[machine].running.as_mut().expect("runs").0
     }
