--- a/crates/bramblewheel-control/src/node/housekeeping.rs
+++ b/crates/bramblewheel-control/src/node/housekeeping.rs
@@ -20,7 +20,6 @@
         let term = self.is_leader().then(|| self.replica.term());
         self.leases.note_leadership(now.monotonic, term);
         self.spares.note_leadership(now.monotonic, term);
-        self.report_quorum();
         if self.housekeeping_due <= now.monotonic {
             self.housekeeping_due = now.monotonic + self.config.heartbeat;
             self.run_housekeeping();
--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -194,6 +194,7 @@
                 ..NodeOutput::default()
             };
         }
+        self.report_quorum();
         self.propose_queued();
         self.report_clock_to_new_leader();
         self.forward_registrations();
--- a/crates/bramblewheel-control/src/node/quorum_events.rs
+++ b/crates/bramblewheel-control/src/node/quorum_events.rs
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Reports what has changed since the last call; called with every tick.
+    /// Reports what has changed since the last call; called before every output.
     pub(super) fn report_quorum(&mut self) {
         let now = self.now.monotonic;
         let has_quorum = self.has_quorum();
