Say why a connection of a replica is refused, and bound these lines

Cause: the line "replica refused" named sender and meant identity only, and was written for each connection.

It has the reason (connects_to_itself, meant_for_other_identity, other_group) and the sender's group, and is written at most once a second per sender and reason, with the number left out. The decision is unchanged.

--- a/crates/bramblewheel-control/src/server/mod.rs
+++ b/crates/bramblewheel-control/src/server/mod.rs
@@ -12,6 +12,7 @@
 mod node_thread;
 mod peer_in;
 mod peer_out;
+mod peer_refusals;
 mod run;
 mod service;
 mod spare_offers;
--- a/crates/bramblewheel-control/src/server/node_thread.rs
+++ b/crates/bramblewheel-control/src/server/node_thread.rs
@@ -5,6 +5,7 @@
 use super::event_log;
 use super::input::{ConnectionId, Input, Inspection};
 use super::peer_out::PeerSenders;
+use super::peer_refusals::{self, PeerRefusals};
 use crate::clock::Clock;
 use crate::node::{ClientRequestId, ControlNode, Durable, Hello, NodeOutput};
 use bramblewheel_protocol::control::{ControlReply, ReplyBody};
@@ -37,6 +38,7 @@
     pub(super) clock: Clock,
     pub(super) peers: PeerSenders,
     pub(super) own: ReplicaId,
+    pub(super) refusals: PeerRefusals,
     /// Time within which a planned stop must have transferred leadership.
     pub(super) stop_timeout: Duration,
     pub(super) log: Logger,
@@ -174,17 +176,14 @@
 
     /// Accepts a connection of another replica if it is meant for this replica and its group.
     fn accept_peer(&mut self, hello: Hello) -> bool {
-        let own = self.node.state().group();
-        let is_same_group = own.is_none() || hello.group.is_none() || own == hello.group;
-        let is_addressed = hello.to == self.own.0 && hello.from.replica != self.own.0;
-        if is_addressed && is_same_group {
-            self.node.record_peer_address(self.clock.now(), hello.from);
-            return true;
+        let now = self.clock.now();
+        let group = self.node.state().group();
+        if let Some(reason) = peer_refusals::refusal(&hello, self.own, group) {
+            self.refusals.log(&self.log, now.monotonic, &hello, reason);
+            return false;
         }
-        slog::warn!(self.log, "replica refused"; "name" => hello.from.name,
-            "replica" => format!("{:016x}", hello.from.replica),
-            "meant" => format!("{:016x}", hello.to));
-        false
+        self.node.record_peer_address(now, hello.from);
+        true
     }
 
     fn execute_outputs(&mut self, clients: &mut Clients) -> Result<(), StorageError> {
--- a/crates/bramblewheel-control/src/server/start.rs
+++ b/crates/bramblewheel-control/src/server/start.rs
@@ -9,6 +9,7 @@
 use super::listeners::Listeners;
 use super::node_thread::NodeThread;
 use super::peer_out::PeerSenders;
+use super::peer_refusals::PeerRefusals;
 use super::spare_offers::spawn_spare_offers;
 use crate::clock::Clock;
 use crate::node::{ControlNode, Durable, NodeConfig};
@@ -174,6 +175,7 @@
         clock,
         peers: PeerSenders::new(address, Handle::current(), log.clone()),
         own,
+        refusals: PeerRefusals::default(),
         stop_timeout: settings.timing.election() * STOP_ELECTIONS,
         log: log.clone(),
     })
--- a/crates/bramblewheel-control/tests/support/mod.rs
+++ b/crates/bramblewheel-control/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test program uses its own part")]
 
+pub mod captured_log;
 pub mod cluster;
 pub mod founded;
 pub mod log;
--- a/crates/bramblewheel-control/tests/support/processes.rs
+++ b/crates/bramblewheel-control/tests/support/processes.rs
@@ -33,6 +33,17 @@
     folder: &Path,
     number: usize,
     extra_settings: &str,
+) -> Result<ControlHandle, StartError> {
+    let log = logging::logger(slog::Level::Debug);
+    start_logged(folder, number, extra_settings, log).await
+}
+
+/// Like [`start_with`], with a logger.
+pub async fn start_logged(
+    folder: &Path,
+    number: usize,
+    extra_settings: &str,
+    log: slog::Logger,
 ) -> Result<ControlHandle, StartError> {
     let text = format!(
         "name = \"control-{number}\"\nzone = \"hall-a\"\nregion = \"north\"\n\
@@ -42,11 +53,7 @@
         folder.display()
     );
     let settings = Settings::parse(Path::new("s.toml"), &text, Overrides::default());
-    bramblewheel_control::start(
-        settings.expect("valid"),
-        logging::logger(slog::Level::Debug),
-    )
-    .await
+    bramblewheel_control::start(settings.expect("valid"), log).await
 }
 
 impl Group {
