Count the requests refused before a regained quorum in its line

Cause: seen on running replicas: refusals within a second after the last line about them were reported after the quorum was back, with members heard 0 ms ago.

--- a/crates/bramblewheel-control/src/node/events.rs
+++ b/crates/bramblewheel-control/src/node/events.rs
@@ -81,6 +81,8 @@
     QuorumRegained {
         /// Time since the event that it was lost, or since the start.
         after: Duration,
+        /// Requests refused since the last event that counts them.
+        refused: u64,
         /// Term of this replica.
         term: Term,
         /// Leader of the term, if known.
@@ -88,7 +90,7 @@
     },
     /// Reads or changes were refused because there was no quorum.
     RequestsRefused {
-        /// How many since the last event of this kind.
+        /// How many since the last event that counts them.
         refused: u64,
         /// Term of this replica.
         term: Term,
--- a/crates/bramblewheel-control/src/node/quorum_events.rs
+++ b/crates/bramblewheel-control/src/node/quorum_events.rs
@@ -103,6 +103,7 @@
         self.events.push(if has_quorum {
             NodeEvent::QuorumRegained {
                 after: now.since(since),
+                refused: std::mem::take(&mut self.quorum_reports.refused),
                 term,
                 leader,
             }
--- a/crates/bramblewheel-control/src/server/event_log.rs
+++ b/crates/bramblewheel-control/src/server/event_log.rs
@@ -56,10 +56,11 @@
             "leader" => leader.map(hex), "term" => term.0),
         NodeEvent::QuorumRegained {
             after,
+            refused,
             term,
             leader,
         } => slog::info!(log, "quorum regained"; "leader" => leader.map(hex), "term" => term.0,
-            "after_ms" => Millis::of(*after).0),
+            "refused" => refused, "after_ms" => Millis::of(*after).0),
         NodeEvent::RequestsRefused {
             refused,
             term,
--- a/crates/bramblewheel-control/tests/events.rs
+++ b/crates/bramblewheel-control/tests/events.rs
@@ -172,7 +172,8 @@
     cluster.run(Duration::from_secs(2));
     cluster.events.clear();
     cluster.cut_off(cut_off);
-    cluster.run(Duration::from_secs(5));
+    cluster.run(Duration::from_secs(4));
+    ask_in_vain(&mut cluster, cut_off, 115);
     cluster.heal();
     cluster.run(Duration::from_secs(2));
     let changes = select(&cluster, cut_off, |event| match event {
@@ -186,6 +187,18 @@
     });
     let changes: Vec<String> = changes.into_iter().map(|(_, change)| change).collect();
     assert_eq!(changes, ["lost, 3", "regained"]);
+    let counts = select(&cluster, cut_off, |event| match event {
+        NodeEvent::RequestsRefused { refused, .. } | NodeEvent::QuorumRegained { refused, .. } => {
+            Some(*refused)
+        }
+        _ => None,
+    });
+    assert_eq!(counts.iter().map(|(_, count)| count).sum::<u64>(), 115);
+    let (_, last) = counts.last().expect("a count");
+    assert!(
+        *last > 0,
+        "the rest must be counted when the quorum is regained"
+    );
 }
 
 #[test]
