--- a/crates/bramblewheel-control/tests/admin.rs
+++ b/crates/bramblewheel-control/tests/admin.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 /// Names and types of a replica's metrics. Dashboards and alerts of users depend on them.
-const METRICS: [&str; 16] = [
+const METRICS: [&str; 21] = [
     "bramblewheel_control_applied_index gauge",
     "bramblewheel_control_bundle_deltas_computed counter",
     "bramblewheel_control_bundle_deltas_sent counter",
