--- a/crates/bramblewheel-control/tests/log_lines.rs
+++ b/crates/bramblewheel-control/tests/log_lines.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use bramblewheel_control::ControlHandle;
-use bramblewheel_control::node::{Hello, PeerMessage};
+use bramblewheel_control::node::{Hello, OfferBasis, PeerMessage, SpareOffer};
 use bramblewheel_protocol::codec::{MAX_CONTROL_FRAME, MAX_PEER_FRAME, encode};
 use bramblewheel_protocol::control::{
     BootstrapRequest, ReplicaAddress, ReplyBody, RequestBody, Unavailable,
@@ -235,8 +235,12 @@
     let (own, other) = (replicas[0].handle.replica(), replicas[1].handle.replica());
     for from in [STRANGER, other] {
         let hello = hello(own, from, OTHER_GROUP);
-        let stranger = hello.from.clone();
-        let messages = [vote_request(99), PeerMessage::SpareOffer(stranger)];
+        let basis = OfferBasis {
+            group: before.group,
+            applied_index: before.position.index,
+        };
+        let offer = SpareOffer::new(hello.from.clone(), basis);
+        let messages = [vote_request(99), PeerMessage::SpareOffer(offer)];
         until_closed(connect(&replicas[0], &hello, &messages).await).await;
     }
     replicas[0].log.line_with(&["reason=other_group"]).await;
