Search drawn schedules of lost disks and other faults for groups that do not recover

The known causes were found by two fixed schedules. This draws schedules: lost disks, also of the same machine again at a stage of its replacement, machines gone for good, restarts, losses of power of all, cuts, freezes, slow machines, planned stops, and changes of which some lose their answer. Only one machine's disk is lost until it is replaced. 16 s after the last fault the group must have a leader, three living voters, nothing in progress, the acknowledged table and accept another; another disk lost then must be repaired too, in half of the cases at a loss of power of all.

The simulation: messages that a machine sent before its disk was lost still arrive in these schedules, frozen machines no longer offer themselves as spares, and events are kept for the trace.

--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -3,7 +3,8 @@
 
 use super::signed;
 use bramblewheel_control::node::{
-    ClientRequestId, ControlNode, Durable, NodeConfig, NodeOutput, Now, PeerMessage, SparePolicy,
+    ClientRequestId, ControlNode, Durable, NodeConfig, NodeEvent, NodeOutput, Now, PeerMessage,
+    SparePolicy,
 };
 use bramblewheel_protocol::control::{
     BootstrapRequest, GroupStatus, ReplicaAddress, ReplyBody, RequestBody, Unavailable,
@@ -60,6 +61,10 @@
     pub drops_replies: bool,
     /// Read replies between replicas, to be delivered again by [`Cluster::repeat_read_replies`].
     read_replies: Vec<(ReplicaId, ReplicaId, PeerMessage)>,
+    /// Events that the nodes reported, oldest first.
+    events: Vec<(Timestamp, usize, NodeEvent)>,
+    /// Machines of the identities whose messages in flight outlive them.
+    lost_identities: BTreeMap<ReplicaId, usize>,
 }
 
 impl Cluster {
@@ -85,6 +90,8 @@
             skipped_millis: 0,
             drops_replies: false,
             read_replies: Vec::new(),
+            events: Vec::new(),
+            lost_identities: BTreeMap::new(),
         };
         for machine in 0..count {
             cluster.machines.push(Machine {
@@ -231,7 +238,8 @@
     fn make_offers(&mut self) {
         self.offers_due = self.now + self.offer_interval;
         for spare in self.spares.clone() {
-            if self.machines[spare].running.is_none() || self.cut.contains(&spare) {
+            let machine = &self.machines[spare];
+            if machine.running.is_none() || machine.is_frozen || self.cut.contains(&spare) {
                 continue;
             }
             if let Some(group) = self.status_with_quorum(spare) {
@@ -479,6 +487,9 @@
         if !self.drops_replies {
             self.replies.extend(output.replies);
         }
+        let events = output.events.into_iter();
+        self.events
+            .extend(events.map(|event| (self.now, machine, event)));
     }
 
     fn machine_of(&self, id: ReplicaId) -> Option<usize> {
@@ -526,7 +537,9 @@
     }
 
     fn deliver(&mut self, from: ReplicaId, to: ReplicaId, message: PeerMessage) {
-        let (Some(sender), Some(receiver)) = (self.machine_of(from), self.machine_of(to)) else {
+        let lost_sender = self.lost_identities.get(&from).copied();
+        let sender = self.machine_of(from).or(lost_sender);
+        let (Some(sender), Some(receiver)) = (sender, self.machine_of(to)) else {
             return;
         };
         if self.cut.contains(&sender) || self.cut.contains(&receiver) {
@@ -540,4 +553,25 @@
             self.drive(receiver);
         }
     }
+
+    /// Like [`restart_wiped`](Self::restart_wiped), but messages that the machine has sent still arrive.
+    pub fn restart_wiped_with_messages_in_flight(&mut self, machine: usize) {
+        self.lost_identities
+            .insert(self.machines[machine].id, machine);
+        self.restart_wiped(machine);
+    }
+
+    /// Events that the nodes reported so far, oldest first, each with the machine's number.
+    pub fn events(&self) -> &[(Timestamp, usize, NodeEvent)] {
+        &self.events
+    }
+
+    /// Delivers a message to a machine, on a connection on which its sender reports the given addresses.
+    pub fn deliver_from(&mut self, sender: &ReplicaAddress, machine: usize, message: PeerMessage) {
+        let now = self.clocks(machine);
+        let node = self.node_mut(machine);
+        node.record_peer_address(now, sender.clone());
+        node.receive(now, ReplicaId(sender.replica), message);
+        self.drive(machine);
+    }
 }
--- /dev/null
+++ b/crates/bramblewheel-control/tests/support/loss_schedule/search.rs
@@ -0,0 +1,100 @@
+//! Runs of many schedules, and their report.
+
+use super::inspection::{Defect, describe};
+use super::run::{Failure, Phase, Run};
+use super::{Class, Schedule, draw};
+use std::collections::{BTreeMap, BTreeSet};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+/// Seeds of two parts of a class are this far apart.
+const SEEDS_PER_PART: u64 = 1_000_000;
+/// Failures that are reported with their steps and events.
+const TRACED_FAILURES: usize = 3;
+/// Events reported of a failure, counted from the end.
+const TRACED_EVENTS: usize = 120;
+
+/// Runs the schedules of one part of a class.
+///
+/// The environment variable `BRAMBLEWHEEL_SCHEDULES` sets their number, `BRAMBLEWHEEL_SCHEDULE_SEED` the only
+/// seed to run.
+///
+/// # Panics
+/// If a group is not whole after a schedule.
+pub fn search(class: Class, part: u64, count: u64) {
+    let seeds = seeds(part, count);
+    let total = seeds.len();
+    let mut failures = Vec::new();
+    for seed in seeds {
+        let schedule = draw(class, seed);
+        if let Err((failure, trace)) = execute(&schedule) {
+            if failures.len() < TRACED_FAILURES {
+                println!("{class:?}: {schedule}{trace}{failure:?}\n");
+            }
+            failures.push((seed, failure));
+        }
+    }
+    println!(
+        "{class:?}, part {part}: {total} schedules, {} failed",
+        failures.len()
+    );
+    assert!(failures.is_empty(), "{}", summary(class, total, &failures));
+}
+
+fn seeds(part: u64, count: u64) -> Vec<u64> {
+    if let Some(seed) = number_in("BRAMBLEWHEEL_SCHEDULE_SEED") {
+        return vec![seed];
+    }
+    let count = number_in("BRAMBLEWHEEL_SCHEDULES").unwrap_or(count);
+    let first = part * SEEDS_PER_PART;
+    (first..first + count).collect()
+}
+
+fn number_in(variable: &str) -> Option<u64> {
+    let text = std::env::var(variable).ok()?;
+    Some(text.parse().expect("a number"))
+}
+
+fn execute(schedule: &Schedule) -> Result<(), (Failure, String)> {
+    let mut run = Run::new(schedule.clone());
+    let result = catch_unwind(AssertUnwindSafe(|| run.execute()));
+    let failure = match result {
+        Ok(Ok(())) => return Ok(()),
+        Ok(Err(failure)) => failure,
+        Err(_) => Failure {
+            phase: Phase::DuringFaults,
+            defects: BTreeSet::from([Defect::Panicked]),
+            detail: "see the message above".to_owned(),
+        },
+    };
+    Err((failure, trace(&run)))
+}
+
+/// Steps and events in the order of their time, and what the machines know at the end.
+fn trace(run: &Run) -> String {
+    let steps = run.trace.iter();
+    let steps = steps.map(|(at, step)| (*at, format!("STEP {step}")));
+    let events = run.cluster.events().iter();
+    let events = events.map(|(at, machine, event)| (*at, format!("machine {machine}: {event:x?}")));
+    let mut lines: Vec<_> = steps.chain(events).collect();
+    lines.sort_by_key(|(at, _)| *at);
+    let shown = lines.len().saturating_sub(TRACED_EVENTS);
+    let mut text = String::new();
+    for (at, line) in &lines[shown..] {
+        text += &format!("  {:>7} ms {line}\n", at.as_millis());
+    }
+    text + &describe(&run.cluster, &run.faults.machines_with_power())
+}
+
+fn summary(class: Class, total: usize, failures: &[(u64, Failure)]) -> String {
+    let mut kinds: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for (seed, failure) in failures {
+        let defects: Vec<_> = failure.defects.iter().map(ToString::to_string).collect();
+        let kind = format!("{:?}: {}", failure.phase, defects.join(" "));
+        kinds.entry(kind).or_default().push(*seed);
+    }
+    let mut text = format!("{class:?}: {} of {total} schedules failed", failures.len());
+    for (kind, seeds) in kinds {
+        text += &format!("\n  {} {kind}; seeds {seeds:?}", seeds.len());
+    }
+    text
+}
--- a/crates/bramblewheel-control/tests/support/mod.rs
+++ b/crates/bramblewheel-control/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod cluster;
 pub mod founded;
 pub mod log;
+pub mod loss_schedule;
 pub mod polls;
 pub mod processes;
 
