--- a/crates/bramblewheel-control/tests/support/loss_schedule/inspection.rs
+++ b/crates/bramblewheel-control/tests/support/loss_schedule/inspection.rs
@@ -16,6 +16,8 @@
     WrongNumberOfVoters,
     Learner,
     ReplacementInProgress,
+    /// The replacement's new replica no longer exists.
+    ReplacementByLostReplica,
     TableLost,
     ChangeNotAccepted,
     Panicked,
@@ -47,8 +49,13 @@
     if !membership.learners.is_empty() {
         defects.insert(Defect::Learner);
     }
-    if node.state().replacement().is_some() {
-        defects.insert(Defect::ReplacementInProgress);
+    if let Some(replacement) = node.state().replacement() {
+        let new = ReplicaId(replacement.new_replica().replica);
+        defects.insert(if living.contains(&new) {
+            Defect::ReplacementInProgress
+        } else {
+            Defect::ReplacementByLostReplica
+        });
     }
     defects
 }
