--- a/crates/bramblewheel-control/tests/loss_schedules.rs
+++ b/crates/bramblewheel-control/tests/loss_schedules.rs
@@ -2,7 +2,8 @@
 
 mod support;
 
-use support::loss_schedule::{Class, search};
+use support::loss_schedule::Class;
+use support::loss_schedule::search::search;
 
 /// Schedules of one test in a normal run.
 const SCHEDULES: u64 = 250;
--- a/crates/bramblewheel-control/tests/support/loss_schedule/mod.rs
+++ b/crates/bramblewheel-control/tests/support/loss_schedule/mod.rs
@@ -5,10 +5,9 @@
 mod faults;
 mod inspection;
 mod run;
-mod search;
+pub mod search;
 
 pub use draw::draw;
-pub use search::search;
 
 use std::fmt;
 use std::time::Duration;
