--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -3,8 +3,8 @@
 
 use super::signed;
 use bramblewheel_control::node::{
-    ClientRequestId, ControlNode, Durable, NodeConfig, NodeEvent, NodeOutput, Now, PeerMessage,
-    SparePolicy,
+    ClientRequestId, ControlNode, Durable, NodeConfig, NodeEvent, NodeMetrics, NodeOutput, Now,
+    PeerMessage, SparePolicy,
 };
 use bramblewheel_protocol::control::{
     BootstrapRequest, GroupStatus, ReplicaAddress, ReplyBody, RequestBody, Unavailable,
@@ -61,8 +61,8 @@
     pub drops_replies: bool,
     /// Read replies between replicas, to be delivered again by [`Cluster::repeat_read_replies`].
     read_replies: Vec<(ReplicaId, ReplicaId, PeerMessage)>,
-    /// Events that the nodes reported, oldest first.
-    events: Vec<(Timestamp, usize, NodeEvent)>,
+    /// Events of all machines, oldest first.
+    pub events: Vec<(Timestamp, usize, NodeEvent)>,
     /// Machines of the identities whose messages in flight outlive them.
     lost_identities: BTreeMap<ReplicaId, usize>,
 }
@@ -326,6 +326,10 @@
         &self.machines[machine].running.as_ref().expect("runs").0
     }
 
+    pub fn metrics(&self, machine: usize) -> NodeMetrics {
+        self.node(machine).metrics(self.clocks(machine))
+    }
+
     fn node_mut(&mut self, machine: usize) -> &mut ControlNode {
         &mut self.machines[machine].running.as_mut().expect("runs").0
     }
@@ -484,12 +488,12 @@
             }
             self.network.insert(key, (from, to, message));
         }
-        if !self.drops_replies {
-            self.replies.extend(output.replies);
-        }
         let events = output.events.into_iter();
         self.events
             .extend(events.map(|event| (self.now, machine, event)));
+        if !self.drops_replies {
+            self.replies.extend(output.replies);
+        }
     }
 
     fn machine_of(&self, id: ReplicaId) -> Option<usize> {
@@ -561,11 +565,6 @@
         self.restart_wiped(machine);
     }
 
-    /// Events that the nodes reported so far, oldest first, each with the machine's number.
-    pub fn events(&self) -> &[(Timestamp, usize, NodeEvent)] {
-        &self.events
-    }
-
     /// Delivers a message to a machine, on a connection on which its sender reports the given addresses.
     pub fn deliver_from(&mut self, sender: &ReplicaAddress, machine: usize, message: PeerMessage) {
         let now = self.clocks(machine);
--- a/crates/bramblewheel-control/tests/support/loss_schedule/search.rs
+++ b/crates/bramblewheel-control/tests/support/loss_schedule/search.rs
@@ -73,7 +73,7 @@
 fn trace(run: &Run) -> String {
     let steps = run.trace.iter();
     let steps = steps.map(|(at, step)| (*at, format!("STEP {step}")));
-    let events = run.cluster.events().iter();
+    let events = run.cluster.events.iter();
     let events = events.map(|(at, machine, event)| (*at, format!("machine {machine}: {event:x?}")));
     let mut lines: Vec<_> = steps.chain(events).collect();
     lines.sort_by_key(|(at, _)| *at);
