--- a/crates/bramblewheel-control/src/node/quorum_events.rs
+++ b/crates/bramblewheel-control/src/node/quorum_events.rs
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Reports what has changed since the last call; called with every tick.
+    /// Reports what has changed since the last call; called before every output.
     pub(super) fn report_quorum(&mut self) {
         let now = self.now.monotonic;
         let has_quorum = self.has_quorum();
@@ -103,6 +103,7 @@
         self.events.push(if has_quorum {
             NodeEvent::QuorumRegained {
                 after: now.since(since),
+                refused: std::mem::take(&mut self.quorum_reports.refused),
                 term,
                 leader,
             }
