--- a/crates/bramblewheel-control/tests/support/cluster.rs
+++ b/crates/bramblewheel-control/tests/support/cluster.rs
@@ -63,6 +63,8 @@
     read_replies: Vec<(ReplicaId, ReplicaId, PeerMessage)>,
     /// Events of all machines, oldest first.
     pub events: Vec<(Timestamp, usize, NodeEvent)>,
+    /// Machines of the identities whose messages in flight outlive them.
+    lost_identities: BTreeMap<ReplicaId, usize>,
 }
 
 impl Cluster {
@@ -89,6 +91,7 @@
             drops_replies: false,
             read_replies: Vec::new(),
             events: Vec::new(),
+            lost_identities: BTreeMap::new(),
         };
         for machine in 0..count {
             cluster.machines.push(Machine {
@@ -235,7 +238,8 @@
     fn make_offers(&mut self) {
         self.offers_due = self.now + self.offer_interval;
         for spare in self.spares.clone() {
-            if self.machines[spare].running.is_none() || self.cut.contains(&spare) {
+            let machine = &self.machines[spare];
+            if machine.running.is_none() || machine.is_frozen || self.cut.contains(&spare) {
                 continue;
             }
             if let Some(group) = self.status_with_quorum(spare) {
@@ -537,7 +541,9 @@
     }
 
     fn deliver(&mut self, from: ReplicaId, to: ReplicaId, message: PeerMessage) {
-        let (Some(sender), Some(receiver)) = (self.machine_of(from), self.machine_of(to)) else {
+        let lost_sender = self.lost_identities.get(&from).copied();
+        let sender = self.machine_of(from).or(lost_sender);
+        let (Some(sender), Some(receiver)) = (sender, self.machine_of(to)) else {
             return;
         };
         if self.cut.contains(&sender) || self.cut.contains(&receiver) {
@@ -551,4 +557,20 @@
             self.drive(receiver);
         }
     }
+
+    /// Like [`restart_wiped`](Self::restart_wiped), but messages that the machine has sent still arrive.
+    pub fn restart_wiped_with_messages_in_flight(&mut self, machine: usize) {
+        self.lost_identities
+            .insert(self.machines[machine].id, machine);
+        self.restart_wiped(machine);
+    }
+
+    /// Delivers a message to a machine, on a connection on which its sender reports the given addresses.
+    pub fn deliver_from(&mut self, sender: &ReplicaAddress, machine: usize, message: PeerMessage) {
+        let now = self.clocks(machine);
+        let node = self.node_mut(machine);
+        node.record_peer_address(now, sender.clone());
+        node.receive(now, ReplicaId(sender.replica), message);
+        self.drive(machine);
+    }
 }
--- a/crates/bramblewheel-control/tests/support/mod.rs
+++ b/crates/bramblewheel-control/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod cluster;
 pub mod founded;
 pub mod log;
+pub mod loss_schedule;
 pub mod polls;
 pub mod processes;
 
