Soak: draw lost disks in series and at the end, and read the configuration from every replica

Cause: faults of control replicas came one at a time with a pause, so the same machine's disk was never lost twice, no disk was lost beside another fault, and no loss of power met a group with a lost disk.

Added to the plan (disk_losses.rs, a random sequence of its own): the same disk lost again 0 to 3 s or 4 to 20 s after the restart, a disk lost beside a fault of another replica, and at the end one disk lost while all processes are killed right after an acknowledged change. No second machine's disk is lost before the first one is back for 4 s. At the end every replica must return the configuration, with the acknowledged version and text, within 15 s.

The test that faults of replicas don't overlap now names the one overlap that is allowed; three tests of the new distances come with it.

--- a/crates/bramblewheel-soak/src/check/mod.rs
+++ b/crates/bramblewheel-soak/src/check/mod.rs
@@ -1,5 +1,6 @@
 //! Checks the recorded history against the promises.
 
+mod final_reads;
 mod foreign_heartbeats;
 mod planned_stops;
 
@@ -15,6 +16,8 @@
 const APPLY_TIME: Duration = Duration::from_secs(2);
 /// Time after the last fault within which service and configurations must have recovered.
 pub const RECOVERY_TIME: Duration = Duration::from_secs(8);
+/// Time after the last fault within which every control replica must return the configuration.
+pub const CONFIGURATION_RECOVERY_TIME: Duration = Duration::from_secs(15);
 /// Time after the third crash under the fatal request within which all daemons must have it in quarantine.
 const QUARANTINE_TIME: Duration = Duration::from_secs(3);
 /// Number of runs of the fatal request that may begin after that.
@@ -58,6 +61,7 @@
     check_draining(events, &mut found);
     check_orders(events, &mut found);
     check_reads(events, version_of, &mut found);
+    final_reads::check(events, version_of, &mut found);
     check_probes(events, &mut found);
     planned_stops::check(events, &runs, &mut found);
     check_quarantine(events, &mut found);
--- a/crates/bramblewheel-soak/src/fault_injection.rs
+++ b/crates/bramblewheel-soak/src/fault_injection.rs
@@ -10,7 +10,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 
+/// Longest wait for an acknowledged change of the configuration before a fault that strikes right after one.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time that a started process gets to install its signal handlers before a signal may be sent to it.
 const SIGNAL_HANDLER_SETUP_TIME: Duration = Duration::from_millis(20);
 
@@ -21,6 +24,7 @@
             Fault::Kill(machine) => self.kill(machine, step.lasts, false).await,
             Fault::KillAndWipe(machine) => self.kill(machine, step.lasts, true).await,
             Fault::KillAllControl => self.kill_all_control(step.lasts).await,
+            Fault::KillAllAndWipe(replica) => self.kill_all_and_wipe(replica, step.lasts).await,
             Fault::Pause(machine) => {
                 self.hosts[&machine].lock().await.signal(Signal::STOP);
                 tokio::time::sleep(step.lasts).await;
@@ -156,6 +160,37 @@
         Ok(())
     }
 
+    async fn kill_all_and_wipe(&self, replica: usize, lasts: Duration) -> Result<(), FleetError> {
+        let mut hosts = Vec::new();
+        for (machine, host) in &self.hosts {
+            hosts.push((*machine, host.lock().await));
+        }
+        let acknowledgement = self.history.next_acknowledgement();
+        if timeout(ACKNOWLEDGEMENT_TIMEOUT, acknowledgement)
+            .await
+            .is_err()
+        {
+            println!("no change acknowledged for {ACKNOWLEDGEMENT_TIMEOUT:?}, killed without one");
+        }
+        // All signals are sent before the first exit is awaited.
+        for (machine, host) in &hosts {
+            self.advance_generation(*machine);
+            host.signal(Signal::KILL);
+        }
+        for (machine, host) in &mut hosts {
+            host.kill().await;
+            if *machine == Machine::Control(replica) {
+                host.wipe()?;
+            }
+        }
+        tokio::time::sleep(lasts).await;
+        for (machine, host) in &mut hosts {
+            self.advance_generation(*machine);
+            host.start()?;
+        }
+        Ok(())
+    }
+
     async fn hold_traffic(
         &self,
         machine: Machine,
--- a/crates/bramblewheel-soak/src/history.rs
+++ b/crates/bramblewheel-soak/src/history.rs
@@ -6,6 +6,7 @@
 use crate::plan::Machine;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// Time since the soak began.
 pub type Timestamp = Duration;
@@ -169,6 +170,19 @@
     pub text: String,
 }
 
+/// A read of the configuration at one control replica after the last fault.
+#[derive(Clone, Debug)]
+pub struct FinalRead {
+    /// Control replica.
+    pub replica: usize,
+    /// When it was sent.
+    pub sent: Timestamp,
+    /// When it was answered.
+    pub answered: Timestamp,
+    /// Text of the answer.
+    pub text: String,
+}
+
 /// A daemon's answer to a request that shows which configuration is in force there.
 #[derive(Clone, Debug)]
 pub struct Probe {
@@ -212,6 +226,10 @@
     pub orders: Vec<Order>,
     /// Reads of the configuration.
     pub reads: Vec<Read>,
+    /// Reads of the configuration at each control replica after the last fault.
+    pub final_reads: Vec<FinalRead>,
+    /// Number of control replicas that must return the configuration after the last fault.
+    pub replicas: usize,
     /// Probes of the routes in force.
     pub probes: Vec<Probe>,
     /// Unexpected exits of processes.
@@ -238,6 +256,7 @@
 pub struct History {
     begun: Instant,
     events: Arc<Mutex<Events>>,
+    acknowledgements: Arc<Notify>,
 }
 
 impl Default for History {
@@ -245,6 +264,7 @@
         Self {
             begun: Instant::now(),
             events: Arc::default(),
+            acknowledgements: Arc::default(),
         }
     }
 }
@@ -262,6 +282,18 @@
             .expect("a panic while the lock is held ends the soak, so the lock is never poisoned")
     }
 
+    /// Records that a change of the configuration was acknowledged.
+    pub fn record_acknowledgement(&self, order: usize) {
+        let at = self.now();
+        self.events().orders[order].acknowledged.get_or_insert(at);
+        self.acknowledgements.notify_waiters();
+    }
+
+    /// Waits until a change of the configuration is acknowledged.
+    pub async fn next_acknowledgement(&self) {
+        self.acknowledgements.notified().await;
+    }
+
     /// Records a request before it is sent; returns its number.
     pub fn record_request(&self, request: NewRequest) -> usize {
         let sent = self.now();
--- a/crates/bramblewheel-soak/src/lib.rs
+++ b/crates/bramblewheel-soak/src/lib.rs
@@ -5,9 +5,11 @@
 //! failed once is run again several times (`seeds.txt`).
 
 pub mod check;
+pub mod disk_losses;
 pub mod endpoint;
 mod endpoint_interface;
 mod fault_injection;
+mod final_reads;
 pub mod fleet;
 pub mod foreign;
 pub mod history;
--- a/crates/bramblewheel-soak/src/operator.rs
+++ b/crates/bramblewheel-soak/src/operator.rs
@@ -143,19 +143,15 @@
 
     /// Records the outcome of a change; returns whether it was acknowledged.
     fn record_outcome(&mut self, number: usize, outcome: &Outcome) -> bool {
-        let at = self.history.now();
-        let mut events = self.history.events();
-        let order = &mut events.orders[number];
         match outcome {
             Outcome::Acknowledged => {
-                order.acknowledged.get_or_insert(at);
-                let version = order.version;
-                drop(events);
+                self.history.record_acknowledgement(number);
+                let version = self.history.events().orders[number].version;
                 self.record_version(version);
                 true
             }
             Outcome::Refused => {
-                order.is_refused = true;
+                self.history.events().orders[number].is_refused = true;
                 false
             }
             Outcome::Unclear => false,
@@ -183,7 +179,7 @@
     pub async fn read(&mut self) -> bool {
         let replica = self.pick_replica();
         let sent = self.history.now();
-        let Ok(answer) = self.fetch(replica).await else {
+        let Ok(answer) = fetch(self.addresses, replica, ANSWER_TIMEOUT).await else {
             return false;
         };
         if answer.status != StatusCode::OK {
@@ -196,15 +192,19 @@
         self.history.events().reads.push(Read { sent, text });
         true
     }
+}
 
-    async fn fetch(&self, replica: usize) -> Result<Answer, NoAnswer> {
-        let call = Call {
-            method: Method::GET,
-            path: wire::READ,
-            headers: &[],
-            body: Bytes::new(),
-        };
-        let address = self.addresses.admin(Machine::Control(replica));
-        send(address, call, ANSWER_TIMEOUT).await
-    }
+/// Requests the configuration from one replica.
+pub(crate) async fn fetch(
+    addresses: Addresses,
+    replica: usize,
+    time_limit: Duration,
+) -> Result<Answer, NoAnswer> {
+    let call = Call {
+        method: Method::GET,
+        path: wire::READ,
+        headers: &[],
+        body: Bytes::new(),
+    };
+    send(addresses.admin(Machine::Control(replica)), call, time_limit).await
 }
--- a/crates/bramblewheel-soak/src/plan.rs
+++ b/crates/bramblewheel-soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! Fault plans: a seed determines which faults are injected when.
 
+use crate::disk_losses;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
@@ -8,7 +9,7 @@
 pub(crate) const STARTUP_TIME: Duration = Duration::from_secs(5);
 /// Time between the end of a fault of a control replica and the next one: the control group must recover its lost
 /// state first.
-const CONTROL_RECOVERY_PAUSE: Duration = Duration::from_secs(6);
+pub(crate) const CONTROL_RECOVERY_PAUSE: Duration = Duration::from_secs(6);
 /// Time before a planned stop in which no other fault may be active.
 const STOP_CLEARANCE: Duration = Duration::from_secs(4);
 /// Longest time that a planned stop with the following start takes, also when all daemons are stopped in turn.
@@ -41,6 +42,9 @@
     KillAndWipe(Machine),
     /// All control replicas are killed at once.
     KillAllControl,
+    /// Right after an acknowledged change of the configuration, the processes of all machines are killed at once and
+    /// the data folder of this control replica is deleted; all are started again after the duration.
+    KillAllAndWipe(usize),
     /// The process is suspended for the duration.
     Pause(Machine),
     /// Traffic to the machine is held back for the duration.
@@ -83,6 +87,36 @@
     ForeignHeartbeats(usize),
 }
 
+impl Fault {
+    /// Whether the fault strikes control replicas.
+    pub(crate) fn strikes_control(self) -> bool {
+        match self {
+            Self::Kill(machine)
+            | Self::KillAndWipe(machine)
+            | Self::Pause(machine)
+            | Self::SilentInwards(machine)
+            | Self::SilentOutwards(machine)
+            | Self::Silent(machine)
+            | Self::Delay(machine, _)
+            | Self::Reset(machine)
+            | Self::Reload(machine)
+            | Self::ReloadSeries(machine)
+            | Self::KillSeries(machine) => matches!(machine, Machine::Control(_)),
+            Self::KillAllControl | Self::KillAllAndWipe(_) | Self::StopControl(_) => true,
+            Self::Stop(_)
+            | Self::Surge(_)
+            | Self::StopsInTurn
+            | Self::EndpointCrash(_)
+            | Self::EndpointLeaves(_)
+            | Self::EndpointRestart(_)
+            | Self::EndpointRestartAfterLeaving(_)
+            | Self::AllEndpointsRestart
+            | Self::InvalidHeartbeats(_)
+            | Self::ForeignHeartbeats(_) => false,
+        }
+    }
+}
+
 /// A fault with its begin and duration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Step {
@@ -94,6 +128,17 @@
     pub fault: Fault,
 }
 
+impl Step {
+    pub(crate) fn end(&self) -> Duration {
+        self.at + self.lasts
+    }
+
+    /// Whether the step keeps clear of a planned stop that is requested at `stop`.
+    pub(crate) fn is_clear_of_stop(&self, stop: Duration) -> bool {
+        self.end() < stop.saturating_sub(STOP_CLEARANCE) || self.at > stop + MAX_STOP_TIME
+    }
+}
+
 /// Size of a soak.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -118,6 +163,7 @@
     });
     steps.extend(foreign_steps(seed, size));
     add_planned_stops(&mut random, size, &mut steps);
+    disk_losses::add(seed, size, &mut steps);
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -211,8 +257,7 @@
     let mut at = STARTUP_TIME + PERIOD;
     let mut is_first = true;
     while at + MAX_STOP_TIME < end {
-        let clear_window = (at.saturating_sub(STOP_CLEARANCE), at + MAX_STOP_TIME);
-        steps.retain(|step| step.at + step.lasts < clear_window.0 || step.at > clear_window.1);
+        steps.retain(|step| step.is_clear_of_stop(at));
         steps.push(Step {
             at,
             lasts: millis(random, 100..500),
--- a/crates/bramblewheel-soak/src/run.rs
+++ b/crates/bramblewheel-soak/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::check::{Breach, RECOVERY_TIME, check};
 use crate::endpoint::{Endpoint, EndpointSettings};
+use crate::final_reads::read_from_all;
 use crate::fleet::{Addresses, FleetError, Host, Programs, service_of};
 use crate::foreign::ForeignMessages;
 use crate::history::{End, History, Request};
@@ -147,8 +148,13 @@
     let operations = tokio::spawn(operate(Arc::clone(&soak), operators));
     inject_faults(&soak, &steps).await?;
     let faults_ended = soak.history.now();
-    soak.history.events().last_fault_ended = faults_ended;
+    {
+        let mut events = soak.history.events();
+        events.last_fault_ended = faults_ended;
+        events.replicas = size.replicas;
+    }
     tokio::time::sleep(RECOVERY_TIME + OBSERVATION_TIME).await;
+    read_from_all(&soak, size.replicas).await;
     soak.is_over.store(true, Ordering::Relaxed);
     while background.join_next().await.is_some() {}
     // The operators finish with a last read.
--- a/crates/bramblewheel-soak/tests/check.rs
+++ b/crates/bramblewheel-soak/tests/check.rs
@@ -3,8 +3,8 @@
 use bramblewheel_platform_client as wire;
 use bramblewheel_soak::check::check;
 use bramblewheel_soak::history::{
-    AcknowledgedDrain, End, Events, ForeignMessage, Kind, Order, PlannedStop, Probe, Read, Request,
-    Run, RunEnd, Timestamp, UnexpectedExit,
+    AcknowledgedDrain, End, Events, FinalRead, ForeignMessage, Kind, Order, PlannedStop, Probe,
+    Read, Request, Run, RunEnd, Timestamp, UnexpectedExit,
 };
 use bramblewheel_soak::plan::Machine;
 use std::time::Duration;
@@ -67,6 +67,16 @@
     }
 }
 
+/// A read of version 2 at a control replica that is answered at once.
+fn final_read(replica: usize, millis: u64) -> FinalRead {
+    FinalRead {
+        replica,
+        sent: at(millis),
+        answered: at(millis + 10),
+        text: wire::configuration(2, &[], "anna", &[]),
+    }
+}
+
 /// A history that breaks no promise.
 fn valid_history() -> Events {
     let served = |id: &str, sent| request(id, Kind::Once, sent, answer(200, Some("e-1")));
@@ -85,6 +95,8 @@
             sent: at(15_000),
             text: wire::configuration(2, &[], "anna", &[]),
         }],
+        final_reads: (0..2).map(|replica| final_read(replica, 23_000)).collect(),
+        replicas: 2,
         probes: vec![probe(1, 1_000, true), probe(2, 15_000, true)],
         planned_stops: vec![PlannedStop {
             daemon: 0,
@@ -176,6 +188,35 @@
     assert_eq!(missing, ["in force everywhere"]);
 }
 
+#[test]
+fn a_replica_without_the_configuration_at_the_end_is_reported() {
+    let missing = broken_after(|events| events.final_reads.truncate(1));
+    assert_eq!(missing, ["every replica returns the configuration"]);
+    let late = broken_after(|events| events.final_reads[1] = final_read(1, 24_000));
+    assert_eq!(late, ["every replica returns the configuration"]);
+    let in_time = broken_after(|events| events.final_reads[1] = final_read(1, 23_980));
+    assert!(in_time.is_empty());
+}
+
+#[test]
+fn a_replica_with_another_configuration_at_the_end_is_reported() {
+    let kept = ["every replica keeps what was acknowledged"];
+    let returns = |text: String| broken_after(|events| events.final_reads[1].text = text);
+    assert_eq!(returns(wire::configuration(1, &[], "anna", &[])), kept);
+    assert_eq!(returns(wire::configuration(2, &[], "bjorn", &[])), kept);
+    assert_eq!(
+        returns(wire::configuration(3, &[], "anna", &[])),
+        kept,
+        "never sent"
+    );
+    assert_eq!(returns(String::new()), kept);
+    let newer = broken_after(|events| {
+        events.orders.push(order(3, 2, "anna", None));
+        events.final_reads[1].text = wire::configuration(3, &[], "anna", &[]);
+    });
+    assert!(newer.is_empty(), "an unclear change may be in force");
+}
+
 #[test]
 fn broken_promises_of_stops_and_recovery_are_reported() {
     let cut = broken_after(|events| {
--- a/crates/bramblewheel-soak/tests/plan.rs
+++ b/crates/bramblewheel-soak/tests/plan.rs
@@ -1,5 +1,6 @@
 //! Tests that fault plans are reproducible and keep the distances between faults that the checks rely on.
 
+use bramblewheel_soak::disk_losses::CATCH_UP_TIME;
 use bramblewheel_soak::plan::{Fault, Machine, Size, Step, plan};
 use std::time::Duration;
 
@@ -22,7 +23,7 @@
         | Fault::ReloadSeries(machine)
         | Fault::KillSeries(machine)
         | Fault::Reload(machine) => matches!(machine, Machine::Control(_)),
-        Fault::KillAllControl | Fault::StopControl(_) => true,
+        Fault::KillAllControl | Fault::KillAllAndWipe(_) | Fault::StopControl(_) => true,
         Fault::Stop(_)
         | Fault::Surge(_)
         | Fault::StopsInTurn
@@ -45,16 +46,109 @@
     assert_ne!(plan(1, SIZE), plan(2, SIZE));
 }
 
+fn end(step: &Step) -> Duration {
+    step.at + step.lasts
+}
+
+fn control_steps(steps: &[Step]) -> Vec<&Step> {
+    steps.iter().filter(|step| affects_control(step)).collect()
+}
+
+/// Replica whose disk the step takes.
+fn lost_disk(step: &Step) -> Option<usize> {
+    match step.fault {
+        Fault::KillAndWipe(Machine::Control(replica)) | Fault::KillAllAndWipe(replica) => {
+            Some(replica)
+        }
+        _ => None,
+    }
+}
+
+/// Replica that the step restarts, suspends or cuts off.
+fn kept_away(step: &Step) -> Option<usize> {
+    match step.fault {
+        Fault::Kill(Machine::Control(replica))
+        | Fault::Pause(Machine::Control(replica))
+        | Fault::SilentInwards(Machine::Control(replica))
+        | Fault::SilentOutwards(Machine::Control(replica))
+        | Fault::Silent(Machine::Control(replica)) => Some(replica),
+        _ => None,
+    }
+}
+
+#[test]
+fn faults_of_control_replicas_overlap_only_as_a_lost_disk_with_a_fault_of_another_replica() {
+    let mut overlaps = 0;
+    for seed in 0..50 {
+        let steps = plan(seed, SIZE);
+        for pair in control_steps(&steps).windows(2) {
+            if pair[1].at >= end(pair[0]) {
+                continue;
+            }
+            let lost: Vec<usize> = pair.iter().filter_map(|step| lost_disk(step)).collect();
+            let away: Vec<usize> = pair.iter().filter_map(|step| kept_away(step)).collect();
+            assert_eq!((lost.len(), away.len()), (1, 1), "seed {seed}: {pair:?}");
+            assert_ne!(lost, away, "seed {seed}: {pair:?}");
+            overlaps += 1;
+        }
+        for three in control_steps(&steps).windows(3) {
+            let is_pair = three[1].at < end(three[0]);
+            let is_over = three[2].at >= end(three[0]).max(end(three[1]));
+            assert!(!is_pair || is_over, "seed {seed}: {three:?}");
+        }
+    }
+    assert!(overlaps > 0);
+}
+
+#[test]
+fn no_disk_is_lost_while_another_machine_counts_as_lost() {
+    for seed in 0..500 {
+        let steps = plan(seed, SIZE);
+        let losses: Vec<&Step> = steps.iter().filter(|s| lost_disk(s).is_some()).collect();
+        for pair in losses.windows(2) {
+            let is_same = lost_disk(pair[0]) == lost_disk(pair[1]);
+            let is_whole = pair[1].at >= end(pair[0]) + CATCH_UP_TIME;
+            assert!(is_same || is_whole, "seed {seed}: {pair:?}");
+        }
+    }
+}
+
 #[test]
-fn faults_of_control_replicas_do_not_overlap() {
+fn a_disk_is_lost_again_before_and_after_its_replacement() {
+    let mut early = 0;
+    let mut late = 0;
     for seed in 0..50 {
         let steps = plan(seed, SIZE);
-        let control: Vec<&Step> = steps.iter().filter(|step| affects_control(step)).collect();
-        for pair in control.windows(2) {
+        let losses: Vec<&Step> = steps.iter().filter(|s| lost_disk(s).is_some()).collect();
+        for pair in losses.windows(2) {
+            if lost_disk(pair[0]) != lost_disk(pair[1]) {
+                continue;
+            }
+            match pair[1].at - end(pair[0]) {
+                gap if gap < Duration::from_secs(3) => early += 1,
+                gap if gap >= CATCH_UP_TIME && gap < Duration::from_secs(20) => late += 1,
+                _ => {}
+            }
+        }
+    }
+    assert!(early > 10 && late > 10, "{early} and {late}");
+}
+
+#[test]
+fn a_run_ends_with_the_loss_of_a_disk_and_of_all_processes() {
+    for seconds in [30, 45, 120] {
+        let length = Duration::from_secs(seconds);
+        for seed in 0..50 {
+            let steps = plan(seed, Size { length, ..SIZE });
+            let (last, others) = steps.split_last().expect("a plan has steps");
+            let is_of_all = matches!(last.fault, Fault::KillAllAndWipe(_));
+            assert!(is_of_all, "seed {seed}: {last:?}");
             assert!(
-                pair[1].at >= pair[0].at + pair[0].lasts,
-                "seed {seed}: {pair:?}"
+                last.lasts <= Duration::from_secs(1),
+                "seed {seed}: {last:?}"
             );
+            let has_others_over = others.iter().all(|step| end(step) <= last.at);
+            assert!(has_others_over, "seed {seed}: {last:?}");
         }
     }
 }
