--- a/crates/bramblewheel-soak/src/load.rs
+++ b/crates/bramblewheel-soak/src/load.rs
@@ -15,6 +15,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 /// Mean time between two requests of the plain callers of a daemon.
 const REQUEST_PERIOD: Duration = Duration::from_millis(50);
@@ -24,6 +25,10 @@
 const FATAL_PERIOD: Duration = Duration::from_millis(400);
 /// Time between two probes of a daemon's configuration.
 const PROBE_PERIOD: Duration = Duration::from_millis(250);
+/// Time after the end of the soak within which a change under way must be settled, and then a read be answered.
+const LAST_OPERATION_TIME: Duration = Duration::from_secs(10);
+/// Pause between two attempts of the last read.
+const LAST_READ_PAUSE: Duration = Duration::from_millis(200);
 
 /// Sends plain requests to one daemon, each on a connection of its own.
 pub(crate) async fn callers(soak: Arc<Soak>, daemon: usize) {
@@ -189,23 +194,35 @@
     });
 }
 
+/// Waits until the soak has been over for [`LAST_OPERATION_TIME`].
+async fn operations_end(soak: &Soak) {
+    while !soak.is_over() {
+        tokio::time::sleep(PROBE_PERIOD).await;
+    }
+    tokio::time::sleep(LAST_OPERATION_TIME).await;
+}
+
 /// Runs the operators' changes and reads, with a last read at the end.
 pub(crate) async fn operate(soak: Arc<Soak>, mut operators: Operators) {
-    const LAST_READ_ATTEMPTS: u32 = 30;
     let mut random = Pcg64Mcg::seed_from_u64(soak.seed ^ 1 << 50);
     while !soak.is_over() {
         let pause = Duration::from_millis(random.random_range(200..1_500));
         tokio::time::sleep(pause).await;
         if random.random_bool(0.6) {
-            operators.change().await;
+            // A group without a quorum settles no change.
+            tokio::select! {
+                () = operators.change() => {}
+                () = operations_end(&soak) => {}
+            }
         }
         operators.read().await;
     }
-    for _ in 0..LAST_READ_ATTEMPTS {
+    let deadline = Instant::now() + LAST_OPERATION_TIME;
+    while Instant::now() < deadline {
         if operators.read().await {
             return;
         }
-        tokio::time::sleep(Duration::from_millis(200)).await;
+        tokio::time::sleep(LAST_READ_PAUSE).await;
     }
     let at = soak.history.now();
     // No replica answered: recorded as a read of an empty configuration, which the check reports.
