--- a/crates/bramblewheel-control/src/node/events.rs
+++ b/crates/bramblewheel-control/src/node/events.rs
@@ -36,7 +36,7 @@
         /// Index of the entry.
         index: LogIndex,
     },
-    /// The leader proposes to begin a replacement.
+    /// The leader proposes to begin a replacement, or to change the one in progress.
     ReplacementProposed {
         /// Replica to be removed; `None` if the replacement only adds one.
         lost: Option<ReplicaId>,
@@ -52,6 +52,13 @@
         /// Why.
         reason: WaitReason,
     },
+    /// The leader does not use the offer of a spare.
+    OfferIgnored {
+        /// The spare.
+        replica: ReplicaId,
+        /// Why.
+        reason: IgnoredOffer,
+    },
 }
 
 /// How a member changed.
@@ -74,6 +81,12 @@
     VoterMissing,
     /// A voter was silent for too long.
     VoterSilent,
+    /// The machine of the new replica of the replacement in progress returned without its data.
+    NewReplicaReset,
+    /// The new replica of the replacement in progress was silent for too long.
+    NewReplicaSilent,
+    /// The new replica was silent for too long, and the voter to be removed answers again.
+    LostReplicaReturned,
 }
 
 /// Why a replacement waits.
@@ -94,6 +107,23 @@
     PromotionNotSynced,
 }
 
+/// Why an offer is not used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IgnoredOffer {
+    /// It was made to another group.
+    OtherGroup,
+    /// It was made before the latest change of the members or of the replacement in progress, or before a
+    /// later offer from the same address. The spare may have lost its data since.
+    Outdated {
+        /// Last entry that the offer includes.
+        includes: LogIndex,
+        /// Entry that it must include.
+        required: LogIndex,
+    },
+    /// The member at the spare's address answers.
+    MemberAnswers(ReplicaId),
+}
+
 impl fmt::Display for MemberChange {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
@@ -110,6 +140,9 @@
             Self::VoterReset => "voter_reset",
             Self::VoterMissing => "voter_missing",
             Self::VoterSilent => "voter_silent",
+            Self::NewReplicaReset => "new_replica_reset",
+            Self::NewReplicaSilent => "new_replica_silent",
+            Self::LostReplicaReturned => "lost_replica_returned",
         })
     }
 }
@@ -127,3 +160,15 @@
         }
     }
 }
+
+impl fmt::Display for IgnoredOffer {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::OtherGroup => formatter.write_str("other_group"),
+            Self::Outdated { includes, required } => {
+                write!(formatter, "outdated:{}_of_{}", includes.0, required.0)
+            }
+            Self::MemberAnswers(member) => write!(formatter, "member_answers:{:016x}", member.0),
+        }
+    }
+}
--- a/crates/bramblewheel-control/tests/lost_disks.rs
+++ b/crates/bramblewheel-control/tests/lost_disks.rs
@@ -13,6 +13,9 @@
 /// Time after the last fault within which the group must be whole again.
 const RECOVERY: Duration = Duration::from_secs(15);
 
+/// Longest time that a commit takes, in milliseconds: a message there and one back, of up to 4 ms each.
+const LONGEST_COMMIT_MS: u32 = 8;
+
 /// A group of three whose machines offer themselves whenever they are not in it.
 fn group(seed: u64) -> Cluster {
     group_with_spares(0, seed)
@@ -128,3 +131,88 @@
         assert_eq!(replacement, None, "seed {seed}: not ended");
     }
 }
+
+#[test]
+fn replacement_whose_new_replica_is_gone_continues_with_another_spare() {
+    for seed in 750..755 {
+        let mut cluster = group_with_spares(2, seed);
+        let lost = follower(&mut cluster);
+        cluster.crash(lost);
+        let new = wait_for_learner_on(&mut cluster, [3, 4]);
+        cluster.crash(new);
+        cluster.run(RECOVERY);
+        let other = if new == 3 { 4 } else { 3 };
+        let mut machines = [0, 1, 2];
+        machines[lost] = other;
+        expect_whole(&mut cluster, machines, &format!("seed {seed}"));
+    }
+}
+
+/// Runs until one of two machines is a learner; returns it.
+fn wait_for_learner_on(cluster: &mut Cluster, machines: [usize; 2]) -> usize {
+    for _ in 0..10_000 {
+        cluster.run(Duration::from_millis(1));
+        let Some(leader) = cluster.leader() else {
+            continue;
+        };
+        let learners = &cluster.node(leader).replica().membership().learners;
+        let learner = machines
+            .into_iter()
+            .find(|machine| learners.contains(&identity(cluster, *machine)));
+        if let Some(learner) = learner {
+            return learner;
+        }
+    }
+    panic!("no spare became a learner");
+}
+
+#[test]
+fn replacement_is_given_up_when_the_silent_voter_returns_and_the_new_replica_is_gone() {
+    for seed in 760..765 {
+        let mut cluster = group_with_spares(1, seed);
+        let silent = follower(&mut cluster);
+        cluster.cut_off(silent);
+        cluster.set_spares(FAST, vec![3]);
+        let new = wait_for_learner_on(&mut cluster, [3, 3]);
+        cluster.crash(new);
+        cluster.heal();
+        cluster.run(RECOVERY);
+        expect_whole(&mut cluster, [0, 1, 2], &format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn group_is_not_left_with_two_voters_when_the_new_replica_stops_answering() {
+    for step in 0..40 {
+        let mut cluster = group(780 + step);
+        let machine = follower(&mut cluster);
+        cluster.restart_wiped(machine);
+        run_until_learner(&mut cluster, machine);
+        cluster.run(Duration::from_millis(5 * step));
+        cluster.crash(machine);
+        cluster.run(Duration::from_secs(1));
+        let voters = membership(&mut cluster).voters;
+        assert_eq!(voters.len(), 3, "step {step}");
+        cluster.start(machine);
+        cluster.run(RECOVERY);
+        expect_whole(&mut cluster, [0, 1, 2], &format!("step {step}"));
+    }
+}
+
+#[test]
+fn time_with_two_voters_is_as_short_as_one_commit() {
+    for seed in 800..810 {
+        let mut cluster = group(seed);
+        let machine = follower(&mut cluster);
+        cluster.restart_wiped(machine);
+        let mut with_two = 0;
+        for _ in 0..5_000 {
+            cluster.run(Duration::from_millis(1));
+            let leader = cluster.leader().expect("the leader keeps its quorum");
+            let voters = cluster.node(leader).replica().membership().voters.len();
+            with_two += u32::from(voters == 2);
+        }
+        expect_whole(&mut cluster, [0, 1, 2], &format!("seed {seed}"));
+        assert!(with_two <= LONGEST_COMMIT_MS, "seed {seed}: {with_two} ms");
+    }
+}
