Soak: replace control replicas at new addresses one after the other

The relays of the old address are closed, the process keeps the address that it binds, and all machines read the new seeds once the successor has started. The next one follows 4.5 to 8 s later. The plan's test of lost machines counts these replacements as lost disks.

--- a/crates/bramblewheel-soak/src/disk_losses.rs
+++ b/crates/bramblewheel-soak/src/disk_losses.rs
@@ -1,5 +1,6 @@
 //! Lost disks of control replicas: the same machine's again and again, one while another replica is restarted or cut
-//! off, and one at the end of a run while all processes are killed.
+//! off, replicas replaced at new addresses one after the other, and a disk lost at the end of a run while all processes
+//! are killed.
 //!
 //! The control group tolerates the loss of one machine, so no disk of a second machine is lost while the first one
 //! counts as lost.
@@ -25,6 +26,10 @@
 const EARLY_GAP_MILLIS: Range<u64> = 0..3_000;
 /// The same time when the group has had the time to become whole again, in milliseconds.
 const LATE_GAP_MILLIS: Range<u64> = 4_000..20_000;
+/// Time between the start of a replica at a new address and the next replacement, in milliseconds.
+const REPLACEMENT_GAP_MILLIS: Range<u64> = 4_500..8_000;
+/// Number of replacements in a series.
+const REPLACEMENTS: Range<u32> = 2..4;
 /// Number of losses of the same disk in a series.
 const LOSSES: Range<u32> = 2..4;
 /// Time between the begins of a disk's loss and of a fault of another replica, in milliseconds.
@@ -92,12 +97,13 @@
 /// Draws a series whose first step begins at `at`.
 fn draw_series(random: &mut Pcg64Mcg, size: Size, at: Duration) -> Vec<Step> {
     let replica = random.random_range(0..size.replicas);
-    match random.random_range(0..3) {
+    match random.random_range(0..4) {
         0 => {
             let losses = random.random_range(LOSSES);
             repeated_losses(random, replica, at, losses, EARLY_GAP_MILLIS)
         }
         1 => repeated_losses(random, replica, at, LOSSES.start, LATE_GAP_MILLIS),
+        2 => replacements(random, size, at),
         _ => loss_beside_another_fault(random, size, replica, at),
     }
 }
@@ -128,6 +134,22 @@
     series
 }
 
+/// Replicas are replaced at new addresses, each once the previous one has had its time to catch up.
+fn replacements(random: &mut Pcg64Mcg, size: Size, at: Duration) -> Vec<Step> {
+    let mut next = at;
+    let mut series = Vec::new();
+    for _ in 0..random.random_range(REPLACEMENTS) {
+        let step = Step {
+            at: next,
+            lasts: millis(random, DOWN_MILLIS),
+            fault: Fault::ReplaceControl(random.random_range(0..size.replicas)),
+        };
+        next = step.end() + millis(random, REPLACEMENT_GAP_MILLIS);
+        series.push(step);
+    }
+    series
+}
+
 /// A disk is lost, and another replica is restarted, suspended or cut off before the first one is replaced.
 fn loss_beside_another_fault(
     random: &mut Pcg64Mcg,
@@ -177,7 +199,7 @@
 /// Time from which no machine other than that of `replica` counts as lost with its disk.
 fn time_until_others_are_whole(replica: usize, steps: &[Step]) -> Duration {
     let is_loss_of_other = |step: &&Step| match step.fault {
-        Fault::KillAndWipe(machine @ Machine::Control(_)) => machine != Machine::Control(replica),
+        Fault::KillAndWipe(Machine::Control(lost)) | Fault::ReplaceControl(lost) => lost != replica,
         _ => false,
     };
     let losses = steps.iter().filter(is_loss_of_other);
--- a/crates/bramblewheel-soak/src/fault_injection.rs
+++ b/crates/bramblewheel-soak/src/fault_injection.rs
@@ -23,6 +23,7 @@
         match step.fault {
             Fault::Kill(machine) => self.kill(machine, step.lasts, false).await,
             Fault::KillAndWipe(machine) => self.kill(machine, step.lasts, true).await,
+            Fault::ReplaceControl(replica) => self.replace_control(replica, step.lasts).await,
             Fault::KillAllControl => self.kill_all_control(step.lasts).await,
             Fault::KillAllAndWipe(replica) => self.kill_all_and_wipe(replica, step.lasts).await,
             Fault::Pause(machine) => {
@@ -144,6 +145,29 @@
         Ok(())
     }
 
+    async fn replace_control(&self, replica: usize, lasts: Duration) -> Result<(), FleetError> {
+        let replaced = Machine::Control(replica);
+        let seed = {
+            let mut host = self.hosts[&replaced].lock().await;
+            host.kill().await;
+            host.wipe()?;
+            let seed = host.move_to_new_address().await?;
+            host.set_seed(replica, seed);
+            tokio::time::sleep(lasts).await;
+            host.start()?;
+            tokio::time::sleep(SIGNAL_HANDLER_SETUP_TIME).await;
+            seed
+        };
+        for (machine, host) in &self.hosts {
+            if *machine != replaced {
+                let mut host = host.lock().await;
+                host.set_seed(replica, seed);
+                host.reload()?;
+            }
+        }
+        Ok(())
+    }
+
     async fn kill_all_control(&self, lasts: Duration) -> Result<(), FleetError> {
         let mut killed = Vec::new();
         for (machine, host) in &self.hosts {
--- a/crates/bramblewheel-soak/src/fleet.rs
+++ b/crates/bramblewheel-soak/src/fleet.rs
@@ -22,6 +22,12 @@
 const ADMIN_PORT: u16 = 8306;
 /// Grace time of a planned stop.
 pub const GRACE_TIME: Duration = Duration::from_secs(6);
+/// Third byte of the addresses that relays listen on at first.
+const FIRST_SUBNET: u8 = 1;
+/// Third byte of the addresses that processes bind.
+const BOUND_SUBNET: u8 = 2;
+/// Third byte of the addresses that relays listen on after a move, less the number of moves.
+const MOVED_SUBNET: u8 = 2;
 /// Last byte of the address of the first machine of each kind.
 const CONTROL_HOST: u8 = 10;
 const DAEMON_HOST: u8 = 50;
@@ -63,14 +69,19 @@
                 .expect("the machine's number fits into the last byte of an address")
     }
 
-    /// The advertised address, where the relays listen.
-    pub fn advertised(&self, machine: Machine) -> IpAddr {
-        Ipv4Addr::new(127, self.network, 1, Self::host(machine)).into()
+    /// The advertised address, where the relays listen. `moves` counts how often the machine was replaced by one at a
+    /// new address.
+    pub fn advertised(&self, machine: Machine, moves: u8) -> IpAddr {
+        let subnet = match moves {
+            0 => FIRST_SUBNET,
+            moves => MOVED_SUBNET + moves,
+        };
+        Ipv4Addr::new(127, self.network, subnet, Self::host(machine)).into()
     }
 
     /// The address that the process binds.
     pub fn bound(&self, machine: Machine) -> IpAddr {
-        Ipv4Addr::new(127, self.network, 2, Self::host(machine)).into()
+        Ipv4Addr::new(127, self.network, BOUND_SUBNET, Self::host(machine)).into()
     }
 
     /// Where callers and the endpoint send their requests.
@@ -113,6 +124,8 @@
 pub struct Host {
     machine: Machine,
     addresses: Addresses,
+    /// How often the machine was replaced by one at a new address.
+    moves: u8,
     relays: Vec<Relay>,
     programs: Programs,
     folder: PathBuf,
@@ -137,26 +150,18 @@
         programs: &Programs,
         folder: &Path,
     ) -> Result<Self, FleetError> {
-        let ports = match machine {
-            Machine::Control(_) => [FIRST_PORT, SERVICE_PORT].as_slice(),
-            Machine::Daemon(_) => [INBOUND_PORT].as_slice(),
+        let seed = |number| {
+            let address = addresses.advertised(Machine::Control(number), 0);
+            SocketAddr::new(address, ADMIN_PORT)
         };
-        let mut relays = Vec::new();
-        for port in ports {
-            let advertised = SocketAddr::new(addresses.advertised(machine), *port);
-            let target = SocketAddr::new(addresses.bound(machine), *port);
-            let relay = Relay::start(advertised, target).await;
-            relays.push(relay.map_err(io_error(format!("relay at {advertised}")))?);
-        }
-        let seed =
-            |number| SocketAddr::new(addresses.advertised(Machine::Control(number)), ADMIN_PORT);
         let name = Self::name_of(machine);
         let folder = folder.join(&name);
         fs::create_dir_all(&folder).map_err(io_error(folder.display().to_string()))?;
         Ok(Self {
             machine,
             addresses,
-            relays,
+            moves: 0,
+            relays: Self::start_relays(addresses, machine, 0).await?,
             programs: programs.clone(),
             folder,
             seeds: (0..replicas).map(seed).collect(),
@@ -167,6 +172,44 @@
         })
     }
 
+    async fn start_relays(
+        addresses: Addresses,
+        machine: Machine,
+        moves: u8,
+    ) -> Result<Vec<Relay>, FleetError> {
+        let ports = match machine {
+            Machine::Control(_) => [FIRST_PORT, SERVICE_PORT].as_slice(),
+            Machine::Daemon(_) => [INBOUND_PORT].as_slice(),
+        };
+        let mut relays = Vec::new();
+        for port in ports {
+            let advertised = SocketAddr::new(addresses.advertised(machine, moves), *port);
+            let target = SocketAddr::new(addresses.bound(machine), *port);
+            let relay = Relay::start(advertised, target).await;
+            relays.push(relay.map_err(io_error(format!("relay at {advertised}")))?);
+        }
+        Ok(relays)
+    }
+
+    /// Takes the machine out of its advertised address and gives it a new one; returns that. The process must not run.
+    ///
+    /// # Errors
+    /// When the new address can't be used.
+    pub async fn move_to_new_address(&mut self) -> Result<SocketAddr, FleetError> {
+        for relay in &self.relays {
+            relay.close();
+        }
+        self.moves += 1;
+        self.relays = Self::start_relays(self.addresses, self.machine, self.moves).await?;
+        let address = self.addresses.advertised(self.machine, self.moves);
+        Ok(SocketAddr::new(address, ADMIN_PORT))
+    }
+
+    /// Replaces the seed of a control replica, from the next start or reload on.
+    pub fn set_seed(&mut self, replica: usize, address: SocketAddr) {
+        self.seeds[replica] = address;
+    }
+
     fn name_of(machine: Machine) -> String {
         match machine {
             Machine::Control(number) => format!("control-{number}"),
@@ -175,7 +218,7 @@
     }
 
     fn settings(&self) -> String {
-        let advertised = self.addresses.advertised(self.machine);
+        let advertised = self.addresses.advertised(self.machine, self.moves);
         let bound = self.addresses.bound(self.machine);
         let name = Self::name_of(self.machine);
         let seeds: Vec<String> = self.seeds.iter().map(|s| format!("\"{s}\"")).collect();
--- a/crates/bramblewheel-soak/src/plan.rs
+++ b/crates/bramblewheel-soak/src/plan.rs
@@ -40,6 +40,9 @@
     Kill(Machine),
     /// Like [`Fault::Kill`], but the data folder is deleted before the restart.
     KillAndWipe(Machine),
+    /// The control replica is killed and its data folder deleted; after the duration another one starts in its place at
+    /// a new address, and all machines learn the new seeds.
+    ReplaceControl(usize),
     /// All control replicas are killed at once.
     KillAllControl,
     /// Right after an acknowledged change of the configuration, the processes of all machines are killed at once and
@@ -102,7 +105,10 @@
             | Self::Reload(machine)
             | Self::ReloadSeries(machine)
             | Self::KillSeries(machine) => matches!(machine, Machine::Control(_)),
-            Self::KillAllControl | Self::KillAllAndWipe(_) | Self::StopControl(_) => true,
+            Self::KillAllControl
+            | Self::KillAllAndWipe(_)
+            | Self::ReplaceControl(_)
+            | Self::StopControl(_) => true,
             Self::Stop(_)
             | Self::Surge(_)
             | Self::StopsInTurn
--- a/crates/bramblewheel-soak/src/relay.rs
+++ b/crates/bramblewheel-soak/src/relay.rs
@@ -8,6 +8,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 
 /// Largest chunk that is forwarded at once.
 const CHUNK_BYTES: usize = 16 * 1024;
@@ -28,6 +29,15 @@
 pub struct Relay {
     mode: Arc<watch::Sender<Mode>>,
     resets: Arc<watch::Sender<u64>>,
+    /// The task that accepts connections.
+    accepting: AbortHandle,
+}
+
+/// State that the connections of a relay share with it.
+#[derive(Clone)]
+struct Shared {
+    mode: Arc<watch::Sender<Mode>>,
+    resets: Arc<watch::Sender<u64>>,
 }
 
 #[derive(Clone, Copy)]
@@ -52,18 +62,22 @@
     /// When `listen_address` can't be bound.
     pub async fn start(listen_address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(listen_address).await?;
-        let relay = Self {
+        let shared = Shared {
             mode: Arc::new(watch::Sender::new(Mode::default())),
             resets: Arc::new(watch::Sender::new(0)),
         };
-        let serving = relay.clone();
-        tokio::spawn(async move {
+        let serving = shared.clone();
+        let accepting = tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
-                let relay = serving.clone();
-                tokio::spawn(async move { relay.forward(client, target).await });
+                let connection = serving.clone();
+                tokio::spawn(async move { connection.forward(client, target).await });
             }
         });
-        Ok(relay)
+        Ok(Self {
+            mode: shared.mode,
+            resets: shared.resets,
+            accepting: accepting.abort_handle(),
+        })
     }
 
     /// Sets how bytes are treated from now on.
@@ -76,6 +90,14 @@
         self.resets.send_modify(|resets| *resets += 1);
     }
 
+    /// Stops listening and resets all connections.
+    pub fn close(&self) {
+        self.accepting.abort();
+        self.reset();
+    }
+}
+
+impl Shared {
     async fn forward(&self, client: TcpStream, target: SocketAddr) {
         let mut resets = self.resets.subscribe();
         let Ok(server) = TcpStream::connect(target).await else {
--- a/crates/bramblewheel-soak/tests/plan.rs
+++ b/crates/bramblewheel-soak/tests/plan.rs
@@ -23,7 +23,10 @@
         | Fault::ReloadSeries(machine)
         | Fault::KillSeries(machine)
         | Fault::Reload(machine) => matches!(machine, Machine::Control(_)),
-        Fault::KillAllControl | Fault::KillAllAndWipe(_) | Fault::StopControl(_) => true,
+        Fault::KillAllControl
+        | Fault::KillAllAndWipe(_)
+        | Fault::ReplaceControl(_)
+        | Fault::StopControl(_) => true,
         Fault::Stop(_)
         | Fault::Surge(_)
         | Fault::StopsInTurn
@@ -57,9 +60,9 @@
 /// Replica whose disk the step takes.
 fn lost_disk(step: &Step) -> Option<usize> {
     match step.fault {
-        Fault::KillAndWipe(Machine::Control(replica)) | Fault::KillAllAndWipe(replica) => {
-            Some(replica)
-        }
+        Fault::KillAndWipe(Machine::Control(replica))
+        | Fault::ReplaceControl(replica)
+        | Fault::KillAllAndWipe(replica) => Some(replica),
         _ => None,
     }
 }
--- a/crates/bramblewheel-soak/tests/relay.rs
+++ b/crates/bramblewheel-soak/tests/relay.rs
@@ -85,3 +85,17 @@
         .expect_err("the connection is reset");
     assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
 }
+
+#[tokio::test]
+async fn a_closed_relay_takes_no_connection() {
+    let (relay, client) = start_relayed_echo().await;
+    let address = client.peer_addr().expect("the connection is open");
+    relay.close();
+    let refused = async {
+        while TcpStream::connect(address).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let is_refused = tokio::time::timeout(Duration::from_secs(2), refused).await;
+    assert!(is_refused.is_ok());
+}
