--- a/crates/bramblewheel-soak/tests/plan.rs
+++ b/crates/bramblewheel-soak/tests/plan.rs
@@ -137,6 +137,19 @@
     assert!(early > 10 && late > 10, "{early} and {late}");
 }
 
+#[test]
+fn replicas_are_replaced_at_new_addresses_in_series() {
+    let is_replacement = |step: &&Step| matches!(step.fault, Fault::ReplaceControl(_));
+    let mut series = 0;
+    for seed in 0..50 {
+        let steps = plan(seed, SIZE);
+        let replacements: Vec<&Step> = steps.iter().filter(is_replacement).collect();
+        let next_to_each_other = |pair: &&[&Step]| pair[1].at - end(pair[0]) < CATCH_UP_TIME * 2;
+        series += replacements.windows(2).filter(next_to_each_other).count();
+    }
+    assert!(series > 10, "{series}");
+}
+
 #[test]
 fn a_run_ends_with_the_loss_of_a_disk_and_of_all_processes() {
     for seconds in [30, 45, 120] {
