Count the silence of a new replica from when it was named

Found by a review, a fault of: a replacement was given up at once when its new replica had not sent this leader anything yet, because its silence was counted from the begin of the leadership. An operator who replaced a healthy replica by a machine that answered 3 s later got 'another replacement was begun in its place' after 0.6 s.

Silence now counts from the latest change of the group that this leader has seen, at the earliest. So a replacement whose new replica does not answer is given up or continued after the policy's silence, counted anew for each new replica.

--- a/crates/bramblewheel-control/src/node/offers.rs
+++ b/crates/bramblewheel-control/src/node/offers.rs
@@ -51,6 +51,8 @@
 pub(super) struct Offers {
     by_address: BTreeMap<SocketAddr, Offer>,
     view: Option<GroupView>,
+    /// Time at which `view` was seen first.
+    view_since: Timestamp,
     /// Entry that an offer must include: the log named all members and the replacement of `view` by then.
     required: LogIndex,
     /// Times of the latest reports of ignored offers.
@@ -95,13 +97,19 @@
 
     /// Requires offers to include entry `last` if the group has changed. `last` must be at or after the
     /// entries that `view` follows from.
-    pub(super) fn require(&mut self, view: GroupView, last: LogIndex) {
+    pub(super) fn require(&mut self, view: GroupView, last: LogIndex, now: Timestamp) {
         if self.view.as_ref() != Some(&view) {
             self.view = Some(view);
+            self.view_since = now;
             self.required = last;
         }
     }
 
+    /// Time since this leader has seen the latest change of the group.
+    pub(super) fn age_of_view(&self, now: Timestamp) -> Duration {
+        now.since(self.view_since)
+    }
+
     /// Spares whose offers are valid, the latest offer first.
     pub(super) fn valid(&self, now: Timestamp) -> Vec<&ReplicaAddress> {
         let offers = self.by_address.values();
--- a/crates/bramblewheel-control/src/node/spares.rs
+++ b/crates/bramblewheel-control/src/node/spares.rs
@@ -130,7 +130,7 @@
         };
         let applied = LogIndex(self.state.position().index);
         let last = applied.max(self.replica.membership_index());
-        self.spares.offers.require(view, last);
+        self.spares.offers.require(view, last, self.now.monotonic);
     }
 
     /// Begins or continues a replacement if the policy requires it.
@@ -239,9 +239,12 @@
         spares.find(|spare| spare.peer == address && !membership.contains(ReplicaId(spare.replica)))
     }
 
-    /// Whether a replica has been silent for `silence` towards this leader.
+    /// Whether a replica has been silent for `silence` towards this leader, counted from the latest change of the
+    /// group at the earliest: a new replica has had nothing to answer before.
     pub(super) fn is_silent_for(&self, replica: ReplicaId, silence: Duration) -> bool {
-        self.spares.silence_of(replica, self.now.monotonic) >= silence
+        let now = self.now.monotonic;
+        let silent = self.spares.silence_of(replica, now);
+        silent.min(self.spares.offers.age_of_view(now)) >= silence
     }
 
     /// Whether a replica has sent a message within the last few heartbeats.
--- /dev/null
+++ b/crates/bramblewheel-control/tests/planned_replacement.rs
@@ -0,0 +1,66 @@
+//! Replacements that an operator plans, of replicas and by machines that are healthy.
+
+mod support;
+
+use bramblewheel_control::node::SparePolicy;
+use bramblewheel_protocol::control::{ReplaceRequest, RequestBody};
+use bramblewheel_replication::ReplicaId;
+use std::time::Duration;
+use support::cluster::Cluster;
+use support::founded::FAST;
+
+const NO_SNAPSHOTS: u64 = 1_000_000;
+const SLOW: SparePolicy = SparePolicy {
+    silence: Duration::from_secs(900),
+    period: Duration::from_secs(14_400),
+    voters: 0,
+};
+
+/// Request to replace a healthy follower by the machine `new`.
+fn replace_follower(cluster: &mut Cluster, new: usize) -> (usize, ReplaceRequest) {
+    let leader = cluster.settle();
+    let lost = cluster.node(leader).replica().membership().voters.clone();
+    let own = ReplicaId(cluster.address(leader).replica);
+    let follower = lost.into_iter().find(|voter| *voter != own);
+    let request = ReplaceRequest {
+        lost: follower.expect("a follower").0,
+        replacement: cluster.address(new),
+    };
+    (leader, request)
+}
+
+fn is_voter(cluster: &mut Cluster, machine: usize) -> bool {
+    let leader = cluster.settle();
+    let id = ReplicaId(cluster.address(machine).replica);
+    let membership = cluster.node(leader).replica().membership();
+    membership.voters.contains(&id)
+}
+
+#[test]
+fn planned_replacement_waits_for_a_new_machine_that_answers_late() {
+    let mut cluster = Cluster::bootstrapped_of(4, 11, NO_SNAPSHOTS);
+    cluster.set_spares(SLOW, vec![]);
+    cluster.run(Duration::from_secs(1_000));
+    let (leader, request) = replace_follower(&mut cluster, 3);
+    cluster.cut_off(3);
+    cluster.send(leader, RequestBody::Replace(request));
+    cluster.run(Duration::from_secs(3));
+    cluster.heal();
+    cluster.run(Duration::from_secs(20));
+    assert!(is_voter(&mut cluster, 3), "given up");
+}
+
+#[test]
+fn planned_replacement_by_a_machine_with_slow_answers_is_not_given_up() {
+    for step in 0..20 {
+        let mut cluster = Cluster::bootstrapped_of(4, 50 + step, NO_SNAPSHOTS);
+        cluster.set_spares(FAST, vec![]);
+        cluster.run(Duration::from_secs(10));
+        cluster.delay(3, Duration::from_millis(60));
+        cluster.run(Duration::from_millis(7 * step));
+        let (leader, request) = replace_follower(&mut cluster, 3);
+        cluster.send(leader, RequestBody::Replace(request));
+        cluster.run(Duration::from_secs(20));
+        assert!(is_voter(&mut cluster, 3), "step {step}: given up");
+    }
+}
