Remove a voter only for a new voter that has synced its promotion

The promotion from two to three voters raises no quorum and so waited for no log, and the removal that follows a promotion asked for none either. And a replacement that only adds a replica, continued with a second identity, promoted that one without the log.

A voter is now removed only while the new replica is caught up, and after its promotion only once it has synced that. A promotion goes ahead of a new replica's log only under the leader that has just removed a voter for it, when it had the log.

--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -105,6 +105,8 @@
     /// Leader that this replica has reported its clock to, and its term.
     clock_reported_to: Option<(ReplicaId, u64)>,
     replacement_clients: WaitingClients,
+    /// New replica for which this leader has removed a voter.
+    removed_voter_for: Option<ReplicaId>,
     spares: Spares,
     /// Addresses that replicas reported when they connected.
     reported_addresses: BTreeMap<u64, ReplicaAddress>,
@@ -164,6 +166,7 @@
             clocks: Clocks::default(),
             clock_reported_to: None,
             replacement_clients: WaitingClients::default(),
+            removed_voter_for: None,
             spares: Spares::default(),
             reported_addresses,
             unreported_registrations: Vec::new(),
--- a/crates/bramblewheel-control/src/node/replacement.rs
+++ b/crates/bramblewheel-control/src/node/replacement.rs
@@ -115,6 +115,7 @@
     /// Takes the next step of the replacement in progress, if there is one.
     pub(super) fn advance_replacement(&mut self) {
         if !self.is_leader() {
+            self.removed_voter_for = None;
             for client in std::mem::take(&mut self.replacement_clients.0) {
                 self.reply_unavailable(client.id, Unavailable::Undecided);
             }
@@ -139,7 +140,10 @@
         };
         let new = current.new_replica().replica;
         match self.next_step(current) {
-            Step::Change(change) => self.change_membership(change),
+            Step::Change(change) => {
+                self.note_removed_voter(&change, ReplicaId(new));
+                self.change_membership(change);
+            }
             Step::TransferLeadership => {
                 // Retried with the next step.
                 let transfer = self.replica.transfer_leadership(self.now.monotonic);
@@ -152,6 +156,14 @@
         }
     }
 
+    /// Records that a voter is removed in favour of a new replica, which has the log at this time.
+    fn note_removed_voter(&mut self, change: &MembershipChange, new: ReplicaId) {
+        let voters = &self.replica.membership().voters;
+        if matches!(change, MembershipChange::Remove(lost) if voters.contains(lost)) {
+            self.removed_voter_for = Some(new);
+        }
+    }
+
     fn next_step(&self, current: &Replacement) -> Step {
         let new = ReplicaId(current.new_replica().replica);
         let membership = self.replica.membership();
@@ -171,16 +183,14 @@
             return step;
         }
         if membership.learners.contains(&new) {
-            return self.promotion(current);
+            return self.promotion(new);
         }
-        let mut lost = lost_members(current, membership);
-        if let Some(lost) = lost.next() {
-            return Step::Change(MembershipChange::Remove(lost));
+        if !self.has_synced_membership(new) {
+            return Step::Wait(WaitReason::PromotionNotSynced);
         }
-        if self.has_synced_membership(new) {
-            Step::Done
-        } else {
-            Step::Wait(WaitReason::PromotionNotSynced)
+        match lost_members(current, membership).next() {
+            Some(lost) => self.removal(lost, new),
+            None => Step::Done,
         }
     }
 
@@ -194,17 +204,23 @@
         let new = ReplicaId(current.new_replica().replica);
         let mut lost = lost_members(current, membership);
         let voter = lost.find(|lost| self.has_address_of(*lost, current.new_replica()))?;
+        Some(self.removal(voter, new))
+    }
+
+    /// Removal of a voter, once the new replica has the log.
+    fn removal(&self, lost: ReplicaId, new: ReplicaId) -> Step {
         if self.is_caught_up(new) {
-            return Some(Step::Change(MembershipChange::Remove(voter)));
+            Step::Change(MembershipChange::Remove(lost))
+        } else {
+            Step::Wait(self.not_caught_up(new))
         }
-        Some(Step::Wait(self.not_caught_up(new)))
     }
 
-    /// Promotion of the new replica.
-    fn promotion(&self, current: &Replacement) -> Step {
-        let new = ReplicaId(current.new_replica().replica);
+    /// Promotion of the new replica, once it has the log.
+    fn promotion(&self, new: ReplicaId) -> Step {
         // Once the group has a voter less, a new replica that stops answering must not delay the promotion.
-        if current.removes_replica() || self.is_caught_up(new) {
+        let had_log = self.removed_voter_for == Some(new);
+        if had_log || self.is_caught_up(new) {
             Step::Change(MembershipChange::PromoteLearner(new))
         } else {
             Step::Wait(self.not_caught_up(new))
--- a/crates/bramblewheel-control/src/node/spares.rs
+++ b/crates/bramblewheel-control/src/node/spares.rs
@@ -10,7 +10,6 @@
 use super::message::{OfferBasis, PeerMessage, SpareOffer};
 use super::offers::{GroupView, Offers};
 use super::{ControlNode, Now};
-use crate::state::NO_REPLICA;
 use bramblewheel_protocol::control::{GroupStatus, ReplaceRequest, ReplicaAddress};
 use bramblewheel_replication::{LogIndex, ReplicaId, Term};
 use bramblewheel_types::{Millis, Timestamp};
@@ -23,6 +22,9 @@
 /// Heartbeats without a message of a member up to which the member counts as answering.
 const MISSED_HEARTBEATS: u32 = 4;
 
+/// Id for "no replica", used as the lost replica of a replacement that only adds one.
+const NO_REPLICA: u64 = 0;
+
 /// When a silent voter is replaced by a spare.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SparePolicy {
--- a/crates/bramblewheel-control/src/state/mod.rs
+++ b/crates/bramblewheel-control/src/state/mod.rs
@@ -22,7 +22,7 @@
 pub use command::{Command, ExpiredDaemon, LoggedCommand};
 pub use directory::{Directory, DirectoryDelta};
 pub use ledger::Ledger;
-pub use replacement::{NO_REPLICA, Replacement};
+pub use replacement::Replacement;
 pub use routing::{Quarantine, Registry, Tables};
 
 use bramblewheel_protocol::control::{LogPosition, PublishReply, ReplicaAddress, SignedBundle};
--- a/crates/bramblewheel-control/src/state/replacement.rs
+++ b/crates/bramblewheel-control/src/state/replacement.rs
@@ -4,9 +4,6 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
-/// Id for "no replica", used as the lost replica of a replacement that only adds one.
-pub const NO_REPLICA: u64 = 0;
-
 /// Replicas to be removed from the group, and the replica that replaces them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Replacement {
@@ -47,11 +44,6 @@
         self.new == request.replacement && self.lost.contains(&request.lost)
     }
 
-    /// Whether replicas are removed; otherwise the replacement only adds one.
-    pub fn removes_replica(&self) -> bool {
-        self.lost.iter().any(|lost| *lost != NO_REPLICA)
-    }
-
     /// Ids of the replicas to be removed.
     pub fn lost(&self) -> &BTreeSet<u64> {
         &self.lost
--- a/crates/bramblewheel-control/tests/planned_replacement.rs
+++ b/crates/bramblewheel-control/tests/planned_replacement.rs
@@ -64,3 +64,43 @@
         assert!(is_voter(&mut cluster, 3), "step {step}: given up");
     }
 }
+
+#[test]
+fn healthy_voter_of_two_stays_until_the_new_machine_has_the_log() {
+    for step in 0..20 {
+        let mut cluster = Cluster::founded(2, 3, 900 + step, NO_SNAPSHOTS);
+        let (leader, request) = replace_follower(&mut cluster, 2);
+        cluster.send(leader, RequestBody::Replace(request));
+        cluster.run(Duration::from_millis(step));
+        cluster.freeze(2);
+        cluster.run(Duration::from_secs(5));
+        assert!(cluster.leader().is_some(), "step {step}: no quorum");
+    }
+}
+
+#[test]
+fn second_identity_of_an_added_spare_is_no_voter_before_it_has_the_log() {
+    for seed in 840..845 {
+        let mut cluster = Cluster::founded(2, 3, seed, NO_SNAPSHOTS);
+        cluster.offer_interval = Duration::from_millis(250);
+        cluster.set_spares(FAST, vec![2]);
+        let leader = cluster.settle();
+        while cluster.node(leader).state().replacement().is_none() {
+            cluster.run(Duration::from_millis(1));
+        }
+        cluster.restart_wiped(2);
+        let second = cluster.address(2).replica;
+        let is_named = |cluster: &Cluster| {
+            let replacement = cluster.node(leader).state().replacement();
+            replacement.is_some_and(|current| current.new_replica().replica == second)
+        };
+        while !is_named(&cluster) {
+            cluster.run(Duration::from_millis(1));
+        }
+        cluster.crash(2);
+        cluster.run(Duration::from_secs(2));
+        let leader = cluster.settle();
+        let voters = cluster.node(leader).replica().membership().voters.len();
+        assert_eq!(voters, 2, "seed {seed}");
+    }
+}
