Give up a replacement whose new replica is silent when another lost voter can be replaced

With five voters, one of them being replaced by a machine that is off, a second one that lost its disk and was back was not replaced, and a third loss stopped the group although only one machine was off.

If the new replica is a learner that has been silent, and a spare stands at the address of another voter, the replacement ends, its learner is removed, and the one that can finish begins. The first one begins anew when its machine offers itself again.

--- a/crates/bramblewheel-control/src/node/continuation.rs
+++ b/crates/bramblewheel-control/src/node/continuation.rs
@@ -2,11 +2,12 @@
 //!
 //! An offer from the new replica's address proves that its data is lost, and the replacement continues with
 //! the replica that made the offer. Silence only suggests that the new replica is gone. Then another one
-//! may take its place, because a new replica is not needed for a quorum before its promotion; after it, the
-//! rules for a silent voter apply.
+//! may take its place. Before its promotion no quorum depends on the new replica. After it, the leader has a quorum
+//! without it, and removes it only for one that is caught up.
 
 use super::ControlNode;
-use super::events::{IgnoredOffer, ReplacementReason};
+use super::events::{IgnoredOffer, NodeEvent, ReplacementReason};
+use super::spares::CONTACT_TIMEOUT;
 use crate::state::Replacement;
 use bramblewheel_protocol::control::{ReplaceRequest, ReplicaAddress};
 use bramblewheel_replication::ReplicaId;
@@ -27,6 +28,12 @@
             }
             return self.continue_with(new, spare, ReplacementReason::NewReplicaReset);
         }
+        let gives_way = self.replica.membership().learners.contains(&new)
+            && self.is_silent_for(new, silence.min(CONTACT_TIMEOUT))
+            && self.request_for_reset_voter().is_some();
+        if gives_way {
+            return self.give_up_replacement(new);
+        }
         if !self.is_silent_for(new, silence) {
             return;
         }
@@ -38,6 +45,13 @@
         }
     }
 
+    /// Ends a replacement whose new replica is a silent learner, so that a voter whose spare answers can be
+    /// replaced first.
+    fn give_up_replacement(&mut self, new: ReplicaId) {
+        self.events.push(NodeEvent::ReplacementGivenUp { new });
+        self.queue.end_replacement(new.0);
+    }
+
     fn continue_with(
         &mut self,
         lost: ReplicaId,
--- a/crates/bramblewheel-control/src/node/events.rs
+++ b/crates/bramblewheel-control/src/node/events.rs
@@ -54,6 +54,12 @@
         /// Why.
         reason: WaitReason,
     },
+    /// The leader proposes to end the replacement in progress before it is complete, because its new replica is
+    /// silent and another voter can be replaced.
+    ReplacementGivenUp {
+        /// The new replica.
+        new: ReplicaId,
+    },
     /// The leader does not use the offer of a spare.
     OfferIgnored {
         /// The spare.
--- a/crates/bramblewheel-control/src/node/replacement.rs
+++ b/crates/bramblewheel-control/src/node/replacement.rs
@@ -134,9 +134,11 @@
     }
 
     fn take_replacement_step(&mut self) {
-        let is_changing = self.queue.has_replacement() || self.proposals.has_replacement();
-        let Some(current) = self.state.replacement().filter(|_| !is_changing) else {
+        if self.queue.has_replacement() || self.proposals.has_replacement() {
             return;
+        }
+        let Some(current) = self.state.replacement() else {
+            return self.remove_leftover_learner();
         };
         let new = current.new_replica().replica;
         match self.next_step(current) {
@@ -164,6 +166,15 @@
         }
     }
 
+    /// Removes the learner of a replacement that was given up.
+    fn remove_leftover_learner(&mut self) {
+        let is_settled = self.replica.membership_is_committed() && !self.proposals.has_membership();
+        let learner = self.replica.membership().learners.first().copied();
+        if let Some(learner) = learner.filter(|_| is_settled) {
+            self.change_membership(MembershipChange::Remove(learner));
+        }
+    }
+
     fn next_step(&self, current: &Replacement) -> Step {
         let new = ReplicaId(current.new_replica().replica);
         let membership = self.replica.membership();
--- a/crates/bramblewheel-control/src/node/spares.rs
+++ b/crates/bramblewheel-control/src/node/spares.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 /// Silence up to which a voter counts as in contact. Followers answer every heartbeat.
-const CONTACT_TIMEOUT: Duration = Duration::from_secs(3);
+pub(super) const CONTACT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Heartbeats without a message of a member up to which the member counts as answering.
 const MISSED_HEARTBEATS: u32 = 4;
 
@@ -210,7 +210,7 @@
 
     /// Request to replace a voter whose address now belongs to a spare: its machine returned without
     /// its disk.
-    fn request_for_reset_voter(&mut self) -> Option<ReplaceRequest> {
+    pub(super) fn request_for_reset_voter(&mut self) -> Option<ReplaceRequest> {
         let own = self.replica.id();
         let others = self.replica.membership().voters.iter().copied();
         let reset = others
--- a/crates/bramblewheel-control/src/server/event_log.rs
+++ b/crates/bramblewheel-control/src/server/event_log.rs
@@ -33,6 +33,9 @@
         NodeEvent::ReplacementWaits { new, reason } => {
             slog::info!(log, "replacement waits"; "new" => hex(*new), "reason" => %reason);
         }
+        NodeEvent::ReplacementGivenUp { new } => {
+            slog::info!(log, "replacement given up"; "new" => hex(*new));
+        }
         NodeEvent::OfferIgnored { replica, reason } => {
             slog::info!(log, "offer ignored"; "replica" => hex(*replica), "reason" => %reason);
         }
--- a/crates/bramblewheel-control/tests/lost_disks.rs
+++ b/crates/bramblewheel-control/tests/lost_disks.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use bramblewheel_control::node::SparePolicy;
 use bramblewheel_replication::{Membership, ReplicaId};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -271,3 +272,32 @@
         expect_whole(&mut cluster, [silent, other, 3], &format!("step {step}"));
     }
 }
+
+#[test]
+fn replacement_by_a_silent_machine_does_not_keep_another_lost_voter_from_its_replacement() {
+    let policy = SparePolicy { voters: 5, ..FAST };
+    for seed in 400..405 {
+        let mut cluster = Cluster::founded(5, 5, seed, 1_000_000);
+        cluster.offer_interval = OFFER_INTERVAL;
+        cluster.set_spares(policy, (0..5).collect());
+        let leader = cluster.settle();
+        let [first, second] = [(leader + 1) % 5, (leader + 2) % 5];
+        cluster.restart_wiped(first);
+        run_until_learner(&mut cluster, first);
+        cluster.crash(first);
+        cluster.run(Duration::from_secs(5));
+        cluster.restart_wiped(second);
+        cluster.run(RECOVERY);
+        let members = membership(&mut cluster);
+        assert!(
+            members.voters.contains(&identity(&cluster, second)),
+            "seed {seed}"
+        );
+        cluster.start(first);
+        cluster.run(RECOVERY);
+        let members = membership(&mut cluster);
+        let expected = [0, 1, 2, 3, 4].map(|machine| identity(&cluster, machine));
+        assert_eq!(members.voters, BTreeSet::from(expected), "seed {seed}");
+        assert_eq!(members.learners, BTreeSet::new(), "seed {seed}");
+    }
+}
