--- a/crates/bramblewheel-proxy/src/control/group.rs
+++ b/crates/bramblewheel-proxy/src/control/group.rs
@@ -3,8 +3,9 @@
 //! Keeps the configured and the learned addresses of the replicas and the last known leader.
 
 use bramblewheel_process::invariants::lock;
-use bramblewheel_protocol::ControlClient;
 use bramblewheel_protocol::control::{ReplyBody, RequestBody, Unavailable};
+use bramblewheel_protocol::{ClientError, ControlClient};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
@@ -27,6 +28,60 @@
     Undecided,
 }
 
+/// Why one replica did not settle a request.
+#[derive(Debug, Error)]
+pub enum ReplicaFailure {
+    /// It can't answer now.
+    #[error("{0}")]
+    Unavailable(Unavailable),
+    /// It did not answer in time.
+    #[error("no answer in time")]
+    Silent,
+    /// The connection to it failed.
+    #[error(transparent)]
+    Client(#[from] ClientError),
+}
+
+/// A request that no replica settled, with the last failure of each replica that was asked.
+#[derive(Debug, Error)]
+#[error("{outcome}{}", describe(.failures))]
+pub struct UnsettledRequest {
+    /// Whether it may have been carried out.
+    pub outcome: Unsettled,
+    /// Why each replica did not settle it.
+    pub failures: BTreeMap<SocketAddr, ReplicaFailure>,
+}
+
+impl ReplicaFailure {
+    /// Whether the replica may have carried out the request.
+    fn may_have_run(&self) -> bool {
+        match self {
+            Self::Unavailable(reason) => *reason == Unavailable::Undecided,
+            Self::Silent => true,
+            Self::Client(error) => error.may_have_run(),
+        }
+    }
+}
+
+/// Records a failure. An attempt that was cut short by the time limit doesn't hide a reason given before.
+fn record(
+    failures: &mut BTreeMap<SocketAddr, ReplicaFailure>,
+    replica: SocketAddr,
+    failure: ReplicaFailure,
+) {
+    if matches!(failure, ReplicaFailure::Silent) {
+        failures.entry(replica).or_insert(failure);
+    } else {
+        failures.insert(replica, failure);
+    }
+}
+
+fn describe(failures: &BTreeMap<SocketAddr, ReplicaFailure>) -> String {
+    let failures = failures.iter();
+    let texts = failures.map(|(replica, failure)| format!("; {replica}: {failure}"));
+    texts.collect()
+}
+
 #[derive(Debug, Default)]
 struct Replicas {
     configured: Vec<SocketAddr>,
@@ -94,6 +149,20 @@
         body: &RequestBody,
         time_limit: Duration,
     ) -> Result<ReplyBody, Unsettled> {
+        let reply = self.request_with_reasons(body, time_limit).await;
+        reply.map_err(|unsettled| unsettled.outcome)
+    }
+
+    /// Like [`request`](Self::request), with the reasons of the replicas in the error.
+    ///
+    /// # Errors
+    /// [`UnsettledRequest`] if no replica settles it within `time_limit`.
+    pub async fn request_with_reasons(
+        &self,
+        body: &RequestBody,
+        time_limit: Duration,
+    ) -> Result<ReplyBody, UnsettledRequest> {
+        let mut failures = BTreeMap::new();
         let deadline = Instant::now() + time_limit;
         let mut may_have_run = false;
         let mut hint = self.leader();
@@ -102,14 +171,22 @@
                 let address = hint.take().unwrap_or(address);
                 match self.send(address, body, deadline).await {
                     SendResult::Settled(reply) => return Ok(reply),
-                    SendResult::NotLeader(leader) => hint = leader,
-                    SendResult::Failed { may_have_run: may } => may_have_run |= may,
+                    SendResult::NotLeader(leader) => {
+                        hint = leader;
+                        let why = Unavailable::NotLeader(leader);
+                        failures.insert(address, ReplicaFailure::Unavailable(why));
+                    }
+                    SendResult::Failed(failure) => {
+                        may_have_run |= failure.may_have_run();
+                        record(&mut failures, address, failure);
+                    }
                 }
                 if Instant::now() >= deadline {
-                    return Err(match may_have_run && body.changes_state() {
+                    let outcome = match may_have_run && body.changes_state() {
                         true => Unsettled::Undecided,
                         false => Unsettled::NotDone,
-                    });
+                    };
+                    return Err(UnsettledRequest { outcome, failures });
                 }
             }
             sleep(PAUSE).await;
@@ -124,7 +201,7 @@
         };
         let Ok(result) = timeout(wait, sending).await else {
             self.set_leader(None);
-            return SendResult::Failed { may_have_run: true };
+            return SendResult::Failed(ReplicaFailure::Silent);
         };
         match result {
             Ok(ReplyBody::Unavailable(Unavailable::NotLeader(leader))) => {
@@ -132,18 +209,16 @@
                 self.set_leader(hint);
                 SendResult::NotLeader(hint)
             }
-            Ok(ReplyBody::Unavailable(reason)) => SendResult::Failed {
-                may_have_run: reason == Unavailable::Undecided,
-            },
+            Ok(ReplyBody::Unavailable(reason)) => {
+                SendResult::Failed(ReplicaFailure::Unavailable(reason))
+            }
             Ok(reply) => {
                 self.set_leader(Some(address));
                 SendResult::Settled(reply)
             }
             Err(error) => {
                 self.set_leader(None);
-                SendResult::Failed {
-                    may_have_run: error.may_have_run(),
-                }
+                SendResult::Failed(ReplicaFailure::Client(error))
             }
         }
     }
@@ -153,5 +228,5 @@
 enum SendResult {
     Settled(ReplyBody),
     NotLeader(Option<SocketAddr>),
-    Failed { may_have_run: bool },
+    Failed(ReplicaFailure),
 }
