--- a/crates/bramblewheel-control/tests/log_lines.rs
+++ b/crates/bramblewheel-control/tests/log_lines.rs
@@ -251,3 +251,23 @@
     let (_, metrics) = get(replicas[0].handle.addresses().admin, "/metrics").await;
     assert!(metrics.contains("bramblewheel_control_spares 0\n"));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_connections_of_many_senders_write_a_bounded_number_of_lines() {
+    const SENDERS: u64 = 200;
+    const MOST_IN_AN_INTERVAL: u64 = 64;
+    let replica = LoggedReplica::start(0).await;
+    let begun = Instant::now();
+    for sender in 0..SENDERS {
+        let hello = hello(STRANGER, STRANGER + 1 + sender, GROUP);
+        until_closed(connect(&replica, &hello, &[]).await).await;
+    }
+    let intervals = begun.elapsed().as_secs() + 1;
+    let texts = ["msg=\"replica refused\"", "reason=meant_for_other_identity"];
+    replica.log.line_with(&texts).await;
+    let lines = replica.log.lines_with(&texts).len() as u64;
+    assert!(
+        lines <= MOST_IN_AN_INTERVAL * intervals,
+        "{lines} lines in {intervals} intervals"
+    );
+}
--- a/crates/bramblewheel-replication/src/events.rs
+++ b/crates/bramblewheel-replication/src/events.rs
@@ -71,7 +71,7 @@
 pub enum RefusalReason {
     /// This replica has no membership that contains it.
     NoMembership,
-    /// The candidate's term is not above this replica's, or below it.
+    /// The term is over: it is below this replica's or, for a pre-vote, not above it.
     OlderTerm,
     /// This replica has voted in the term already.
     AlreadyVoted {
