Name the new metrics in the list that dashboards depend on

Check changed: admin_listener_reports_readiness_and_metrics compares the whole list of metrics; the five new ones are added to it, it still compares the whole list.

--- a/crates/bramblewheel-control/tests/admin.rs
+++ b/crates/bramblewheel-control/tests/admin.rs
@@ -13,22 +13,27 @@
 use tokio::time::timeout;
 
 /// Names and types of a replica's metrics. Dashboards and alerts of users depend on them.
-const METRICS: [&str; 16] = [
+const METRICS: [&str; 21] = [
     "bramblewheel_control_applied_index gauge",
     "bramblewheel_control_bundle_deltas_computed counter",
     "bramblewheel_control_bundle_deltas_sent counter",
     "bramblewheel_control_bundle_version gauge",
     "bramblewheel_control_daemons gauge",
     "bramblewheel_control_leader gauge",
+    "bramblewheel_control_learners gauge",
     "bramblewheel_control_operations_decided counter",
     "bramblewheel_control_operations_kept gauge",
     "bramblewheel_control_polls_answered counter",
     "bramblewheel_control_polls_held gauge",
     "bramblewheel_control_proposals counter",
     "bramblewheel_control_quorum gauge",
+    "bramblewheel_control_replacement_age_ms gauge",
+    "bramblewheel_control_replacement_entries_missing gauge",
     "bramblewheel_control_snapshot_index gauge",
     "bramblewheel_control_spares gauge",
     "bramblewheel_control_term gauge",
+    "bramblewheel_control_voters gauge",
+    "bramblewheel_control_voters_heard gauge",
     "bramblewheel_control_whole_bundles_sent counter",
 ];
 
