Draw bursts of faults near the stages of a replacement

The other classes seldom draw two faults within milliseconds of a stage of a replacement, where the group has the least voters to spare. This class begins a replacement and lets one to three faults strike within 30 ms of its stages, with 0 to 2 spares, also a disk lost at a loss of power of all before the end.

--- a/crates/bramblewheel-control/tests/loss_schedules.rs
+++ b/crates/bramblewheel-control/tests/loss_schedules.rs
@@ -37,3 +37,13 @@
 fn group_is_whole_after_losses_with_replicas_at_other_addresses_second_part() {
     search(Class::OtherAddresses, 6, SCHEDULES);
 }
+
+#[test]
+fn group_is_whole_after_bursts_of_faults_first_part() {
+    search(Class::Bursts, 7, SCHEDULES);
+}
+
+#[test]
+fn group_is_whole_after_bursts_of_faults_second_part() {
+    search(Class::Bursts, 8, SCHEDULES);
+}
--- a/crates/bramblewheel-control/tests/support/loss_schedule/draw.rs
+++ b/crates/bramblewheel-control/tests/support/loss_schedule/draw.rs
@@ -16,6 +16,7 @@
     let spares = match class {
         Class::SingleLosses | Class::RepeatedLosses => 0,
         Class::OtherAddresses => random.random_range(1..=2),
+        Class::Bursts => random.random_range(0..=2),
     };
     let has_snapshots = random.random_bool(0.5);
     let mut draw = Draw {
@@ -30,6 +31,7 @@
             Class::SingleLosses => draw.single_loss(),
             Class::RepeatedLosses => draw.repeated_loss(),
             Class::OtherAddresses => draw.loss_with_spares(),
+            Class::Bursts => draw.bursts(),
         }
     }
     let last_loss = draw.last_loss();
@@ -46,19 +48,19 @@
     }
 }
 
-struct Draw {
-    random: Pcg64Mcg,
+pub(super) struct Draw {
+    pub(super) random: Pcg64Mcg,
     machines: usize,
     losses_for_good_left: usize,
     steps: Vec<Step>,
 }
 
 impl Draw {
-    fn millis(&mut self, range: std::ops::RangeInclusive<u64>) -> Duration {
+    pub(super) fn millis(&mut self, range: std::ops::RangeInclusive<u64>) -> Duration {
         Duration::from_millis(self.random.random_range(range))
     }
 
-    fn push(&mut self, start: Start, action: Action) {
+    pub(super) fn push(&mut self, start: Start, action: Action) {
         self.steps.push(Step { start, action });
     }
 
@@ -66,7 +68,7 @@
         self.random.random_range(0..self.machines)
     }
 
-    fn target(&mut self) -> Target {
+    pub(super) fn target(&mut self) -> Target {
         if self.random.random_bool(0.3) {
             Target::Leader
         } else {
@@ -75,7 +77,7 @@
     }
 
     /// Time from the loss of power of a machine to its start; often none.
-    fn down(&mut self) -> Duration {
+    pub(super) fn down(&mut self) -> Duration {
         if self.random.random_bool(0.5) {
             Duration::ZERO
         } else {
@@ -83,7 +85,7 @@
         }
     }
 
-    fn pause(&mut self) -> Start {
+    pub(super) fn pause(&mut self) -> Start {
         let pause = match self.random.random_range(0..4) {
             0 => self.millis(0..=20),
             1 | 2 => self.millis(0..=600),
@@ -93,7 +95,7 @@
     }
 
     /// A time near a step of a replacement.
-    fn near_stage(&mut self) -> Start {
+    pub(super) fn near_stage(&mut self) -> Start {
         let stage = match self.random.random_range(0..3) {
             0 => Stage::LearnerAdded,
             1 => Stage::LostRemoved,
@@ -196,7 +198,7 @@
     }
 
     /// Draws up to `most` faults that lose no disk, and changes between them.
-    fn disturbances(&mut self, most: usize) {
+    pub(super) fn disturbances(&mut self, most: usize) {
         for _ in 0..self.random.random_range(0..=most) {
             let start = self.start();
             let action = self.disturbance();
--- a/crates/bramblewheel-control/tests/support/loss_schedule/mod.rs
+++ b/crates/bramblewheel-control/tests/support/loss_schedule/mod.rs
@@ -1,5 +1,6 @@
 //! Schedules of lost disks and other faults, drawn from a seed.
 
+mod bursts;
 mod draw;
 mod expected_tables;
 mod faults;
@@ -21,6 +22,8 @@
     RepeatedLosses,
     /// Machines at other addresses replace machines that are silent or gone for good.
     OtherAddresses,
+    /// Several faults follow each other within milliseconds while a replacement is in progress.
+    Bursts,
 }
 
 /// The machine that a fault strikes, resolved when the fault begins.
