--- a/crates/bramblewheel-control/tests/support/loss_schedule/search.rs
+++ b/crates/bramblewheel-control/tests/support/loss_schedule/search.rs
@@ -4,6 +4,7 @@
 use super::run::{Failure, Phase, Run};
 use super::{Class, Schedule, draw};
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
 /// Seeds of two parts of a class are this far apart.
@@ -15,14 +16,14 @@
 
 /// Runs the schedules of one part of a class.
 ///
-/// The environment variable `BRAMBLEWHEEL_SCHEDULES` sets their number, `BRAMBLEWHEEL_SCHEDULE_SEED` the only
-/// seed to run.
+/// The environment variable `BRAMBLEWHEEL_SCHEDULES` sets their number, `BRAMBLEWHEEL_SCHEDULE_SEED` the first
+/// seed. With the latter alone, only this seed is run.
 ///
 /// # Panics
 /// If a group is not whole after a schedule.
 pub fn search(class: Class, part: u64, count: u64) {
     let seeds = seeds(part, count);
-    let total = seeds.len();
+    let total = seeds.end - seeds.start;
     let mut failures = Vec::new();
     for seed in seeds {
         let schedule = draw(class, seed);
@@ -40,13 +41,13 @@
     assert!(failures.is_empty(), "{}", summary(class, total, &failures));
 }
 
-fn seeds(part: u64, count: u64) -> Vec<u64> {
-    if let Some(seed) = number_in("BRAMBLEWHEEL_SCHEDULE_SEED") {
-        return vec![seed];
-    }
-    let count = number_in("BRAMBLEWHEEL_SCHEDULES").unwrap_or(count);
-    let first = part * SEEDS_PER_PART;
-    (first..first + count).collect()
+fn seeds(part: u64, count: u64) -> Range<u64> {
+    let stated_count = number_in("BRAMBLEWHEEL_SCHEDULES");
+    let stated_first = number_in("BRAMBLEWHEEL_SCHEDULE_SEED");
+    let default_count = if stated_first.is_some() { 1 } else { count };
+    let first = stated_first.unwrap_or(part * SEEDS_PER_PART);
+    let count = stated_count.unwrap_or(default_count);
+    first..first + count
 }
 
 fn number_in(variable: &str) -> Option<u64> {
@@ -85,7 +86,7 @@
     text + &describe(&run.cluster, &run.faults.machines_with_power())
 }
 
-fn summary(class: Class, total: usize, failures: &[(u64, Failure)]) -> String {
+fn summary(class: Class, total: u64, failures: &[(u64, Failure)]) -> String {
     let mut kinds: BTreeMap<String, Vec<u64>> = BTreeMap::new();
     for (seed, failure) in failures {
         let defects: Vec<_> = failure.defects.iter().map(ToString::to_string).collect();
