Try two faults at all distances of 3 ms from each other

Drawn schedules hit the few milliseconds between two steps of a replacement by chance. Here a disk is lost and a second fault follows after 0 to 600 ms, and a voter is silent and another machine's disk, or the new replica's, is lost around the time at which the silent one is replaced.

--- a/crates/bramblewheel-control/tests/loss_schedules.rs
+++ b/crates/bramblewheel-control/tests/loss_schedules.rs
@@ -2,8 +2,10 @@
 
 mod support;
 
-use support::loss_schedule::Class;
-use support::loss_schedule::search::search;
+use std::time::Duration;
+use support::loss_schedule::moments::Pair;
+use support::loss_schedule::search::{search, search_moments};
+use support::loss_schedule::{Action, Class, Target};
 
 /// Schedules of one test in a normal run.
 const SCHEDULES: u64 = 250;
@@ -47,3 +49,68 @@
 fn group_is_whole_after_bursts_of_faults_second_part() {
     search(Class::Bursts, 8, SCHEDULES);
 }
+
+/// Faults that lose no disk but the one that is lost already.
+fn faults_during_a_replacement() -> [Action; 7] {
+    let (target, period) = (Target::Leader, Duration::from_secs(1));
+    let down = Duration::from_millis(100);
+    [
+        Action::LoseDisk {
+            target: Target::LastLost,
+            down: Duration::ZERO,
+        },
+        Action::LoseDisk {
+            target: Target::LastLost,
+            down,
+        },
+        Action::RestartAll { down },
+        Action::Restart { target, down },
+        Action::StopLeader { down },
+        Action::CutOff { target, period },
+        Action::Freeze { target, period },
+    ]
+}
+
+#[test]
+fn group_is_whole_after_a_second_fault_at_any_moment_after_a_loss() {
+    let first = |target| Action::LoseDisk {
+        target,
+        down: Duration::ZERO,
+    };
+    let pair = |target, second| Pair {
+        spares: 0,
+        first: first(target),
+        shortest_distance: Duration::ZERO,
+        second,
+    };
+    let targets = [Target::Leader, Target::Machine(1)];
+    let pairs =
+        targets.map(|target| faults_during_a_replacement().map(|fault| pair(target, fault)));
+    search_moments(pairs.as_flattened());
+}
+
+#[test]
+fn group_is_whole_after_a_loss_at_any_moment_while_a_silent_voter_is_replaced() {
+    let (target, period) = (Target::Machine(1), Duration::from_secs(4));
+    let down = Duration::ZERO;
+    let silences = [
+        Action::CutOff { target, period },
+        Action::Freeze { target, period },
+    ];
+    let losses = [Target::Leader, Target::Machine(2), Target::NewReplica].map(|target| {
+        [
+            Action::LoseDisk { target, down },
+            Action::LoseForGood { target },
+        ]
+    });
+    let pair = |first, second: &Action| Pair {
+        spares: 1,
+        first,
+        shortest_distance: Duration::from_millis(1_900),
+        second: *second,
+    };
+    let losses = losses.as_flattened();
+    let pairs = silences.map(|first| losses.iter().map(move |second| pair(first, second)));
+    let pairs: Vec<Pair> = pairs.into_iter().flatten().collect();
+    search_moments(&pairs);
+}
--- a/crates/bramblewheel-control/tests/support/loss_schedule/mod.rs
+++ b/crates/bramblewheel-control/tests/support/loss_schedule/mod.rs
@@ -5,6 +5,7 @@
 mod expected_tables;
 mod faults;
 mod inspection;
+pub mod moments;
 mod run;
 pub mod search;
 
--- a/crates/bramblewheel-control/tests/support/loss_schedule/search.rs
+++ b/crates/bramblewheel-control/tests/support/loss_schedule/search.rs
@@ -1,6 +1,7 @@
 //! Runs of many schedules, and their report.
 
 use super::inspection::{Defect, describe};
+use super::moments::Pair;
 use super::run::{Failure, Phase, Run};
 use super::{Class, Schedule, draw};
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,23 +23,34 @@
 /// # Panics
 /// If a group is not whole after a schedule.
 pub fn search(class: Class, part: u64, count: u64) {
-    let seeds = seeds(part, count);
-    let total = seeds.end - seeds.start;
+    let schedules = seeds(part, count).map(|seed| draw(class, seed));
+    expect_recovery(&format!("{class:?}, part {part}"), schedules);
+}
+
+/// Runs pairs of faults at all distances from each other.
+///
+/// # Panics
+/// If a group is not whole after a schedule.
+pub fn search_moments(pairs: &[Pair]) {
+    let numbered = (0..).zip(pairs);
+    let schedules = numbered.flat_map(|(number, pair)| pair.schedules(number * SEEDS_PER_PART));
+    expect_recovery("moments", schedules);
+}
+
+fn expect_recovery(name: &str, schedules: impl Iterator<Item = Schedule>) {
+    let mut total = 0;
     let mut failures = Vec::new();
-    for seed in seeds {
-        let schedule = draw(class, seed);
+    for schedule in schedules {
+        total += 1;
         if let Err((failure, trace)) = execute(&schedule) {
             if failures.len() < TRACED_FAILURES {
-                println!("{class:?}: {schedule}{trace}{failure:?}\n");
+                println!("{name}: {schedule}{trace}{failure:?}\n");
             }
-            failures.push((seed, failure));
+            failures.push((schedule.seed, failure));
         }
     }
-    println!(
-        "{class:?}, part {part}: {total} schedules, {} failed",
-        failures.len()
-    );
-    assert!(failures.is_empty(), "{}", summary(class, total, &failures));
+    println!("{name}: {total} schedules, {} failed", failures.len());
+    assert!(failures.is_empty(), "{}", summary(name, total, &failures));
 }
 
 fn seeds(part: u64, count: u64) -> Range<u64> {
@@ -86,14 +98,14 @@
     text + &describe(&run.cluster, &run.faults.machines_with_power())
 }
 
-fn summary(class: Class, total: u64, failures: &[(u64, Failure)]) -> String {
+fn summary(name: &str, total: usize, failures: &[(u64, Failure)]) -> String {
     let mut kinds: BTreeMap<String, Vec<u64>> = BTreeMap::new();
     for (seed, failure) in failures {
         let defects: Vec<_> = failure.defects.iter().map(ToString::to_string).collect();
         let kind = format!("{:?}: {}", failure.phase, defects.join(" "));
         kinds.entry(kind).or_default().push(*seed);
     }
-    let mut text = format!("{class:?}: {} of {total} schedules failed", failures.len());
+    let mut text = format!("{name}: {} of {total} schedules failed", failures.len());
     for (kind, seeds) in kinds {
         text += &format!("\n  {} {kind}; seeds {seeds:?}", seeds.len());
     }
