--- a/crates/bramblewheel-control/tests/support/loss_schedule/moments.rs
+++ b/crates/bramblewheel-control/tests/support/loss_schedule/moments.rs
@@ -6,7 +6,7 @@
 
 /// Time between two distances that are tried.
 const SPACING: Duration = Duration::from_millis(3);
-/// Range of the distances. A replacement in a group without other faults takes less.
+/// Range of the distances. The steps of a replacement follow each other in less time.
 const RANGE: Duration = Duration::from_millis(600);
 
 /// Two faults, and the shortest time between them.
