Soak: keep lost disks one machine apart by the time of the run, not of the plan

Each loss of a disk waits until the machine that lost its disk before has been back for 4 s, unless it is the same one.

--- a/crates/bramblewheel-soak/src/fault_injection.rs
+++ b/crates/bramblewheel-soak/src/fault_injection.rs
@@ -22,7 +22,12 @@
     pub(crate) async fn inject(self: &Arc<Self>, step: Step) -> Result<(), FleetError> {
         match step.fault {
             Fault::Kill(machine) => self.kill(machine, step.lasts, false).await,
-            Fault::KillAndWipe(machine) => self.kill(machine, step.lasts, true).await,
+            Fault::KillAndWipe(machine) => {
+                let loss = self.lost_machine.begin(machine).await;
+                self.kill(machine, step.lasts, true).await?;
+                loss.end();
+                Ok(())
+            }
             Fault::ReplaceControl(replica) => self.replace_control(replica, step.lasts).await,
             Fault::KillAllControl => self.kill_all_control(step.lasts).await,
             Fault::KillAllAndWipe(replica) => self.kill_all_and_wipe(replica, step.lasts).await,
@@ -147,6 +152,7 @@
 
     async fn replace_control(&self, replica: usize, lasts: Duration) -> Result<(), FleetError> {
         let replaced = Machine::Control(replica);
+        let loss = self.lost_machine.begin(replaced).await;
         let seed = {
             let mut host = self.hosts[&replaced].lock().await;
             host.kill().await;
@@ -158,6 +164,7 @@
             tokio::time::sleep(SIGNAL_HANDLER_SETUP_TIME).await;
             seed
         };
+        loss.end();
         for (machine, host) in &self.hosts {
             if *machine != replaced {
                 let mut host = host.lock().await;
@@ -185,6 +192,8 @@
     }
 
     async fn kill_all_and_wipe(&self, replica: usize, lasts: Duration) -> Result<(), FleetError> {
+        let wiped = Machine::Control(replica);
+        let loss = self.lost_machine.begin(wiped).await;
         let mut hosts = Vec::new();
         for (machine, host) in &self.hosts {
             hosts.push((*machine, host.lock().await));
@@ -203,7 +212,7 @@
         }
         for (machine, host) in &mut hosts {
             host.kill().await;
-            if *machine == Machine::Control(replica) {
+            if *machine == wiped {
                 host.wipe()?;
             }
         }
@@ -212,6 +221,7 @@
             self.advance_generation(*machine);
             host.start()?;
         }
+        loss.end();
         Ok(())
     }
 
--- a/crates/bramblewheel-soak/src/lib.rs
+++ b/crates/bramblewheel-soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod foreign;
 pub mod history;
 mod load;
+pub mod lost_machine;
 pub mod operator;
 pub mod plan;
 pub mod relay;
--- a/crates/bramblewheel-soak/src/run.rs
+++ b/crates/bramblewheel-soak/src/run.rs
@@ -9,6 +9,7 @@
 use crate::load::{
     callers, fatal_callers, kept_callers, operate, probes, restart_ended, watch_processes,
 };
+use crate::lost_machine::LostMachine;
 use crate::operator::Operators;
 use crate::plan::{Machine, Size, Step, plan};
 use crate::stop_plan;
@@ -59,6 +60,7 @@
     pub(crate) endpoints: Vec<Mutex<Option<Endpoint>>>,
     /// Generation of each daemon's process; advances when the process ends and when it is started again.
     pub(crate) process_generations: Vec<AtomicU64>,
+    pub(crate) lost_machine: LostMachine,
     next_endpoint: AtomicU64,
     is_over: AtomicBool,
     /// Load in percent of the usual load.
@@ -234,6 +236,7 @@
             hosts,
             endpoints: (0..size.daemons).map(|_| Mutex::new(None)).collect(),
             process_generations: (0..size.daemons).map(|_| AtomicU64::new(0)).collect(),
+            lost_machine: LostMachine::default(),
             next_endpoint: AtomicU64::new(0),
             is_over: AtomicBool::new(false),
             load_percent: AtomicU32::new(100),
