--- a/crates/bramblewheel-control/src/node/spares.rs
+++ b/crates/bramblewheel-control/src/node/spares.rs
@@ -10,7 +10,6 @@
 use super::message::{OfferBasis, PeerMessage, SpareOffer};
 use super::offers::{GroupView, Offers};
 use super::{ControlNode, Now};
-use crate::state::NO_REPLICA;
 use bramblewheel_protocol::control::{GroupStatus, ReplaceRequest, ReplicaAddress};
 use bramblewheel_replication::{LogIndex, ReplicaId, Term};
 use bramblewheel_types::{Millis, Timestamp};
@@ -23,6 +22,9 @@
 /// Heartbeats without a message of a member up to which the member counts as answering.
 const MISSED_HEARTBEATS: u32 = 4;
 
+/// Id for "no replica", used as the lost replica of a replacement that only adds one.
+const NO_REPLICA: u64 = 0;
+
 /// When a silent voter is replaced by a spare.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SparePolicy {
@@ -130,7 +132,7 @@
         };
         let applied = LogIndex(self.state.position().index);
         let last = applied.max(self.replica.membership_index());
-        self.spares.offers.require(view, last);
+        self.spares.offers.require(view, last, self.now.monotonic);
     }
 
     /// Begins or continues a replacement if the policy requires it.
@@ -239,9 +241,12 @@
         spares.find(|spare| spare.peer == address && !membership.contains(ReplicaId(spare.replica)))
     }
 
-    /// Whether a replica has been silent for `silence` towards this leader.
+    /// Whether a replica has been silent for `silence` towards this leader, counted from the latest change of the
+    /// group at the earliest: a new replica has had nothing to answer before.
     pub(super) fn is_silent_for(&self, replica: ReplicaId, silence: Duration) -> bool {
-        self.spares.silence_of(replica, self.now.monotonic) >= silence
+        let now = self.now.monotonic;
+        let silent = self.spares.silence_of(replica, now);
+        silent.min(self.spares.offers.age_of_view(now)) >= silence
     }
 
     /// Whether a replica has sent a message within the last few heartbeats.
