--- a/crates/bramblewheel-control/src/node/membership_events.rs
+++ b/crates/bramblewheel-control/src/node/membership_events.rs
@@ -2,12 +2,9 @@
 
 use super::ControlNode;
 use super::events::{MemberChange, NodeEvent, WaitReason};
+use crate::report_limit::REPORT_INTERVAL;
 use crate::state::Replacement;
 use bramblewheel_replication::{LogIndex, Membership, ReplicaId, Term};
-use std::time::Duration;
-
-/// Least time between two events that a replacement waits.
-const WAIT_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 impl ControlNode {
     /// Reports how the membership of an applied entry differs from that of the entries before it.
@@ -63,10 +60,10 @@
         self.events.push(event);
     }
 
-    /// Reports why the replacement in progress waits, at most once per [`WAIT_REPORT_INTERVAL`].
+    /// Reports why the replacement in progress waits, at most once per [`REPORT_INTERVAL`].
     pub(super) fn report_wait(&mut self, new: ReplicaId, reason: WaitReason) {
         let now = self.now.monotonic;
-        let is_recent = |at| now.since(at) < WAIT_REPORT_INTERVAL;
+        let is_recent = |at| now.since(at) < REPORT_INTERVAL;
         if self.wait_reported.is_some_and(is_recent) {
             return;
         }
--- a/crates/bramblewheel-control/src/node/offers.rs
+++ b/crates/bramblewheel-control/src/node/offers.rs
@@ -12,6 +12,7 @@
 
 use super::events::IgnoredOffer;
 use super::message::SpareOffer;
+use crate::report_limit::ReportLimit;
 use crate::state::Replacement;
 use bramblewheel_protocol::control::ReplicaAddress;
 use bramblewheel_replication::{LogIndex, Membership, ReplicaId, Term};
@@ -20,10 +21,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Age up to which an offer is valid. The driver makes one every 5 to 10 s.
+/// Age up to which an offer is valid; longer than the interval at which a spare repeats it.
 const LIFETIME: Duration = Duration::from_secs(30);
-/// Least time between two reports that the offers of one spare are ignored.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What the log says of the group, as seen by a leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,8 +54,8 @@
     view_since: Timestamp,
     /// Entry that an offer must include: the log named all members and the replacement of `view` by then.
     required: LogIndex,
-    /// Times of the latest reports of ignored offers.
-    reported: BTreeMap<ReplicaId, Timestamp>,
+    /// Reports of ignored offers.
+    reports: ReportLimit<ReplicaId>,
 }
 
 impl Offers {
@@ -120,14 +119,8 @@
         valid.into_iter().map(|offer| &offer.address).collect()
     }
 
-    /// Whether an ignored offer of a spare must be reported now.
+    /// Whether an ignored offer of a spare is to be reported now.
     pub(super) fn should_report(&mut self, spare: ReplicaId, now: Timestamp) -> bool {
-        self.reported
-            .retain(|_, at| now.since(*at) < REPORT_INTERVAL);
-        let is_due = !self.reported.contains_key(&spare);
-        if is_due {
-            self.reported.insert(spare, now);
-        }
-        is_due
+        self.reports.admit(spare, now).is_some()
     }
 }
--- a/crates/bramblewheel-control/src/node/spares.rs
+++ b/crates/bramblewheel-control/src/node/spares.rs
@@ -192,8 +192,8 @@
         self.queue.begin_replacement(request);
     }
 
-    /// The spare with the latest valid offer that is not a member and whose machine has no other member. One on a
-    /// voter's machine can replace only this voter, which is lost.
+    /// The spare with the latest valid offer that is not a member and whose address is not a voter's. One at a
+    /// voter's address can replace only this voter, which is lost.
     pub(super) fn spare_outside_group(&self) -> Option<&ReplicaAddress> {
         let membership = self.replica.membership();
         let voters = membership.voters.iter().copied();
--- a/crates/bramblewheel-replication/src/progress.rs
+++ b/crates/bramblewheel-replication/src/progress.rs
@@ -57,7 +57,7 @@
     waiting_token: Option<(ContactToken, Timestamp)>,
     /// The follower's last token after which a quorum answered; sent back to it.
     pub(crate) proven_token: Option<ContactToken>,
-    /// Latest time at which the leader's log held no entry that the follower has not synced since.
+    /// Start of the latest round of which the follower has synced all entries that the leader's log held then.
     pub(crate) caught_up_at: Option<Timestamp>,
 }
 
--- a/crates/bramblewheel-replication/src/reconfiguration.rs
+++ b/crates/bramblewheel-replication/src/reconfiguration.rs
@@ -12,9 +12,9 @@
     /// Proposes to change the membership by one replica.
     ///
     /// A learner whose promotion raises the number of voters needed for a quorum must be
-    /// [caught up](Self::is_caught_up). Any other promotion can't make the group less available, and an
-    /// even group waits for none. [`match_index`](Self::match_index) tells whether the new voter has synced
-    /// the promotion itself.
+    /// [caught up](Self::is_caught_up). Any other promotion makes the group no less available. The new voter may
+    /// then lack entries, so another voter must not be removed in its favour before
+    /// [`match_index`](Self::match_index) tells that it has synced the promotion itself.
     ///
     /// # Errors
     /// [`MembershipError`] when the change is not possible now; nothing was appended.
