Let an operator name the third identity of a machine whose first one is still a voter

Found while the logs were tried out: a machine lost its disk twice, the second time during its replacement. 'control replace' of the second identity by the third one was refused ('another member has the address'), since the first identity, which the same replacement removes, has that address. Without a policy for spares nothing else repaired the group.

Members that the replacement removes no longer count in that check. A refused second replacement says which one is in progress and what may be asked.

--- a/crates/bramblewheel-control/src/node/replacement.rs
+++ b/crates/bramblewheel-control/src/node/replacement.rs
@@ -79,7 +79,7 @@
             ReplicaId(request.lost),
             ReplicaId(request.replacement.replica),
         );
-        Replacement::from_request(self.state.replacement(), request)?;
+        let next = Replacement::from_request(self.state.replacement(), request)?;
         // A replacement that was proposed but is not committed yet is not in the state.
         let mut waiting = self.replacement_clients.0.iter();
         if waiting.any(|client| client.request != *request && self.is_undecided(&client.request)) {
@@ -94,8 +94,8 @@
         }
         let has_same_address = |member: ReplicaId| {
             let address = self.member_address(member);
-            member != lost
-                && member != new
+            member != new
+                && !next.lost().contains(&member.0)
                 && address.is_some_and(|a| a.peer == request.replacement.peer)
         };
         if membership.members().any(has_same_address) {
--- a/crates/bramblewheel-control/src/state/replacement.rs
+++ b/crates/bramblewheel-control/src/state/replacement.rs
@@ -31,7 +31,11 @@
                 return Ok(current.clone());
             }
             if request.lost != current.new.replica {
-                return Err("another replacement is in progress".to_owned());
+                let new = current.new.replica;
+                return Err(format!(
+                    "a replacement by replica {new:016x} is in progress; name that one as lost to \
+                     continue with another one"
+                ));
             }
             lost.extend(&current.lost);
             lost.remove(&new.replica);
--- a/crates/bramblewheel-control/tests/replacement.rs
+++ b/crates/bramblewheel-control/tests/replacement.rs
@@ -228,3 +228,24 @@
     let leader = cluster.settle();
     assert!(is_replaced(&cluster, leader, &request));
 }
+
+#[test]
+fn third_identity_of_a_machine_can_be_named_while_the_first_one_is_still_a_voter() {
+    let mut loss = lose_disk_of_follower(36);
+    loss.cluster
+        .send(loss.leader, RequestBody::Replace(loss.request.clone()));
+    loss.cluster.restart_wiped(loss.wiped);
+    loss.cluster.run(Duration::from_secs(1));
+    let third = ReplaceRequest {
+        lost: loss.request.replacement.replica,
+        replacement: loss.cluster.address(loss.wiped),
+    };
+    let reply = loss
+        .cluster
+        .ask_leader(&RequestBody::Replace(third.clone()));
+    assert_eq!(reply, ReplyBody::Done);
+    let leader = loss.cluster.settle();
+    assert!(is_replaced(&loss.cluster, leader, &third));
+    let members = membership(&loss.cluster, leader);
+    assert!(!members.contains(ReplicaId(loss.request.lost)));
+}
