Log what an endpoint states of itself in its answers

The incident's logs had no line about a rate limit or a drain notice, so that 'no process reads it' and 'each daemon applies it alone' looked alike.

The dialect decodes both headers into types of their own; the daemon beside the endpoint follows which statement is in force and logs each change (endpoint rate limit, endpoint drains by its answer, statement of the endpoint ignored), with a bound on the number of lines. Values that can't be read are counted and say nothing. Nothing is enforced yet: requests are sent as before.

--- a/crates/bramblewheel-decisions/src/lib.rs
+++ b/crates/bramblewheel-decisions/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod directory;
 pub mod early_refusal;
 pub mod endpoint_crash;
+pub mod endpoint_limit;
 pub mod exemption;
 pub mod incarnations;
 pub mod machine_identity;
--- a/crates/bramblewheel-proxy/src/daemon/parts.rs
+++ b/crates/bramblewheel-proxy/src/daemon/parts.rs
@@ -90,6 +90,7 @@
             metrics: Metrics::default(),
             in_progress: Default::default(),
             heartbeat_lines: Default::default(),
+            statement_lines: Default::default(),
             stop: Default::default(),
             settings,
             clock,
--- a/crates/bramblewheel-proxy/src/dialect.rs
+++ b/crates/bramblewheel-proxy/src/dialect.rs
@@ -1,11 +1,14 @@
-//! Names of the headers between callers, endpoints and this layer, and the classification of an endpoint's answer by
-//! its head. The program that starts the daemon may replace the names.
+//! Names of the headers between callers, endpoints and this layer, the classification of an endpoint's answer by its
+//! head, and what the head states of the endpoint. The program that starts the daemon may replace the names.
 
 use crate::http::fields::set_or_remove;
-use bramblewheel_types::{EndpointId, Millis};
+use bramblewheel_types::{EndpointId, InvalidRateLimit, Millis, RateLimit};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use std::time::Duration;
 
+/// Value of a drain notice.
+const DRAINING: &str = "1";
+
 /// Names of the headers that callers and endpoints set and read. The default names are the product's own.
 #[derive(Clone, Debug)]
 pub struct Dialect {
@@ -25,6 +28,10 @@
     pub not_run: HeaderName,
     /// On an answer: proof that its body is the endpoint's.
     pub proof: HeaderName,
+    /// On an answer: requests per second that the endpoint takes from all machines together.
+    pub rate_limit: HeaderName,
+    /// On an answer: the endpoint drains.
+    pub draining: HeaderName,
 }
 
 impl Default for Dialect {
@@ -38,6 +45,8 @@
             key_scheme: "Token",
             not_run: HeaderName::from_static("bw-not-run"),
             proof: HeaderName::from_static("bw-proof"),
+            rate_limit: HeaderName::from_static("bw-rate-limit"),
+            draining: HeaderName::from_static("bw-draining"),
         }
     }
 }
@@ -55,7 +64,61 @@
     Foreign,
 }
 
+/// What the head of an answer states of the endpoint itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EndpointStatement {
+    /// Its rate limit, if it states one.
+    ///
+    /// Holds an error if the value can't be read, which says nothing of the limit in force.
+    pub rate_limit: Result<Option<RateLimit>, InvalidRateLimit>,
+    /// Whether it drains.
+    pub drain: DrainStatement,
+}
+
+/// What the head of an answer states of the endpoint's draining.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DrainStatement {
+    /// Nothing.
+    None,
+    /// The endpoint takes no new requests.
+    Draining,
+    /// The value can't be read and is ignored.
+    Invalid,
+}
+
 impl Dialect {
+    /// What the head of an answer states of the endpoint. Only valid for an [answer](Self::kind) of that endpoint.
+    pub fn statement(&self, headers: &HeaderMap) -> EndpointStatement {
+        EndpointStatement {
+            rate_limit: self.stated_limit(headers),
+            drain: self.stated_drain(headers),
+        }
+    }
+
+    fn stated_limit(&self, headers: &HeaderMap) -> Result<Option<RateLimit>, InvalidRateLimit> {
+        let mut stated = None;
+        for value in headers.get_all(&self.rate_limit) {
+            let text = value.to_str().map_err(|_| InvalidRateLimit::NoNumber)?;
+            let limit = text.trim().parse::<RateLimit>()?;
+            if stated.is_some_and(|earlier| earlier != limit) {
+                return Err(InvalidRateLimit::SeveralValues);
+            }
+            stated = Some(limit);
+        }
+        Ok(stated)
+    }
+
+    fn stated_drain(&self, headers: &HeaderMap) -> DrainStatement {
+        let mut stated = DrainStatement::None;
+        for value in headers.get_all(&self.draining) {
+            if value.as_bytes().trim_ascii() != DRAINING.as_bytes() {
+                return DrainStatement::Invalid;
+            }
+            stated = DrainStatement::Draining;
+        }
+        stated
+    }
+
     /// Id of a request or answer.
     pub fn id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue> {
         headers.get(&self.request_id)
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -6,8 +6,9 @@
 use crate::dialect::AnswerKind;
 use crate::http::exchange::{self, Answer, NoAnswer, Outgoing, Received};
 use crate::in_progress::{Progress, Stage};
+use crate::inbound::statements;
 use crate::local::crash_probe::probe_for_crash;
-use crate::local::{Permit, Refusal};
+use crate::local::{AnsweredRequest, Permit, Refusal};
 use crate::shared::Shared;
 use crate::wire::{AnswerReport, AttemptResult, Handover};
 use bramblewheel_decisions::decaying_share::whole_percent;
@@ -244,10 +245,26 @@
 
     /// Reads the endpoint's answer, which tells whether it ran the request.
     async fn read(&self, mut permit: Permit, received: Received) -> RunOutcome {
-        let full_downstream = permit.mark_answered(received.head.status.is_server_error());
         let head = &received.head;
         let dialect = &self.shared.settings.dialect;
-        let dispatched = match dialect.kind(head.status, &head.headers, &self.id) {
+        let kind = dialect.kind(head.status, &head.headers, &self.id);
+        let is_own = matches!(kind, AnswerKind::Ran | AnswerKind::NotRun);
+        let statement = is_own.then(|| dialect.statement(&head.headers));
+        let AnsweredRequest {
+            full_downstream,
+            change,
+        } = permit.mark_answered(head.status.is_server_error(), statement);
+        if let Some(statement) = statement {
+            statements::record(
+                self.shared,
+                self.handover,
+                &self.id,
+                head,
+                statement,
+                &change,
+            );
+        }
+        let dispatched = match kind {
             AnswerKind::Ran => match received.read(Some(permit)).await {
                 Ok(answer) => {
                     self.record_success(&answer);
--- /dev/null
+++ b/crates/bramblewheel-proxy/src/inbound/statements.rs
@@ -0,0 +1,79 @@
+//! Logs and counts what the local endpoint states of itself in its answers.
+//!
+//! [`crate::local`] keeps the state. Statements that an endpoint repeats in each answer have no line; changes have one,
+//! with a limit on their number.
+
+use crate::dialect::{DrainStatement, EndpointStatement};
+use crate::inbound::dispatch::id_text;
+use crate::local::StatementChange;
+use crate::shared::Shared;
+use crate::wire::Handover;
+use bramblewheel_decisions::endpoint_limit::LimitChange;
+use bramblewheel_types::RateLimit;
+use http::HeaderValue;
+use http::response::Parts;
+
+/// Most bytes of a value that can't be read that are logged.
+const MAX_LOGGED_BYTES: usize = 32;
+
+/// Logs what follows from the endpoint's statement.
+pub(super) fn record(
+    shared: &Shared,
+    handover: &Handover,
+    id: &HeaderValue,
+    head: &Parts,
+    statement: EndpointStatement,
+    change: &StatementChange,
+) {
+    if let Some(change) = change.limit {
+        log_limit(shared, handover, id, change);
+    }
+    if change.has_begun_draining {
+        slog::info!(shared.log, "endpoint drains by its answer"; "id" => id_text(id),
+            "endpoint" => %handover.endpoint);
+    }
+    let dialect = &shared.settings.dialect;
+    if let Err(error) = statement.rate_limit {
+        let value = head.headers.get(&dialect.rate_limit);
+        log_invalid(shared, handover, id, &error.to_string(), value);
+    }
+    if statement.drain == DrainStatement::Invalid {
+        let value = head.headers.get(&dialect.draining);
+        log_invalid(shared, handover, id, "no drain notice", value);
+    }
+}
+
+fn log_limit(shared: &Shared, handover: &Handover, id: &HeaderValue, change: LimitChange) {
+    let now = shared.clock.now();
+    let Some(left_out) = shared.statement_lines.count(now, change.as_str()) else {
+        return;
+    };
+    let (before, limit) = match change {
+        LimitChange::Stated(limit) => (None, Some(limit)),
+        LimitChange::Changed { before, now } => (Some(before), Some(now)),
+        LimitChange::Lifted(before) => (Some(before), None),
+    };
+    let text = |limit: Option<RateLimit>| limit.map(|limit| limit.to_string());
+    slog::info!(shared.log, "endpoint rate limit"; "id" => id_text(id),
+        "endpoint" => %handover.endpoint, "change" => change.as_str(), "limit" => text(limit),
+        "before" => text(before), "left_out" => left_out);
+}
+
+fn log_invalid(
+    shared: &Shared,
+    handover: &Handover,
+    id: &HeaderValue,
+    error: &str,
+    value: Option<&HeaderValue>,
+) {
+    shared.metrics.invalid_statements.inc();
+    let now = shared.clock.now();
+    let Some(left_out) = shared.statement_lines.count(now, "invalid") else {
+        return;
+    };
+    let bytes = value.map_or(&[][..], HeaderValue::as_bytes);
+    let logged = &bytes[..bytes.len().min(MAX_LOGGED_BYTES)];
+    slog::warn!(shared.log, "statement of the endpoint ignored"; "id" => id_text(id),
+        "endpoint" => %handover.endpoint, "error" => error,
+        "value" => %String::from_utf8_lossy(logged), "left_out" => left_out);
+}
--- a/crates/bramblewheel-proxy/src/local/admission.rs
+++ b/crates/bramblewheel-proxy/src/local/admission.rs
@@ -119,7 +119,7 @@
             address,
             endpoint: handover.endpoint.clone(),
             content: handover.content,
-            is_sent: false,
+            sent_at: None,
         }
     }
 }
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -12,8 +12,10 @@
 pub mod crash_probe;
 mod permit;
 mod state;
+mod statements;
 
-pub use permit::Permit;
+pub use permit::{AnsweredRequest, Permit};
+pub use statements::StatementChange;
 
 use arc_swap::ArcSwap;
 use bramblewheel_decisions::decaying_share::whole_percent;
@@ -192,6 +194,8 @@
             is_confirmed: true,
             last_heartbeat: None,
             unreachable_until: Timestamp::ZERO,
+            rate_limit: Default::default(),
+            has_drain_notice: false,
         });
         Ok(())
     }
--- a/crates/bramblewheel-proxy/src/local/permit.rs
+++ b/crates/bramblewheel-proxy/src/local/permit.rs
@@ -2,7 +2,8 @@
 //!
 //! Both are released when dropped, so that a request cancelled at any point leaves nothing behind.
 
-use super::LocalEndpoint;
+use super::{LocalEndpoint, StatementChange};
+use crate::dialect::EndpointStatement;
 use bramblewheel_decisions::admission::QueuePosition;
 use bramblewheel_decisions::class_limit::Answered;
 use bramblewheel_decisions::request_class::RequestClass;
@@ -30,7 +31,17 @@
     pub address: SocketAddr,
     pub(super) endpoint: EndpointId,
     pub(super) content: Option<ContentDigest>,
-    pub(super) is_sent: bool,
+    /// When the request was sent; `None` if it was not.
+    pub(super) sent_at: Option<Timestamp>,
+}
+
+/// An answered request, as far as its answer concerns the endpoint.
+#[derive(Debug, Default)]
+pub struct AnsweredRequest {
+    /// Service without capacity, if the endpoint failed the request right after one of its calls found no capacity.
+    pub full_downstream: Option<ServiceName>,
+    /// What follows from the endpoint's statement.
+    pub change: StatementChange,
 }
 
 /// A request as counted by the limit of its class.
@@ -46,26 +57,35 @@
 impl Permit {
     /// Records that the request is being sent to the endpoint; from now on it may run.
     pub fn mark_sent(&mut self) {
-        self.is_sent = true;
+        self.sent_at = Some(self.clock.now());
     }
 
     /// Records that the endpoint could not be reached and got nothing.
     pub fn mark_not_sent(&mut self) {
-        self.is_sent = false;
+        self.sent_at = None;
     }
 
-    /// Records the endpoint's answer. If the endpoint failed the request right after one of its calls found no
-    /// capacity, returns the service without capacity.
-    pub fn mark_answered(&mut self, has_failed: bool) -> Option<ServiceName> {
+    /// Records an answer and what it states of the endpoint; `statement` is `None` if the answer is not this endpoint's.
+    pub fn mark_answered(
+        &mut self,
+        has_failed: bool,
+        statement: Option<EndpointStatement>,
+    ) -> AnsweredRequest {
         let now = self.clock.now();
         let time = now.since(self.started_at);
+        let sent_at = self.sent_at.unwrap_or(self.started_at);
         let mut state = self.local.lock();
         state.record_outcome(now, has_failed);
+        let change = statement
+            .map(|statement| state.record_statement(now, &self.endpoint, sent_at, statement));
         let call = state.call_without_capacity.clone().filter(|_| has_failed);
         drop(state);
         self.answered = Some(Answered { time, has_failed });
         let recent = call.filter(|call| now.since(call.at) < CALL_FAILURE_WINDOW);
-        recent.map(|call| call.service)
+        AnsweredRequest {
+            full_downstream: recent.map(|call| call.service),
+            change: change.unwrap_or_default(),
+        }
     }
 }
 
@@ -74,7 +94,7 @@
         let now = self.clock.now();
         let mut state = self.local.lock();
         state.running.end(self.running);
-        if let (true, None, Some(content)) = (self.is_sent, self.answered, self.content) {
+        if let (Some(_), None, Some(content)) = (self.sent_at, self.answered, self.content) {
             state.unanswered.record(now, &self.endpoint, content);
         }
         state.end_in_class(now, self.class_entry, self.answered);
--- a/crates/bramblewheel-proxy/src/local/state.rs
+++ b/crates/bramblewheel-proxy/src/local/state.rs
@@ -10,6 +10,7 @@
 use bramblewheel_decisions::class_limit::{Answered, ClassLimit};
 use bramblewheel_decisions::decaying_share::DecayingShare;
 use bramblewheel_decisions::endpoint_crash::{CrashesByContent, UnansweredRequests};
+use bramblewheel_decisions::endpoint_limit::StatedLimit;
 use bramblewheel_decisions::incarnations::{HeartbeatOrigin, Incarnations};
 use bramblewheel_decisions::request_class::RequestClass;
 use bramblewheel_decisions::running_requests::RunningRequests;
@@ -39,6 +40,10 @@
     pub(super) last_heartbeat: Option<Timestamp>,
     /// Time until which nothing is sent to it.
     pub(super) unreachable_until: Timestamp,
+    /// The rate limit that it states.
+    pub(super) rate_limit: StatedLimit,
+    /// Whether it has stated in an answer that it drains.
+    pub(super) has_drain_notice: bool,
 }
 
 /// A call of the endpoint that found no capacity.
@@ -255,6 +260,8 @@
             is_confirmed: false,
             last_heartbeat: Some(now),
             unreachable_until: Timestamp::ZERO,
+            rate_limit: StatedLimit::default(),
+            has_drain_notice: false,
         });
         HeartbeatResult::Changed
     }
--- a/crates/bramblewheel-proxy/src/metrics.rs
+++ b/crates/bramblewheel-proxy/src/metrics.rs
@@ -167,6 +167,10 @@
     /// Heartbeats of the endpoint that the control group did not record in time.
     pub unrecorded: Counter = Counter::default() =>
         "bramblewheel_unrecorded": "Words of the endpoint not recorded in time",
+    /// Statements of the local endpoint that can't be read.
+    pub invalid_statements: Counter = Counter::default() =>
+        "bramblewheel_invalid_statements":
+        "Statements in answers of the local endpoint that can't be read",
     /// Crashes of the local endpoint.
     pub endpoint_ends: Counter = Counter::default() =>
         "bramblewheel_endpoint_ends": "Starts of the local endpoint that ended without a word",
--- a/crates/bramblewheel-proxy/src/shared.rs
+++ b/crates/bramblewheel-proxy/src/shared.rs
@@ -109,6 +109,8 @@
     pub in_progress: RequestsInProgress,
     /// Limit on log lines about heartbeats.
     pub heartbeat_lines: LineLimit,
+    /// Limit on log lines about statements of the endpoint.
+    pub statement_lines: LineLimit,
     /// Planned stop of the daemon.
     pub stop: PlannedStop,
     /// Log.
--- a/crates/bramblewheel-proxy/tests/pinned_metrics.rs
+++ b/crates/bramblewheel-proxy/tests/pinned_metrics.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Metrics of a daemon and their types, sorted by name.
-const METRICS: [&str; 28] = [
+const METRICS: [&str; 29] = [
     "bramblewheel_answers_after_silence counter",
     "bramblewheel_attempts counter",
     "bramblewheel_cancelled counter",
@@ -18,6 +18,7 @@
     "bramblewheel_has_lease gauge",
     "bramblewheel_identity_mismatches counter",
     "bramblewheel_inbound counter",
+    "bramblewheel_invalid_statements counter",
     "bramblewheel_lost_with_endpoints counter",
     "bramblewheel_over_budget counter",
     "bramblewheel_over_quota counter",
--- a/crates/bramblewheel-types/src/lib.rs
+++ b/crates/bramblewheel-types/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod headers;
 pub mod ids;
 pub mod outcome;
+pub mod rate_limit;
 pub mod time;
 
 pub use criticality::Criticality;
@@ -17,4 +18,5 @@
     RegionName, RequestId, ServiceName, TenantName, ZoneName,
 };
 pub use outcome::{NotRunReason, Outcome};
+pub use rate_limit::{InvalidRateLimit, RateLimit};
 pub use time::{Millis, Timestamp};
