Red tests: rate limits and drain notices in answers are not obeyed

Three daemons at 40 requests a second each, scripted endpoints that state their limit (5 a second) or that they drain in every answer. The cluster of the tests can stop its replica and kill and restart a daemon.

--- a/crates/bramblewheel-proxy/tests/sockets/main.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod bounds;
 mod connections;
 mod crashing_requests;
+mod endpoint_statements;
 mod foreign_heartbeats;
 mod liveness;
 mod planned_stops;
--- a/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
@@ -50,6 +50,7 @@
     pub body_bytes: usize,
     /// Whether it was answered as soon as its head was read.
     pub is_answered: bool,
+    pub received_at: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -59,6 +60,8 @@
     cancelled: usize,
     written: usize,
     idle_limit: Option<Duration>,
+    /// Header lines added to all answers.
+    statement: String,
     /// Target of the requests on which it crashes.
     crash_target: Option<String>,
     serving: Option<AbortHandle>,
@@ -118,6 +121,11 @@
         self.lock().script.extend(behaviors.iter().cloned());
     }
 
+    /// Adds header lines to all later answers; each ends with CRLF.
+    pub fn state_in_answers(&self, lines: &str) {
+        self.lock().statement = lines.to_owned();
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.lock().arrivals.clone()
     }
@@ -185,21 +193,21 @@
     /// Carries out a behavior; returns whether the connection stays open.
     async fn run_behavior(&self, behavior: &Behavior, id: &str, stream: &mut TcpStream) -> bool {
         let name = &self.name;
-        let proof = format!("bw-request-id: {id}\r\nbw-proof: {name}\r\n");
+        if let Behavior::AnswerAfter(time) = behavior {
+            tokio::time::sleep(*time).await;
+        }
+        let statement = self.lock().statement.clone();
+        let proof = format!("bw-request-id: {id}\r\nbw-proof: {name}\r\n{statement}");
         let whole = format!("by {name} for {id}");
         let answer = |status: &str, headers: &str, body: &str| {
             let length = body.len();
             format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}")
         };
         let (text, stays_open) = match behavior {
-            Behavior::Answer => (answer("200 OK", &proof, &whole), true),
-            Behavior::AnswerAfter(time) => {
-                tokio::time::sleep(*time).await;
-                (answer("200 OK", &proof, &whole), true)
-            }
+            Behavior::Answer | Behavior::AnswerAfter(_) => (answer("200 OK", &proof, &whole), true),
             Behavior::Long(bytes) => (answer("200 OK", &proof, &"x".repeat(*bytes)), true),
             Behavior::NotRun => {
-                let refusal = format!("bw-request-id: {id}\r\nbw-not-run: 1\r\n");
+                let refusal = format!("bw-request-id: {id}\r\nbw-not-run: 1\r\n{statement}");
                 (answer("503 Service Unavailable", &refusal, ""), true)
             }
             Behavior::OtherEndpoint => (answer("421 Misdirected Request", "", ""), true),
@@ -298,6 +306,7 @@
         headers,
         body_bytes,
         is_answered,
+        received_at: Instant::now(),
     })
 }
 
--- a/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
@@ -160,13 +160,44 @@
 
     /// Stops the control replica as planned and restarts it with its data folder.
     pub async fn restart_replica(&mut self) {
+        self.stop_replica().await;
+        self.start_replica().await;
+    }
+
+    pub async fn stop_replica(&mut self) {
         self.replica.stop();
         self.replica.stopped().await.expect("a planned stop");
+    }
+
+    /// Starts the stopped control replica with its data folder.
+    pub async fn start_replica(&mut self) {
         self.replica_settings.formation.first_start = false;
         let replica = bramblewheel_control::start(self.replica_settings.clone(), silent()).await;
         self.replica = replica.expect("the replica starts");
     }
 
+    /// Kills a daemon and starts it again at its addresses; returns once its endpoint takes work.
+    pub async fn restart_daemon(&mut self, number: usize) {
+        let settings = self.kill_daemon(number);
+        self.insert_daemon(number, settings).await;
+    }
+
+    /// Kills a daemon; returns its settings.
+    pub fn kill_daemon(&mut self, number: usize) -> Settings {
+        let settings = self.daemons[number].shared().settings.clone();
+        drop(self.daemons.remove(number));
+        settings
+    }
+
+    /// Starts a killed daemon again; returns once its endpoint takes work.
+    pub async fn insert_daemon(&mut self, number: usize, settings: Settings) {
+        // The killed daemon's listeners are closed by tasks that end a little later.
+        wait_until(|| can_listen(settings.outbound) && can_listen(settings.inbound)).await;
+        let daemon = start_daemon(settings, CALLER_IDLE_TIMEOUT, self.log.clone()).await;
+        self.daemons.insert(number, daemon);
+        self.wait_until_ready(number, self.endpoints.len()).await;
+    }
+
     /// Publishes the next version of the table, with other tenants.
     pub async fn replace_table_with(&mut self, tenants: &str) {
         self.tenants = tenants.to_owned();
@@ -366,6 +397,11 @@
     pub body: Bytes,
 }
 
+/// Whether a listener can be opened at this address. Connections that are still closing don't prevent it.
+fn can_listen(address: SocketAddr) -> bool {
+    std::net::TcpListener::bind(address).is_ok()
+}
+
 /// Waits until a condition is true.
 pub async fn wait_until(holds: impl Fn() -> bool) {
     let waiting = async {
