--- a/crates/bramblewheel-decisions/src/attempt_result.rs
+++ b/crates/bramblewheel-decisions/src/attempt_result.rs
@@ -17,6 +17,8 @@
     OtherEndpoint,
     /// The daemon refused the request: no slot became free in time.
     Full,
+    /// The daemon refused the request: the endpoint's rate limit is used up.
+    RateLimited,
     /// The daemon refused the request: endpoints crash when they run its content.
     Quarantined,
     /// The daemon refused the request: the endpoint is down or draining, or the daemon is stopping.
@@ -31,11 +33,12 @@
 
 impl AttemptResult {
     /// All results, for parsing a [name](Self::as_str).
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Answered,
         Self::Rejected,
         Self::OtherEndpoint,
         Self::Full,
+        Self::RateLimited,
         Self::Quarantined,
         Self::Leaving,
         Self::Unreachable,
@@ -50,6 +53,7 @@
             Self::Rejected => "rejected",
             Self::OtherEndpoint => "other-endpoint",
             Self::Full => "full",
+            Self::RateLimited => "rate-limited",
             Self::Quarantined => "quarantined",
             Self::Leaving => "leaving",
             Self::Unreachable => "unreachable",
@@ -64,6 +68,7 @@
             Self::Rejected
             | Self::OtherEndpoint
             | Self::Full
+            | Self::RateLimited
             | Self::Quarantined
             | Self::Leaving
             | Self::Unreachable => true,
@@ -77,7 +82,11 @@
             Self::Answered | Self::Rejected | Self::OtherEndpoint | Self::Lost | Self::Silent => {
                 true
             }
-            Self::Full | Self::Quarantined | Self::Leaving | Self::Unreachable => false,
+            Self::Full
+            | Self::RateLimited
+            | Self::Quarantined
+            | Self::Leaving
+            | Self::Unreachable => false,
         }
     }
 
@@ -94,6 +103,7 @@
             Self::Answered => AttemptEnd::Answered(time),
             Self::Rejected => AttemptEnd::Rejected,
             Self::Full => AttemptEnd::Full,
+            Self::RateLimited => AttemptEnd::RateLimited,
             Self::Quarantined => AttemptEnd::Quarantined,
             Self::OtherEndpoint | Self::Leaving => AttemptEnd::Leaving,
             Self::Unreachable | Self::Silent => AttemptEnd::Unreachable,
--- a/crates/bramblewheel-decisions/src/directory/ejection.rs
+++ b/crates/bramblewheel-decisions/src/directory/ejection.rs
@@ -58,6 +58,7 @@
             AttemptEnd::GivenUp(_)
             | AttemptEnd::Failed(_)
             | AttemptEnd::Full
+            | AttemptEnd::RateLimited
             | AttemptEnd::Quarantined
             | AttemptEnd::Rejected => {}
         }
--- a/crates/bramblewheel-decisions/src/directory/endpoint.rs
+++ b/crates/bramblewheel-decisions/src/directory/endpoint.rs
@@ -205,6 +205,7 @@
             | AttemptEnd::Lost
             | AttemptEnd::Leaving
             | AttemptEnd::Full
+            | AttemptEnd::RateLimited
             | AttemptEnd::Quarantined
             | AttemptEnd::Rejected => {}
         }
@@ -221,6 +222,7 @@
             AttemptEnd::Answered(_) => false,
             AttemptEnd::Failed(_) | AttemptEnd::Rejected | AttemptEnd::Lost => true,
             AttemptEnd::Full
+            | AttemptEnd::RateLimited
             | AttemptEnd::Quarantined
             | AttemptEnd::Leaving
             | AttemptEnd::Unreachable
--- a/crates/bramblewheel-decisions/src/directory/mod.rs
+++ b/crates/bramblewheel-decisions/src/directory/mod.rs
@@ -19,15 +19,18 @@
 mod endpoint;
 mod route_times;
 mod service;
+mod statements;
 mod subset;
 
+use crate::endpoint_limit::{KnownLimit, LimitChange};
 use crate::nested_routes::MachineShares;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState, EndpointUpdate};
-use bramblewheel_types::{DaemonId, EndpointId, ServiceName, Timestamp, ZoneName};
+use bramblewheel_types::{DaemonId, EndpointId, RateLimit, ServiceName, Timestamp, ZoneName};
 use endpoint::{CandidateMeans, Endpoint};
 use rand::{Rng, RngExt};
 use route_times::RouteTimes;
 use service::Service;
+use statements::Statements;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -42,7 +45,7 @@
 const JITTER: f64 = 0.05;
 
 /// Where a request is sent.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -50,6 +53,8 @@
     pub daemon: DaemonId,
     /// Where its daemon accepts requests.
     pub address: SocketAddr,
+    /// Its rate limit as this daemon knows it.
+    pub known_limit: Option<KnownLimit>,
 }
 
 /// How an attempt ended, as far as it affects later choices.
@@ -63,6 +68,8 @@
     Rejected,
     /// The endpoint's daemon had no slot.
     Full,
+    /// The endpoint's rate limit was used up.
+    RateLimited,
     /// The endpoint's daemon refused the request for its content, which says nothing about the endpoint.
     Quarantined,
     /// The endpoint is unavailable or draining, or its daemon is stopping.
@@ -76,6 +83,13 @@
     GivenUp(Duration),
 }
 
+impl AttemptEnd {
+    /// Whether the endpoint got the request, so that its rate limit had room.
+    fn shows_capacity(self) -> bool {
+        matches!(self, Self::Answered(_) | Self::Failed(_) | Self::Rejected)
+    }
+}
+
 /// Load that an endpoint's daemon reported with an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadReport {
@@ -95,6 +109,7 @@
     endpoints: HashMap<EndpointId, Endpoint>,
     by_service: HashMap<ServiceName, Service>,
     route_times: RouteTimes,
+    statements: Statements,
 }
 
 /// An endpoint that may be chosen.
@@ -114,6 +129,7 @@
             endpoints: HashMap::new(),
             by_service: HashMap::new(),
             route_times: RouteTimes::default(),
+            statements: Statements::default(),
         }
     }
 
@@ -198,7 +214,8 @@
     ) -> Option<Choice> {
         self.order(service);
         let known = self.by_service.get(service)?;
-        let candidates = candidates(known.choosable(), tried, random);
+        let is_excluded = |id: &EndpointId| tried.contains(id);
+        let candidates = candidates(known.choosable(), is_excluded, random);
         let means = self.candidate_means(now, &candidates);
         let ranked = candidates.into_iter().map(|id| {
             let endpoint = &self.endpoints[id];
@@ -229,9 +246,57 @@
             endpoint: id.clone(),
             daemon: endpoint.record.daemon.clone(),
             address: endpoint.record.address,
+            known_limit: self.statements.limit(now, id),
         })
     }
 
+    /// Endpoints of a service that the next request is not to be sent to because of their rate limits, drawn by
+    /// their send shares. Empty for an exempt request.
+    pub fn paused_by_limits(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        is_exempt: bool,
+        random: &mut impl Rng,
+    ) -> Vec<EndpointId> {
+        if is_exempt || self.statements.is_empty() {
+            return Vec::new();
+        }
+        let Some(service) = self.by_service.get(service) else {
+            return Vec::new();
+        };
+        let members = service.choosable().iter();
+        let is_paused = |id: &&EndpointId| {
+            let share = self.statements.send_share(now, id);
+            share < 1.0 && !random.random_bool(share)
+        };
+        members.filter(is_paused).cloned().collect()
+    }
+
+    /// Part of a service's requests, 0 to 1, that is not sent because all its endpoints have a rate limit.
+    pub fn part_over_limits(&self, now: Timestamp, service: &ServiceName) -> f64 {
+        if self.statements.is_empty() {
+            return 0.0;
+        }
+        let service = self.by_service.get(service);
+        let members = service.map_or(&[][..], Service::choosable).iter();
+        let shares = members.map(|id| self.statements.send_share(now, id));
+        let largest = shares.reduce(f64::max);
+        largest.map_or(0.0, |largest| 1.0 - largest)
+    }
+
+    /// Records what the daemon beside an endpoint reports of its rate limit with the answer to an attempt that began at
+    /// `sent_at`.
+    pub fn record_limit(
+        &mut self,
+        now: Timestamp,
+        sent_at: Timestamp,
+        endpoint: &EndpointId,
+        stated: Option<RateLimit>,
+    ) -> Option<LimitChange> {
+        self.statements.record_limit(now, sent_at, endpoint, stated)
+    }
+
     /// Sorts a service's endpoints by this daemon's preference, after one has joined.
     fn order(&mut self, service: &ServiceName) {
         let Some(service) = self.by_service.get_mut(service) else {
@@ -281,6 +346,10 @@
             }
             _ => None,
         };
+        if end.shows_capacity() || end == AttemptEnd::RateLimited {
+            let is_refused = end == AttemptEnd::RateLimited;
+            self.statements.record_attempt(now, endpoint, is_refused);
+        }
         let Some(known) = self.endpoints.get_mut(endpoint) else {
             return;
         };
--- a/crates/bramblewheel-decisions/src/directory/subset.rs
+++ b/crates/bramblewheel-decisions/src/directory/subset.rs
@@ -46,18 +46,18 @@
     hash ^ (hash >> 33)
 }
 
-/// The preferred endpoints and a few others, without those tried already.
+/// The preferred endpoints and a few others, without excluded ones.
 pub(super) fn candidates<'a>(
     members: &'a [EndpointId],
-    tried: &[EndpointId],
+    is_excluded: impl Fn(&EndpointId) -> bool,
     random: &mut impl Rng,
 ) -> Vec<&'a EndpointId> {
     if members.len() <= PREFERRED + EXTRA_CANDIDATES {
-        let untried = members.iter().filter(|id| !tried.contains(id));
-        return untried.collect();
+        let allowed = members.iter().filter(|id| !is_excluded(id));
+        return allowed.collect();
     }
     let (preferred, others) = members.split_at(PREFERRED);
     let extra = (0..EXTRA_CANDIDATES).map(|_| &others[random.random_range(0..others.len())]);
     let all = preferred.iter().chain(extra);
-    all.filter(|id| !tried.contains(id)).collect()
+    all.filter(|id| !is_excluded(id)).collect()
 }
--- a/crates/bramblewheel-decisions/src/endpoint_limit/stated_limit.rs
+++ b/crates/bramblewheel-decisions/src/endpoint_limit/stated_limit.rs
@@ -20,6 +20,8 @@
 pub enum LimitChange {
     /// The endpoint states a limit after it had none.
     Stated(RateLimit),
+    /// Another daemon knows a limit, and this one had none.
+    Adopted(RateLimit),
     /// The limit changed.
     Changed {
         /// The limit before.
@@ -36,6 +38,7 @@
     pub fn as_str(&self) -> &'static str {
         match self {
             Self::Stated(_) => "stated",
+            Self::Adopted(_) => "adopted",
             Self::Changed { .. } => "changed",
             Self::Lifted(_) => "lifted",
         }
@@ -49,12 +52,16 @@
     limit_stated_at: Timestamp,
     /// When any limit was last stated.
     stated_at: Timestamp,
+    /// Whether the endpoint stated it to this daemon itself.
+    is_own: bool,
 }
 
 /// The limit that an endpoint states, as known by one daemon.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StatedLimit {
     in_force: Option<LimitInForce>,
+    /// When the latest request was sent whose answer stated no limit.
+    last_unlimited: Option<Timestamp>,
 }
 
 impl StatedLimit {
@@ -71,6 +78,31 @@
         }
     }
 
+    /// Adopts what another daemon knows, unless an answer to this daemon tells more.
+    pub fn adopt(&mut self, now: Timestamp, known: KnownLimit) -> Option<LimitChange> {
+        let adopted = LimitInForce {
+            limit: known.limit,
+            limit_stated_at: now,
+            stated_at: now,
+            is_own: false,
+        };
+        let Some(current) = self.in_force else {
+            if self.has_later_answer(now, known.age) {
+                return None;
+            }
+            self.in_force = Some(adopted);
+            return Some(LimitChange::Adopted(known.limit));
+        };
+        if current.is_own || known.limit >= current.limit {
+            return None;
+        }
+        self.in_force = Some(adopted);
+        Some(LimitChange::Changed {
+            before: current.limit,
+            now: known.limit,
+        })
+    }
+
     /// The limit in force, and how long ago it was stated.
     pub fn in_force(&self, now: Timestamp) -> Option<KnownLimit> {
         let in_force = self.in_force?;
@@ -85,6 +117,12 @@
         self.in_force.is_some()
     }
 
+    /// Whether a request was answered without a limit that was sent after a statement of this age.
+    fn has_later_answer(&self, now: Timestamp, age: Duration) -> bool {
+        self.last_unlimited
+            .is_some_and(|sent_at| now.since(sent_at) <= age)
+    }
+
     fn record_limit(
         &mut self,
         now: Timestamp,
@@ -96,10 +134,12 @@
                 limit,
                 limit_stated_at: now,
                 stated_at: now,
+                is_own: true,
             });
             return Some(LimitChange::Stated(limit));
         };
         current.stated_at = now;
+        current.is_own = true;
         let is_overtaken = sent_at <= current.limit_stated_at;
         if limit > current.limit && is_overtaken {
             return None;
@@ -110,6 +150,7 @@
     }
 
     fn record_no_limit(&mut self, sent_at: Timestamp) -> Option<LimitChange> {
+        self.last_unlimited = self.last_unlimited.max(Some(sent_at));
         let lifted = self
             .in_force
             .take_if(|current| sent_at > current.stated_at)?;
--- a/crates/bramblewheel-decisions/src/retry.rs
+++ b/crates/bramblewheel-decisions/src/retry.rs
@@ -21,6 +21,8 @@
 /// The same if most endpoints of the service refuse. On virtual time (280 daemons, 1.8 times the capacity for 8 s),
 /// 11,365 requests were served with 1 and 11,281 with 0.
 const MAX_REROUTES_WHEN_WIDELY_FULL: u32 = 1;
+/// Most reroutes because the rate limit of an endpoint was used up.
+const MAX_REROUTES_WHEN_RATE_LIMITED: u32 = 2;
 /// Most arrivals of a nested call at endpoints that rejected it. If endpoints reject 0.55 of all requests, a call
 /// succeeds with probability 0.95 in five arrivals (1 - 0.55^5) and four calls in a row with 0.82; with two arrivals
 /// the latter is 0.24.
@@ -53,6 +55,8 @@
     pub unavailable: u32,
     /// Those for which the daemon beside the endpoint had no slot.
     pub found_full: u32,
+    /// Those for which the endpoint's rate limit was used up.
+    pub rate_limited: u32,
 }
 
 impl AttemptCounts {
@@ -61,6 +65,7 @@
         self.arrived += u32::from(result.has_arrived());
         self.unavailable += u32::from(result.is_unavailable());
         self.found_full += u32::from(result == AttemptResult::Full);
+        self.rate_limited += u32::from(result == AttemptResult::RateLimited);
     }
 
     /// Whether the next attempt may go to an endpoint that has not received the request. The route limits the endpoints
@@ -154,6 +159,8 @@
     Unavailable,
     /// No slot became free at any of the endpoints that were tried.
     Full,
+    /// The rate limits of all endpoints that were tried are used up.
+    RateLimited,
     /// It may have run, and must not run twice.
     MayHaveRun,
     /// As many endpoints have received it as its route allows.
@@ -188,6 +195,7 @@
             Self::SuspectContent => "suspect-content",
             Self::Unavailable => "nobody-there",
             Self::Full => "full",
+            Self::RateLimited => "rate-limited",
             Self::MayHaveRun => "may-have-run",
             Self::AttemptsUsedUp => "attempts-used-up",
             Self::NoCapacityDownstream => "no-capacity-downstream",
@@ -200,7 +208,7 @@
 
 impl FailedAttempt {
     /// Reasons to give up, in order of precedence, and whether each applies.
-    fn reasons_to_give_up(&self) -> [(bool, GiveUp); 11] {
+    fn reasons_to_give_up(&self) -> [(bool, GiveUp); 12] {
         [
             (self.is_stopped(), GiveUp::Stopping),
             (!self.is_body_kept, GiveUp::BodyNotKept),
@@ -209,6 +217,7 @@
             (self.might_crash_endpoint(), GiveUp::SuspectContent),
             (self.is_unavailable_too_often(), GiveUp::Unavailable),
             (self.is_full(), GiveUp::Full),
+            (self.is_rate_limited(), GiveUp::RateLimited),
             (self.must_not_run_again(), GiveUp::MayHaveRun),
             (self.has_used_up_attempts(), GiveUp::AttemptsUsedUp),
             (self.would_fail_downstream(), GiveUp::NoCapacityDownstream),
@@ -244,6 +253,11 @@
         self.result == AttemptResult::Full && self.counts.found_full > most
     }
 
+    fn is_rate_limited(&self) -> bool {
+        self.result == AttemptResult::RateLimited
+            && self.counts.rate_limited > MAX_REROUTES_WHEN_RATE_LIMITED
+    }
+
     fn must_not_run_again(&self) -> bool {
         !self.request.is_repeatable && !self.result.is_proved_not_run()
     }
--- a/crates/bramblewheel-decisions/tests/retry.rs
+++ b/crates/bramblewheel-decisions/tests/retry.rs
@@ -297,6 +297,7 @@
         arrived: 5,
         unavailable: 2,
         found_full: 1,
+        rate_limited: 1,
     };
     assert_eq!(counts, expected);
 }
--- a/crates/bramblewheel-proxy/src/daemon/parts.rs
+++ b/crates/bramblewheel-proxy/src/daemon/parts.rs
@@ -91,6 +91,7 @@
             in_progress: Default::default(),
             heartbeat_lines: Default::default(),
             statement_lines: Default::default(),
+            sender_statement_lines: Default::default(),
             stop: Default::default(),
             settings,
             clock,
--- a/crates/bramblewheel-proxy/src/http/exchange.rs
+++ b/crates/bramblewheel-proxy/src/http/exchange.rs
@@ -12,16 +12,19 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use std::convert::Infallible;
 use std::sync::Arc;
 
 /// Number of reused connections tried before a new one is opened; each may turn out to be closed.
 const MAX_REUSED_ATTEMPTS: usize = 2;
 
 /// Why there is no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoAnswer {
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NoAnswer<Refusal = Infallible> {
     /// No byte of the request was sent.
     NotSent,
+    /// The request was refused right before it was sent.
+    Refused(Refusal),
     /// The request may have been received; the connection broke before its answer.
     Lost,
 }
@@ -153,16 +156,16 @@
     }
 }
 
-/// Sends a request and waits for the head of its answer. `set_headers` is called right before sending, for headers
-/// that depend on the remaining time.
+/// Sends a request and waits for the head of its answer. `before_send` is called right before each transmission; it sets
+/// headers that depend on the remaining time, and may refuse the transmission.
 ///
 /// # Errors
 /// [`NoAnswer`], which tells whether the request may have been received.
-pub async fn send(
+pub async fn send<Refusal>(
     pool: &Arc<Pool>,
     outgoing: &mut Outgoing,
-    set_headers: impl Fn(&mut HeaderMap),
-) -> Result<Received, NoAnswer> {
+    before_send: impl Fn(&mut HeaderMap) -> Result<(), Refusal>,
+) -> Result<Received, NoAnswer<Refusal>> {
     for attempt in 0..=MAX_REUSED_ATTEMPTS {
         let lease = if attempt < MAX_REUSED_ATTEMPTS {
             pool.acquire().await
@@ -170,8 +173,13 @@
             pool.open().await
         };
         let mut lease = lease.map_err(|_| NoAnswer::NotSent)?;
+        let mut headers = outgoing.headers.clone();
+        if let Err(refusal) = before_send(&mut headers) {
+            lease.give_back_unused();
+            return Err(NoAnswer::Refused(refusal));
+        }
         let body = outgoing.body.take(&lease).ok_or(NoAnswer::Lost)?;
-        let request = build(outgoing, body, &set_headers);
+        let request = build(outgoing, headers, body);
         match lease.sender().try_send_request(request).await {
             Ok(response) => return Ok(received(lease, response)),
             // The request was returned unsent: a reused connection was being closed.
@@ -189,16 +197,11 @@
     Err(NoAnswer::NotSent)
 }
 
-fn build(
-    outgoing: &Outgoing,
-    body: RequestBody,
-    set_headers: &impl Fn(&mut HeaderMap),
-) -> Request<RequestBody> {
+fn build(outgoing: &Outgoing, headers: HeaderMap, body: RequestBody) -> Request<RequestBody> {
     let mut request = Request::new(body);
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.target.clone();
-    *request.headers_mut() = outgoing.headers.clone();
-    set_headers(request.headers_mut());
+    *request.headers_mut() = headers;
     request
 }
 
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::shared::Shared;
 use crate::wire::{AnswerReport, AttemptResult, Handover};
 use bramblewheel_decisions::decaying_share::whole_percent;
+use bramblewheel_decisions::exemption::is_exempt_from_refusal;
 use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_types::{ServiceName, Timestamp};
 use http::{HeaderMap, HeaderValue};
@@ -68,6 +69,7 @@
 ) -> AttemptOutcome {
     let id = shared.settings.dialect.id(&outgoing.headers);
     let is_likely_nested = record_caller(shared, handover, id) || handover.is_likely_nested;
+    statements::adopt_limit(shared, handover, id);
     let RunOutcome {
         dispatched,
         full_downstream,
@@ -88,6 +90,7 @@
         is_likely_nested,
         full_downstream,
         bound_used_percent: whole_percent(used),
+        rate_limit: shared.local.limit_report(now, handover),
     };
     AttemptOutcome { dispatched, report }
 }
@@ -156,7 +159,11 @@
         .await;
     let mut permit = match admitted {
         Ok(permit) => permit,
-        Err(refusal) => return refused(shared, handover, outgoing, refusal).into(),
+        Err(refusal) => {
+            let id = shared.settings.dialect.id(&outgoing.headers);
+            let result = refused(shared, handover, id, refusal);
+            return DispatchOutcome::Unanswered(result).into();
+        }
     };
     let Some(id) = shared.settings.dialect.id(&outgoing.headers).cloned() else {
         return DispatchOutcome::Unanswered(AttemptResult::Leaving).into();
@@ -173,6 +180,7 @@
         handover,
         id,
         deadline,
+        is_exempt: is_exempt_from_refusal(handover.rank, is_likely_nested),
     };
     match run.send(&mut permit, outgoing, progress).await {
         Ok(received) => run.read(permit, received).await,
@@ -186,6 +194,8 @@
     handover: &'a Handover,
     id: HeaderValue,
     deadline: Timestamp,
+    /// Whether it may take the last token of the endpoint's rate limit.
+    is_exempt: bool,
 }
 
 impl AdmittedRun<'_> {
@@ -210,12 +220,16 @@
         }
         let sent = tokio::select! {
             biased;
-            sent = exchange::send(&pool, outgoing, |headers| self.set_headers(headers)) => sent,
+            sent = exchange::send(&pool, outgoing, |headers| self.before_send(headers)) => sent,
             // Connections to an earlier incarnation that fell silent may stay open without ever carrying an answer.
             () = shared.local.until_later_start(&handover.endpoint) => Err(NoAnswer::Lost),
         };
         sent.map_err(|error| match error {
             NoAnswer::NotSent => self.endpoint_unreachable(permit),
+            NoAnswer::Refused(refusal) => {
+                permit.mark_not_sent();
+                refused(shared, handover, Some(&self.id), refusal)
+            }
             NoAnswer::Lost => {
                 probe_for_crash(shared, &handover.endpoint, permit.address);
                 self.answer_lost("connection")
@@ -223,6 +237,22 @@
         })
     }
 
+    /// Takes a token of the endpoint's rate limit and sets the headers that the endpoint expects.
+    ///
+    /// # Errors
+    /// [`Refusal`] if the request must not be sent.
+    fn before_send(&self, headers: &mut HeaderMap) -> Result<(), Refusal> {
+        let shared = self.shared;
+        let now = shared.clock.now();
+        let local = &shared.local;
+        let is_limited = local.begin_send(now, &self.handover.endpoint, self.is_exempt)?;
+        if is_limited {
+            shared.metrics.sent_under_rate_limit.inc();
+        }
+        self.set_headers(headers);
+        Ok(())
+    }
+
     /// Sets the headers that the endpoint expects, with the remaining time as of now.
     fn set_headers(&self, headers: &mut HeaderMap) {
         let handover = self.handover;
@@ -250,10 +280,11 @@
         let kind = dialect.kind(head.status, &head.headers, &self.id);
         let is_own = matches!(kind, AnswerKind::Ran | AnswerKind::NotRun);
         let statement = is_own.then(|| dialect.statement(&head.headers));
+        let answered = permit.mark_answered(head.status.is_server_error(), statement);
         let AnsweredRequest {
             full_downstream,
             change,
-        } = permit.mark_answered(head.status.is_server_error(), statement);
+        } = answered;
         if let Some(statement) = statement {
             statements::record(
                 self.shared,
@@ -261,7 +292,7 @@
                 &self.id,
                 head,
                 statement,
-                &change,
+                change,
             );
         }
         let dispatched = match kind {
@@ -337,24 +368,27 @@
     true
 }
 
+/// Logs a refused request; returns the result of the attempt.
 fn refused(
     shared: &Shared,
     handover: &Handover,
-    outgoing: &Outgoing,
+    id: Option<&HeaderValue>,
     refusal: Refusal,
-) -> DispatchOutcome {
+) -> AttemptResult {
     let result = match refusal {
         Refusal::Full => AttemptResult::Full,
+        Refusal::RateLimited(refusal) => {
+            return statements::rate_limited(shared, handover, id, &refusal);
+        }
         Refusal::Leaving => AttemptResult::Leaving,
         Refusal::Unreachable => AttemptResult::Unreachable,
     };
-    let id = shared.settings.dialect.id(&outgoing.headers);
     let load = shared.local.load(shared.clock.now());
     slog::info!(shared.log, "not admitted"; "id" => id.map_or("", id_text),
         "endpoint" => %handover.endpoint, "reason" => result.as_str(), "rank" => handover.rank,
         "busy" => load.busy, "limit" => load.limit,
         "route_limit" => shared.local.class_limit(handover.class));
-    DispatchOutcome::Unanswered(result)
+    result
 }
 
 /// A request id as text for log lines; `?` if it is not visible ASCII.
--- a/crates/bramblewheel-proxy/src/inbound/statements.rs
+++ b/crates/bramblewheel-proxy/src/inbound/statements.rs
@@ -7,15 +7,23 @@
 use crate::inbound::dispatch::id_text;
 use crate::local::StatementChange;
 use crate::shared::Shared;
-use crate::wire::Handover;
-use bramblewheel_decisions::endpoint_limit::LimitChange;
-use bramblewheel_types::RateLimit;
+use crate::wire::{AttemptResult, Handover};
+use bramblewheel_decisions::endpoint_limit::{LimitChange, RateRefusal};
+use bramblewheel_types::Millis;
 use http::HeaderValue;
 use http::response::Parts;
 
 /// Most bytes of a value that can't be read that are logged.
 const MAX_LOGGED_BYTES: usize = 32;
 
+/// Adopts the endpoint's rate limit as the sender of a request knows it.
+pub(super) fn adopt_limit(shared: &Shared, handover: &Handover, id: Option<&HeaderValue>) {
+    let now = shared.clock.now();
+    if let Some(change) = shared.local.adopt_limit(now, handover) {
+        log_limit(shared, handover, id, change);
+    }
+}
+
 /// Logs what follows from the endpoint's statement.
 pub(super) fn record(
     shared: &Shared,
@@ -23,10 +31,10 @@
     id: &HeaderValue,
     head: &Parts,
     statement: EndpointStatement,
-    change: &StatementChange,
+    change: StatementChange,
 ) {
     if let Some(change) = change.limit {
-        log_limit(shared, handover, id, change);
+        log_limit(shared, handover, Some(id), change);
     }
     if change.has_begun_draining {
         slog::info!(shared.log, "endpoint drains by its answer"; "id" => id_text(id),
@@ -43,20 +51,37 @@
     }
 }
 
-fn log_limit(shared: &Shared, handover: &Handover, id: &HeaderValue, change: LimitChange) {
+/// Logs and counts a request that is refused for the endpoint's rate limit; returns the result of the attempt.
+pub(super) fn rate_limited(
+    shared: &Shared,
+    handover: &Handover,
+    id: Option<&HeaderValue>,
+    refusal: &RateRefusal,
+) -> AttemptResult {
+    let result = AttemptResult::RateLimited;
+    shared.metrics.rate_limited.inc();
+    slog::info!(shared.log, "not admitted"; "id" => id.map_or("", id_text),
+        "endpoint" => %handover.endpoint, "reason" => result.as_str(), "rank" => handover.rank,
+        "rate_limit" => %refusal.known.limit, "rate_limit_age_ms" => Millis::of(refusal.known.age).0,
+        "next_token_ms" => Millis::of(refusal.next_token).0);
+    result
+}
+
+fn log_limit(shared: &Shared, handover: &Handover, id: Option<&HeaderValue>, change: LimitChange) {
     let now = shared.clock.now();
     let Some(left_out) = shared.statement_lines.count(now, change.as_str()) else {
         return;
     };
+    let age = handover.known_limit.map(|known| Millis::of(known.age).0);
     let (before, limit) = match change {
-        LimitChange::Stated(limit) => (None, Some(limit)),
+        LimitChange::Stated(limit) | LimitChange::Adopted(limit) => (None, Some(limit)),
         LimitChange::Changed { before, now } => (Some(before), Some(now)),
         LimitChange::Lifted(before) => (Some(before), None),
     };
-    let text = |limit: Option<RateLimit>| limit.map(|limit| limit.to_string());
-    slog::info!(shared.log, "endpoint rate limit"; "id" => id_text(id),
+    let text = |limit: Option<bramblewheel_types::RateLimit>| limit.map(|limit| limit.to_string());
+    slog::info!(shared.log, "endpoint rate limit"; "id" => id.map_or("", id_text),
         "endpoint" => %handover.endpoint, "change" => change.as_str(), "limit" => text(limit),
-        "before" => text(before), "left_out" => left_out);
+        "before" => text(before), "sender_age_ms" => age, "left_out" => left_out);
 }
 
 fn log_invalid(
--- a/crates/bramblewheel-proxy/src/local/admission.rs
+++ b/crates/bramblewheel-proxy/src/local/admission.rs
@@ -1,7 +1,7 @@
 //! Admission of requests to slots at the local endpoint.
 //!
-//! A request is refused at once if the endpoint takes no work or the limit of its class is reached. Otherwise it
-//! runs, or waits in a queue ordered by root rank and deadline. Exemptions from the limit of a class are in
+//! A request is refused at once if the endpoint takes no work, its rate limit is used up or the limit of its class is
+//! reached. Otherwise it runs, or waits in a queue ordered by root rank and deadline. Exemptions from the limit of a class are in
 //! [`bramblewheel_decisions::exemption`], the rule of the queue in [`bramblewheel_decisions::admission`]. Refusals
 //! appear in the log line `not admitted`.
 
@@ -43,7 +43,7 @@
             is_limited: !is_exempt_from_refusal(handover.rank, is_likely_nested),
         };
         let started_at = clock.now();
-        let accepted = self.accept(clock.now(), handover, class_entry, until)?;
+        let accepted = self.accept(started_at, handover, class_entry, until)?;
         if let Some((position, admission)) = accepted.waiting {
             let mut waiting = WaitingRequest {
                 local: self,
@@ -77,6 +77,10 @@
         if let Some(refusal) = state.refusal(&handover.endpoint, now) {
             return Err(refusal);
         }
+        if let Some(current) = &mut state.current {
+            let checked = current.rate_limit.check(now, !class_entry.is_limited);
+            checked.map_err(Refusal::RateLimited)?;
+        }
         if !state.begin_in_class(now, class_entry) {
             return Err(Refusal::Full);
         }
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -21,6 +21,7 @@
 use bramblewheel_decisions::decaying_share::whole_percent;
 use bramblewheel_decisions::directory::LoadReport;
 use bramblewheel_decisions::endpoint_crash::EndpointCrash;
+use bramblewheel_decisions::endpoint_limit::{EndpointLimit, RateRefusal};
 use bramblewheel_decisions::incarnations::HeartbeatOrigin;
 use bramblewheel_decisions::machine_identity::{IdentityMismatch, MachineIdentity};
 use bramblewheel_decisions::request_class::RequestClass;
@@ -29,6 +30,7 @@
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, ServiceName, Timestamp};
 use state::{CallWithoutCapacity, CurrentEndpoint, State};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -36,10 +38,12 @@
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
 
 /// Why a request is not sent to the endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Refusal {
     /// No slot became free in time.
     Full,
+    /// The endpoint's rate limit is used up.
+    RateLimited(RateRefusal),
     /// The endpoint is missing or draining, or the daemon is stopping.
     Leaving,
     /// A recent connection to the endpoint failed.
@@ -89,14 +93,18 @@
     /// Changed only under the lock of `state`, so that a record is checked and taken under the same identity.
     identity: ArcSwap<MachineIdentity>,
     state: Mutex<State>,
+    /// Whether the state must be asked right before a request is sent.
+    must_check_sends: Arc<AtomicBool>,
 }
 
 impl LocalEndpoint {
     /// Creates the endpoint of a machine, before its first heartbeat.
     pub fn new(identity: MachineIdentity) -> Self {
+        let state = State::default();
         Self {
             identity: ArcSwap::from_pointee(identity),
-            state: Mutex::default(),
+            must_check_sends: Arc::clone(&state.must_check_sends),
+            state: Mutex::new(state),
         }
     }
 
@@ -194,7 +202,7 @@
             is_confirmed: true,
             last_heartbeat: None,
             unreachable_until: Timestamp::ZERO,
-            rate_limit: Default::default(),
+            rate_limit: EndpointLimit::default(),
             has_drain_notice: false,
         });
         Ok(())
--- a/crates/bramblewheel-proxy/src/local/state.rs
+++ b/crates/bramblewheel-proxy/src/local/state.rs
@@ -10,13 +10,15 @@
 use bramblewheel_decisions::class_limit::{Answered, ClassLimit};
 use bramblewheel_decisions::decaying_share::DecayingShare;
 use bramblewheel_decisions::endpoint_crash::{CrashesByContent, UnansweredRequests};
-use bramblewheel_decisions::endpoint_limit::StatedLimit;
+use bramblewheel_decisions::endpoint_limit::EndpointLimit;
 use bramblewheel_decisions::incarnations::{HeartbeatOrigin, Incarnations};
 use bramblewheel_decisions::request_class::RequestClass;
 use bramblewheel_decisions::running_requests::RunningRequests;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, ServiceName, Timestamp};
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 
@@ -41,7 +43,7 @@
     /// Time until which nothing is sent to it.
     pub(super) unreachable_until: Timestamp,
     /// The rate limit that it states.
-    pub(super) rate_limit: StatedLimit,
+    pub(super) rate_limit: EndpointLimit,
     /// Whether it has stated in an answer that it drains.
     pub(super) has_drain_notice: bool,
 }
@@ -84,6 +86,8 @@
     /// Number of crashed incarnations by content that was running.
     pub(super) crashes_by_content: CrashesByContent,
     pub(super) crash_probe: CrashProbe,
+    /// Whether the endpoint has a rate limit, so that each request is checked right before it is sent.
+    pub(super) must_check_sends: Arc<AtomicBool>,
 }
 
 /// State of the crash probe that runs after connections broke.
@@ -111,6 +115,14 @@
         self.newest
             .send_replace(Some(current.record.endpoint.clone()));
         self.current = Some(current);
+        self.update_send_checks();
+    }
+
+    /// Updates whether requests must be checked right before they are sent.
+    pub(super) fn update_send_checks(&self) {
+        let is_limited = |current: &CurrentEndpoint| current.rate_limit.is_in_force();
+        let must_check = self.current.as_ref().is_some_and(is_limited);
+        self.must_check_sends.store(must_check, Ordering::Relaxed);
     }
 
     /// Counts a request in its class; returns whether the limit of the class allows it.
@@ -260,7 +272,7 @@
             is_confirmed: false,
             last_heartbeat: Some(now),
             unreachable_until: Timestamp::ZERO,
-            rate_limit: StatedLimit::default(),
+            rate_limit: EndpointLimit::default(),
             has_drain_notice: false,
         });
         HeartbeatResult::Changed
--- a/crates/bramblewheel-proxy/src/local/statements.rs
+++ b/crates/bramblewheel-proxy/src/local/statements.rs
@@ -1,11 +1,14 @@
 //! What the local endpoint states of itself in its answers: a rate limit, or that it drains.
 //!
-//! Which statement is in force is decided in [`bramblewheel_decisions::endpoint_limit`].
+//! The rule of the limit is in [`bramblewheel_decisions::endpoint_limit`].
 
 use super::state::{CurrentEndpoint, State};
+use super::{LocalEndpoint, Refusal};
 use crate::dialect::{DrainStatement, EndpointStatement};
+use crate::wire::{Handover, LimitReport};
 use bramblewheel_decisions::endpoint_limit::LimitChange;
 use bramblewheel_types::{EndpointId, Timestamp};
+use std::sync::atomic::Ordering;
 
 /// Change that follows from a statement of the endpoint.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -16,6 +19,53 @@
     pub has_begun_draining: bool,
 }
 
+impl LocalEndpoint {
+    /// Checks, right before a request is sent to an incarnation, that the endpoint's rate
+    /// limit allows one more request; takes the request's token. Returns whether a limit is in force.
+    ///
+    /// # Errors
+    /// [`Refusal`] if the request must not be sent.
+    pub fn begin_send(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        is_exempt: bool,
+    ) -> Result<bool, Refusal> {
+        if !self.must_check_sends.load(Ordering::Relaxed) {
+            return Ok(false);
+        }
+        let mut state = self.lock();
+        let current = state.current_mut(endpoint).ok_or(Refusal::Leaving)?;
+        let taken = current.rate_limit.take(now, is_exempt);
+        taken.map_err(Refusal::RateLimited)
+    }
+
+    /// Adopts the rate limit that the sender of a request knows, unless this daemon knows better.
+    pub fn adopt_limit(&self, now: Timestamp, handover: &Handover) -> Option<LimitChange> {
+        let known = handover.known_limit?;
+        let mut state = self.lock();
+        let current = state.current_mut(&handover.endpoint)?;
+        let change = current.rate_limit.adopt(now, known);
+        state.update_send_checks();
+        change
+    }
+
+    /// What the sender of a request is told of the endpoint's rate limit: nothing if there is none and the sender knows
+    /// of none, or if the request is for another incarnation.
+    pub fn limit_report(&self, now: Timestamp, handover: &Handover) -> Option<LimitReport> {
+        let is_known = handover.known_limit.is_some();
+        if !is_known && !self.must_check_sends.load(Ordering::Relaxed) {
+            return None;
+        }
+        let mut state = self.lock();
+        let current = state.current_mut(&handover.endpoint)?;
+        match current.rate_limit.in_force(now) {
+            Some(known) => Some(LimitReport::Limited(known)),
+            None => is_known.then_some(LimitReport::Unlimited),
+        }
+    }
+}
+
 impl State {
     /// The current endpoint if it is this incarnation.
     fn current_mut(&mut self, endpoint: &EndpointId) -> Option<&mut CurrentEndpoint> {
@@ -42,6 +92,9 @@
         let is_draining = statement.drain == DrainStatement::Draining;
         let has_begun_draining = is_draining && !current.has_drain_notice;
         current.has_drain_notice |= is_draining;
+        if limit.is_some() {
+            self.update_send_checks();
+        }
         StatementChange {
             limit,
             has_begun_draining,
--- a/crates/bramblewheel-proxy/src/metrics.rs
+++ b/crates/bramblewheel-proxy/src/metrics.rs
@@ -167,6 +167,13 @@
     /// Heartbeats of the endpoint that the control group did not record in time.
     pub unrecorded: Counter = Counter::default() =>
         "bramblewheel_unrecorded": "Words of the endpoint not recorded in time",
+    /// Requests refused for the rate limit of the local endpoint.
+    pub rate_limited: Counter = Counter::default() =>
+        "bramblewheel_rate_limited": "Requests refused for the rate limit of the local endpoint",
+    /// Requests sent to the local endpoint while it had a rate limit.
+    pub sent_under_rate_limit: Counter = Counter::default() =>
+        "bramblewheel_sent_under_rate_limit":
+        "Requests sent to the local endpoint while it had a rate limit",
     /// Statements of the local endpoint that can't be read.
     pub invalid_statements: Counter = Counter::default() =>
         "bramblewheel_invalid_statements":
--- a/crates/bramblewheel-proxy/src/outbound/attempt.rs
+++ b/crates/bramblewheel-proxy/src/outbound/attempt.rs
@@ -10,6 +10,7 @@
 use crate::outbound::caller_request::CallerRequest;
 use crate::outbound::hand_over::{HandedOver, HandoverRequest, PendingAnswer, hand_over};
 use crate::outbound::open_attempt::OpenAttempt;
+use crate::outbound::statements::record_statements;
 use crate::wire::{AnswerReport, Handover};
 use bramblewheel_decisions::attempt_result::AttemptResult;
 use bramblewheel_decisions::directory::{AttemptEnd, Choice};
@@ -82,7 +83,7 @@
         self.shared.metrics.attempt(result);
         let time = self.shared.clock.since(started_at);
         let end = result.attempt_end(has_failed, time);
-        self.record_report(choice, end, &report);
+        self.record_report(choice, started_at, end, &report);
         *lock(&self.last_report) = report;
     }
 
@@ -107,11 +108,18 @@
                 .map(|tenant_request| tenant_request.tenant.header.clone()),
             content: Some(self.content),
             retried_share: attempts.counts.retried_share(self.retried_share),
+            known_limit: choice.known_limit,
         }
     }
 
     /// Records how an attempt ended and what the daemon beside the endpoint reported.
-    fn record_report(&self, choice: &Choice, end: AttemptEnd, report: &AnswerReport) {
+    fn record_report(
+        &self,
+        choice: &Choice,
+        started_at: Timestamp,
+        end: AttemptEnd,
+        report: &AnswerReport,
+    ) {
         let route = &self.route.route.name;
         let now = self.shared.clock.now();
         let mut routing = self.shared.routing();
@@ -123,7 +131,15 @@
             bound.record_used_downstream(now, self.class, self.is_likely_nested, used);
         }
         let is_new = routing.record_nested(self.class, report);
+        let change = record_statements(
+            &mut routing.directory,
+            now,
+            &choice.endpoint,
+            started_at,
+            report,
+        );
         drop(routing);
+        self.log_statements(&choice.endpoint, &choice.daemon, change);
         if is_new {
             slog::info!(self.shared.log, "callers of route"; "route" => route,
                 "is_nested" => report.is_likely_nested, "told_by" => %choice.daemon, "last" => id_text(&self.id));
--- a/crates/bramblewheel-proxy/src/outbound/attempts.rs
+++ b/crates/bramblewheel-proxy/src/outbound/attempts.rs
@@ -11,6 +11,7 @@
 use crate::outbound::silent_attempts::{First, SilentAttempts};
 use bramblewheel_decisions::attempt_result::AttemptResult;
 use bramblewheel_decisions::directory::Choice;
+use bramblewheel_decisions::exemption::is_exempt_from_refusal;
 use bramblewheel_decisions::retry::{AfterFailure, AttemptCounts};
 use bramblewheel_decisions::retry_budget::FirstSend;
 use bramblewheel_process::invariants::lock;
@@ -89,7 +90,7 @@
                 AttemptedResult::Silent(answer) => {
                     attempts
                         .silent
-                        .add(&choice, self.shared.clock.now(), answer);
+                        .add(&choice, started_at, self.shared.clock.now(), answer);
                     (AttemptResult::Silent, false)
                 }
             };
@@ -146,8 +147,12 @@
         if result == AttemptResult::Rejected {
             attempts.record_rejected(&choice.endpoint);
         }
-        if result == AttemptResult::Full {
+        // A call without a token at any endpoint fails the request that made it.
+        let is_call_without_token = result == AttemptResult::RateLimited && self.is_likely_nested;
+        if result == AttemptResult::Full || is_call_without_token {
             *lock(&self.full_service) = Some(service.clone());
+        }
+        if result == AttemptResult::Full {
             attempts.waited += self.shared.clock.since(started_at);
         }
     }
@@ -209,7 +214,14 @@
         let routing = &mut *routing;
         let random = &mut routing.random;
         let route = &self.route.route.name;
-        routing.directory.choose(now, service, route, tried, random)
+        let directory = &mut routing.directory;
+        let is_exempt = is_exempt_from_refusal(self.rank, self.is_likely_nested);
+        let mut excluded = directory.paused_by_limits(now, service, is_exempt, random);
+        if excluded.is_empty() {
+            return directory.choose(now, service, route, tried, random);
+        }
+        excluded.extend_from_slice(tried);
+        directory.choose(now, service, route, &excluded, random)
     }
 
     fn choose_again(&self, rejected_by: &[EndpointId]) -> Option<Choice> {
--- a/crates/bramblewheel-proxy/src/outbound/caller_request.rs
+++ b/crates/bramblewheel-proxy/src/outbound/caller_request.rs
@@ -207,7 +207,11 @@
     fn refused_part(&self) -> f64 {
         let now = self.shared.clock.now();
         let routing = self.shared.routing();
-        routing.early_refusal.refused_part(now, self.class)
+        let refused_early = routing.early_refusal.refused_part(now, self.class);
+        let targets = self.route.route.targets.iter();
+        let over_limits =
+            targets.map(|target| routing.directory.part_over_limits(now, &target.service));
+        over_limits.fold(refused_early, f64::max)
     }
 }
 
--- a/crates/bramblewheel-proxy/src/outbound/hand_over.rs
+++ b/crates/bramblewheel-proxy/src/outbound/hand_over.rs
@@ -14,6 +14,7 @@
 use bramblewheel_decisions::directory::Choice;
 use bramblewheel_types::{Millis, Timestamp};
 use http::HeaderMap;
+use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -106,16 +107,19 @@
 ) -> AttemptOutcome {
     let clock = shared.clock;
     // The remaining time is computed when the request is sent.
-    let set_headers = |headers: &mut HeaderMap| {
+    let before_send = |headers: &mut HeaderMap| {
         let handover = Handover {
             remaining: clock.remaining_until(deadline),
             ..handover.clone()
         };
         handover.write(headers);
+        Ok::<(), Infallible>(())
     };
-    let received = match exchange::send(&pool, &mut outgoing, set_headers).await {
+    let received = match exchange::send(&pool, &mut outgoing, before_send).await {
         Ok(received) => received,
-        Err(NoAnswer::NotSent) => return without_report(AttemptResult::Unreachable),
+        Err(NoAnswer::NotSent) => {
+            return without_report(AttemptResult::Unreachable);
+        }
         Err(NoAnswer::Lost) => return without_report(AttemptResult::Lost),
     };
     shared.liveness.record_answer(daemon, clock.now());
--- a/crates/bramblewheel-proxy/src/outbound/liveness.rs
+++ b/crates/bramblewheel-proxy/src/outbound/liveness.rs
@@ -21,6 +21,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -295,7 +296,7 @@
         headers: HeaderMap::new(),
         body: OutgoingBody::Whole(Bytes::new()),
     };
-    let sent = exchange::send(pool, &mut ping, |_| ()).await;
+    let sent = exchange::send(pool, &mut ping, |_| Ok::<(), Infallible>(())).await;
     let received = sent.map_err(|error| match error {
         NoAnswer::NotSent => ProbeFailure::NotConnected,
         NoAnswer::Lost => ProbeFailure::Closed,
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -21,6 +21,7 @@
 mod reply;
 mod retry;
 mod silent_attempts;
+mod statements;
 mod stopping;
 
 use crate::http::body::AnswerBody;
--- a/crates/bramblewheel-proxy/src/outbound/silent_attempts.rs
+++ b/crates/bramblewheel-proxy/src/outbound/silent_attempts.rs
@@ -22,6 +22,7 @@
 struct SilentAttempt {
     endpoint: EndpointId,
     daemon: DaemonId,
+    sent_at: Timestamp,
     silent_since: Timestamp,
     answer: PendingAnswer,
 }
@@ -34,6 +35,7 @@
 pub(super) struct LateEnd {
     endpoint: EndpointId,
     daemon: DaemonId,
+    sent_at: Timestamp,
     silent_since: Timestamp,
     outcome: AttemptOutcome,
 }
@@ -47,11 +49,18 @@
 }
 
 impl SilentAttempts {
-    /// Adds an attempt whose daemon counts as silent from now on.
-    pub(super) fn add(&mut self, choice: &Choice, now: Timestamp, answer: PendingAnswer) {
+    /// Adds an attempt that began at `sent_at`, whose daemon counts as silent from now on.
+    pub(super) fn add(
+        &mut self,
+        choice: &Choice,
+        sent_at: Timestamp,
+        now: Timestamp,
+        answer: PendingAnswer,
+    ) {
         self.0.push(SilentAttempt {
             endpoint: choice.endpoint.clone(),
             daemon: choice.daemon.clone(),
+            sent_at,
             silent_since: now,
             answer,
         });
@@ -74,6 +83,7 @@
                 return Poll::Ready(LateEnd {
                     endpoint: ended.endpoint,
                     daemon: ended.daemon,
+                    sent_at: ended.sent_at,
                     silent_since: ended.silent_since,
                     outcome,
                 });
@@ -125,8 +135,9 @@
     /// Records the end of an attempt at a daemon that counted as silent. Returns an answer with success; one with an
     /// error replaces `error`.
     fn take_answer(&self, late: LateEnd, error: &mut Option<Box<Answer>>) -> Option<Box<Answer>> {
-        let dispatched = late.outcome.dispatched;
+        let AttemptOutcome { dispatched, report } = late.outcome;
         let result = dispatched.result();
+        self.record_late_statements(&late.endpoint, &late.daemon, late.sent_at, &report);
         self.shared.metrics.answer_after_silence(result);
         slog::info!(self.shared.log, "silent daemon answered"; "id" => id_text(&self.id),
             "daemon" => %late.daemon, "endpoint" => %late.endpoint, "result" => result.as_str(),
--- a/crates/bramblewheel-proxy/src/shared.rs
+++ b/crates/bramblewheel-proxy/src/shared.rs
@@ -111,6 +111,8 @@
     pub heartbeat_lines: LineLimit,
     /// Limit on log lines about statements of the endpoint.
     pub statement_lines: LineLimit,
+    /// Limit on log lines about statements that other daemons report.
+    pub sender_statement_lines: LineLimit,
     /// Planned stop of the daemon.
     pub stop: PlannedStop,
     /// Log.
--- a/crates/bramblewheel-proxy/src/wire.rs
+++ b/crates/bramblewheel-proxy/src/wire.rs
@@ -5,6 +5,7 @@
 
 use crate::http::fields::set_or_remove;
 use bramblewheel_decisions::directory::LoadReport;
+use bramblewheel_decisions::endpoint_limit::KnownLimit;
 use bramblewheel_decisions::request_class::RequestClass;
 use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_types::{EndpointId, Millis, ServiceName};
@@ -45,11 +46,19 @@
 const FULL_DOWNSTREAM: HeaderName = HeaderName::from_static("bw-short-below");
 /// On an answer: used share of the bound on retries for the endpoint's calls, in percent.
 const BOUND_USED: HeaderName = HeaderName::from_static("bw-bound-used");
+/// On a request: rate limit of the endpoint as the caller's daemon knows it, and its age in milliseconds, separated by a
+/// comma. On an answer: the same as the daemon beside the endpoint knows it, or `none`.
+const RATE_LIMIT: HeaderName = HeaderName::from_static("bw-known-rate-limit");
+/// On an answer with the result `full`: the endpoint's rate limit is used up. Daemons of earlier versions read the result
+/// only.
+const RATE_LIMITED: HeaderName = HeaderName::from_static("bw-rate-limited");
 /// Load of the endpoint: busy slots, limit and percentage of failures, separated by commas.
 const LOAD: HeaderName = HeaderName::from_static("bw-load");
 
 /// Value of headers whose presence is their meaning.
 const PRESENT: &str = "1";
+/// Value of the rate limit's header on an answer if there is none.
+const NO_LIMIT: &str = "none";
 
 /// Data that a daemon hands over with a request to the daemon beside the endpoint.
 #[derive(Clone, Debug, PartialEq)]
@@ -80,6 +89,9 @@
     /// Share of the request, 0 to 1, that counts as a retry: 1 if an endpoint got it before, otherwise the retried
     /// share of the run that makes it. Header `bw-repeated`, in thousandths; 0 if it is missing.
     pub retried_share: f64,
+    /// Rate limit of the endpoint as the sender knows it; header `bw-known-rate-limit`. `None` if it knows none, if the
+    /// header is missing or invalid.
+    pub known_limit: Option<KnownLimit>,
 }
 
 /// A request from another daemon lacks a required header or has an invalid one.
@@ -109,6 +121,8 @@
         set_or_remove(headers, &NESTED, nested.as_ref());
         let retried_share = retried_share_value(self.retried_share);
         set_or_remove(headers, &RETRIED_SHARE, retried_share.as_ref());
+        let known_limit = self.known_limit.map(known_limit_value);
+        set_or_remove(headers, &RATE_LIMIT, known_limit.as_ref());
     }
 
     /// Removes headers that only daemons may set from a request of a caller.
@@ -126,6 +140,7 @@
             NESTED,
             CONTENT,
             RETRIED_SHARE,
+            RATE_LIMIT,
         ] {
             headers.remove(name);
         }
@@ -172,6 +187,10 @@
             tenant: headers.remove(TENANT),
             content: read_content(headers.remove(CONTENT))?,
             retried_share: read_retried_share(headers.remove(RETRIED_SHARE))?,
+            known_limit: headers
+                .remove(RATE_LIMIT)
+                .as_ref()
+                .and_then(read_known_limit),
         })
     }
 }
@@ -218,6 +237,34 @@
     digest.map(Some).ok_or(InvalidHandover("bw-content"))
 }
 
+fn known_limit_value(known: KnownLimit) -> HeaderValue {
+    let text = format!("{},{}", known.limit, Millis::of(known.age).0);
+    HeaderValue::try_from(text).expect("numbers consist of visible ASCII")
+}
+
+fn read_known_limit(value: &HeaderValue) -> Option<KnownLimit> {
+    let (limit, age) = value.to_str().ok()?.split_once(',')?;
+    Some(KnownLimit {
+        limit: limit.parse().ok()?,
+        age: Duration::from_millis(age.parse().ok()?),
+    })
+}
+
+fn limit_report_value(report: LimitReport) -> HeaderValue {
+    match report {
+        LimitReport::Unlimited => HeaderValue::from_static(NO_LIMIT),
+        LimitReport::Limited(known) => known_limit_value(known),
+    }
+}
+
+/// An invalid report counts as missing.
+fn read_limit_report(value: &HeaderValue) -> Option<LimitReport> {
+    if value.as_bytes() == NO_LIMIT.as_bytes() {
+        return Some(LimitReport::Unlimited);
+    }
+    read_known_limit(value).map(LimitReport::Limited)
+}
+
 fn millis(duration: Duration) -> HeaderValue {
     HeaderValue::from(Millis::of(duration).0)
 }
@@ -246,8 +293,17 @@
     })
 }
 
+/// What the daemon beside the endpoint knows of the endpoint's rate limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LimitReport {
+    /// It has none.
+    Unlimited,
+    /// The limit in force.
+    Limited(KnownLimit),
+}
+
 /// Report of the daemon beside the endpoint, sent with an answer in addition to the result of the attempt.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerReport {
     /// Load of the endpoint; `None` if it is missing or invalid.
     pub load: Option<LoadReport>,
@@ -259,12 +315,25 @@
     /// Used share of the bound on retries for the endpoint's calls, in percent; header `bw-bound-used`, 0 if it is
     /// missing or invalid.
     pub bound_used_percent: u32,
+    /// Rate limit of the endpoint; header `bw-known-rate-limit`. `None` if there is none and the sender of the request
+    /// knew of none.
+    pub rate_limit: Option<LimitReport>,
 }
 
 impl AnswerReport {
     /// Sets the headers of an answer to an attempt with this result.
     pub fn write(&self, result: AttemptResult, headers: &mut HeaderMap) {
-        headers.insert(RESULT, HeaderValue::from_static(result.as_str()));
+        let present = |holds: bool| holds.then(|| HeaderValue::from_static(PRESENT));
+        let is_rate_limited = result == AttemptResult::RateLimited;
+        let stated = if is_rate_limited {
+            AttemptResult::Full
+        } else {
+            result
+        };
+        headers.insert(RESULT, HeaderValue::from_static(stated.as_str()));
+        set_or_remove(headers, &RATE_LIMITED, present(is_rate_limited).as_ref());
+        let rate_limit = self.rate_limit.map(limit_report_value);
+        set_or_remove(headers, &RATE_LIMIT, rate_limit.as_ref());
         if let Some(load) = self.load {
             let load = format!("{},{},{}", load.busy, load.limit, load.failed_percent);
             let load = HeaderValue::try_from(load).expect("numbers consist of visible ASCII");
@@ -288,7 +357,11 @@
     pub fn take(headers: &mut HeaderMap) -> Option<(AttemptResult, Self)> {
         let value = headers.remove(RESULT)?;
         let is_stated = |result: &AttemptResult| result.as_str().as_bytes() == value.as_bytes();
-        let result = AttemptResult::ALL.into_iter().find(is_stated)?;
+        let mut result = AttemptResult::ALL.into_iter().find(is_stated)?;
+        let is_rate_limited = headers.remove(RATE_LIMITED).is_some();
+        if is_rate_limited && result == AttemptResult::Full {
+            result = AttemptResult::RateLimited;
+        }
         let load = headers.remove(LOAD);
         let load = load.as_ref().and_then(|value| value.to_str().ok());
         let report = Self {
@@ -299,6 +372,10 @@
                 .as_ref()
                 .and_then(read_service),
             bound_used_percent: read_percent(headers.remove(BOUND_USED)),
+            rate_limit: headers
+                .remove(RATE_LIMIT)
+                .as_ref()
+                .and_then(read_limit_report),
         };
         Some((result, report))
     }
--- a/crates/bramblewheel-proxy/tests/pinned_metrics.rs
+++ b/crates/bramblewheel-proxy/tests/pinned_metrics.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Metrics of a daemon and their types, sorted by name.
-const METRICS: [&str; 29] = [
+const METRICS: [&str; 31] = [
     "bramblewheel_answers_after_silence counter",
     "bramblewheel_attempts counter",
     "bramblewheel_cancelled counter",
@@ -24,6 +24,7 @@
     "bramblewheel_over_quota counter",
     "bramblewheel_quarantined counter",
     "bramblewheel_quarantined_contents gauge",
+    "bramblewheel_rate_limited counter",
     "bramblewheel_refused_calls_of_repeats counter",
     "bramblewheel_refused_early counter",
     "bramblewheel_repeated_runs counter",
@@ -32,6 +33,7 @@
     "bramblewheel_requests counter",
     "bramblewheel_retry_bound_allowed gauge",
     "bramblewheel_retry_bound_used gauge",
+    "bramblewheel_sent_under_rate_limit counter",
     "bramblewheel_table_version gauge",
     "bramblewheel_timer_lateness_seconds histogram",
     "bramblewheel_unauthorized counter",
--- a/crates/bramblewheel-proxy/tests/pinned_wire.rs
+++ b/crates/bramblewheel-proxy/tests/pinned_wire.rs
@@ -1,15 +1,16 @@
 //! Headers between daemons don't change, in either direction: during a rolling restart, versions are mixed.
 
 use bramblewheel_decisions::directory::LoadReport;
+use bramblewheel_decisions::endpoint_limit::KnownLimit;
 use bramblewheel_decisions::request_class::RequestClass;
 use bramblewheel_protocol::content::ContentDigest;
-use bramblewheel_proxy::wire::{AnswerReport, AttemptResult, Handover};
+use bramblewheel_proxy::wire::{AnswerReport, AttemptResult, Handover, LimitReport};
 use bramblewheel_types::{EndpointId, ServiceName};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::time::Duration;
 
 /// A request with all headers.
-const FULL_REQUEST: [(&str, &str); 13] = [
+const FULL_REQUEST: [(&str, &str); 14] = [
     ("bw-endpoint", "kassa-1@1796256413478"),
     ("bw-rank", "1"),
     ("bw-root-rank", "2"),
@@ -22,6 +23,7 @@
     ("bw-content", "0123456789abcdef"),
     ("bw-nested", "1"),
     ("bw-repeated", "125"),
+    ("bw-known-rate-limit", "12.7,850"),
     ("x-other", "stays"),
 ];
 
@@ -37,12 +39,13 @@
 ];
 
 /// An answer with all headers.
-const FULL_ANSWER: [(&str, &str); 5] = [
+const FULL_ANSWER: [(&str, &str); 6] = [
     ("bw-result", "answered"),
     ("bw-load", "3,18,4"),
     ("bw-nested", "1"),
     ("bw-short-below", "lager"),
     ("bw-bound-used", "42"),
+    ("bw-known-rate-limit", "0.5,20"),
 ];
 
 const RESULTS: [(AttemptResult, &str); 9] = [
@@ -81,6 +84,14 @@
         tenant: Some(HeaderValue::from_static("stall-7")),
         content: Some(ContentDigest(0x0123_4567_89ab_cdef)),
         retried_share: 0.125,
+        known_limit: Some(known_limit("12.7", 850)),
+    }
+}
+
+fn known_limit(limit: &str, age_millis: u64) -> KnownLimit {
+    KnownLimit {
+        limit: limit.parse().expect("a limit"),
+        age: Duration::from_millis(age_millis),
     }
 }
 
@@ -93,6 +104,7 @@
         tenant: None,
         content: None,
         retried_share: 0.0,
+        known_limit: None,
         ..full_handover()
     }
 }
@@ -107,6 +119,7 @@
         is_likely_nested: true,
         full_downstream: Some(ServiceName::new("lager").expect("a name")),
         bound_used_percent: 42,
+        rate_limit: Some(LimitReport::Limited(known_limit("0.5", 20))),
     }
 }
 
@@ -147,6 +160,32 @@
     assert_eq!(taken, Some((AttemptResult::Answered, full_report())));
 }
 
+/// Daemons of earlier versions don't know this result and read that the endpoint is full.
+#[test]
+fn refusal_for_the_rate_limit_reads_as_full_at_earlier_versions() {
+    let recorded = [("bw-result", "full"), ("bw-rate-limited", "1")];
+    let mut written = HeaderMap::new();
+    AnswerReport::default().write(AttemptResult::RateLimited, &mut written);
+    assert_eq!(written, headers(&recorded));
+    let taken = AnswerReport::take(&mut headers(&recorded));
+    let expected = (AttemptResult::RateLimited, AnswerReport::default());
+    assert_eq!(taken, Some(expected));
+}
+
+#[test]
+fn daemon_without_a_limit_tells_a_sender_that_knows_one() {
+    let report = AnswerReport {
+        rate_limit: Some(LimitReport::Unlimited),
+        ..AnswerReport::default()
+    };
+    let recorded = [("bw-result", "answered"), ("bw-known-rate-limit", "none")];
+    let mut written = HeaderMap::new();
+    report.write(AttemptResult::Answered, &mut written);
+    assert_eq!(written, headers(&recorded));
+    let taken = AnswerReport::take(&mut headers(&recorded));
+    assert_eq!(taken, Some((AttemptResult::Answered, report)));
+}
+
 #[test]
 fn result_values_are_unchanged() {
     for (result, value) in RESULTS {
--- a/crates/bramblewheel-proxy/tests/wire.rs
+++ b/crates/bramblewheel-proxy/tests/wire.rs
@@ -22,6 +22,7 @@
         tenant: Some(HeaderValue::from_static("stall-7")),
         content: Some(ContentDigest(0x0123_4567_89ab_cdef)),
         retried_share: 0.125,
+        known_limit: None,
     }
 }
 
@@ -35,6 +36,7 @@
         is_likely_nested: true,
         full_downstream: Some(ServiceName::new("lager").expect("a name")),
         bound_used_percent: 42,
+        rate_limit: None,
     }
 }
 
