Test: call the daemon that sent the retry, whether or not its endpoint has read it

calls_of_a_retried_run_count_as_retries_at_the_daemon_beside_it failed once, beside a build, on: no call of a retried run was counted. The test waits for a daemon's count of retried runs, which rises before the request is written, then looked for the endpoint that has read it; if that had not happened yet it called daemon 0. It now calls the daemon whose count rose, and fails if there is none. The checks are as before.

--- a/crates/bramblewheel-proxy/tests/sockets/retry_bound.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/retry_bound.rs
@@ -32,8 +32,8 @@
     let (answer, daemon_beside) = tokio::join!(cluster.call(0, "/public/", "run"), async {
         wait_until(|| (0..2).any(|daemon| retried_runs(&cluster, daemon) > 0)).await;
         // The call's deadline is earlier than that of the run, so that the deadline doesn't identify its parent.
-        let daemon_beside = (0..2).rfind(|daemon| cluster.endpoints[*daemon].arrivals().len() > 1);
-        let daemon_beside = daemon_beside.unwrap_or(0);
+        let daemon_beside = (0..2).find(|daemon| retried_runs(&cluster, *daemon) > 0);
+        let daemon_beside = daemon_beside.expect("one sent the retry");
         let headers = [("bw-request-id", "call"), ("bw-remaining-ms", "400")];
         let call = cluster.call_with(daemon_beside, "/public/", &headers, Bytes::new());
         let _ = call.await;
