Close an endpoint that states in an answer that it drains

Cause: as with the rate limit, no process read the statement.

Change: the daemon beside the endpoint closes that incarnation at once, as a draining heartbeat does: what waits is offered elsewhere, the control group records it in the background, later ready heartbeats don't open it. It counts as final here only once the group has confirmed it, so that the acknowledgement of a draining heartbeat still says that the group knows. The notice goes to the sender with the daemon's report; the sender never chooses that incarnation again, by itself, also when the answer came from a daemon that counted as silent.

--- a/crates/bramblewheel-decisions/src/directory/mod.rs
+++ b/crates/bramblewheel-decisions/src/directory/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Rule: of the preferred endpoints and a few others that have not been tried yet, the one with the lowest cost is
 //! chosen. Ejected endpoints are chosen only if there is no other, and silent ones only if no endpoint accepts
-//! requests.
+//! requests. An endpoint that has stated in an answer that it drains is never chosen.
 //!
 //! Inputs: the endpoints' records (from the control group, as of the last update); this daemon's observations of each
 //! and the reports of their daemons (load at most 2 s old, failures at most 6 s old); a random part of the cost.
@@ -214,7 +214,8 @@
     ) -> Option<Choice> {
         self.order(service);
         let known = self.by_service.get(service)?;
-        let is_excluded = |id: &EndpointId| tried.contains(id);
+        let statements = &self.statements;
+        let is_excluded = |id: &EndpointId| tried.contains(id) || statements.is_draining(id);
         let candidates = candidates(known.choosable(), is_excluded, random);
         let means = self.candidate_means(now, &candidates);
         let ranked = candidates.into_iter().map(|id| {
@@ -233,13 +234,16 @@
         self.choose_endpoint(now, &id, route)
     }
 
-    /// Chooses this endpoint for a request of `route`; none if it is unknown.
+    /// Chooses this endpoint for a request of `route`; none if it is unknown or drains.
     pub fn choose_endpoint(
         &mut self,
         now: Timestamp,
         id: &EndpointId,
         route: &str,
     ) -> Option<Choice> {
+        if self.statements.is_draining(id) {
+            return None;
+        }
         let endpoint = self.endpoints.get_mut(id)?;
         endpoint.record_send(now, self.route_times.usual_seconds(route));
         Some(Choice {
@@ -273,7 +277,7 @@
         members.filter(is_paused).cloned().collect()
     }
 
-    /// Part of a service's requests, 0 to 1, that is not sent because all its endpoints have a rate limit.
+    /// Part of a service's requests, 0 to 1, that is not sent because all its endpoints have a rate limit or drain.
     pub fn part_over_limits(&self, now: Timestamp, service: &ServiceName) -> f64 {
         if self.statements.is_empty() {
             return 0.0;
@@ -297,6 +301,11 @@
         self.statements.record_limit(now, sent_at, endpoint, stated)
     }
 
+    /// Records that an endpoint has stated that it drains; returns whether that is new.
+    pub fn record_drain(&mut self, now: Timestamp, endpoint: &EndpointId) -> bool {
+        self.statements.record_drain(now, endpoint)
+    }
+
     /// Sorts a service's endpoints by this daemon's preference, after one has joined.
     fn order(&mut self, service: &ServiceName) {
         let Some(service) = self.by_service.get_mut(service) else {
--- a/crates/bramblewheel-decisions/src/directory/statements.rs
+++ b/crates/bramblewheel-decisions/src/directory/statements.rs
@@ -1,6 +1,7 @@
-//! Rate limits that endpoints have stated in answers to this daemon.
+//! What endpoints have stated of themselves in answers to this daemon: that they drain, or a rate limit.
 //!
-//! Rule: to an endpoint with a rate limit this daemon sends a part of its requests: the
+//! Rule: an endpoint that has stated that it drains gets no request from this daemon any more, whatever the control
+//! group or the endpoint's heartbeats say. To an endpoint with a rate limit this daemon sends a part of its requests: the
 //! part falls with each one that is refused for the limit and rises with each one that is not, and with time.
 //!
 //! Inputs: the reports of the daemons beside the endpoints; how this daemon's requests there ended.
@@ -8,7 +9,7 @@
 //! Reason: the daemon beside the endpoint may restart and forget, and the control group may be out of reach. The limit
 //! itself is kept beside the endpoint; the part only avoids requests that would be refused there.
 //!
-//! State: one entry for each endpoint with a limit.
+//! State: one entry for each endpoint that drains or has a limit.
 
 use crate::endpoint_limit::{KnownLimit, LimitChange, StatedLimit};
 use bramblewheel_types::{EndpointId, RateLimit, Timestamp};
@@ -54,6 +55,7 @@
 struct Entry {
     limit: StatedLimit,
     send_share: SendShare,
+    is_draining: bool,
     recorded: Timestamp,
 }
 
@@ -65,6 +67,7 @@
                 share: 1.0,
                 updated: now,
             },
+            is_draining: false,
             recorded: now,
         }
     }
@@ -77,6 +80,12 @@
 }
 
 impl Statements {
+    /// Records that an endpoint drains; returns whether that is new.
+    pub(super) fn record_drain(&mut self, now: Timestamp, endpoint: &EndpointId) -> bool {
+        let entry = self.entry(now, endpoint);
+        !std::mem::replace(&mut entry.is_draining, true)
+    }
+
     /// Records what an answer to a request sent at `sent_at` states of the endpoint's limit.
     pub(super) fn record_limit(
         &mut self,
@@ -90,7 +99,7 @@
         }
         let entry = self.entry(now, endpoint);
         let change = entry.limit.record_answer(now, sent_at, stated);
-        if entry.limit.in_force(now).is_none() {
+        if entry.limit.in_force(now).is_none() && !entry.is_draining {
             self.entries.remove(endpoint);
         }
         change
@@ -108,6 +117,12 @@
         }
     }
 
+    /// Whether the endpoint has stated that it drains.
+    pub(super) fn is_draining(&self, endpoint: &EndpointId) -> bool {
+        let entry = self.entries.get(endpoint);
+        entry.is_some_and(|entry| entry.is_draining)
+    }
+
     /// The endpoint's limit in force.
     pub(super) fn limit(&self, now: Timestamp, endpoint: &EndpointId) -> Option<KnownLimit> {
         self.entries.get(endpoint)?.limit.in_force(now)
@@ -116,6 +131,7 @@
     /// Part of the requests, 0 to 1, that may be sent to the endpoint.
     pub(super) fn send_share(&self, now: Timestamp, endpoint: &EndpointId) -> f64 {
         match self.entries.get(endpoint) {
+            Some(entry) if entry.is_draining => 0.0,
             Some(entry) if entry.limit.in_force(now).is_some() => entry.send_share.at(now),
             _ => 1.0,
         }
@@ -135,7 +151,10 @@
     }
 
     fn drop_oldest(&mut self) {
-        let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.recorded);
+        let oldest = self
+            .entries
+            .iter()
+            .min_by_key(|(_, entry)| (entry.is_draining, entry.recorded));
         if let Some(endpoint) = oldest.map(|(endpoint, _)| endpoint.clone()) {
             self.entries.remove(&endpoint);
         }
--- a/crates/bramblewheel-proxy/src/control/registrar.rs
+++ b/crates/bramblewheel-proxy/src/control/registrar.rs
@@ -59,6 +59,18 @@
     pub inbound: SocketAddr,
 }
 
+/// Queue of updates of the local endpoint's record that the control group must record.
+#[derive(Clone, Debug)]
+pub struct EndpointUpdates(mpsc::UnboundedSender<EndpointRecord>);
+
+impl EndpointUpdates {
+    /// Adds an update, which is recorded in the background.
+    pub fn push(&self, record: EndpointRecord) {
+        // Can't fail: the receiver lives as long as the daemon.
+        let _ = self.0.send(record);
+    }
+}
+
 /// Registers the local endpoint with the control group.
 #[derive(Debug)]
 pub struct Registrar {
@@ -68,7 +80,7 @@
     reporter: ContentReporter,
     endpoint_pools: Arc<Pools>,
     clock: Clock,
-    updates: mpsc::UnboundedSender<EndpointRecord>,
+    updates: EndpointUpdates,
     log: Logger,
 }
 
@@ -98,7 +110,7 @@
             reporter,
             endpoint_pools,
             clock,
-            updates: sender,
+            updates: EndpointUpdates(sender),
             log,
         });
         let record_task = RecordTask {
@@ -108,6 +120,11 @@
         (registrar, record_task)
     }
 
+    /// Queue of updates that the control group must record.
+    pub fn updates(&self) -> EndpointUpdates {
+        self.updates.clone()
+    }
+
     /// Applies the identity of this machine's endpoint from changed settings.
     pub fn set_identity(&self, identity: MachineIdentity) {
         let before = self.local.identity();
@@ -122,8 +139,7 @@
             return;
         };
         self.endpoint_pools.remove(displaced.endpoint_address);
-        // Can't fail: the receiver lives as long as the daemon.
-        let _ = self.updates.send(displaced);
+        self.updates.push(displaced);
     }
 
     /// Takes a heartbeat of an endpoint that takes work, and has a change recorded in the background.
@@ -138,8 +154,7 @@
         }
         self.log_heartbeat(&record, result);
         if result == HeartbeatResult::Changed {
-            // Can't fail: the receiver lives as long as the daemon.
-            let _ = self.updates.send(record);
+            self.updates.push(record);
         }
         result
     }
@@ -285,7 +300,7 @@
             && recorded.state == EndpointState::Silent
             && current.state == EndpointState::Ready;
         if is_recorded_silent && self.local.has_sent_heartbeat() {
-            let _ = self.updates.send(current);
+            self.updates.push(current);
         }
     }
 }
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -91,6 +91,7 @@
         full_downstream,
         bound_used_percent: whole_percent(used),
         rate_limit: shared.local.limit_report(now, handover),
+        is_draining: shared.local.has_drain_notice(&handover.endpoint),
     };
     AttemptOutcome { dispatched, report }
 }
--- a/crates/bramblewheel-proxy/src/inbound/statements.rs
+++ b/crates/bramblewheel-proxy/src/inbound/statements.rs
@@ -1,4 +1,4 @@
-//! Logs and counts what the local endpoint states of itself in its answers.
+//! Logs and counts what the local endpoint states of itself, and reports its draining to the control group.
 //!
 //! [`crate::local`] keeps the state. Statements that an endpoint repeats in each answer have no line; changes have one,
 //! with a limit on their number.
@@ -24,7 +24,7 @@
     }
 }
 
-/// Logs what follows from the endpoint's statement.
+/// Logs what follows from the endpoint's statement, and reports to the control group that it drains.
 pub(super) fn record(
     shared: &Shared,
     handover: &Handover,
@@ -36,9 +36,10 @@
     if let Some(change) = change.limit {
         log_limit(shared, handover, Some(id), change);
     }
-    if change.has_begun_draining {
+    if let Some(record) = change.draining {
         slog::info!(shared.log, "endpoint drains by its answer"; "id" => id_text(id),
-            "endpoint" => %handover.endpoint);
+            "endpoint" => %handover.endpoint, "sequence" => record.sequence);
+        shared.endpoint_updates.push(record);
     }
     let dialect = &shared.settings.dialect;
     if let Err(error) = statement.rate_limit {
--- a/crates/bramblewheel-proxy/src/local/state.rs
+++ b/crates/bramblewheel-proxy/src/local/state.rs
@@ -86,7 +86,7 @@
     /// Number of crashed incarnations by content that was running.
     pub(super) crashes_by_content: CrashesByContent,
     pub(super) crash_probe: CrashProbe,
-    /// Whether the endpoint has a rate limit, so that each request is checked right before it is sent.
+    /// Whether the endpoint has a rate limit or takes no work, so that each request is checked right before it is sent.
     pub(super) must_check_sends: Arc<AtomicBool>,
 }
 
@@ -120,9 +120,13 @@
 
     /// Updates whether requests must be checked right before they are sent.
     pub(super) fn update_send_checks(&self) {
-        let is_limited = |current: &CurrentEndpoint| current.rate_limit.is_in_force();
-        let must_check = self.current.as_ref().is_some_and(is_limited);
-        self.must_check_sends.store(must_check, Ordering::Relaxed);
+        let current = self.current.as_ref();
+        let is_unrestricted = current.is_some_and(|current| {
+            let takes_work = current.record.state == EndpointState::Ready;
+            takes_work && !current.rate_limit.is_in_force()
+        });
+        self.must_check_sends
+            .store(!is_unrestricted, Ordering::Relaxed);
     }
 
     /// Counts a request in its class; returns whether the limit of the class allows it.
@@ -231,6 +235,7 @@
         {
             current.record.state = final_state;
             self.refuse_waiting();
+            self.update_send_checks();
         }
         HeartbeatResult::Changed
     }
@@ -311,6 +316,7 @@
         {
             current.record.state = recorded;
             self.refuse_waiting();
+            self.update_send_checks();
         }
     }
 }
--- a/crates/bramblewheel-proxy/src/local/statements.rs
+++ b/crates/bramblewheel-proxy/src/local/statements.rs
@@ -1,12 +1,14 @@
 //! What the local endpoint states of itself in its answers: a rate limit, or that it drains.
 //!
-//! The rule of the limit is in [`bramblewheel_decisions::endpoint_limit`].
+//! The rule of the limit is in [`bramblewheel_decisions::endpoint_limit`]. A drain notice closes the incarnation that
+//! gave it at once, as a draining heartbeat does.
 
 use super::state::{CurrentEndpoint, State};
 use super::{LocalEndpoint, Refusal};
 use crate::dialect::{DrainStatement, EndpointStatement};
 use crate::wire::{Handover, LimitReport};
 use bramblewheel_decisions::endpoint_limit::LimitChange;
+use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, Timestamp};
 use std::sync::atomic::Ordering;
 
@@ -15,12 +17,12 @@
 pub struct StatementChange {
     /// Change of the rate limit in force.
     pub limit: Option<LimitChange>,
-    /// Whether it is the first statement that the endpoint drains.
-    pub has_begun_draining: bool,
+    /// Record of the endpoint as draining, to be sent to the control group, if the endpoint took work until now.
+    pub draining: Option<EndpointRecord>,
 }
 
 impl LocalEndpoint {
-    /// Checks, right before a request is sent to an incarnation, that the endpoint's rate
+    /// Checks, right before a request is sent to an incarnation, that the endpoint still takes work and that its rate
     /// limit allows one more request; takes the request's token. Returns whether a limit is in force.
     ///
     /// # Errors
@@ -36,6 +38,9 @@
         }
         let mut state = self.lock();
         let current = state.current_mut(endpoint).ok_or(Refusal::Leaving)?;
+        if current.record.state.is_final() {
+            return Err(Refusal::Leaving);
+        }
         let taken = current.rate_limit.take(now, is_exempt);
         taken.map_err(Refusal::RateLimited)
     }
@@ -64,6 +69,16 @@
             None => is_known.then_some(LimitReport::Unlimited),
         }
     }
+
+    /// Whether this incarnation has stated in an answer that it drains.
+    pub fn has_drain_notice(&self, endpoint: &EndpointId) -> bool {
+        if !self.must_check_sends.load(Ordering::Relaxed) {
+            return false;
+        }
+        let mut state = self.lock();
+        let current = state.current_mut(endpoint);
+        current.is_some_and(|current| current.has_drain_notice)
+    }
 }
 
 impl State {
@@ -89,15 +104,27 @@
             Ok(stated) => current.rate_limit.record_answer(now, sent_at, stated),
             Err(_) => None,
         };
-        let is_draining = statement.drain == DrainStatement::Draining;
-        let has_begun_draining = is_draining && !current.has_drain_notice;
-        current.has_drain_notice |= is_draining;
-        if limit.is_some() {
+        let draining = match statement.drain {
+            DrainStatement::Draining => self.record_drain_notice(endpoint),
+            DrainStatement::None | DrainStatement::Invalid => None,
+        };
+        if limit.is_some() || draining.is_some() {
             self.update_send_checks();
         }
-        StatementChange {
-            limit,
-            has_begun_draining,
+        StatementChange { limit, draining }
+    }
+
+    /// Closes an incarnation that drains; returns its record if it took work until now. The record counts as final only
+    /// once the control group has confirmed it.
+    fn record_drain_notice(&mut self, endpoint: &EndpointId) -> Option<EndpointRecord> {
+        let current = self.current_mut(endpoint)?;
+        current.has_drain_notice = true;
+        if current.record.state.is_final() {
+            return None;
         }
+        current.record.state = EndpointState::Draining;
+        let record = current.record.clone();
+        self.refuse_waiting();
+        Some(record)
     }
 }
--- a/crates/bramblewheel-proxy/src/outbound/statements.rs
+++ b/crates/bramblewheel-proxy/src/outbound/statements.rs
@@ -1,6 +1,8 @@
-//! Records what the daemon beside an endpoint reports of the endpoint's rate limit.
+//! Records what the daemon beside an endpoint reports of the endpoint's statements: that it drains, or its rate limit.
 //!
-//! The rule is in [`bramblewheel_decisions::directory`]. Appears in the log line `rate limit of an endpoint`.
+//! This daemon obeys them by itself, whether or not the control group and the daemon beside the endpoint remember them.
+//! The rule is in [`bramblewheel_decisions::directory`]. Appears in the log lines `endpoint drains` and `rate limit of
+//! an endpoint`.
 
 use crate::inbound::dispatch::id_text;
 use crate::outbound::caller_request::CallerRequest;
@@ -13,6 +15,7 @@
 #[derive(Debug, Default)]
 pub(super) struct StatementNews {
     limit: Option<LimitChange>,
+    has_begun_draining: bool,
 }
 
 /// Records the statements in the report on an attempt that began at `sent_at`.
@@ -29,7 +32,11 @@
         Some(LimitReport::Limited(known)) => Some(Some(known.limit)),
     };
     let limit = stated.and_then(|stated| directory.record_limit(now, sent_at, endpoint, stated));
-    StatementNews { limit }
+    let has_begun_draining = report.is_draining && directory.record_drain(now, endpoint);
+    StatementNews {
+        limit,
+        has_begun_draining,
+    }
 }
 
 impl CallerRequest<'_> {
@@ -56,6 +63,10 @@
         news: StatementNews,
     ) {
         let log = &self.shared.log;
+        if news.has_begun_draining {
+            slog::info!(log, "endpoint drains"; "id" => id_text(&self.id),
+                "endpoint" => %endpoint, "told_by" => %daemon);
+        }
         let Some(change) = news.limit else {
             return;
         };
--- a/crates/bramblewheel-proxy/src/shared.rs
+++ b/crates/bramblewheel-proxy/src/shared.rs
@@ -5,6 +5,7 @@
 use crate::control::content_reports::ContentReporter;
 use crate::control::group::ControlGroup;
 use crate::control::line_limit::LineLimit;
+use crate::control::registrar::EndpointUpdates;
 use crate::http::pool::Pools;
 use crate::in_progress::RequestsInProgress;
 use crate::local::LocalEndpoint;
@@ -113,6 +114,8 @@
     pub statement_lines: LineLimit,
     /// Limit on log lines about statements that other daemons report.
     pub sender_statement_lines: LineLimit,
+    /// Updates of the endpoint's record, to be sent to the control group.
+    pub endpoint_updates: EndpointUpdates,
     /// Planned stop of the daemon.
     pub stop: PlannedStop,
     /// Log.
--- a/crates/bramblewheel-proxy/src/wire.rs
+++ b/crates/bramblewheel-proxy/src/wire.rs
@@ -52,6 +52,8 @@
 /// On an answer with the result `full`: the endpoint's rate limit is used up. Daemons of earlier versions read the result
 /// only.
 const RATE_LIMITED: HeaderName = HeaderName::from_static("bw-rate-limited");
+/// On an answer: the endpoint has stated in an answer that it drains.
+const DRAIN_NOTICE: HeaderName = HeaderName::from_static("bw-drain-notice");
 /// Load of the endpoint: busy slots, limit and percentage of failures, separated by commas.
 const LOAD: HeaderName = HeaderName::from_static("bw-load");
 
@@ -318,6 +320,8 @@
     /// Rate limit of the endpoint; header `bw-known-rate-limit`. `None` if there is none and the sender of the request
     /// knew of none.
     pub rate_limit: Option<LimitReport>,
+    /// Whether the endpoint has stated in an answer that it drains; header `bw-drain-notice`.
+    pub is_draining: bool,
 }
 
 impl AnswerReport {
@@ -332,6 +336,7 @@
         };
         headers.insert(RESULT, HeaderValue::from_static(stated.as_str()));
         set_or_remove(headers, &RATE_LIMITED, present(is_rate_limited).as_ref());
+        set_or_remove(headers, &DRAIN_NOTICE, present(self.is_draining).as_ref());
         let rate_limit = self.rate_limit.map(limit_report_value);
         set_or_remove(headers, &RATE_LIMIT, rate_limit.as_ref());
         if let Some(load) = self.load {
@@ -376,6 +381,7 @@
                 .remove(RATE_LIMIT)
                 .as_ref()
                 .and_then(read_limit_report),
+            is_draining: headers.remove(DRAIN_NOTICE).is_some(),
         };
         Some((result, report))
     }
--- a/crates/bramblewheel-proxy/tests/pinned_wire.rs
+++ b/crates/bramblewheel-proxy/tests/pinned_wire.rs
@@ -39,13 +39,14 @@
 ];
 
 /// An answer with all headers.
-const FULL_ANSWER: [(&str, &str); 6] = [
+const FULL_ANSWER: [(&str, &str); 7] = [
     ("bw-result", "answered"),
     ("bw-load", "3,18,4"),
     ("bw-nested", "1"),
     ("bw-short-below", "lager"),
     ("bw-bound-used", "42"),
     ("bw-known-rate-limit", "0.5,20"),
+    ("bw-drain-notice", "1"),
 ];
 
 const RESULTS: [(AttemptResult, &str); 9] = [
@@ -120,6 +121,7 @@
         full_downstream: Some(ServiceName::new("lager").expect("a name")),
         bound_used_percent: 42,
         rate_limit: Some(LimitReport::Limited(known_limit("0.5", 20))),
+        is_draining: true,
     }
 }
 
--- a/crates/bramblewheel-proxy/tests/wire.rs
+++ b/crates/bramblewheel-proxy/tests/wire.rs
@@ -37,6 +37,7 @@
         full_downstream: Some(ServiceName::new("lager").expect("a name")),
         bound_used_percent: 42,
         rate_limit: None,
+        is_draining: false,
     }
 }
 
