--- a/crates/bramblewheel-decisions/tests/endpoint_limit/fleet.rs
+++ b/crates/bramblewheel-decisions/tests/endpoint_limit/fleet.rs
@@ -4,7 +4,6 @@
 use bramblewheel_types::{RateLimit, Timestamp};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -94,7 +93,8 @@
     obedience: Obedience,
     random: Pcg64Mcg,
     now: Timestamp,
-    events: BTreeMap<Reverse<(Reverse<Timestamp>, Reverse<u64>)>, Event>,
+    /// Ordered by time, then by number.
+    events: BTreeMap<(Timestamp, u64), Event>,
     next_event: u64,
     beside: EndpointLimit,
     /// What each sender knows.
@@ -156,12 +156,12 @@
 
     fn schedule(&mut self, after: Duration, event: Event) {
         self.next_event += 1;
-        let key = Reverse((Reverse(self.now + after), Reverse(self.next_event)));
-        self.events.insert(key, event);
+        self.events
+            .insert((self.now + after, self.next_event), event);
     }
 
     pub fn run(mut self) -> History {
-        while let Some((Reverse((Reverse(at), _)), event)) = self.events.pop_first() {
+        while let Some(((at, _), event)) = self.events.pop_first() {
             if at.since(Timestamp::ZERO) > RUN_TIME {
                 break;
             }
