--- a/crates/bramblewheel-soak/src/check/mod.rs
+++ b/crates/bramblewheel-soak/src/check/mod.rs
@@ -3,6 +3,7 @@
 mod final_reads;
 mod foreign_heartbeats;
 mod planned_stops;
+mod statements;
 
 use crate::history::{End, Events, Kind, Order, Request, Run, Timestamp};
 use crate::traffic::FATAL_ID;
@@ -67,6 +68,7 @@
     check_quarantine(events, &mut found);
     check_recovery(events, &mut found);
     foreign_heartbeats::check(events, &mut found);
+    statements::check(events, &mut found);
     check_processes(events, &mut found);
     found
 }
--- a/crates/bramblewheel-soak/src/endpoint/mod.rs
+++ b/crates/bramblewheel-soak/src/endpoint/mod.rs
@@ -3,10 +3,13 @@
 mod broken_body;
 mod heartbeat;
 mod serving;
+mod statements;
 mod work;
 
+pub use statements::{LimitedTime, Statement};
+
 use crate::endpoint_interface;
-use crate::history::{AcknowledgedDrain, History};
+use crate::history::{AcknowledgedDrain, History, StatedLimits, Timestamp};
 use crate::workload::Workload;
 use axum::Router;
 use bramblewheel_platform_client as wire;
@@ -17,6 +20,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use serving::{Serving, run};
+use statements::{DRAIN_TIME, StatementPlan};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -57,6 +61,8 @@
     pub workload: Arc<Workload>,
     /// Seed of its random decisions.
     pub seed: u64,
+    /// Until when it may state rate limits and that it drains; `None` if it states neither.
+    pub statements_until: Option<Timestamp>,
 }
 
 /// Identity of an endpoint, as foreign messages use it.
@@ -103,12 +109,24 @@
             outbound,
             workload,
             seed,
+            statements_until,
         } = settings;
         let listener = TcpListener::bind((address, 0)).await?;
         let address = listener.local_addr()?;
         let termination = Arc::new(Termination::default());
         let slots = workload.slots;
         let started_unix_millis = unix_millis();
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let statements = statements_until
+            .map(|until| StatementPlan::draw(&mut random, history.now(), until))
+            .unwrap_or_default();
+        history.events().stated_limits.push(StatedLimits {
+            endpoint: id.clone(),
+            started: started_unix_millis,
+            daemon,
+            times: statements.limited_times.clone(),
+        });
+        let drains_from = statements.drains_from;
         let serving = Serving {
             termination: Arc::clone(&termination),
             id: id.as_str().into(),
@@ -118,7 +136,8 @@
             history: history.clone(),
             workload,
             started: Instant::now(),
-            random: Arc::new(Mutex::new(Pcg64Mcg::seed_from_u64(seed))),
+            random: Arc::new(Mutex::new(random)),
+            statements: Arc::new(statements),
         };
         let router = Router::new().fallback(run).with_state(serving);
         let mut tasks = JoinSet::new();
@@ -129,6 +148,12 @@
                 () = stop_signal.signal.notified() => {}
             }
         });
+        if let Some(from) = drains_from {
+            tasks.spawn(end_after_draining(
+                Arc::clone(&termination),
+                from.saturating_sub(history.now()),
+            ));
+        }
         let mut endpoint = Self {
             id,
             service,
@@ -235,6 +260,13 @@
     }
 }
 
+/// Ends an endpoint some time after it has begun to state that it drains.
+async fn end_after_draining(termination: Arc<Termination>, until_draining: Duration) {
+    tokio::time::sleep(until_draining + DRAIN_TIME).await;
+    termination.has_ended.store(true, Ordering::Relaxed);
+    termination.signal.notify_one();
+}
+
 fn unix_millis() -> u64 {
     let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let elapsed = elapsed.expect("the system clock is set after 1970");
--- a/crates/bramblewheel-soak/src/endpoint/serving.rs
+++ b/crates/bramblewheel-soak/src/endpoint/serving.rs
@@ -2,8 +2,9 @@
 
 use super::Termination;
 use super::broken_body::truncated_body;
+use super::statements::{self, StatementPlan};
 use super::work::{self, RunGuard};
-use crate::history::{History, RunEnd};
+use crate::history::{History, RunEnd, StatedAnswer};
 use crate::traffic::FATAL_BODY;
 use crate::workload::{RequestKind, Workload};
 use axum::body::Body;
@@ -48,6 +49,7 @@
     pub(super) workload: Arc<Workload>,
     pub(super) started: Instant,
     pub(super) random: Arc<Mutex<Pcg64Mcg>>,
+    pub(super) statements: Arc<StatementPlan>,
 }
 
 pub(super) async fn run(
@@ -70,6 +72,7 @@
         let mut refusal = empty(StatusCode::SERVICE_UNAVAILABLE);
         let proof = http::HeaderValue::from_static("1");
         refusal.headers_mut().insert(wire::NOT_RUN, proof);
+        serving.state(&id, &mut refusal);
         return refusal;
     }
     let run_guard = RunGuard::begin(&serving, &id, text(wire::CALLER_SERVICE));
@@ -88,6 +91,7 @@
     };
     let proof = http::HeaderValue::from_str(&serving.id).expect("endpoint ids are visible ASCII");
     answer.headers_mut().insert(wire::PROOF, proof);
+    serving.state(&id, &mut answer);
     answer
 }
 
@@ -98,6 +102,22 @@
 }
 
 impl Serving {
+    /// Adds to an answer what the endpoint states now.
+    fn state(&self, id: &str, answer: &mut Response) {
+        let now = self.history.now();
+        let Some(statement) = self.statements.at(now) else {
+            return;
+        };
+        statements::write(statement, answer.headers_mut());
+        self.history.events().stated_answers.push(StatedAnswer {
+            endpoint: self.id.to_string(),
+            started: self.started_unix_millis,
+            id: id.to_owned(),
+            at: now,
+            statement,
+        });
+    }
+
     /// Runs a request of a plain caller: short work and a short answer.
     async fn run_plain(
         &self,
--- a/crates/bramblewheel-soak/src/fault_injection.rs
+++ b/crates/bramblewheel-soak/src/fault_injection.rs
@@ -26,7 +26,14 @@
     pub(crate) async fn inject(self: &Arc<Self>, step: Step) -> Result<(), FleetError> {
         let from = self.history.now();
         let strikes = self.record_strikes(step.fault, from);
+        let interrupted = step.fault.suspended_or_cut();
+        if let Some(daemon) = interrupted {
+            self.history.record_interruption(daemon, false);
+        }
         let injected = self.inject_fault(step).await;
+        if let Some(daemon) = interrupted {
+            self.history.record_interruption(daemon, false);
+        }
         let until = self.history.now();
         for strike in strikes {
             self.history.events().strikes[strike].until = Some(until);
@@ -165,6 +172,7 @@
     pub(crate) fn advance_generation(&self, machine: Machine) {
         if let Machine::Daemon(number) = machine {
             self.process_generations[number].fetch_add(1, Ordering::SeqCst);
+            self.history.record_interruption(number, true);
         }
     }
 
--- a/crates/bramblewheel-soak/src/history.rs
+++ b/crates/bramblewheel-soak/src/history.rs
@@ -3,6 +3,7 @@
 
 pub use bramblewheel_platform_client::Kind;
 
+use crate::endpoint::{LimitedTime, Statement};
 use crate::plan::Machine;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -226,6 +227,45 @@
     pub until: Option<Timestamp>,
 }
 
+/// Rate limits that one start of an endpoint states.
+#[derive(Clone, Debug)]
+pub struct StatedLimits {
+    /// Endpoint.
+    pub endpoint: String,
+    /// Start time of the endpoint, in Unix milliseconds.
+    pub started: u64,
+    /// Daemon beside it.
+    pub daemon: usize,
+    /// When it states which limit, in order.
+    pub times: Vec<LimitedTime>,
+}
+
+/// An answer with a statement of its endpoint.
+#[derive(Clone, Debug)]
+pub struct StatedAnswer {
+    /// Endpoint.
+    pub endpoint: String,
+    /// Start time of the endpoint, in Unix milliseconds.
+    pub started: u64,
+    /// Id of the answered request.
+    pub id: String,
+    /// When it was written.
+    pub at: Timestamp,
+    /// The statement.
+    pub statement: Statement,
+}
+
+/// A restart, suspension or cut of a daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct Interruption {
+    /// Daemon.
+    pub daemon: usize,
+    /// When it began.
+    pub from: Timestamp,
+    /// Whether the process ended or started.
+    pub is_restart: bool,
+}
+
 /// A time in which a process could not run.
 #[derive(Clone, Copy, Debug)]
 pub struct LateProcess {
@@ -262,6 +302,12 @@
     pub foreign: Vec<ForeignMessage>,
     /// Number of daemons whose endpoints must receive requests after the last fault; 0 where that is not checked.
     pub daemons: usize,
+    /// Rate limits that endpoints state.
+    pub stated_limits: Vec<StatedLimits>,
+    /// Answers with statements of their endpoints.
+    pub stated_answers: Vec<StatedAnswer>,
+    /// Restarts, suspensions and cuts of daemons, at their begin and end.
+    pub interruptions: Vec<Interruption>,
     /// Planned stops.
     pub planned_stops: Vec<PlannedStop>,
     /// Faults other than planned stops. They excuse nothing; a broken promise names those on its path.
@@ -319,6 +365,16 @@
             .expect("a panic while the lock is held ends the soak, so the lock is never poisoned")
     }
 
+    /// Records that a daemon is interrupted now, or that an interruption ends.
+    pub fn record_interruption(&self, daemon: usize, is_restart: bool) {
+        let from = self.now();
+        self.events().interruptions.push(Interruption {
+            daemon,
+            from,
+            is_restart,
+        });
+    }
+
     /// Records that a change of the configuration was acknowledged.
     pub fn record_acknowledgement(&self, order: usize) {
         let at = self.now();
--- a/crates/bramblewheel-soak/src/main.rs
+++ b/crates/bramblewheel-soak/src/main.rs
@@ -3,7 +3,7 @@
 use bramblewheel_soak::fleet::{Addresses, Programs};
 use bramblewheel_soak::foreign::ForeignMessages;
 use bramblewheel_soak::plan::Size;
-use bramblewheel_soak::run::{Scenario, run};
+use bramblewheel_soak::run::{Disturbances, Scenario, run};
 use bramblewheel_soak::suspensions::read_range;
 use bramblewheel_soak::workload::draw::draw;
 use bramblewheel_soak::workload::file::read;
@@ -42,6 +42,9 @@
     /// suspend one daemon after the other for LEAST-MOST milliseconds
     #[options(no_short, meta = "LEAST-MOST")]
     suspend_ms: Option<String>,
+    /// endpoints state rate limits, and that they drain, in their answers
+    #[options(no_short)]
+    statements: bool,
     /// program under test
     #[options(
         no_short,
@@ -83,6 +86,10 @@
             return ExitCode::from(EXIT_NOT_RUN);
         }
     };
+    let disturbances = Disturbances {
+        suspensions,
+        has_statements: flags.statements,
+    };
     let temporary = tempfile::tempdir();
     let folder = match (&flags.folder, &temporary) {
         (Some(folder), _) => folder.clone(),
@@ -107,7 +114,7 @@
     let verdict = match run(
         seed,
         &scenario,
-        suspensions,
+        disturbances,
         size,
         Addresses { network },
         &programs,
--- a/crates/bramblewheel-soak/src/plan.rs
+++ b/crates/bramblewheel-soak/src/plan.rs
@@ -156,6 +156,17 @@
         }
     }
 
+    /// The daemon that the fault suspends or cuts off, if there is one.
+    pub(crate) fn suspended_or_cut(self) -> Option<usize> {
+        match self {
+            Self::Pause(Machine::Daemon(daemon))
+            | Self::SilentInwards(Machine::Daemon(daemon))
+            | Self::SilentOutwards(Machine::Daemon(daemon))
+            | Self::Silent(Machine::Daemon(daemon)) => Some(daemon),
+            _ => None,
+        }
+    }
+
     /// Whether the duration of a step says how long the fault is to last.
     pub(crate) fn has_fixed_length(self) -> bool {
         matches!(
--- a/crates/bramblewheel-soak/src/run.rs
+++ b/crates/bramblewheel-soak/src/run.rs
@@ -5,7 +5,7 @@
 use crate::final_reads::read_from_all;
 use crate::fleet::{Addresses, FleetError, Host, Programs, service_of};
 use crate::foreign::ForeignMessages;
-use crate::history::{End, History, Request};
+use crate::history::{End, History, Request, Timestamp};
 use crate::host_controls::HostControls;
 use crate::lateness;
 use crate::load::{
@@ -13,7 +13,7 @@
 };
 use crate::lost_machine::LostMachine;
 use crate::operator::Operators;
-use crate::plan::{Machine, Size, Step, plan};
+use crate::plan::{Machine, STARTUP_TIME, Size, Step, plan};
 use crate::stop_plan;
 use crate::suspensions::suspend_daemons;
 use crate::traffic::{Call, send};
@@ -74,6 +74,8 @@
     workload: Arc<Workload>,
     pub(crate) foreign_messages: ForeignMessages,
     pub(crate) seed: u64,
+    /// Until when endpoints state rate limits and that they drain; `None` if they state neither.
+    statements_until: Option<Timestamp>,
 }
 
 /// Faults and traffic of a soak.
@@ -108,22 +110,41 @@
     }
 }
 
-/// Runs `programs` with the faults of a seed, and with daemons suspended for times in `suspensions`, in milliseconds, if
-/// there are any; settings, data and logs go to `folder`.
+/// What disturbs a soak in addition to the faults of its plan.
+#[derive(Clone, Debug, Default)]
+pub struct Disturbances {
+    /// Times for which daemons are suspended, one after the other, in milliseconds.
+    pub suspensions: Option<RangeInclusive<u64>>,
+    /// Whether endpoints state rate limits and that they drain in their answers.
+    pub has_statements: bool,
+}
+
+/// Runs `programs` with the faults of a seed and with `disturbances`; settings, data and logs go to `folder`.
 ///
 /// # Errors
 /// [`FleetError`] when the soak itself can't continue.
 pub async fn run(
     seed: u64,
     scenario: &Scenario,
-    suspensions: Option<RangeInclusive<u64>>,
+    disturbances: Disturbances,
     size: Size,
     addresses: Addresses,
     programs: &Programs,
     folder: &Path,
 ) -> Result<Verdict, FleetError> {
     let steps = scenario.steps(seed, size);
-    let soak = Soak::prepare(seed, scenario, size, addresses, programs, folder);
+    let statements_until = disturbances
+        .has_statements
+        .then_some(STARTUP_TIME + size.length);
+    let soak = Soak::prepare(
+        seed,
+        scenario,
+        size,
+        addresses,
+        programs,
+        folder,
+        statements_until,
+    );
     let soak = Arc::new(soak.await?);
     for host in soak.hosts.values() {
         host.lock().await.start()?;
@@ -144,7 +165,7 @@
     }
     background.spawn(watch_processes(Arc::clone(&soak)));
     background.spawn(lateness::measure(Arc::clone(&soak)));
-    if let Some(millis) = suspensions {
+    if let Some(millis) = disturbances.suspensions {
         background.spawn(suspend_daemons(Arc::clone(&soak), millis));
     }
     if matches!(scenario, Scenario::Faults(_)) {
@@ -228,6 +249,7 @@
         addresses: Addresses,
         programs: &Programs,
         folder: &Path,
+        statements_until: Option<Timestamp>,
     ) -> Result<Self, FleetError> {
         let workload = Arc::new(scenario.workload());
         let control = (0..size.replicas).map(Machine::Control);
@@ -263,6 +285,7 @@
             workload,
             foreign_messages: scenario.foreign_messages(),
             seed,
+            statements_until,
         })
     }
 
@@ -303,6 +326,7 @@
             outbound: self.addresses.outbound(daemon),
             workload: Arc::clone(&self.workload),
             seed: self.seed ^ number,
+            statements_until: self.statements_until,
         };
         let started = Endpoint::start(settings, self.history.clone());
         let endpoint = started.await.map_err(|error| FleetError::Io {
--- a/crates/bramblewheel-soak/src/suspensions.rs
+++ b/crates/bramblewheel-soak/src/suspensions.rs
@@ -49,10 +49,12 @@
     while !soak.are_faults_over() {
         let daemon = random.random_range(0..soak.daemons);
         let controls = &soak.controls[&Machine::Daemon(daemon)];
+        soak.history.record_interruption(daemon, false);
         controls.signal(Signal::STOP);
         let suspended = Duration::from_millis(random.random_range(millis.clone()));
         tokio::time::sleep(suspended).await;
         controls.signal(Signal::CONT);
+        soak.history.record_interruption(daemon, false);
         count += 1;
         let pause = Duration::from_millis(random.random_range(PAUSE_MILLIS));
         tokio::time::sleep(pause).await;
