Keep the connections to an endpoint within what its service allows

Found by looking for the same cause elsewhere: maxConnections of a service was decoded, checked and stored in the route table, and nothing read it.

What callers would see: an endpoint resets connections beyond its limit; a request on one is answered with 502 if it may not be repeated. On the deployments at hand the limit is above the slots (92 slots, 652 connections), so that none shows it.

Change: each request occupies a connection, so the daemon beside the endpoint uses at most as many slots as its service allows connections, and follows changes of the table.

All tests of decisions, proxy and platform pass.

--- a/crates/bramblewheel-decisions/src/table/router.rs
+++ b/crates/bramblewheel-decisions/src/table/router.rs
@@ -1,11 +1,11 @@
 //! A route table in force: look-up of a request's route, and the weighted choice among the route's services.
 
-use super::{Route, RouteTable};
+use super::{Route, RouteTable, ServiceSettings};
 use crate::stable_hash::stable_hash;
 use crate::tenants::TenantDirectory;
 use bramblewheel_protocol::routing::TableVersion;
 use bramblewheel_types::ServiceName;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -25,7 +25,7 @@
     caller_idle_timeout: Option<Duration>,
     max_body_bytes: usize,
     tenants: TenantDirectory,
-    services: BTreeSet<ServiceName>,
+    services: BTreeMap<ServiceName, ServiceSettings>,
 }
 
 /// A route in force, with the state of the choice among its targets.
@@ -62,7 +62,7 @@
             caller_idle_timeout: table.caller_idle_timeout,
             max_body_bytes: table.max_body_bytes.unwrap_or(usize::MAX),
             tenants: TenantDirectory::new(table.tenants),
-            services: table.services.into_keys().collect(),
+            services: table.services,
         }
     }
 
@@ -83,7 +83,12 @@
 
     /// Whether the table has a service.
     pub fn has_service(&self, service: &ServiceName) -> bool {
-        self.services.contains(service)
+        self.services.contains_key(service)
+    }
+
+    /// Services that routes may name, with their settings.
+    pub fn services(&self) -> &BTreeMap<ServiceName, ServiceSettings> {
+        &self.services
     }
 
     /// Maximum size of a request body, in bytes.
--- a/crates/bramblewheel-proxy/src/control/watch.rs
+++ b/crates/bramblewheel-proxy/src/control/watch.rs
@@ -177,6 +177,9 @@
         let routes = table.routes.len();
         let tenants = table.tenants.len();
         let router = Router::new(table, self.registration.incarnation);
+        let now = self.shared.clock.now();
+        let services = router.services().clone();
+        self.shared.local.set_services(now, services);
         self.shared.router.store(Some(Arc::new(router)));
         self.table = stored.version;
         self.shared.tenant_access().lease.install(stored.version);
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -25,11 +25,13 @@
 use bramblewheel_decisions::incarnations::HeartbeatOrigin;
 use bramblewheel_decisions::machine_identity::{IdentityMismatch, MachineIdentity};
 use bramblewheel_decisions::request_class::RequestClass;
+use bramblewheel_decisions::table::ServiceSettings;
 use bramblewheel_process::invariants::lock;
 use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, ServiceName, Timestamp};
-use state::{CallWithoutCapacity, CurrentEndpoint, State};
+use state::{CallWithoutCapacity, CurrentEndpoint, State, usable_slots};
+use std::collections::BTreeMap;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -129,6 +131,19 @@
         })
     }
 
+    /// Applies the settings of the services of a route table, which bound the connections to the endpoint.
+    pub fn set_services(&self, now: Timestamp, services: BTreeMap<ServiceName, ServiceSettings>) {
+        let mut state = self.lock();
+        state.services = services;
+        let Some(current) = &state.current else {
+            return;
+        };
+        let slots = usable_slots(&state.services, &current.record);
+        state.queue.set_slots(slots);
+        let started = state.queue.start_waiting(now);
+        state.start(started);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         lock(&self.state)
     }
@@ -195,7 +210,8 @@
             return Ok(());
         }
         state.incarnations.adopt(now, &record.endpoint);
-        state.queue.set_slots(record.slots);
+        let slots = usable_slots(&state.services, record);
+        state.queue.set_slots(slots);
         state.record_sequence(&record.endpoint, record.sequence);
         state.set_current(CurrentEndpoint {
             record: record.clone(),
--- a/crates/bramblewheel-proxy/src/local/state.rs
+++ b/crates/bramblewheel-proxy/src/local/state.rs
@@ -14,9 +14,10 @@
 use bramblewheel_decisions::incarnations::{HeartbeatOrigin, Incarnations};
 use bramblewheel_decisions::request_class::RequestClass;
 use bramblewheel_decisions::running_requests::RunningRequests;
+use bramblewheel_decisions::table::ServiceSettings;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, ServiceName, Timestamp};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -76,6 +77,8 @@
     pub(super) superseded: HashSet<EndpointId>,
     /// Final states of incarnations that take no more work.
     pub(super) final_states: HashMap<EndpointId, EndpointState>,
+    /// Settings of the services of the route table in force.
+    pub(super) services: BTreeMap<ServiceName, ServiceSettings>,
     pub(super) is_stopping: bool,
     /// Requests that run at the endpoint.
     pub(super) running: RunningRequests,
@@ -90,6 +93,17 @@
     pub(super) must_check_sends: Arc<AtomicBool>,
 }
 
+/// Slots of an endpoint that can be used with the connections that its service allows, since each request occupies one.
+pub(super) fn usable_slots(
+    services: &BTreeMap<ServiceName, ServiceSettings>,
+    record: &EndpointRecord,
+) -> u32 {
+    let settings = services.get(&record.service);
+    settings.map_or(record.slots, |settings| {
+        record.slots.min(settings.max_connections)
+    })
+}
+
 /// State of the crash probe that runs after connections broke.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct CrashProbe {
@@ -256,7 +270,7 @@
             let is_same = current.record.slots == record.slots
                 && current.record.endpoint_address == record.endpoint_address;
             let is_known = is_same && current.is_confirmed;
-            let slots = record.slots;
+            let slots = usable_slots(&self.services, &record);
             current.record = record;
             self.queue.set_slots(slots);
             return if is_known {
@@ -270,7 +284,7 @@
         }
         self.refuse_waiting();
         self.failed = DecayingShare::default();
-        self.queue.set_slots(record.slots);
+        self.queue.set_slots(usable_slots(&self.services, &record));
         self.record_succession(&record.endpoint);
         self.set_current(CurrentEndpoint {
             record,
--- a/crates/bramblewheel-proxy/tests/sockets/bounds.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/bounds.rs
@@ -2,13 +2,14 @@
 //! table, idle connections.
 
 use crate::support::endpoint::Behavior;
-use crate::support::{HOST, MAX_BODY_BYTES, TestCluster, wait_until};
+use crate::support::{HOST, MAX_BODY_BYTES, TestCluster, call_on, wait_until};
 use bramblewheel_proxy::http::fields;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 /// More than all socket buffers on the path hold together, far less than the whole body.
 const MAX_BUFFERED: usize = 128 << 20;
@@ -184,3 +185,30 @@
         );
     }
 }
+
+/// Guards against opening more connections to an endpoint than its service's configuration allows.
+#[tokio::test]
+async fn endpoint_gets_no_more_connections_than_its_service_allows() {
+    const ALLOWED: u32 = 4;
+    let cluster = TestCluster::start_with_connections(1, ALLOWED).await;
+    let slow = Behavior::AnswerAfter(Duration::from_millis(600));
+    cluster.endpoints[0].script(&vec![slow; 40]);
+    let address = cluster.daemons[0].shared().settings.outbound;
+    let mut calls = JoinSet::new();
+    for number in 0..20 {
+        calls.spawn(async move {
+            let stream = TcpStream::connect(address).await.expect("it listens");
+            let id = format!("r-{number}");
+            let headers = [("bw-request-id", id.as_str()), ("bw-remaining-ms", "3000")];
+            call_on(stream, "/safe/item", &headers, Bytes::new()).await
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let running = cluster.endpoints[0].arrivals().len();
+    assert!(
+        running <= ALLOWED as usize,
+        "{running} requests at one time"
+    );
+    assert!(running > 0);
+    calls.join_all().await;
+}
--- a/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
@@ -43,6 +43,8 @@
 pub const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest body of a request, in bytes.
 pub const MAX_BODY_BYTES: usize = 4 << 20;
+/// Connections that one endpoint accepts, unless a test says otherwise.
+const MAX_CONNECTIONS: u32 = 100;
 pub const HOST: &str = "shop.example";
 
 /// A control replica, daemons and the endpoints beside them.
@@ -57,6 +59,8 @@
     /// Number of restarts of endpoints under a new id.
     restarts: usize,
     tenants: String,
+    /// Connections that one endpoint accepts, according to the table.
+    max_connections: u32,
     log: Logger,
 }
 
@@ -77,8 +81,17 @@
         Self::start_logging(count, tenants, silent()).await
     }
 
+    /// Like [`start`](Self::start), with the number of connections that one endpoint accepts.
+    pub async fn start_with_connections(count: usize, max_connections: u32) -> Self {
+        Self::start_from(count, "", max_connections, silent()).await
+    }
+
     /// Like [`start_with`](Self::start_with), with a log for the daemons.
     pub async fn start_logging(count: usize, tenants: &str, log: Logger) -> Self {
+        Self::start_from(count, tenants, MAX_CONNECTIONS, log).await
+    }
+
+    async fn start_from(count: usize, tenants: &str, max_connections: u32, log: Logger) -> Self {
         let folder = TempDir::new().expect("a folder");
         let [peer, service, admin] = claim_addresses();
         let settings = replica_settings(folder.path(), peer, service, admin);
@@ -93,6 +106,7 @@
             version: 0,
             restarts: 0,
             tenants: tenants.to_owned(),
+            max_connections,
             log,
         };
         cluster.replace_table().await;
@@ -204,9 +218,10 @@
         self.replace_table().await;
     }
 
-    /// Publishes the next version of the table; its text is the version and the tenants.
+    /// Publishes the next version of the table; its text is the version, the connections of an endpoint and the tenants.
     pub async fn replace_table(&mut self) {
-        let text = format!("{} {}", self.version + 1, self.tenants).into_bytes();
+        let (version, connections) = (self.version + 1, self.max_connections);
+        let text = format!("{version} {connections} {}", self.tenants).into_bytes();
         let request = ReplaceTable {
             parent: TableVersion(self.version),
             table: StoredTable {
@@ -415,7 +430,8 @@
 
 fn table(text: &[u8]) -> RouteTable {
     let text = std::str::from_utf8(text).expect("text");
-    let (version, stated) = text.split_once(' ').expect("a number and tenants");
+    let (version, rest) = text.split_once(' ').expect("a number and more");
+    let (connections, stated) = rest.split_once(' ').expect("a number and tenants");
     let kassa = ServiceName::new("kassa").expect("a name");
     let route = |name: &str, is_repeatable| Route {
         name: name.to_owned(),
@@ -433,7 +449,7 @@
         is_public: name == "public",
     };
     let service_settings = ServiceSettings {
-        max_connections: 100,
+        max_connections: connections.parse().expect("a number"),
     };
     RouteTable {
         version: TableVersion(version.parse().expect("a number")),
