Say from logs and metrics that a rate limit refused a request

A request that no endpoint may get because of limits ended with 'no endpoint tried=0' alone; the line now has the part that is not sent (over_limits). A gauge tells whether a limit is in force. explain names the limit, its age and the time to the next token as the cause.

Tests: a_refusal_for_rate_limits_shows_the_limit_and_the_next_token (new); the list of metrics grew by one (still exact).

--- a/crates/bramblewheel-proxy/src/inbound/statements.rs
+++ b/crates/bramblewheel-proxy/src/inbound/statements.rs
@@ -69,6 +69,11 @@
 }
 
 fn log_limit(shared: &Shared, handover: &Handover, id: Option<&HeaderValue>, change: LimitChange) {
+    let is_lifted = matches!(change, LimitChange::Lifted(_));
+    shared
+        .metrics
+        .rate_limits_in_force
+        .set(i64::from(!is_lifted));
     let now = shared.clock.now();
     let Some(left_out) = shared.statement_lines.count(now, change.as_str()) else {
         return;
--- a/crates/bramblewheel-proxy/src/metrics.rs
+++ b/crates/bramblewheel-proxy/src/metrics.rs
@@ -167,6 +167,10 @@
     /// Heartbeats of the endpoint that the control group did not record in time.
     pub unrecorded: Counter = Counter::default() =>
         "bramblewheel_unrecorded": "Words of the endpoint not recorded in time",
+    /// Whether a rate limit of the local endpoint was in force at its last change: 1 or 0.
+    pub rate_limits_in_force: Gauge = Gauge::default() =>
+        "bramblewheel_rate_limits_in_force":
+        "Whether the local endpoint had a rate limit when that last changed",
     /// Requests refused for the rate limit of the local endpoint.
     pub rate_limited: Counter = Counter::default() =>
         "bramblewheel_rate_limited": "Requests refused for the rate limit of the local endpoint",
--- a/crates/bramblewheel-proxy/src/outbound/attempts.rs
+++ b/crates/bramblewheel-proxy/src/outbound/attempts.rs
@@ -63,8 +63,7 @@
         let mut attempts = Attempts::default();
         loop {
             let Some(choice) = self.choose(&service, &attempts) else {
-                slog::info!(self.shared.log, "no endpoint"; "id" => id_text(&self.id),
-                    "service" => %service, "tried" => attempts.tried.len(), "table" => self.table.0);
+                self.log_no_endpoint(&service, &attempts);
                 return self.without_further_attempt(attempts).await;
             };
             attempts.record_chosen(&choice.endpoint);
@@ -157,6 +156,20 @@
         }
     }
 
+    /// Logs that there is no endpoint to send the request to, with the part of the service's requests that is not sent
+    /// because of rate limits.
+    fn log_no_endpoint(&self, service: &ServiceName, attempts: &Attempts) {
+        let now = self.shared.clock.now();
+        let over_limits = self
+            .shared
+            .routing()
+            .directory
+            .part_over_limits(now, service);
+        slog::info!(self.shared.log, "no endpoint"; "id" => id_text(&self.id),
+            "service" => %service, "tried" => attempts.tried.len(),
+            "over_limits" => format_args!("{over_limits:.2}"), "table" => self.table.0);
+    }
+
     fn log_failure(
         &self,
         service: &ServiceName,
--- a/crates/bramblewheel-proxy/tests/pinned_metrics.rs
+++ b/crates/bramblewheel-proxy/tests/pinned_metrics.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Metrics of a daemon and their types, sorted by name.
-const METRICS: [&str; 31] = [
+const METRICS: [&str; 32] = [
     "bramblewheel_answers_after_silence counter",
     "bramblewheel_attempts counter",
     "bramblewheel_cancelled counter",
@@ -25,6 +25,7 @@
     "bramblewheel_quarantined counter",
     "bramblewheel_quarantined_contents gauge",
     "bramblewheel_rate_limited counter",
+    "bramblewheel_rate_limits_in_force gauge",
     "bramblewheel_refused_calls_of_repeats counter",
     "bramblewheel_refused_early counter",
     "bramblewheel_repeated_runs counter",
--- a/crates/bramblewheel/src/explain/cause.rs
+++ b/crates/bramblewheel/src/explain/cause.rs
@@ -68,6 +68,11 @@
         /// Load of that endpoint, if its daemon logged it.
         load: Option<String>,
     },
+    /// Refused before it was executed, since the rate limits of its service's endpoints were used up.
+    RateLimited {
+        /// Endpoint of the last refusal, with its limit and the time to the next token if its daemon logged them.
+        last: Option<String>,
+    },
     /// The caller's daemon refused it early, since endpoints lacked capacity for its class of requests.
     RefusedEarly {
         /// Share of the class's requests that was refused early.
@@ -138,6 +143,10 @@
                 write!(formatter, "no room, last at {endpoint}")?;
                 load.iter().try_for_each(|load| write!(formatter, " ({load})"))
             }
+            Self::RateLimited { last } => {
+                formatter.write_str("the rate limits of endpoints were used up")?;
+                last.iter().try_for_each(|last| write!(formatter, ", last at {last}"))
+            }
             Self::RefusedEarly { refused_share, short_service } => {
                 write!(formatter, "no room for its like")?;
                 short_service.iter().try_for_each(|service| write!(formatter, " at {service}"))?;
@@ -231,7 +240,10 @@
     /// Cause from the last attempt, which determines the outcome when there was no answer.
     fn cause_of_last_attempt(&self) -> Cause {
         let Some(attempt) = self.last("attempt failed") else {
-            if self.last("no endpoint").is_some() {
+            if let Some(line) = self.last("no endpoint") {
+                if is_over_limits(line) {
+                    return Cause::RateLimited { last: None };
+                }
                 let result = "none is known".to_owned();
                 return Cause::NoEndpoint { result };
             }
@@ -268,6 +280,18 @@
                 });
                 Cause::Overload { endpoint, load }
             }
+            "rate-limited" => {
+                let refusal = last_at_endpoint("not admitted").map(|line| {
+                    format!(
+                        " (limit {}, stated {} ms before, next token in {} ms)",
+                        value_or_unknown(line, "rate_limit"),
+                        value_or_unknown(line, "rate_limit_age_ms"),
+                        value_or_unknown(line, "next_token_ms")
+                    )
+                });
+                let last = Some(format!("{endpoint}{}", refusal.unwrap_or_default()));
+                Cause::RateLimited { last }
+            }
             result => Cause::NoEndpoint {
                 result: result.to_owned(),
             },
@@ -275,6 +299,12 @@
     }
 }
 
+/// Whether requests were not sent because of rate limits.
+fn is_over_limits(line: &LogLine) -> bool {
+    let part = line.value("over_limits").and_then(|part| part.parse().ok());
+    part.is_some_and(|part: f64| part > 0.0)
+}
+
 /// Service without capacity, if the line names one.
 fn short_service(line: &LogLine) -> Option<String> {
     let name = line.value("short").filter(|name| !name.is_empty());
--- a/crates/bramblewheel/tests/explain.rs
+++ b/crates/bramblewheel/tests/explain.rs
@@ -94,6 +94,24 @@
     assert!(text.contains(cause), "{text}");
 }
 
+#[test]
+fn a_refusal_for_rate_limits_shows_the_limit_and_the_next_token() {
+    let text = explain_lines(
+        "level=INFO msg=\"not admitted\" at=1 next_token_ms=48 rate_limit_age_ms=2 rate_limit=29.2 rank=1 \
+         reason=rate-limited endpoint=e-2 id=r-1\n\
+         level=INFO msg=\"attempt failed\" at=2 left_ms=1999 reason=rate-limited again=false attempt=3 \
+         result=rate-limited endpoint=e-2 service=kassa id=r-1\n",
+    );
+    let cause = "cause=\"the rate limits of endpoints were used up, last at e-2 \
+                 (limit 29.2, stated 2 ms before, next token in 48 ms)\"";
+    assert!(text.contains(cause), "{text}");
+    let text = explain_lines(
+        "level=INFO msg=\"no endpoint\" at=1 table=46 over_limits=0.83 tried=0 service=kassa id=r-1\n",
+    );
+    let cause = "cause=\"the rate limits of endpoints were used up\"";
+    assert!(text.contains(cause), "{text}");
+}
+
 #[test]
 fn an_early_refusal_shows_the_refused_share() {
     let text = explain_lines(
