--- a/crates/bramblewheel-decisions/src/directory/mod.rs
+++ b/crates/bramblewheel-decisions/src/directory/mod.rs
@@ -17,15 +17,16 @@
 
 mod ejection;
 mod endpoint;
+mod limits;
 mod route_times;
 mod service;
 mod statements;
 mod subset;
 
-use crate::endpoint_limit::{KnownLimit, LimitChange};
+use crate::endpoint_limit::KnownLimit;
 use crate::nested_routes::MachineShares;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState, EndpointUpdate};
-use bramblewheel_types::{DaemonId, EndpointId, RateLimit, ServiceName, Timestamp, ZoneName};
+use bramblewheel_types::{DaemonId, EndpointId, ServiceName, Timestamp, ZoneName};
 use endpoint::{CandidateMeans, Endpoint};
 use rand::{Rng, RngExt};
 use route_times::RouteTimes;
@@ -254,58 +255,6 @@
         })
     }
 
-    /// Endpoints of a service that the next request is not to be sent to because of their rate limits, drawn by
-    /// their send shares. Empty for an exempt request.
-    pub fn paused_by_limits(
-        &self,
-        now: Timestamp,
-        service: &ServiceName,
-        is_exempt: bool,
-        random: &mut impl Rng,
-    ) -> Vec<EndpointId> {
-        if is_exempt || self.statements.is_empty() {
-            return Vec::new();
-        }
-        let Some(service) = self.by_service.get(service) else {
-            return Vec::new();
-        };
-        let members = service.choosable().iter();
-        let is_paused = |id: &&EndpointId| {
-            let share = self.statements.send_share(now, id);
-            share < 1.0 && !random.random_bool(share)
-        };
-        members.filter(is_paused).cloned().collect()
-    }
-
-    /// Part of a service's requests, 0 to 1, that is not sent because all its endpoints have a rate limit or drain.
-    pub fn part_over_limits(&self, now: Timestamp, service: &ServiceName) -> f64 {
-        if self.statements.is_empty() {
-            return 0.0;
-        }
-        let service = self.by_service.get(service);
-        let members = service.map_or(&[][..], Service::choosable).iter();
-        let shares = members.map(|id| self.statements.send_share(now, id));
-        let largest = shares.reduce(f64::max);
-        largest.map_or(0.0, |largest| 1.0 - largest)
-    }
-
-    /// Records what the daemon beside an endpoint reports of its rate limit with the answer to an attempt that began at
-    /// `sent_at`.
-    pub fn record_limit(
-        &mut self,
-        now: Timestamp,
-        sent_at: Timestamp,
-        endpoint: &EndpointId,
-        stated: Option<RateLimit>,
-    ) -> Option<LimitChange> {
-        self.statements.record_limit(now, sent_at, endpoint, stated)
-    }
-
-    /// Records that an endpoint has stated that it drains; returns whether that is new.
-    pub fn record_drain(&mut self, now: Timestamp, endpoint: &EndpointId) -> bool {
-        self.statements.record_drain(now, endpoint)
-    }
-
     /// Sorts a service's endpoints by this daemon's preference, after one has joined.
     fn order(&mut self, service: &ServiceName) {
         let Some(service) = self.by_service.get_mut(service) else {
