--- a/crates/bramblewheel-decisions/tests/endpoint_limit/main.rs
+++ b/crates/bramblewheel-decisions/tests/endpoint_limit/main.rs
@@ -1,9 +1,10 @@
-//! Rate limits that endpoints state: single rules, all orders of five events, and a fleet on virtual time.
+//! Rate limits that endpoints state: single rules, all orders of five events, a fleet under faults, and what callers get.
 
 mod check;
 mod fleet;
 mod orders;
 mod rules;
+mod served;
 
 use check::{Broken, broken_bounds};
 use fleet::{Fleet, Obedience};
