Soak: evidence for each broken promise about a request

Each breach about a request now says what planned_stops.rs said already: when it was sent, its path, its end, what struck the machines on it and which processes were late meanwhile. It excuses nothing; no check, bound or margin changed. check/evidence.rs holds what was in planned_stops.rs.

--- a/crates/bramblewheel-soak/src/check/mod.rs
+++ b/crates/bramblewheel-soak/src/check/mod.rs
@@ -1,5 +1,6 @@
 //! Checks the recorded history against the promises.
 
+mod evidence;
 mod final_reads;
 mod foreign_heartbeats;
 mod planned_stops;
@@ -95,8 +96,8 @@
         let own_runs = runs.get(request.id.as_str()).map_or(&[][..], Vec::as_slice);
         let id = &request.id;
         if request.kind == Kind::Once && own_runs.len() > 1 {
-            let endpoints: Vec<&str> = own_runs.iter().map(|run| run.endpoint.as_str()).collect();
-            report_breach(found, "at most once", format!("{id} ran at {endpoints:?}"));
+            let described = evidence::describe(request, own_runs, events);
+            report_breach(found, "at most once", described);
         }
         let service = service_of(request.daemon);
         let is_own = |run: &&&Run| run.caller_service.as_deref() == Some(service);
@@ -105,12 +106,20 @@
             report_breach(found, "caller's service", evidence);
         }
         if let Some((_, end)) = &request.ended {
-            check_end(request, end, own_runs, found);
+            let described = || evidence::describe(request, own_runs, events);
+            check_end(request, end, own_runs, &described, found);
         }
     }
 }
 
-fn check_end(request: &Request, end: &End, runs: &[&Run], found: &mut Vec<Breach>) {
+/// Checks how a request ended; `described` gives the evidence.
+fn check_end(
+    request: &Request,
+    end: &End,
+    runs: &[&Run],
+    described: &dyn Fn() -> String,
+    found: &mut Vec<Breach>,
+) {
     let id = &request.id;
     match end {
         End::Answer {
@@ -120,7 +129,8 @@
         } => {
             let has_run = |proof: &String| runs.iter().any(|run| run.endpoint == *proof);
             if !is_own_body || !proof.as_ref().is_some_and(has_run) {
-                report_breach(found, "whole answer", format!("{id}: proof {proof:?}"));
+                let evidence = format!("proof {proof:?}: {}", described());
+                report_breach(found, "whole answer", evidence);
             }
         }
         End::Answer {
@@ -128,11 +138,11 @@
             proof: None,
             ..
         } if !runs.is_empty() => {
-            let evidence = format!("{id} was told {status} and ran at {}", runs[0].endpoint);
+            let evidence = format!("{id} was told {status}: {}", described());
             report_breach(found, "not run means not run", evidence);
         }
         End::Answer { .. } | End::NotSent | End::Broken | End::Abandoned => {}
-        End::Unanswered => report_breach(found, "answered in time", id.clone()),
+        End::Unanswered => report_breach(found, "answered in time", described()),
     }
 }
 
--- a/crates/bramblewheel-soak/src/check/planned_stops.rs
+++ b/crates/bramblewheel-soak/src/check/planned_stops.rs
@@ -7,10 +7,9 @@
 //! - if it was sent within the first half of the grace time or is a call of an endpoint, and it or the request that it
 //!   was made for was still running in the last sixth: then no daemon can wait for it.
 
-use super::{Breach, report_breach};
+use super::{Breach, evidence, report_breach};
 use crate::fleet::GRACE_TIME;
-use crate::history::{End, Events, PlannedStop, Request, Run, RunEnd, Timestamp};
-use crate::plan::Machine;
+use crate::history::{End, Events, PlannedStop, Request, Run, RunEnd};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -85,7 +84,7 @@
     report_breach(
         found,
         interruption.promise(),
-        describe(request, own_runs, stop) + &circumstances(request, own_runs, events, stop),
+        describe(request, own_runs, events, stop),
     );
 }
 
@@ -148,84 +147,18 @@
     })
 }
 
-fn seconds(at: Timestamp) -> String {
-    format!("{:.3}", at.as_secs_f64())
-}
-
-/// Time from the stop request to `at`, in seconds with a sign.
-fn since_request(stop: &PlannedStop, at: Timestamp) -> String {
-    let (late, early) = (
-        at.saturating_sub(stop.requested),
-        stop.requested.saturating_sub(at),
-    );
-    let sign = if early > Duration::ZERO { "-" } else { "+" };
-    format!("{sign}{}", seconds(late.max(early)))
-}
-
-/// Describes what struck the processes on the path of a request while it was open, and which processes were late. This is
-/// evidence only; it excuses nothing.
-fn circumstances(request: &Request, runs: &[&Run], events: &Events, stop: &PlannedStop) -> String {
-    let ended = request.ended.as_ref().map_or(events.ended, |(at, _)| *at);
-    let on_path = |machine: Machine| {
-        let mut daemons = runs.iter().map(|run| run.daemon).chain([request.daemon]);
-        daemons.any(|daemon| machine == Machine::Daemon(daemon))
-    };
-    let mut text = String::new();
-    for strike in &events.strikes {
-        let is_over = strike.until.is_some_and(|until| until < request.sent);
-        if on_path(strike.machine) && strike.from <= ended && !is_over {
-            let (from, until) = (strike.from, strike.until.unwrap_or(events.ended));
-            text.push_str(&format!(
-                "; struck by {} from {} to {}",
-                strike.fault,
-                since_request(stop, from),
-                since_request(stop, until)
-            ));
-        }
-    }
-    for late in &events.late_processes {
-        let from = late.until.saturating_sub(late.lateness);
-        let is_open = from <= ended && late.until >= request.sent;
-        if is_open && late.machine.is_none_or(on_path) {
-            let who = late
-                .machine
-                .map_or("soak".to_owned(), |machine| format!("{machine:?}"));
-            text.push_str(&format!(
-                "; {who} late by {:?} until {}",
-                late.lateness,
-                since_request(stop, late.until)
-            ));
-        }
-    }
-    text
-}
-
-/// Describes the path of a request, as evidence.
-fn describe(request: &Request, runs: &[&Run], stop: &PlannedStop) -> String {
-    let since = |at: Timestamp| since_request(stop, at);
-    let mut text = format!(
-        "{} sent to daemon {} at {} s after daemon {} was told to stop ({} s), its time {:?}",
+/// Describes a request around a planned stop, with times from the order to stop.
+fn describe(request: &Request, runs: &[&Run], events: &Events, stop: &PlannedStop) -> String {
+    let ordered = stop.requested;
+    format!(
+        "{} sent to daemon {} at {} s after daemon {} was told to stop ({} s), its time {:?}{}{}",
         request.id,
         request.daemon,
-        since(request.sent),
+        evidence::sent_at(request, ordered),
         stop.daemon,
-        seconds(stop.requested),
+        evidence::seconds(ordered),
         request.time_limit,
-    );
-    for run in runs {
-        let end = run.ended.map_or("goes on".to_owned(), |(at, end)| {
-            format!("{end:?} at {}", since(at))
-        });
-        let part = format!(
-            "; ran at {} beside daemon {} from {}, {end}",
-            run.endpoint,
-            run.daemon,
-            since(run.at)
-        );
-        text.push_str(&part);
-    }
-    if let Some((at, end)) = &request.ended {
-        text.push_str(&format!("; ended at {}: {end:?}", since(*at)));
-    }
-    text
+        evidence::path(request, runs, ordered),
+        evidence::circumstances(request, runs, events, ordered)
+    )
 }
