--- a/crates/bramblewheel-soak/src/lib.rs
+++ b/crates/bramblewheel-soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod foreign;
 pub mod history;
 pub mod host_controls;
+pub mod late_starts;
 pub mod lateness;
 mod load;
 pub mod lost_machine;
--- a/crates/bramblewheel-soak/src/main.rs
+++ b/crates/bramblewheel-soak/src/main.rs
@@ -4,10 +4,11 @@
 use bramblewheel_soak::foreign::ForeignMessages;
 use bramblewheel_soak::plan::Size;
 use bramblewheel_soak::run::{Disturbances, Scenario, run};
-use bramblewheel_soak::suspensions::read_range;
+use bramblewheel_soak::suspensions::Suspensions;
 use bramblewheel_soak::workload::draw::draw;
 use bramblewheel_soak::workload::file::read;
 use gumdrop::Options;
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -19,6 +20,8 @@
 /// Range of loopback networks; the low bits of the seed select one, so that soaks can run side by side.
 const FIRST_NETWORK: u8 = 64;
 const NETWORKS: u64 = 64;
+/// Networks that can be stated; 127.0 is used by others on the machine, and 127.255 holds the broadcast address.
+const VALID_NETWORKS: RangeInclusive<u8> = 1..=254;
 
 #[derive(Debug, Options)]
 struct Flags {
@@ -42,9 +45,21 @@
     /// suspend one daemon after the other for LEAST-MOST milliseconds
     #[options(no_short, meta = "LEAST-MOST")]
     suspend_ms: Option<String>,
+    /// suspend LEAST-MOST daemons at the same moment, until the last fault begins; with --suspend-ms
+    #[options(no_short, meta = "LEAST-MOST")]
+    suspend_groups: Option<String>,
+    /// go on suspending groups until the last fault has ended
+    #[options(no_short)]
+    suspend_past_last_fault: bool,
+    /// second byte of the loopback addresses, from 1 to 254; chosen by the seed without it
+    #[options(no_short, meta = "N")]
+    network: Option<u8>,
     /// endpoints state rate limits, and that they drain, in their answers
     #[options(no_short)]
     statements: bool,
+    /// end of these statements, in seconds from the begin; with --statements
+    #[options(no_short, meta = "N")]
+    statements_seconds: Option<u64>,
     /// program under test
     #[options(
         no_short,
@@ -79,16 +94,26 @@
             }
         },
     };
-    let suspensions = match flags.suspend_ms.as_deref().map(read_range).transpose() {
+    let suspensions = Suspensions::read(
+        flags.suspend_ms.as_deref(),
+        flags.suspend_groups.as_deref(),
+        flags.suspend_past_last_fault,
+    );
+    let suspensions = match suspensions {
         Ok(suspensions) => suspensions,
         Err(error) => {
             eprintln!("bramblewheel-soak: {error}");
             return ExitCode::from(EXIT_NOT_RUN);
         }
     };
+    if flags.statements_seconds.is_some() && !flags.statements {
+        eprintln!("bramblewheel-soak: --statements-seconds needs --statements");
+        return ExitCode::from(EXIT_NOT_RUN);
+    }
     let disturbances = Disturbances {
         suspensions,
         has_statements: flags.statements,
+        statements_until: flags.statements_seconds.map(Duration::from_secs),
     };
     let temporary = tempfile::tempdir();
     let folder = match (&flags.folder, &temporary) {
@@ -105,7 +130,11 @@
         length: Duration::from_secs(flags.seconds),
     };
     let offset = u8::try_from(seed % NETWORKS).expect("NETWORKS is below 256");
-    let network = FIRST_NETWORK + offset;
+    let network = flags.network.unwrap_or(FIRST_NETWORK + offset);
+    if !VALID_NETWORKS.contains(&network) {
+        eprintln!("bramblewheel-soak: --network {network}: expected a number from 1 to 254");
+        return ExitCode::from(EXIT_NOT_RUN);
+    }
     let programs = Programs {
         current: flags.program,
         earlier_replica: flags.earlier_replica_program,
--- a/crates/bramblewheel-soak/src/run.rs
+++ b/crates/bramblewheel-soak/src/run.rs
@@ -7,6 +7,7 @@
 use crate::foreign::ForeignMessages;
 use crate::history::{End, History, Request, Timestamp};
 use crate::host_controls::HostControls;
+use crate::late_starts;
 use crate::lateness;
 use crate::load::{
     callers, fatal_callers, kept_callers, operate, probes, restart_ended, watch_processes,
@@ -15,7 +16,7 @@
 use crate::operator::Operators;
 use crate::plan::{Machine, STARTUP_TIME, Size, Step, plan};
 use crate::stop_plan;
-use crate::suspensions::suspend_daemons;
+use crate::suspensions::{Suspensions, suspend_daemons};
 use crate::traffic::{Call, send};
 use crate::workload::Workload;
 use crate::workload_traffic;
@@ -23,10 +24,9 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use std::collections::BTreeMap;
-use std::ops::RangeInclusive;
 use std::path::Path;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
@@ -67,6 +67,8 @@
     pub(crate) process_generations: Vec<AtomicU64>,
     pub(crate) lost_machine: LostMachine,
     next_endpoint: AtomicU64,
+    /// When the last fault of the plan begins, once faults are injected.
+    last_fault_begins: OnceLock<Timestamp>,
     are_faults_over: AtomicBool,
     is_over: AtomicBool,
     /// Load in percent of the usual load.
@@ -113,10 +115,12 @@
 /// What disturbs a soak in addition to the faults of its plan.
 #[derive(Clone, Debug, Default)]
 pub struct Disturbances {
-    /// Times for which daemons are suspended, one after the other, in milliseconds.
-    pub suspensions: Option<RangeInclusive<u64>>,
+    /// Suspensions of daemons.
+    pub suspensions: Option<Suspensions>,
     /// Whether endpoints state rate limits and that they drain in their answers.
     pub has_statements: bool,
+    /// Until when they may, from the begin of the soak; `None` for as long as faults may strike.
+    pub statements_until: Option<Timestamp>,
 }
 
 /// Runs `programs` with the faults of a seed and with `disturbances`; settings, data and logs go to `folder`.
@@ -133,9 +137,10 @@
     folder: &Path,
 ) -> Result<Verdict, FleetError> {
     let steps = scenario.steps(seed, size);
+    let faults_end = STARTUP_TIME + size.length;
     let statements_until = disturbances
         .has_statements
-        .then_some(STARTUP_TIME + size.length);
+        .then_some(disturbances.statements_until.unwrap_or(faults_end));
     let soak = Soak::prepare(
         seed,
         scenario,
@@ -165,8 +170,12 @@
     }
     background.spawn(watch_processes(Arc::clone(&soak)));
     background.spawn(lateness::measure(Arc::clone(&soak)));
-    if let Some(millis) = disturbances.suspensions {
-        background.spawn(suspend_daemons(Arc::clone(&soak), millis));
+    if let Some(last) = steps.last() {
+        soak.last_fault_begins
+            .get_or_init(|| soak.history.now() + last.at);
+    }
+    if let Some(suspensions) = disturbances.suspensions {
+        background.spawn(suspend_daemons(Arc::clone(&soak), suspensions));
     }
     if matches!(scenario, Scenario::Faults(_)) {
         background.spawn(fatal_callers(Arc::clone(&soak), size));
@@ -279,6 +288,7 @@
             process_generations: (0..size.daemons).map(|_| AtomicU64::new(0)).collect(),
             lost_machine: LostMachine::default(),
             next_endpoint: AtomicU64::new(0),
+            last_fault_begins: OnceLock::new(),
             are_faults_over: AtomicBool::new(false),
             is_over: AtomicBool::new(false),
             load_percent: AtomicU32::new(100),
@@ -368,6 +378,12 @@
         f64::from(self.load_percent.load(Ordering::Relaxed)) / 100.0
     }
 
+    /// Whether the last fault of the plan begins by `at`.
+    pub(crate) fn begins_last_fault_by(&self, at: Timestamp) -> bool {
+        let begins = self.last_fault_begins.get();
+        begins.is_some_and(|begins| *begins <= at)
+    }
+
     /// Whether the last fault of the plan has ended.
     pub(crate) fn are_faults_over(&self) -> bool {
         self.are_faults_over.load(Ordering::Relaxed)
@@ -381,6 +397,7 @@
         let mut events = self.history.events();
         events.ended = self.history.now();
         lateness::print_summary(&events.late_processes, events.ended);
+        late_starts::print_summary(&events);
         let is_served = |request: &&Request| {
             let end = request.ended.as_ref().map(|(_, end)| end);
             matches!(end, Some(End::Answer { status: 200, .. }))
