Keep requests that may have run until the latest possible end of a planned stop

Cause: a daemon that was suspended when it read the order takes all its lateness off the grace time, because the order may have come when the suspension began. All requests were answered or cut by that earliest possible end. Evidence: answer_after_the_earliest_possible_end_of_the_grace_time_is_delivered failed before (502 in place of 200; on with the test alone). Fix: what has not run is still refused by the earliest end. What may have run is waited for until the end that follows from the time at which the order was read. A caller whose request may have run gains nothing from an earlier answer without a result; the process is ended by force at the latest. A stop that is read in time has one end, as before. Ruled out: a longer grace time at the early end (order_to_stop_that_is_read_late_leaves_less_time, unchanged, passes).

--- a/crates/bramblewheel-proxy/src/inbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/inbound/mod.rs
@@ -66,7 +66,9 @@
         let attempted = tokio::select! {
             biased;
             attempted = dispatch(shared, &handover, arrived, &mut outgoing, progress) => attempted,
-            () = shared.stop.answers_due(shared.clock) => return self.without_attempt(result_at_stop(progress)),
+            () = shared.stop.answer_due(shared.clock, || may_have_run(progress)) => {
+                return self.without_attempt(result_at_stop(progress));
+            }
         };
         shared.metrics.inbound(attempted.dispatched.result());
         match attempted.dispatched {
@@ -105,9 +107,18 @@
 
 /// Result of an attempt that the daemon can't wait for because it is stopping.
 fn result_at_stop(progress: &Progress) -> AttemptResult {
+/// Whether the endpoint may have run the request.
+fn may_have_run(progress: &Progress) -> bool {
     match progress.stage() {
-        Stage::Reading | Stage::Waiting => AttemptResult::Leaving,
-        Stage::Sent | Stage::Answering => AttemptResult::Lost,
+        Stage::Reading | Stage::Waiting => false,
+        Stage::Sent | Stage::Answering => true,
+    }
+}
+
+    if may_have_run(progress) {
+        AttemptResult::Lost
+    } else {
+        AttemptResult::Leaving
     }
 }
 
--- a/crates/bramblewheel-proxy/src/outbound/arrival.rs
+++ b/crates/bramblewheel-proxy/src/outbound/arrival.rs
@@ -107,7 +107,7 @@
     let read = tokio::select! {
         biased;
         read = body::read(incoming) => read,
-        () = shared.stop.answers_due(shared.clock) => {
+        () = shared.stop.answer_due(shared.clock, || false) => {
             slog::info!(shared.log, "request refused"; "id" => id_text(id),
                 "reason" => "the daemon stops before its body is there");
             return Err(Reply::Refusal(RefusalReason::Stopping));
--- a/crates/bramblewheel-proxy/src/outbound/caller_request.rs
+++ b/crates/bramblewheel-proxy/src/outbound/caller_request.rs
@@ -143,7 +143,7 @@
             },
             // Even an answer that leaves open whether the request ran serves a caller better than a closed
             // connection.
-            () = stop.answers_due(clock) => self.without_success(EndReason::StopDue),
+            () = stop.answer_due(clock, || self.may_have_run()) => self.without_success(EndReason::StopDue),
         };
         self.record_capacity(&outcome);
         self.settle_quota(&outcome);
--- a/crates/bramblewheel-proxy/src/planned_stop.rs
+++ b/crates/bramblewheel-proxy/src/planned_stop.rs
@@ -10,6 +10,10 @@
 //!    otherwise one that leaves open whether it ran. Only answers that are being passed on continue, until the
 //!    connections are closed.
 //!
+//! A process that was suspended can't know when the order came, so that its grace time may end earlier than it would
+//! by the time at which it read the order. All steps follow the earliest possible end, except that a request which may
+//! have run is waited for until the latest one: its caller gains nothing from an earlier answer without a result.
+//!
 //! A planned stop appears in the log lines `callers refused from now on`, `request while stopping` and
 //! `cut off by the stop`, and in the metric `bramblewheel_cut_off_total`.
 
@@ -32,63 +36,80 @@
 /// Time between two checks of the requests in progress.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
 
-/// State of the planned stop: not begun, or in progress with its schedule.
+/// Schedules of a planned stop, by the earliest and the latest time at which it may be forced. They are the same if this
+/// process was running when the order came.
+#[derive(Clone, Copy, Debug)]
+struct Schedules {
+    earliest: StopSchedule,
+    latest: StopSchedule,
+}
+
+/// State of the planned stop: not begun, or in progress with its schedules.
 #[derive(Debug)]
 pub struct PlannedStop {
-    schedule: OnceLock<StopSchedule>,
+    schedules: OnceLock<Schedules>,
     has_begun: watch::Sender<bool>,
 }
 
 impl Default for PlannedStop {
     fn default() -> Self {
         Self {
-            schedule: OnceLock::new(),
+            schedules: OnceLock::new(),
             has_begun: watch::Sender::new(false),
         }
     }
 }
 
 impl PlannedStop {
-    /// Its schedule, once it has begun.
+    /// Its schedule by the earliest possible end, once it has begun.
     pub fn schedule(&self) -> Option<&StopSchedule> {
-        self.schedule.get()
+        self.schedules.get().map(|schedules| &schedules.earliest)
     }
 
-    fn begin(&self, schedule: StopSchedule) {
+    fn begin(&self, schedules: Schedules) {
         // Can't be set already: `Daemon::stop` consumes the daemon.
-        let _ = self.schedule.set(schedule);
+        let _ = self.schedules.set(schedules);
         self.has_begun.send_replace(true);
     }
 
-    /// Returns when a stop is in progress and every request must be answered; never returns without a stop.
-    pub async fn answers_due(&self, clock: Clock) {
+    /// Returns when a stop is in progress and a request must be answered: one that has not run by the earliest possible
+    /// end of the stop, one for which `may_have_run` is true then by the latest. Never returns without a stop.
+    pub async fn answer_due(&self, clock: Clock, may_have_run: impl Fn() -> bool) {
         let mut has_begun = self.has_begun.subscribe();
         // The sender lives as long as this value.
         let _ = has_begun.wait_for(|has_begun| *has_begun).await;
-        match self.schedule() {
-            Some(schedule) => clock.sleep_until(schedule.answers_by).await,
-            None => std::future::pending().await,
+        let Some(schedules) = self.schedules.get() else {
+            return std::future::pending().await;
+        };
+        clock.sleep_until(schedules.earliest.answers_by).await;
+        if may_have_run() {
+            clock.sleep_until(schedules.latest.answers_by).await;
         }
     }
 }
 
-/// Time from now to the forced stop. If this process was late until now, the order may have come when it stopped running.
-fn remaining_grace(shared: &Shared, now: Timestamp) -> Duration {
+/// Least time from now to the forced stop. If this process was late until now, the order may have come when it stopped
+/// running.
+fn least_grace(shared: &Shared, now: Timestamp) -> Duration {
     let grace = shared.settings.stop_grace;
     let remaining = grace.saturating_sub(shared.lateness.latest(now));
     remaining.max(grace.mul_f64(MIN_GRACE_PART))
 }
 
-/// Begins the stop and waits until the listeners may be closed; returns the time by which all connections must have
-/// ended.
+/// Begins the stop and waits until the listeners may be closed; returns the latest time by which all connections must
+/// have ended.
 pub(crate) async fn wait_until_quiet(shared: &Shared) -> Timestamp {
     let clock = shared.clock;
     let now = clock.now();
-    let grace = remaining_grace(shared, now);
+    let (grace, longest_grace) = (least_grace(shared, now), shared.settings.stop_grace);
     let schedule = StopSchedule::new(now, grace);
+    let latest = StopSchedule::new(now, longest_grace);
     slog::info!(shared.log, "stopping"; "in_progress" => shared.in_progress.count(),
-        "grace_ms" => Millis::of(grace).0);
-    shared.stop.begin(schedule);
+        "grace_ms" => Millis::of(grace).0, "longest_grace_ms" => Millis::of(longest_grace).0);
+    shared.stop.begin(Schedules {
+        earliest: schedule,
+        latest,
+    });
     shared.local.stop();
     let mut quiet_since = clock.now();
     let mut are_callers_refused = false;
@@ -108,7 +129,7 @@
             break;
         }
     }
-    schedule.closed_by
+    latest.closed_by
 }
 
 /// Logs and counts the requests that the end of the process cuts off. Each of them violates the guarantee of a
--- a/crates/bramblewheel-proxy/tests/sockets/suspended_processes.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/suspended_processes.rs
@@ -153,6 +153,29 @@
     assert!(elapsed < settings.stop_grace, "{elapsed:?}");
 }
 
+/// Guards against cutting off a request because the order to stop may have come earlier than it did.
+#[tokio::test]
+async fn answer_after_the_earliest_possible_end_of_the_grace_time_is_delivered() {
+    const LONG_SUSPENSION: Duration = Duration::from_millis(2_200);
+    let process = SuspendableProcess::start();
+    let mut cluster = TestCluster::start(1).await;
+    cluster.add_daemon_in(&process, LONG_IDLE_TIMEOUT).await;
+    cluster.send_heartbeat(1, EndpointState::Draining, 2).await;
+    let work = Behavior::AnswerAfter(Duration::from_millis(1_700));
+    cluster.endpoints[0].script(&[work]);
+    let stopping = cluster.daemons.pop().expect("two daemons");
+    let address = stopping.shared().settings.outbound;
+    process.suspend(LONG_SUSPENSION);
+    sleep(LONG_SUSPENSION - Duration::from_millis(100)).await;
+    let stop = process.spawn(stopping.stop());
+    let headers = [("bw-request-id", "r-1"), ("bw-remaining-ms", "8000")];
+    let stream = TcpStream::connect(address).await.expect("it listens");
+    let answer = call_on(stream, "/once/pay", &headers, Bytes::new()).await;
+    stop.await.expect("the stop ends");
+    assert_eq!(cluster.endpoints[0].arrivals().len(), 1);
+    assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+}
+
 /// A daemon that counts as silent and then ends is not waited for until the request's time is over.
 #[tokio::test]
 async fn wait_for_a_silent_daemon_ends_when_its_connection_breaks() {
