Pass on the answers that came while a stopping daemon was suspended

Cause: the wait for the end of the connections ran out during the suspension; the main function continues before the tasks that read the sockets, closes all and exits, with 240 ms left. The test process ends with its main function, as a program does. Fix: a process that was suspended passes on what came for 100 ms more, of the 250 ms left until the end by force.

--- a/crates/bramblewheel-proxy/src/daemon.rs
+++ b/crates/bramblewheel-proxy/src/daemon.rs
@@ -14,12 +14,18 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use bramblewheel_process::listener::BindError;
+use bramblewheel_types::Timestamp;
 use slog::Logger;
+use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+/// Time in which a process that was suspended until the end of its stop passes on the answers that came meanwhile.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
+
 /// Why a daemon can't start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -98,15 +104,30 @@
     pub async fn stop(mut self) {
         let closed_by = planned_stop::wait_until_quiet(&self.shared).await;
         self.stop.send_replace(true);
-        let servers_ended = async { while self.servers.join_next().await.is_some() {} };
-        let have_all_ended = self
-            .shared
-            .clock
-            .timeout_at(closed_by, servers_ended)
-            .await
-            .is_ok();
+        let have_all_ended = self.wait_for_servers(closed_by).await;
         planned_stop::log_cut_off(&self.shared);
         slog::info!(self.shared.log, "stopped"; "in_progress" => self.shared.in_progress.count(),
             "all_connections_ended" => have_all_ended);
     }
+
+    /// Waits until all connections have ended, at most until `closed_by`; returns whether they have. After a suspension
+    /// of this process, the answers that came meanwhile are passed on first.
+    async fn wait_for_servers(&mut self, closed_by: Timestamp) -> bool {
+        let (clock, servers) = (self.shared.clock, &mut self.servers);
+        let servers_ended = async { while servers.join_next().await.is_some() {} };
+        let mut servers_ended = pin!(servers_ended);
+        if clock
+            .timeout_at(closed_by, servers_ended.as_mut())
+            .await
+            .is_ok()
+        {
+            return true;
+        }
+        let now = clock.now();
+        if self.shared.lateness.longest_unread(now).is_zero() {
+            return false;
+        }
+        let until = now + LAST_ANSWERS_TIME;
+        clock.timeout_at(until, servers_ended).await.is_ok()
+    }
 }
--- a/crates/bramblewheel-proxy/tests/sockets/support/suspendable.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/suspendable.rs
@@ -2,31 +2,49 @@
 //! operating system accepts connections and bytes for it, and its timers are late.
 
 use std::future::Future;
+use std::pin::Pin;
 use std::thread;
 use std::time::Duration;
 use tokio::runtime::{Builder, Handle};
-use tokio::sync::oneshot;
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 /// A process that can be suspended; ends when dropped.
 pub struct SuspendableProcess {
     runtime: Handle,
-    _end: oneshot::Sender<()>,
+    /// What the process runs outside of the runtime's tasks, as a program's main function does. The process ends when it
+    /// is dropped.
+    main: mpsc::UnboundedSender<MainFuture>,
 }
 
+type MainFuture = Pin<Box<dyn Future<Output = ()> + Send>>;
+
 impl SuspendableProcess {
     pub fn start() -> Self {
         let runtime = Builder::new_current_thread().enable_all().build();
         let runtime = runtime.expect("a runtime");
         let handle = runtime.handle().clone();
-        let (end, ended) = oneshot::channel::<()>();
-        thread::spawn(move || runtime.block_on(ended));
+        let (main, mut started) = mpsc::unbounded_channel::<MainFuture>();
+        thread::spawn(move || {
+            runtime.block_on(async move {
+                if let Some(future) = started.recv().await {
+                    future.await;
+                }
+            });
+        });
         Self {
             runtime: handle,
-            _end: end,
+            main,
         }
     }
 
+    /// Runs a future as the main function of the process does: after a suspension it continues before all tasks, and the
+    /// process ends with it.
+    pub fn run_as_main(&self, future: impl Future<Output = ()> + Send + 'static) {
+        let sent = self.main.send(Box::pin(future));
+        assert!(sent.is_ok(), "the process runs");
+    }
+
     /// Runs a future in the process.
     pub async fn run<F>(&self, future: F) -> F::Output
     where
--- a/crates/bramblewheel-proxy/tests/sockets/suspended_processes.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/suspended_processes.rs
@@ -176,6 +176,36 @@
     assert_eq!(answer.expect("an answer").status, StatusCode::OK);
 }
 
+/// Guards against closing connections, at the end of a stop, before the answers that came during a suspension are written.
+#[tokio::test]
+async fn answers_that_came_while_a_stopping_daemon_was_suspended_are_delivered() {
+    let process = SuspendableProcess::start();
+    let mut cluster = TestCluster::start(1).await;
+    cluster.add_daemon_in(&process, LONG_IDLE_TIMEOUT).await;
+    cluster.send_heartbeat(1, EndpointState::Draining, 2).await;
+    let work = Behavior::AnswerAfter(Duration::from_millis(500));
+    cluster.endpoints[0].script(&vec![work; CONNECTIONS]);
+    let stopping = cluster.daemons.pop().expect("two daemons");
+    let settings = stopping.shared().settings.clone();
+    let (address, grace) = (settings.outbound, settings.stop_grace);
+    process.run_as_main(stopping.stop());
+    sleep(grace - Duration::from_millis(2_050)).await;
+    let mut calls = JoinSet::new();
+    for number in 0..CONNECTIONS {
+        calls.spawn(async move {
+            let id = format!("r-{number}");
+            let headers = [("bw-request-id", id.as_str()), ("bw-remaining-ms", "8000")];
+            let stream = TcpStream::connect(address).await.expect("it listens");
+            let answer = call_on(stream, "/once/pay", &headers, Bytes::new()).await;
+            answer.map(|answer| answer.status).ok()
+        });
+    }
+    sleep(Duration::from_millis(200)).await;
+    process.suspend(Duration::from_millis(1_650));
+    let statuses = calls.join_all().await;
+    assert_eq!(statuses, [Some(StatusCode::OK); CONNECTIONS]);
+}
+
 /// A daemon that counts as silent and then ends is not waited for until the request's time is over.
 #[tokio::test]
 async fn wait_for_a_silent_daemon_ends_when_its_connection_breaks() {
