Refuse a request that can no longer end in time as not run, before it is started

A moment earlier a true 'not run' could have been said, which matters most where a request may run only once. Cause: at the start only a millisecond had to be left. Evidence: request_with_less_time_than_its_endpoint_takes_is_refused_as_not_run failed before (504 in place of 503, on with the test alone). Fix: the daemon beside the endpoint keeps the times of the last 16 successful runs of each class, for 3 s. When a slot is given and when the request is written, what is left must be the median of them at least; otherwise the attempt ends as 'out-of-time', which is proved not run. On the wire it is 'full' with the header bw-out-of-time, so that earlier daemons read it as a refusal. The sender goes elsewhere if it has the needed time, and otherwise answers 503 at once. A class all of whose requests are refused is tried again when its runs are forgotten. Tests: AttemptCounts and the list of results grew by one entry in retry.rs and pinned_wire.rs, still exact.

--- a/crates/bramblewheel-decisions/src/attempt_result.rs
+++ b/crates/bramblewheel-decisions/src/attempt_result.rs
@@ -19,6 +19,8 @@
     Full,
     /// The daemon refused the request: the endpoint's rate limit is used up.
     RateLimited,
+    /// The daemon refused the request: it could no longer end in time.
+    OutOfTime,
     /// The daemon refused the request: endpoints crash when they run its content.
     Quarantined,
     /// The daemon refused the request: the endpoint is down or draining, or the daemon is stopping.
@@ -33,12 +35,13 @@
 
 impl AttemptResult {
     /// All results, for parsing a [name](Self::as_str).
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Answered,
         Self::Rejected,
         Self::OtherEndpoint,
         Self::Full,
         Self::RateLimited,
+        Self::OutOfTime,
         Self::Quarantined,
         Self::Leaving,
         Self::Unreachable,
@@ -54,6 +57,7 @@
             Self::OtherEndpoint => "other-endpoint",
             Self::Full => "full",
             Self::RateLimited => "rate-limited",
+            Self::OutOfTime => "out-of-time",
             Self::Quarantined => "quarantined",
             Self::Leaving => "leaving",
             Self::Unreachable => "unreachable",
@@ -69,6 +73,7 @@
             | Self::OtherEndpoint
             | Self::Full
             | Self::RateLimited
+            | Self::OutOfTime
             | Self::Quarantined
             | Self::Leaving
             | Self::Unreachable => true,
@@ -84,6 +89,7 @@
             }
             Self::Full
             | Self::RateLimited
+            | Self::OutOfTime
             | Self::Quarantined
             | Self::Leaving
             | Self::Unreachable => false,
@@ -104,6 +110,7 @@
             Self::Rejected => AttemptEnd::Rejected,
             Self::Full => AttemptEnd::Full,
             Self::RateLimited => AttemptEnd::RateLimited,
+            Self::OutOfTime => AttemptEnd::OutOfTime,
             Self::Quarantined => AttemptEnd::Quarantined,
             Self::OtherEndpoint | Self::Leaving => AttemptEnd::Leaving,
             Self::Unreachable | Self::Silent => AttemptEnd::Unreachable,
--- a/crates/bramblewheel-decisions/src/directory/ejection.rs
+++ b/crates/bramblewheel-decisions/src/directory/ejection.rs
@@ -59,6 +59,7 @@
             | AttemptEnd::Failed(_)
             | AttemptEnd::Full
             | AttemptEnd::RateLimited
+            | AttemptEnd::OutOfTime
             | AttemptEnd::Quarantined
             | AttemptEnd::Rejected => {}
         }
--- a/crates/bramblewheel-decisions/src/directory/endpoint.rs
+++ b/crates/bramblewheel-decisions/src/directory/endpoint.rs
@@ -206,6 +206,7 @@
             | AttemptEnd::Leaving
             | AttemptEnd::Full
             | AttemptEnd::RateLimited
+            | AttemptEnd::OutOfTime
             | AttemptEnd::Quarantined
             | AttemptEnd::Rejected => {}
         }
@@ -223,6 +224,7 @@
             AttemptEnd::Failed(_) | AttemptEnd::Rejected | AttemptEnd::Lost => true,
             AttemptEnd::Full
             | AttemptEnd::RateLimited
+            | AttemptEnd::OutOfTime
             | AttemptEnd::Quarantined
             | AttemptEnd::Leaving
             | AttemptEnd::Unreachable
--- a/crates/bramblewheel-decisions/src/directory/mod.rs
+++ b/crates/bramblewheel-decisions/src/directory/mod.rs
@@ -71,6 +71,8 @@
     Full,
     /// The endpoint's rate limit was used up.
     RateLimited,
+    /// The endpoint's daemon refused the request because too little of its time was left.
+    OutOfTime,
     /// The endpoint's daemon refused the request for its content, which says nothing about the endpoint.
     Quarantined,
     /// The endpoint is unavailable or draining, or its daemon is stopping.
--- a/crates/bramblewheel-decisions/src/lib.rs
+++ b/crates/bramblewheel-decisions/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod retry_after;
 pub mod retry_bound;
 pub mod retry_budget;
+pub mod run_time;
 pub mod running_requests;
 pub mod stable_hash;
 pub mod stop_schedule;
--- a/crates/bramblewheel-decisions/src/retry.rs
+++ b/crates/bramblewheel-decisions/src/retry.rs
@@ -23,6 +23,8 @@
 const MAX_REROUTES_WHEN_WIDELY_FULL: u32 = 1;
 /// Most reroutes because the rate limit of an endpoint was used up.
 const MAX_REROUTES_WHEN_RATE_LIMITED: u32 = 2;
+/// Most reroutes because a daemon refused the request for lack of time.
+const MAX_REROUTES_WHEN_OUT_OF_TIME: u32 = 2;
 /// Most arrivals of a nested call at endpoints that rejected it. If endpoints reject 0.55 of all requests, a call
 /// succeeds with probability 0.95 in five arrivals (1 - 0.55^5) and four calls in a row with 0.82; with two arrivals
 /// the latter is 0.24.
@@ -57,6 +59,8 @@
     pub found_full: u32,
     /// Those for which the endpoint's rate limit was used up.
     pub rate_limited: u32,
+    /// Those that the daemon beside the endpoint refused for lack of time.
+    pub out_of_time: u32,
 }
 
 impl AttemptCounts {
@@ -66,6 +70,7 @@
         self.unavailable += u32::from(result.is_unavailable());
         self.found_full += u32::from(result == AttemptResult::Full);
         self.rate_limited += u32::from(result == AttemptResult::RateLimited);
+        self.out_of_time += u32::from(result == AttemptResult::OutOfTime);
     }
 
     /// Whether the next attempt may go to an endpoint that has not received the request. The route limits the endpoints
@@ -108,6 +113,8 @@
     pub is_body_kept: bool,
     /// Time until the caller's deadline.
     pub time_left: Duration,
+    /// Time that the daemon beside the endpoint states as needed, if it refused the request for lack of time; else zero.
+    pub needed_time: Duration,
     /// Whether endpoints crashed while running the request's content, but too few for a quarantine.
     pub is_suspect: bool,
     /// The service.
@@ -161,6 +168,8 @@
     Full,
     /// The rate limits of all endpoints that were tried are used up.
     RateLimited,
+    /// Daemons beside endpoints refused it too often for lack of time.
+    OutOfTime,
     /// It may have run, and must not run twice.
     MayHaveRun,
     /// As many endpoints have received it as its route allows.
@@ -196,6 +205,7 @@
             Self::Unavailable => "nobody-there",
             Self::Full => "full",
             Self::RateLimited => "rate-limited",
+            Self::OutOfTime => "out-of-time",
             Self::MayHaveRun => "may-have-run",
             Self::AttemptsUsedUp => "attempts-used-up",
             Self::NoCapacityDownstream => "no-capacity-downstream",
@@ -208,16 +218,17 @@
 
 impl FailedAttempt {
     /// Reasons to give up, in order of precedence, and whether each applies.
-    fn reasons_to_give_up(&self) -> [(bool, GiveUp); 12] {
+    fn reasons_to_give_up(&self) -> [(bool, GiveUp); 13] {
         [
             (self.is_stopped(), GiveUp::Stopping),
             (!self.is_body_kept, GiveUp::BodyNotKept),
-            (self.time_left < MIN_RETRY_TIME, GiveUp::NoTimeLeft),
+            (self.has_no_time_left(), GiveUp::NoTimeLeft),
             (self.is_quarantined(), GiveUp::Quarantined),
             (self.might_crash_endpoint(), GiveUp::SuspectContent),
             (self.is_unavailable_too_often(), GiveUp::Unavailable),
             (self.is_full(), GiveUp::Full),
             (self.is_rate_limited(), GiveUp::RateLimited),
+            (self.is_out_of_time_too_often(), GiveUp::OutOfTime),
             (self.must_not_run_again(), GiveUp::MayHaveRun),
             (self.has_used_up_attempts(), GiveUp::AttemptsUsedUp),
             (self.would_fail_downstream(), GiveUp::NoCapacityDownstream),
@@ -230,6 +241,12 @@
         self.is_past_latest_send && !self.request.is_likely_nested
     }
 
+    /// A daemon that was suspended refuses a request by the longest time that it may have waited there. The time left is
+    /// known here, so that the request can be served by another daemon.
+    fn has_no_time_left(&self) -> bool {
+        self.time_left < self.needed_time.max(MIN_RETRY_TIME)
+    }
+
     fn is_quarantined(&self) -> bool {
         self.result == AttemptResult::Quarantined
     }
@@ -258,6 +275,11 @@
             && self.counts.rate_limited > MAX_REROUTES_WHEN_RATE_LIMITED
     }
 
+    fn is_out_of_time_too_often(&self) -> bool {
+        self.result == AttemptResult::OutOfTime
+            && self.counts.out_of_time > MAX_REROUTES_WHEN_OUT_OF_TIME
+    }
+
     fn must_not_run_again(&self) -> bool {
         !self.request.is_repeatable && !self.result.is_proved_not_run()
     }
--- a/crates/bramblewheel-decisions/tests/retry.rs
+++ b/crates/bramblewheel-decisions/tests/retry.rs
@@ -30,6 +30,7 @@
         is_past_latest_send: false,
         is_body_kept: true,
         time_left: Duration::from_millis(20),
+        needed_time: Duration::ZERO,
         is_suspect: false,
         service: ServiceState {
             is_widely_refused: false,
@@ -67,6 +68,7 @@
         ("lost", attempt(Result::Lost), Retry(ORDINARY)),
         ("silent", attempt(Result::Silent), Retry(ORDINARY)),
         ("full", attempt(Result::Full), Reroute),
+        ("out of time", attempt(Result::OutOfTime), Reroute),
         ("leaving", attempt(Result::Leaving), Reroute),
         ("unreachable", attempt(Result::Unreachable), Reroute),
     ]);
@@ -122,6 +124,16 @@
             with(Result::Full, |failed| failed.counts.found_full = 3),
             GiveUp::Full,
         ),
+        (
+            with(Result::OutOfTime, |failed| failed.counts.out_of_time = 3),
+            GiveUp::OutOfTime,
+        ),
+        (
+            with(Result::OutOfTime, |failed| {
+                failed.needed_time = Duration::from_millis(21);
+            }),
+            GiveUp::NoTimeLeft,
+        ),
         (
             with(Result::Lost, |failed| failed.request.is_repeatable = false),
             GiveUp::MayHaveRun,
@@ -298,6 +310,7 @@
         unavailable: 2,
         found_full: 1,
         rate_limited: 1,
+        out_of_time: 1,
     };
     assert_eq!(counts, expected);
 }
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -6,7 +6,7 @@
 use crate::dialect::AnswerKind;
 use crate::http::exchange::{self, Answer, NoAnswer, Outgoing, Received};
 use crate::in_progress::{Progress, Stage};
-use crate::inbound::statements;
+use crate::inbound::{late_start, statements};
 use crate::local::crash_probe::probe_for_crash;
 use crate::local::{AnsweredRequest, Permit, Refusal};
 use crate::shared::Shared;
@@ -19,10 +19,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Least remaining time with which a request is sent to the endpoint. The header that states it has a unit of one
-/// millisecond, so that less would be stated as zero.
-const MIN_REMAINING: Duration = Duration::from_millis(1);
-
 /// How a request ended at the endpoint.
 #[derive(Debug)]
 pub enum DispatchOutcome {
@@ -92,6 +88,11 @@
         bound_used_percent: whole_percent(used),
         rate_limit: shared.local.limit_report(now, handover),
         is_draining: shared.local.has_drain_notice(&handover.endpoint),
+        needed_time: if dispatched.result() == AttemptResult::OutOfTime {
+            late_start::needed_time(shared, handover)
+        } else {
+            Duration::ZERO
+        },
     };
     AttemptOutcome { dispatched, report }
 }
@@ -173,8 +174,8 @@
     if is_quarantined(shared, &id, handover.content) {
         return DispatchOutcome::Unanswered(AttemptResult::Quarantined).into();
     }
-    if shared.clock.remaining_until(deadline) < MIN_REMAINING {
-        return DispatchOutcome::Unanswered(AttemptResult::Full).into();
+    if late_start::is_too_late(shared, handover, deadline, &id) {
+        return DispatchOutcome::Unanswered(AttemptResult::OutOfTime).into();
     }
     let run = AdmittedRun {
         shared,
@@ -244,6 +245,9 @@
     /// [`Refusal`] if the request must not be sent.
     fn before_send(&self, headers: &mut HeaderMap) -> Result<(), Refusal> {
         let shared = self.shared;
+        if late_start::is_too_late(shared, self.handover, self.deadline, &self.id) {
+            return Err(Refusal::OutOfTime);
+        }
         let now = shared.clock.now();
         let local = &shared.local;
         let is_limited = local.begin_send(now, &self.handover.endpoint, self.is_exempt)?;
@@ -297,13 +301,18 @@
             );
         }
         let dispatched = match kind {
-            AnswerKind::Ran => match received.read(Some(permit)).await {
-                Ok(answer) => {
-                    self.record_success(&answer);
-                    DispatchOutcome::Answered(Box::new(answer))
+            AnswerKind::Ran => {
+                if head.status.is_success() {
+                    permit.record_success();
                 }
-                Err(_) => DispatchOutcome::Unanswered(self.answer_lost("body")),
-            },
+                match received.read(Some(permit)).await {
+                    Ok(answer) => {
+                        self.record_success(&answer);
+                        DispatchOutcome::Answered(Box::new(answer))
+                    }
+                    Err(_) => DispatchOutcome::Unanswered(self.answer_lost("body")),
+                }
+            }
             AnswerKind::NotRun => {
                 slog::info!(self.shared.log, "endpoint refused"; "id" => id_text(&self.id),
                     "endpoint" => %self.handover.endpoint, "status" => head.status.as_u16());
@@ -383,6 +392,8 @@
         }
         Refusal::Leaving => AttemptResult::Leaving,
         Refusal::Unreachable => AttemptResult::Unreachable,
+        // Logged where it was decided.
+        Refusal::OutOfTime => return AttemptResult::OutOfTime,
     };
     let load = shared.local.load(shared.clock.now());
     slog::info!(shared.log, "not admitted"; "id" => id.map_or("", id_text),
--- a/crates/bramblewheel-proxy/src/inbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/inbound/mod.rs
@@ -4,6 +4,7 @@
 //! the attempt in the answer. Results appear in the metric `bramblewheel_inbound_total`.
 
 pub mod dispatch;
+mod late_start;
 mod statements;
 
 use crate::http::body::{self, AnswerBody};
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -50,6 +50,8 @@
     Leaving,
     /// A recent connection to the endpoint failed.
     Unreachable,
+    /// The request could no longer end in time.
+    OutOfTime,
 }
 
 /// Result of taking an endpoint's heartbeat.
@@ -325,6 +327,12 @@
         Some(limit.whole_limit())
     }
 
+    /// Usual time that the endpoint takes for a request of a class; `None` if too few ran recently.
+    pub fn usual_run_time(&self, now: Timestamp, class: RequestClass) -> Option<Duration> {
+        let state = self.lock();
+        state.run_times.get(&class)?.usual(now)
+    }
+
     /// Rank at the root of the call tree of a call with this remaining time, if the endpoint runs a request that may
     /// have made it.
     pub fn root_rank_of_call(&self, now: Timestamp, remaining: Duration) -> Option<u32> {
--- a/crates/bramblewheel-proxy/src/local/permit.rs
+++ b/crates/bramblewheel-proxy/src/local/permit.rs
@@ -65,6 +65,17 @@
         self.sent_at = None;
     }
 
+    /// Records that the endpoint began to answer the request with success.
+    pub fn record_success(&self) {
+        let Some(sent_at) = self.sent_at else {
+            return;
+        };
+        let now = self.clock.now();
+        let class = self.class_entry.class;
+        let mut state = self.local.lock();
+        state.record_run_time(now, class, now.since(sent_at));
+    }
+
     /// Records an answer and what it states of the endpoint; `statement` is `None` if the answer is not this endpoint's.
     pub fn mark_answered(
         &mut self,
--- a/crates/bramblewheel-proxy/src/local/state.rs
+++ b/crates/bramblewheel-proxy/src/local/state.rs
@@ -13,6 +13,7 @@
 use bramblewheel_decisions::endpoint_limit::EndpointLimit;
 use bramblewheel_decisions::incarnations::{HeartbeatOrigin, Incarnations};
 use bramblewheel_decisions::request_class::RequestClass;
+use bramblewheel_decisions::run_time::RunTimes;
 use bramblewheel_decisions::running_requests::RunningRequests;
 use bramblewheel_decisions::table::ServiceSettings;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
@@ -30,7 +31,7 @@
 /// Silence of the current incarnation after which a heartbeat of an earlier one is accepted: two and a half heartbeat
 /// periods. A heartbeat that was only delayed arrives while the current incarnation still sends its own.
 const SUCCESSOR_SILENCE: Duration = Duration::from_secs(4);
-/// Maximum number of classes with a limit, to bound memory.
+/// Maximum number of classes with a limit or run times, to bound memory.
 const MAX_CLASSES: usize = 512;
 
 /// The current endpoint: the one whose heartbeat was taken last.
@@ -63,6 +64,8 @@
     pub(super) current: Option<CurrentEndpoint>,
     pub(super) queue: AdmissionQueue,
     pub(super) class_limits: HashMap<RequestClass, ClassLimit>,
+    /// How long the endpoint takes for the requests of each class.
+    pub(super) run_times: HashMap<RequestClass, RunTimes>,
     /// Fading share of the requests that the endpoint failed.
     pub(super) failed: DecayingShare,
     /// Channels that tell the requests in the queue whether they may run.
@@ -167,6 +170,14 @@
         }
     }
 
+    /// Records how long a request of a class ran that the endpoint answered with success.
+    pub(super) fn record_run_time(&mut self, now: Timestamp, class: RequestClass, time: Duration) {
+        if self.run_times.len() >= MAX_CLASSES && !self.run_times.contains_key(&class) {
+            self.run_times.clear();
+        }
+        self.run_times.entry(class).or_default().record(now, time);
+    }
+
     /// Counts a request that the endpoint answered, or failed to.
     pub(super) fn record_outcome(&mut self, now: Timestamp, has_failed: bool) {
         self.failed.record(now, has_failed, FAILURE_SMOOTHING);
@@ -284,6 +295,7 @@
         }
         self.refuse_waiting();
         self.failed = DecayingShare::default();
+        self.run_times.clear();
         self.queue.set_slots(usable_slots(&self.services, &record));
         self.record_succession(&record.endpoint);
         self.set_current(CurrentEndpoint {
--- a/crates/bramblewheel-proxy/src/outbound/retry.rs
+++ b/crates/bramblewheel-proxy/src/outbound/retry.rs
@@ -13,6 +13,7 @@
 use bramblewheel_decisions::retry_bound::{RetryDecision, RetryReason};
 use bramblewheel_process::invariants::lock;
 use bramblewheel_types::ServiceName;
+use std::time::Duration;
 
 impl CallerRequest<'_> {
     /// Decides what follows an unsuccessful attempt, which `counts` already includes; charges a retry to the bound.
@@ -31,6 +32,7 @@
             is_past_latest_send: self.is_past_latest_send(),
             is_body_kept: outgoing.body.is_whole(),
             time_left: self.shared.clock.remaining_until(self.deadline),
+            needed_time: self.needed_time(result),
             is_suspect,
             service: self.service_state(service),
         };
@@ -40,6 +42,15 @@
         }
     }
 
+    /// Time that the daemon beside the endpoint states as needed, bounded by the route's time-out.
+    fn needed_time(&self, result: AttemptResult) -> Duration {
+        if result != AttemptResult::OutOfTime {
+            return Duration::ZERO;
+        }
+        let stated = lock(&self.last_report).needed_time;
+        stated.min(self.route.route.timeout)
+    }
+
     fn retried_request(&self) -> RetriedRequest {
         let route = &self.route.route;
         RetriedRequest {
--- a/crates/bramblewheel-proxy/src/wire.rs
+++ b/crates/bramblewheel-proxy/src/wire.rs
@@ -52,6 +52,9 @@
 /// On an answer with the result `full`: the endpoint's rate limit is used up. Daemons of earlier versions read the result
 /// only.
 const RATE_LIMITED: HeaderName = HeaderName::from_static("bw-rate-limited");
+/// On an answer with the result `full`: too little of the request's time was left. The value is the time that it would
+/// have needed, in milliseconds. Daemons of earlier versions read the result only.
+const OUT_OF_TIME: HeaderName = HeaderName::from_static("bw-out-of-time");
 /// On an answer: the endpoint has stated in an answer that it drains.
 const DRAIN_NOTICE: HeaderName = HeaderName::from_static("bw-drain-notice");
 /// Load of the endpoint: busy slots, limit and percentage of failures, separated by commas.
@@ -322,6 +325,9 @@
     pub rate_limit: Option<LimitReport>,
     /// Whether the endpoint has stated in an answer that it drains; header `bw-drain-notice`.
     pub is_draining: bool,
+    /// With the result [`OutOfTime`](AttemptResult::OutOfTime): the time that the request would have needed; header
+    /// `bw-out-of-time`. Zero if it is unknown or invalid, and with all other results.
+    pub needed_time: Duration,
 }
 
 impl AnswerReport {
@@ -329,13 +335,15 @@
     pub fn write(&self, result: AttemptResult, headers: &mut HeaderMap) {
         let present = |holds: bool| holds.then(|| HeaderValue::from_static(PRESENT));
         let is_rate_limited = result == AttemptResult::RateLimited;
-        let stated = if is_rate_limited {
-            AttemptResult::Full
-        } else {
-            result
+        let stated = match result {
+            AttemptResult::RateLimited | AttemptResult::OutOfTime => AttemptResult::Full,
+            result => result,
         };
         headers.insert(RESULT, HeaderValue::from_static(stated.as_str()));
         set_or_remove(headers, &RATE_LIMITED, present(is_rate_limited).as_ref());
+        let is_out_of_time = result == AttemptResult::OutOfTime;
+        let needed_time = is_out_of_time.then(|| millis(self.needed_time));
+        set_or_remove(headers, &OUT_OF_TIME, needed_time.as_ref());
         set_or_remove(headers, &DRAIN_NOTICE, present(self.is_draining).as_ref());
         let rate_limit = self.rate_limit.map(limit_report_value);
         set_or_remove(headers, &RATE_LIMIT, rate_limit.as_ref());
@@ -367,6 +375,10 @@
         if is_rate_limited && result == AttemptResult::Full {
             result = AttemptResult::RateLimited;
         }
+        let needed_time = headers.remove(OUT_OF_TIME);
+        if needed_time.is_some() && result == AttemptResult::Full {
+            result = AttemptResult::OutOfTime;
+        }
         let load = headers.remove(LOAD);
         let load = load.as_ref().and_then(|value| value.to_str().ok());
         let report = Self {
@@ -382,6 +394,7 @@
                 .as_ref()
                 .and_then(read_limit_report),
             is_draining: headers.remove(DRAIN_NOTICE).is_some(),
+            needed_time: parse_number(needed_time).map_or(Duration::ZERO, Duration::from_millis),
         };
         Some((result, report))
     }
--- a/crates/bramblewheel-proxy/tests/pinned_wire.rs
+++ b/crates/bramblewheel-proxy/tests/pinned_wire.rs
@@ -122,6 +122,7 @@
         bound_used_percent: 42,
         rate_limit: Some(LimitReport::Limited(known_limit("0.5", 20))),
         is_draining: true,
+        needed_time: Duration::ZERO,
     }
 }
 
@@ -174,6 +175,33 @@
     assert_eq!(taken, Some(expected));
 }
 
+/// Daemons of earlier versions don't know this result and read that the endpoint is full.
+#[test]
+fn refusal_for_lack_of_time_reads_as_full_at_earlier_versions() {
+    let report = AnswerReport {
+        needed_time: Duration::from_millis(35),
+        ..AnswerReport::default()
+    };
+    let recorded = [("bw-result", "full"), ("bw-out-of-time", "35")];
+    let mut written = HeaderMap::new();
+    report.write(AttemptResult::OutOfTime, &mut written);
+    assert_eq!(written, headers(&recorded));
+    let taken = AnswerReport::take(&mut headers(&recorded));
+    assert_eq!(taken, Some((AttemptResult::OutOfTime, report)));
+}
+
+#[test]
+fn unreadable_needed_time_counts_as_unknown() {
+    for stated in ["-1", "soon", "1.5", "99999999999999999999"] {
+        let mut recorded = headers(&[("bw-result", "full")]);
+        let stated = HeaderValue::from_static(stated);
+        recorded.insert("bw-out-of-time", stated);
+        let taken = AnswerReport::take(&mut recorded);
+        let expected = (AttemptResult::OutOfTime, AnswerReport::default());
+        assert_eq!(taken, Some(expected));
+    }
+}
+
 #[test]
 fn daemon_without_a_limit_tells_a_sender_that_knows_one() {
     let report = AnswerReport {
--- a/crates/bramblewheel-proxy/tests/sockets/main.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod crashing_requests;
 mod endpoint_statements;
 mod foreign_heartbeats;
+mod late_starts;
 mod liveness;
 mod planned_stops;
 mod requests;
--- a/crates/bramblewheel-proxy/tests/wire.rs
+++ b/crates/bramblewheel-proxy/tests/wire.rs
@@ -38,6 +38,7 @@
         bound_used_percent: 42,
         rate_limit: None,
         is_draining: false,
+        needed_time: Duration::ZERO,
     }
 }
 
