Count the time that a request waited unread at a suspended daemon

Cause: the daemon counts the stated time from when it reads the request. How long it lay in the socket is not known. Fix: until it has caught up after a suspension of 100 ms or more, a process subtracts the whole suspension from the time of what it reads; the sender, which knows the time that is left, goes elsewhere. Before a start it reads which connections were closed meanwhile. Ruled out: comparing clocks of two machines, which may jump.

Run: tests of lateness, run_time, retry and the nine tests of suspended processes passed.

--- a/crates/bramblewheel-process/src/lateness.rs
+++ b/crates/bramblewheel-process/src/lateness.rs
@@ -19,6 +19,10 @@
 pub const PERIOD: Duration = Duration::from_millis(50);
 /// Part of the lateness of each wake-up that does not count: the resolution of timers and the usual scheduling.
 pub const TOLERANCE: Duration = Duration::from_millis(10);
+/// Lateness from which a process counts as suspended: what it reads then may have waited for it.
+const MIN_SUSPENSION: Duration = Duration::from_millis(100);
+/// Longest time after a suspension in which a process that is still late may read what waited for it.
+const MAX_CATCH_UP: Duration = Duration::from_millis(500);
 /// Lateness from which a wake-up has a log line.
 const LOGGED_LATENESS: Duration = Duration::from_millis(100);
 /// Shortest time between two log lines.
@@ -31,6 +35,14 @@
     lateness: Duration,
 }
 
+/// The last suspension whose unread messages may not all be read yet.
+#[derive(Clone, Copy, Debug)]
+struct Suspension {
+    ended: Timestamp,
+    /// Time between the wake-ups before and after it.
+    gap: Duration,
+}
+
 #[derive(Debug, Default)]
 struct Wakeups {
     /// When the next wake-up is due; none before the first one.
@@ -38,6 +50,7 @@
     /// Sum of the lateness of all wake-ups.
     total: Duration,
     last_late: Option<LateWakeup>,
+    suspension: Option<Suspension>,
 }
 
 impl Wakeups {
@@ -46,6 +59,24 @@
         let late = self.due.map_or(Duration::ZERO, |due| now.since(due));
         late.saturating_sub(TOLERANCE)
     }
+
+    /// Time since the last wake-up, if the next one is late by a suspension.
+    fn pending_gap(&self, now: Timestamp) -> Option<Duration> {
+        let lateness = self.pending(now);
+        (lateness >= MIN_SUSPENSION).then_some(lateness + TOLERANCE + PERIOD)
+    }
+
+    /// Sets or ends the suspension at a wake-up. The process has caught up at the first one that is not late.
+    fn update_suspension(&mut self, now: Timestamp, lateness: Duration) {
+        if let Some(gap) = self.pending_gap(now) {
+            self.suspension = Some(Suspension { ended: now, gap });
+            return;
+        }
+        let is_catching_up = |suspension: &Suspension| {
+            !lateness.is_zero() && now.since(suspension.ended) <= MAX_CATCH_UP
+        };
+        self.suspension = self.suspension.filter(is_catching_up);
+    }
 }
 
 /// Lateness of the timers of one process.
@@ -80,6 +111,7 @@
         let mut wakeups = lock(&self.wakeups);
         let lateness = wakeups.pending(now);
         wakeups.total += lateness;
+        wakeups.update_suspension(now, lateness);
         if !lateness.is_zero() {
             wakeups.last_late = Some(LateWakeup { at: now, lateness });
         }
@@ -108,6 +140,15 @@
         recent.max(wakeups.pending(now))
     }
 
+    /// Longest time for which something that is read now may have waited unread because this process was suspended; zero
+    /// once it has caught up.
+    pub fn longest_unread(&self, now: Timestamp) -> Duration {
+        let wakeups = lock(&self.wakeups);
+        let last = wakeups.suspension.map(|suspension| suspension.gap);
+        let pending = wakeups.pending_gap(now);
+        pending.max(last).unwrap_or_default()
+    }
+
     /// Waits until the process was able to run for `time`.
     pub async fn sleep(&self, clock: Clock, time: Duration) {
         let until = self.running_time(clock.now()) + time;
--- a/crates/bramblewheel-process/tests/lateness.rs
+++ b/crates/bramblewheel-process/tests/lateness.rs
@@ -48,6 +48,48 @@
     );
 }
 
+/// What is read right after a suspension may have waited for all of it, and a little longer.
+#[test]
+fn longest_unread_time_covers_the_suspension_until_the_process_has_caught_up() {
+    let lateness = Lateness::default();
+    lateness.wake_up(at(1_000));
+    let resumed = at(1_000) + SUSPENSION;
+    assert_eq!(lateness.longest_unread(resumed), SUSPENSION);
+    lateness.wake_up(resumed);
+    assert_eq!(lateness.longest_unread(resumed), SUSPENSION);
+    assert_eq!(lateness.longest_unread(resumed + PERIOD), SUSPENSION);
+    lateness.wake_up(resumed + PERIOD);
+    let caught_up = resumed + PERIOD + TOLERANCE;
+    assert_eq!(lateness.longest_unread(caught_up), Duration::ZERO);
+}
+
+/// A process that is busy with what waited for it wakes up late again.
+#[test]
+fn suspension_counts_while_the_process_is_still_late_but_not_for_long() {
+    let lateness = Lateness::default();
+    lateness.wake_up(at(1_000));
+    let mut now = at(1_000) + SUSPENSION;
+    lateness.wake_up(now);
+    for _ in 0..5 {
+        now = now + PERIOD + TOLERANCE + Duration::from_millis(30);
+        lateness.wake_up(now);
+        assert_eq!(lateness.longest_unread(now), SUSPENSION);
+    }
+    for _ in 0..5 {
+        now = now + PERIOD + TOLERANCE + Duration::from_millis(30);
+        lateness.wake_up(now);
+    }
+    assert_eq!(lateness.longest_unread(now), Duration::ZERO);
+}
+
+#[test]
+fn usual_scheduling_does_not_count_as_unread_time() {
+    let lateness = Lateness::default();
+    lateness.wake_up(at(1_000));
+    let late = at(1_000) + PERIOD + TOLERANCE + Duration::from_millis(99);
+    assert_eq!(lateness.longest_unread(late), Duration::ZERO);
+}
+
 #[test]
 fn running_time_never_goes_back() {
     let lateness = Lateness::default();
--- a/crates/bramblewheel-proxy/src/in_progress.rs
+++ b/crates/bramblewheel-proxy/src/in_progress.rs
@@ -79,6 +79,11 @@
         let _ = self.id.set(id.clone());
     }
 
+    /// The id, once it is read.
+    pub fn id(&self) -> Option<&HeaderValue> {
+        self.id.get()
+    }
+
     /// Sets the stage of the request.
     pub fn set_stage(&self, stage: Stage) {
         self.stage.store(stage as u8, Ordering::Relaxed);
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -174,6 +174,7 @@
     if is_quarantined(shared, &id, handover.content) {
         return DispatchOutcome::Unanswered(AttemptResult::Quarantined).into();
     }
+    late_start::read_closed_connections(shared).await;
     if late_start::is_too_late(shared, handover, deadline, &id) {
         return DispatchOutcome::Unanswered(AttemptResult::OutOfTime).into();
     }
--- a/crates/bramblewheel-proxy/src/inbound/late_start.rs
+++ b/crates/bramblewheel-proxy/src/inbound/late_start.rs
@@ -1,11 +1,13 @@
 //! Refuses requests that are begun too late: what could only end after its deadline is not started.
 //!
-//! Before a request is sent to the endpoint, the time left is compared to the usual run time
-//! ([`bramblewheel_decisions::run_time`]).
+//! A request may have waited unread while this process was suspended, or in the queue for a slot. Its time goes on
+//! meanwhile, and its caller may have been answered already. Before it is sent to the endpoint, closed connections are
+//! therefore read, and the time left is compared to the usual run time ([`bramblewheel_decisions::run_time`]).
 //!
-//! Appears in the log line `too late to start` and as the result `out-of-time` of the metric
+//! Appears in the log lines `request read late` and `too late to start` and as the result `out-of-time` of the metric
 //! `bramblewheel_inbound_total`.
 
+use crate::in_progress::Progress;
 use crate::inbound::dispatch::id_text;
 use crate::shared::Shared;
 use crate::wire::Handover;
@@ -16,6 +18,33 @@
 /// Least remaining time with which a request is sent to the endpoint. The header that states it has a unit of one
 /// millisecond, so that less would be stated as zero.
 const MIN_REMAINING: Duration = Duration::from_millis(1);
+/// Time in which a process that was suspended reads which connections were closed meanwhile.
+const CLOSE_READ_TIME: Duration = Duration::from_millis(5);
+
+/// Subtracts from the remaining time of a request read at `arrived` how long it may have waited unread.
+pub(super) fn subtract_unread_time(
+    shared: &Shared,
+    handover: &mut Handover,
+    arrived: Timestamp,
+    progress: &Progress,
+) {
+    let unread = shared.lateness.longest_unread(arrived);
+    if unread.is_zero() {
+        return;
+    }
+    handover.remaining = handover.remaining.saturating_sub(unread);
+    slog::info!(shared.log, "request read late"; "id" => progress.id().map_or("", id_text),
+        "endpoint" => %handover.endpoint, "unread_ms" => Millis::of(unread).0,
+        "left_ms" => Millis::of(handover.remaining).0);
+}
+
+/// Waits until closed connections were read if this process was suspended; the requests on them are dropped.
+pub(super) async fn read_closed_connections(shared: &Shared) {
+    let unread = shared.lateness.longest_unread(shared.clock.now());
+    if !unread.is_zero() {
+        tokio::time::sleep(CLOSE_READ_TIME).await;
+    }
+}
 
 /// Time that a request of this class needs at the endpoint.
 pub(super) fn needed_time(shared: &Shared, handover: &Handover) -> Duration {
--- a/crates/bramblewheel-proxy/src/inbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/inbound/mod.rs
@@ -45,7 +45,7 @@
         if is_probe(&head) {
             return Response::new(AnswerBody::whole(Bytes::new()));
         }
-        let handover = match Handover::take(&mut head.headers) {
+        let mut handover = match Handover::take(&mut head.headers) {
             Ok(handover) => handover,
             Err(error) => {
                 slog::warn!(self.shared.log, "handover refused"; "error" => %error);
@@ -63,6 +63,7 @@
         if let Some(id) = shared.settings.dialect.id(&outgoing.headers) {
             progress.set_id(id);
         }
+        late_start::subtract_unread_time(shared, &mut handover, arrived, progress);
         progress.set_stage(Stage::Waiting);
         let attempted = tokio::select! {
             biased;
@@ -106,8 +107,6 @@
     }
 }
 
-/// Result of an attempt that the daemon can't wait for because it is stopping.
-fn result_at_stop(progress: &Progress) -> AttemptResult {
 /// Whether the endpoint may have run the request.
 fn may_have_run(progress: &Progress) -> bool {
     match progress.stage() {
@@ -116,6 +115,8 @@
     }
 }
 
+/// Result of an attempt that the daemon can't wait for because it is stopping.
+fn result_at_stop(progress: &Progress) -> AttemptResult {
     if may_have_run(progress) {
         AttemptResult::Lost
     } else {
--- a/crates/bramblewheel-proxy/src/outbound/arrival.rs
+++ b/crates/bramblewheel-proxy/src/outbound/arrival.rs
@@ -53,6 +53,7 @@
     // On public routes, calls made by endpoints carry no key; other requests do.
     let is_nested_by_table = has_tenants && route.route.is_public && tenant_request.is_none();
     let remaining = dialect.remaining(&head.headers);
+    let unread = shared.lateness.longest_unread(arrived);
     let body = read_body(shared, &id, incoming, router.max_body_bytes()).await?;
     let content = content_of(&head, &host, tenant_request.as_ref(), &body);
     let request = NewCallerRequest {
@@ -64,6 +65,7 @@
         is_nested_by_table,
         arrived,
         remaining,
+        unread,
         progress: Arc::clone(progress),
     };
     Ok((request, outgoing(shared, head, body)))
--- a/crates/bramblewheel-proxy/src/outbound/attempts.rs
+++ b/crates/bramblewheel-proxy/src/outbound/attempts.rs
@@ -128,12 +128,26 @@
         if is_quarantined(self.shared, &self.id, Some(self.content)) {
             return Some(RequestOutcome::Quarantined);
         }
+        if self.is_out_of_time() {
+            return Some(self.not_run());
+        }
         if self.is_refused_by_stop() {
             return Some(RequestOutcome::Stopping);
         }
         self.is_refused_early().then(|| self.not_run())
     }
 
+    /// Whether the time of the request passed before anything was sent, for example while this process was suspended.
+    fn is_out_of_time(&self) -> bool {
+        let left = self.shared.clock.remaining_until(self.run_deadline);
+        if !left.is_zero() {
+            return false;
+        }
+        slog::info!(self.shared.log, "request refused"; "id" => id_text(&self.id),
+            "reason" => "its time is over");
+        true
+    }
+
     /// Records a rejection by the endpoint or a lack of slots at the daemon beside it.
     fn record_refusal(
         &self,
--- a/crates/bramblewheel-proxy/src/outbound/caller_request.rs
+++ b/crates/bramblewheel-proxy/src/outbound/caller_request.rs
@@ -38,6 +38,8 @@
     pub(super) arrived: Timestamp,
     /// How long the caller waits, if stated.
     pub(super) remaining: Option<Duration>,
+    /// Longest time for which it may have waited unread, during which its caller waited already.
+    pub(super) unread: Duration,
     /// Progress shared with the list of requests in progress.
     pub(super) progress: Arc<Progress>,
 }
@@ -57,8 +59,10 @@
     /// Class of the request: its route and its tenant's rank.
     pub(super) class: RequestClass,
     arrived: Timestamp,
-    /// The caller's deadline, or the end of the route's time-out if it is earlier.
+    /// The caller's deadline, or the end of the route's time-out if it is earlier. Until then the caller is answered.
     pub(super) deadline: Timestamp,
+    /// The earliest time that this deadline may be, as the request may have waited unread. By then it must have run.
+    pub(super) run_deadline: Timestamp,
     /// Whether the request is likely a call that the local endpoint makes for a request it is running.
     pub(super) is_likely_nested: bool,
     /// Rank of the request at the root of the call tree, as far as known.
@@ -97,6 +101,7 @@
             is_nested_by_table,
             arrived,
             remaining,
+            unread,
             progress,
         } = request;
         let (rank, class) = rank_and_class(&route, tenant_request.as_ref());
@@ -105,8 +110,11 @@
         if is_likely_nested {
             progress.mark_likely_nested();
         }
-        let caller_timeout = remaining.unwrap_or(route.route.timeout);
-        let deadline = arrived + caller_timeout.min(route.route.timeout);
+        let timeout = route.route.timeout;
+        let longest = remaining.map_or(timeout, |remaining| remaining.min(timeout));
+        let deadline = arrived + longest;
+        let least = remaining.map_or(timeout, |remaining| remaining.saturating_sub(unread));
+        let run_deadline = arrived + least.min(timeout);
         let root_rank = root_rank(shared, &route.route, rank, is_likely_nested, remaining);
         let retried_share = retried_share(shared, &route.route, is_likely_nested, remaining);
         Self {
@@ -120,6 +128,7 @@
             class,
             arrived,
             deadline,
+            run_deadline,
             is_likely_nested,
             root_rank,
             retried_share,
--- a/crates/bramblewheel-proxy/src/outbound/retry.rs
+++ b/crates/bramblewheel-proxy/src/outbound/retry.rs
@@ -31,7 +31,7 @@
             counts,
             is_past_latest_send: self.is_past_latest_send(),
             is_body_kept: outgoing.body.is_whole(),
-            time_left: self.shared.clock.remaining_until(self.deadline),
+            time_left: self.shared.clock.remaining_until(self.run_deadline),
             needed_time: self.needed_time(result),
             is_suspect,
             service: self.service_state(service),
--- a/crates/bramblewheel-proxy/src/outbound/stopping.rs
+++ b/crates/bramblewheel-proxy/src/outbound/stopping.rs
@@ -35,8 +35,8 @@
     /// to the next daemon and the endpoint, so that neither starts work whose answer can't be awaited.
     pub(super) fn attempt_deadline(&self) -> Timestamp {
         let stop = self.shared.stop.schedule();
-        stop.map_or(self.deadline, |schedule| {
-            self.deadline.min(schedule.answers_by)
+        stop.map_or(self.run_deadline, |schedule| {
+            self.run_deadline.min(schedule.answers_by)
         })
     }
 
