Wait for the first request of a new connection for 500 ms before a stopping daemon closes it

Cause: connections in the backlog of a closing listener are accepted, but closed when no byte came for 100 ms. A caller that is late itself has not written by then. Evidence: request_of_a_late_caller_on_a_new_connection_is_answered (300 ms) failed before: no byte of an answer. Only connections that never carried a request are waited for. Ruled out: a request that the daemon had read (no line of it at any daemon).

--- a/crates/bramblewheel-proxy/src/http/server.rs
+++ b/crates/bramblewheel-proxy/src/http/server.rs
@@ -36,7 +36,7 @@
 /// Shortest time between two checks whether a connection is idle.
 const MIN_IDLE_CHECK_PERIOD: Duration = Duration::from_millis(500);
 /// Time for the first request to arrive on a connection that was opened shortly before the listener closed.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time in which a connection is still read before it is closed. A request may have arrived while this process could
 /// not run.
 const LAST_READ_TIME: Duration = Duration::from_millis(5);
--- a/crates/bramblewheel-proxy/tests/sockets/planned_stops.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/planned_stops.rs
@@ -198,3 +198,34 @@
         assert!(answer.starts_with(b"HTTP/1.1 204"), "{answer:?}");
     }
 }
+
+/// Guards against closing a new connection whose caller is late: it was opened before the listener closed.
+#[tokio::test]
+async fn request_of_a_late_caller_on_a_new_connection_is_answered() {
+    let listener = bind("127.0.0.1:0".parse().expect("an address")).await;
+    let listener = listener.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let mut stream = TcpStream::connect(address).await.expect("it listens");
+    let keep = KeepAlivePolicy {
+        idle_timeout: Arc::new(|| Duration::from_secs(5)),
+        max_idle: 1,
+    };
+    let stop_sender = watch::Sender::new(true);
+    let serving = serve(
+        listener,
+        Arc::new(Answering),
+        keep,
+        stop_sender.subscribe(),
+        silent(),
+    );
+    let calling = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+        stream.write_all(request).await.expect("sent");
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).await.expect("no reset");
+        answer
+    };
+    let ((), answer) = tokio::join!(serving, calling);
+    assert!(answer.starts_with(b"HTTP/1.1 204"), "{answer:?}");
+}
