Soak: signal a started process only once it handles signals

Cause: the tool. A series of reloads waits for the machine while a planned stop holds it, and sends SIGHUP 20 ms after the process was started again. That process had not set its handlers yet; it left no line in its log ('daemon started' once before and once after). Ruled out: a crash of the daemon (no panic, no line).

--- a/crates/bramblewheel-soak/src/fault_injection.rs
+++ b/crates/bramblewheel-soak/src/fault_injection.rs
@@ -17,9 +17,6 @@
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time by which a fault may take longer than planned without a notice.
 const MAX_DEVIATION: Duration = Duration::from_millis(500);
-/// Time that a started process gets to install its signal handlers before a signal may be sent to it.
-const SIGNAL_HANDLER_SETUP_TIME: Duration = Duration::from_millis(20);
-
 impl Soak {
     /// Injects the fault of one step; returns when it is over. Records what it strikes, and says if it took longer than
     /// planned, because the machine was held by another fault.
@@ -191,7 +188,7 @@
         tokio::time::sleep(lasts).await;
         self.advance_generation(machine);
         host.start()?;
-        tokio::time::sleep(SIGNAL_HANDLER_SETUP_TIME).await;
+        host.wait_for_signal_handlers().await;
         Ok(())
     }
 
@@ -206,7 +203,7 @@
             host.set_seed(replica, seed);
             tokio::time::sleep(lasts).await;
             host.start()?;
-            tokio::time::sleep(SIGNAL_HANDLER_SETUP_TIME).await;
+            host.wait_for_signal_handlers().await;
             seed
         };
         loss.end();
@@ -335,7 +332,7 @@
         tokio::time::sleep(lasts).await;
         self.advance_generation(machine);
         host.start()?;
-        tokio::time::sleep(SIGNAL_HANDLER_SETUP_TIME).await;
+        host.wait_for_signal_handlers().await;
         Ok(())
     }
 
@@ -346,7 +343,7 @@
         }
         tokio::time::sleep(lasts).await;
         host.start()?;
-        tokio::time::sleep(SIGNAL_HANDLER_SETUP_TIME).await;
+        host.wait_for_signal_handlers().await;
         Ok(())
     }
 }
