Soak: record when a request was sent, not when it was about to be

Cause: body_sent_at is documented as the time of the last byte; for callers that don't send slowly it was the time before the connection was opened. Fix: the body tells when its last byte is passed to the connection, for all callers; an empty body when the head is written. The check, its 200 ms and its promise are unchanged. As strict: each request whose bytes were passed to the connection is checked as before, from that time on; one that never was can't have been read.

--- a/crates/bramblewheel-soak/src/history.rs
+++ b/crates/bramblewheel-soak/src/history.rs
@@ -7,6 +7,7 @@
 mod statements;
 
 use crate::plan::Machine;
+use crate::sent_body::OnSent;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
@@ -70,12 +71,10 @@
     pub time_limit: Duration,
     /// Request that the calling endpoint runs; none for a request of a caller.
     pub parent_id: Option<String>,
-    /// Whether its body is sent slowly.
-    pub is_sent_slowly: bool,
 }
 
 impl NewRequest {
-    /// A request of a caller whose body is sent at once.
+    /// A request of a caller.
     pub fn short(id: String, kind: Kind, daemon: usize, time_limit: Duration) -> Self {
         Self {
             id,
@@ -83,7 +82,6 @@
             daemon,
             time_limit,
             parent_id: None,
-            is_sent_slowly: false,
         }
     }
 }
@@ -360,13 +358,19 @@
             daemon: request.daemon,
             sent,
             time_limit: request.time_limit,
-            body_sent_at: (!request.is_sent_slowly).then_some(sent),
+            body_sent_at: None,
             parent_id: request.parent_id,
             ended: None,
         });
         requests.len() - 1
     }
 
+    /// What a request's body calls when its last byte is passed to the connection.
+    pub(crate) fn on_body_sent(&self, number: usize) -> OnSent {
+        let history = self.clone();
+        Box::new(move || history.record_body_sent(number))
+    }
+
     /// Records that the last byte of a request was sent.
     pub fn record_body_sent(&self, number: usize) {
         let at = self.now();
--- a/crates/bramblewheel-soak/src/lib.rs
+++ b/crates/bramblewheel-soak/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod plan;
 pub mod relay;
 pub mod run;
+pub mod sent_body;
 pub mod stop_plan;
 pub mod suspensions;
 pub mod traffic;
--- a/crates/bramblewheel-soak/src/load.rs
+++ b/crates/bramblewheel-soak/src/load.rs
@@ -5,7 +5,7 @@
 use crate::operator::Operators;
 use crate::plan::Size;
 use crate::run::Soak;
-use crate::traffic::{self, Call, DEADLINE, MARGIN, end_of, send};
+use crate::traffic::{self, Call, DEADLINE, MARGIN, end_of, send_recorded};
 use bramblewheel_platform_client as wire;
 use bytes::Bytes;
 use http::{Method, StatusCode};
@@ -170,7 +170,9 @@
         headers: &[(wire::REQUEST_ID, id)],
         body: Bytes::new(),
     };
-    let answer = send(soak.addresses.outbound(daemon), call, DEADLINE + MARGIN).await;
+    let on_sent = soak.history.on_body_sent(request);
+    let outbound = soak.addresses.outbound(daemon);
+    let answer = send_recorded(outbound, call, DEADLINE + MARGIN, on_sent).await;
     soak.history.record_end(request, end_of(&answer, id));
     let Ok(answer) = answer else {
         return;
--- a/crates/bramblewheel-soak/src/traffic.rs
+++ b/crates/bramblewheel-soak/src/traffic.rs
@@ -1,10 +1,11 @@
 //! HTTP client of the soak's callers, endpoints and operators.
 
 use crate::history::{End, History, Kind, NewRequest};
+use crate::sent_body::{OnSent, SentBody};
 use bramblewheel_platform_client as wire;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -67,6 +68,19 @@
     address: SocketAddr,
     call: Call<'_>,
     time_limit: Duration,
+) -> Result<Answer, NoAnswer> {
+    send_recorded(address, call, time_limit, Box::new(|| ())).await
+}
+
+/// Sends a request on a connection of its own; calls `on_sent` when its last byte is passed to the connection.
+///
+/// # Errors
+/// [`NoAnswer`].
+pub(crate) async fn send_recorded(
+    address: SocketAddr,
+    call: Call<'_>,
+    time_limit: Duration,
+    on_sent: OnSent,
 ) -> Result<Answer, NoAnswer> {
     let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let Ok(Ok(stream)) = connecting else {
@@ -83,7 +97,7 @@
             request = request.header(*name, *value);
         }
         let request = request
-            .body(Full::new(call.body))
+            .body(SentBody::new(call.body, false, on_sent))
             .expect("paths and header values are constants, ids and numbers, all of them valid");
         let answer = sender.send_request(request).await;
         let answer = read_whole(answer.map_err(|_| NoAnswer::Broken)?).await?;
@@ -107,7 +121,7 @@
 }
 
 /// A connection that a caller uses for one request after the other until it breaks.
-pub type KeptConnection = http1::SendRequest<Full<Bytes>>;
+pub type KeptConnection = http1::SendRequest<SentBody>;
 
 /// Opens a connection to keep; returns none if that fails.
 pub async fn open(address: SocketAddr) -> Option<KeptConnection> {
@@ -127,18 +141,19 @@
     daemon: usize,
     id: String,
 ) -> Option<KeptConnection> {
+    if kept.ready().await.is_err() {
+        return None;
+    }
+    let new_request = NewRequest::short(id.clone(), Kind::Repeatable, daemon, DEADLINE);
+    let number = history.record_request(new_request);
+    let on_sent = history.on_body_sent(number);
     let deadline = DEADLINE.as_millis().to_string();
     let request = Request::post(wire::path(Kind::Repeatable, daemon % 2))
         .header("host", wire::HOST)
         .header(wire::REQUEST_ID, &id)
         .header(wire::DEADLINE, deadline)
-        .body(Full::new(Bytes::from(id.clone())))
+        .body(SentBody::new(Bytes::from(id.clone()), false, on_sent))
         .expect("paths and header values are constants, ids and numbers, all of them valid");
-    if kept.ready().await.is_err() {
-        return None;
-    }
-    let new_request = NewRequest::short(id.clone(), Kind::Repeatable, daemon, DEADLINE);
-    let number = history.record_request(new_request);
     let exchange = async {
         let sent = kept.try_send_request(request).await;
         let answer = sent.map_err(|error| match error.message() {
@@ -173,7 +188,8 @@
             b"work"
         }),
     };
-    let answer = send(address, call, DEADLINE + MARGIN).await;
+    let on_sent = history.on_body_sent(number);
+    let answer = send_recorded(address, call, DEADLINE + MARGIN, on_sent).await;
     history.record_end(number, end_of(&answer, &id));
 }
 
--- a/crates/bramblewheel-soak/src/workload_traffic.rs
+++ b/crates/bramblewheel-soak/src/workload_traffic.rs
@@ -2,85 +2,28 @@
 
 use crate::history::{End, History, NewRequest};
 use crate::run::Soak;
+use crate::sent_body::{SLOW_PAUSE, SentBody};
 use crate::traffic::{CONNECT_TIMEOUT, MARGIN, NoAnswer};
 use crate::workload::{Connections, RequestKind};
 use bramblewheel_platform_client as wire;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::{Sleep, timeout};
+use tokio::time::timeout;
 
-/// Pause of a slow reader or sender between two chunks.
-const SLOW_PAUSE: Duration = Duration::from_millis(10);
-/// Length of one chunk of a body that is sent slowly.
-const CHUNK_BYTES: usize = 16 * 1024;
 /// Longest time for reading the body of an answer; a slow reader takes some seconds for the longest one.
 const READ_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// A body that is sent at once or in chunks; calls `on_sent` when its last byte is passed to the connection.
-struct SentBody {
-    rest: Bytes,
-    pause: Option<Pin<Box<Sleep>>>,
-    is_slow: bool,
-    on_sent: Option<Box<dyn FnOnce() + Send>>,
-}
-
-impl http_body::Body for SentBody {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        if let Some(pause) = &mut self.pause {
-            ready!(pause.as_mut().poll(cx));
-            self.pause = None;
-        }
-        let most = if self.is_slow {
-            CHUNK_BYTES
-        } else {
-            self.rest.len()
-        };
-        let length = self.rest.len().min(most);
-        let chunk = self.rest.split_to(length);
-        if self.rest.is_empty()
-            && let Some(notify) = self.on_sent.take()
-        {
-            notify();
-        }
-        if chunk.is_empty() {
-            return Poll::Ready(None);
-        }
-        if self.is_slow {
-            self.pause = Some(Box::pin(tokio::time::sleep(SLOW_PAUSE)));
-        }
-        Poll::Ready(Some(Ok(Frame::data(chunk))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.rest.is_empty()
-    }
-
-    fn size_hint(&self) -> http_body::SizeHint {
-        http_body::SizeHint::with_exact(self.rest.len() as u64)
-    }
-}
-
 type Connection = http1::SendRequest<SentBody>;
 
 async fn open(address: SocketAddr) -> Option<Connection> {
@@ -124,19 +67,9 @@
             daemon: self.daemon,
             time_limit,
             parent_id: self.parent.clone(),
-            is_sent_slowly: self.sends_slowly,
         });
-        let (history, is_slow) = (self.history.clone(), self.sends_slowly);
-        let body = SentBody {
-            rest: self.body,
-            pause: None,
-            is_slow,
-            on_sent: Some(Box::new(move || {
-                if is_slow {
-                    history.record_body_sent(number);
-                }
-            })),
-        };
+        let on_sent = self.history.on_body_sent(number);
+        let body = SentBody::new(self.body, self.sends_slowly, on_sent);
         let request = Request::post(self.kind.path())
             .header("host", wire::HOST)
             .header(wire::REQUEST_ID, &self.id)
