--- a/crates/bramblewheel-soak/src/fleet.rs
+++ b/crates/bramblewheel-soak/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::host_controls::HostControls;
 use crate::plan::Machine;
 use crate::relay::Relay;
+use crate::signal_handlers;
 use bramblewheel_platform_client::SERVICES;
 use rustix::process::{Pid, Signal};
 use std::fs::{self, OpenOptions};
@@ -13,7 +14,6 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::process::{Child, Command};
-use tokio::time::Instant;
 
 /// First port that the programs assign to their own listeners.
 const FIRST_PORT: u16 = 7620;
@@ -24,10 +24,6 @@
 const ADMIN_PORT: u16 = 8306;
 /// Grace time of a planned stop.
 pub const GRACE_TIME: Duration = Duration::from_secs(6);
-/// Longest wait for a started process to set up its signal handlers.
-const SIGNAL_HANDLER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time between two checks for that.
-const SIGNAL_HANDLER_CHECK_PERIOD: Duration = Duration::from_millis(5);
 /// Third byte of the addresses that relays listen on at first.
 const FIRST_SUBNET: u8 = 1;
 /// Third byte of the addresses that processes bind.
@@ -289,18 +285,10 @@
         Ok(())
     }
 
-    /// Waits until the started process has set up its signal handlers; a signal that comes earlier would end it. Returns
-    /// after [`SIGNAL_HANDLER_TIMEOUT`] in any case.
+    /// Waits until the started process has set up its signal handlers; a signal that comes earlier would end it.
     pub async fn wait_for_signal_handlers(&self) {
-        let Some(process) = self.child.as_ref().and_then(Child::id) else {
-            return;
-        };
-        let begun = Instant::now();
-        while begun.elapsed() < SIGNAL_HANDLER_TIMEOUT {
-            if has_signal_handlers(process) {
-                return;
-            }
-            tokio::time::sleep(SIGNAL_HANDLER_CHECK_PERIOD).await;
+        if let Some(process) = self.child.as_ref().and_then(Child::id) {
+            signal_handlers::wait_for(process).await;
         }
     }
 
@@ -391,17 +379,3 @@
 pub fn service_of(daemon: usize, services: usize) -> &'static str {
     SERVICES[daemon % services]
 }
-
-/// Whether a process handles the signals of planned stops and reloads; false if that can't be read.
-fn has_signal_handlers(process: u32) -> bool {
-    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let caught = status
-        .lines()
-        .find_map(|line| line.strip_prefix("SigCgt:"))
-        .and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
-    let is_caught = |signal: Signal| {
-        let bit = 1_u64 << (signal.as_raw() - 1);
-        caught.is_some_and(|mask| mask & bit != 0)
-    };
-    is_caught(Signal::TERM) && is_caught(Signal::HUP)
-}
--- a/crates/bramblewheel-soak/src/main.rs
+++ b/crates/bramblewheel-soak/src/main.rs
@@ -3,7 +3,8 @@
 use bramblewheel_soak::fleet::{Addresses, Programs};
 use bramblewheel_soak::foreign::ForeignMessages;
 use bramblewheel_soak::plan::Size;
-use bramblewheel_soak::run::{Disturbances, Scenario, run};
+use bramblewheel_soak::run::run;
+use bramblewheel_soak::scenario::{Disturbances, Scenario};
 use bramblewheel_soak::suspensions::Suspensions;
 use bramblewheel_soak::workload::draw::draw;
 use bramblewheel_soak::workload::file::read;
--- a/crates/bramblewheel-soak/src/run.rs
+++ b/crates/bramblewheel-soak/src/run.rs
@@ -14,9 +14,9 @@
 };
 use crate::lost_machine::LostMachine;
 use crate::operator::Operators;
-use crate::plan::{Machine, STARTUP_TIME, Size, Step, plan};
-use crate::stop_plan;
-use crate::suspensions::{Suspensions, suspend_daemons};
+use crate::plan::{Machine, STARTUP_TIME, Size, Step};
+use crate::scenario::{Disturbances, Scenario};
+use crate::suspensions::suspend_daemons;
 use crate::traffic::{Call, send};
 use crate::workload::Workload;
 use crate::workload_traffic;
@@ -80,49 +80,6 @@
     statements_until: Option<Timestamp>,
 }
 
-/// Faults and traffic of a soak.
-#[derive(Clone, Debug)]
-pub enum Scenario {
-    /// Faults of all kinds, with plain callers; no workload.
-    Faults(ForeignMessages),
-    /// Planned stops of all patterns, with the callers of a workload.
-    PlannedStops(Workload),
-}
-
-impl Scenario {
-    fn steps(&self, seed: u64, size: Size) -> Vec<Step> {
-        match self {
-            Self::Faults(_) => plan(seed, size),
-            Self::PlannedStops(_) => stop_plan::plan(seed, size),
-        }
-    }
-
-    fn workload(&self) -> Workload {
-        match self {
-            Self::Faults(_) => Workload::plain(),
-            Self::PlannedStops(workload) => workload.clone(),
-        }
-    }
-
-    fn foreign_messages(&self) -> ForeignMessages {
-        match self {
-            Self::Faults(foreign) => *foreign,
-            Self::PlannedStops(_) => ForeignMessages::All,
-        }
-    }
-}
-
-/// What disturbs a soak in addition to the faults of its plan.
-#[derive(Clone, Debug, Default)]
-pub struct Disturbances {
-    /// Suspensions of daemons.
-    pub suspensions: Option<Suspensions>,
-    /// Whether endpoints state rate limits and that they drain in their answers.
-    pub has_statements: bool,
-    /// Until when they may, from the begin of the soak; `None` for as long as faults may strike.
-    pub statements_until: Option<Timestamp>,
-}
-
 /// Runs `programs` with the faults of a seed and with `disturbances`; settings, data and logs go to `folder`.
 ///
 /// # Errors
