--- a/crates/bramblewheel-proxy/src/daemon/listeners.rs
+++ b/crates/bramblewheel-proxy/src/daemon/listeners.rs
@@ -2,7 +2,8 @@
 //!
 //! Also sets how long idle connections are kept on each.
 
-use crate::http::server::{KeepAlivePolicy, serve};
+use crate::http::ahead::AheadLimits;
+use crate::http::server::{KeepAlivePolicy, serve, serve_ahead};
 use crate::inbound::Inbound;
 use crate::outbound::{Outbound, caller_idle_timeout};
 use crate::settings::Settings;
@@ -56,11 +57,12 @@
 ) {
     let log = shared.log.clone();
     let handler = Arc::new(Outbound::new(Arc::clone(&shared)));
+    let ahead = AheadLimits::new(shared.settings.requests_ahead);
     let keep_alive = KeepAlivePolicy {
         idle_timeout: Arc::new(move || caller_idle_timeout(&shared)),
         max_idle: MAX_IDLE_CALLER_CONNECTIONS,
     };
-    serve(listener, handler, keep_alive, stop, log).await;
+    serve_ahead(listener, handler, keep_alive, ahead, stop, log).await;
 }
 
 /// Serves other daemons until `stop`, and then until their connections have ended.
--- a/crates/bramblewheel-proxy/src/http/body.rs
+++ b/crates/bramblewheel-proxy/src/http/body.rs
@@ -26,6 +26,25 @@
 #[error("the body ended before it was complete")]
 pub struct BrokenBody;
 
+/// Body of a request as it is received.
+#[derive(Debug)]
+pub enum ReceivedBody {
+    /// There is none.
+    Empty,
+    /// It has not been read.
+    Unread(Incoming),
+}
+
+impl ReceivedBody {
+    /// Least length of the body, in bytes, as far as its head states it.
+    pub fn min_length(&self) -> u64 {
+        match self {
+            Self::Empty => 0,
+            Self::Unread(body) => body.size_hint().lower(),
+        }
+    }
+}
+
 /// A body that was read completely or in part.
 #[derive(Debug)]
 pub enum ReadBody {
@@ -35,6 +54,17 @@
     Partial(Bytes, Incoming),
 }
 
+/// Reads a request's body until its end or until it is longer than [`MAX_BUFFERED_BYTES`].
+///
+/// # Errors
+/// [`BrokenBody`] when it ends before it is complete.
+pub async fn read_received(body: ReceivedBody) -> Result<ReadBody, BrokenBody> {
+    match body {
+        ReceivedBody::Empty => Ok(ReadBody::Whole(Bytes::new())),
+        ReceivedBody::Unread(body) => read(body).await,
+    }
+}
+
 /// Reads a body until its end or until it is longer than [`MAX_BUFFERED_BYTES`].
 ///
 /// # Errors
--- a/crates/bramblewheel-proxy/src/http/mod.rs
+++ b/crates/bramblewheel-proxy/src/http/mod.rs
@@ -5,6 +5,7 @@
 //! streams long bodies, while the other buffers each request up to `limits.body_bytes`, so that every attempt can
 //! send it again.
 
+pub mod ahead;
 pub mod body;
 pub mod exchange;
 pub mod fields;
--- a/crates/bramblewheel-proxy/src/http/server.rs
+++ b/crates/bramblewheel-proxy/src/http/server.rs
@@ -4,14 +4,17 @@
 //! instead, since its callers read the headers of that answer. At a stop, waiting connections are accepted and
 //! served, since their callers may have sent requests.
 
-use crate::http::body::AnswerBody;
+use crate::http::ahead::{Ahead, AheadEvent, AheadLimits, AheadSocket};
+use crate::http::body::{AnswerBody, ReceivedBody};
 use crate::http::open_connections::OpenConnections;
 use bramblewheel_http::fields::KEEP_ALIVE;
 use bramblewheel_http::stop::stop_requested;
 use bramblewheel_process::invariants::lock;
 use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, Response};
 use hyper::body::Incoming;
+use hyper::rt::{Read, Write};
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::Logger;
@@ -19,8 +22,10 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
@@ -48,8 +53,18 @@
     /// Answers one request. The future is dropped if the caller closes the connection.
     fn handle(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<ReceivedBody>,
     ) -> impl Future<Output = Response<AnswerBody>> + Send;
+
+    /// Whether a request without a body may be started before the answers to those ahead of it on its connection, and
+    /// be cancelled after it was started.
+    fn may_run_ahead(&self, _head: &Parts) -> bool {
+        false
+    }
+
+    /// Records what happens to a request that was sent ahead; `headers` are those of the request, if it is a certain
+    /// one.
+    fn record_ahead(&self, _event: AheadEvent, _headers: Option<&HeaderMap>) {}
 }
 
 /// Returns the current idle time-out of connections, which may change while they are open.
@@ -141,12 +156,26 @@
     listener: TcpListener,
     handler: Arc<H>,
     keep_alive: KeepAlivePolicy,
+    stop: watch::Receiver<bool>,
+    log: Logger,
+) {
+    serve_ahead(listener, handler, keep_alive, None, stop, log).await;
+}
+
+/// Like [`serve`]; with `ahead`, requests that callers send ahead on a connection may be started before the answers to
+/// those before them.
+pub async fn serve_ahead<H: Handler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    keep_alive: KeepAlivePolicy,
+    ahead: Option<AheadLimits>,
     mut stop: watch::Receiver<bool>,
     log: Logger,
 ) {
     let mut connections = Connections {
         handler,
         keep_alive,
+        ahead,
         stop: stop.clone(),
         count: Arc::default(),
         tasks: JoinSet::new(),
@@ -189,6 +218,8 @@
 struct Connections<H> {
     handler: Arc<H>,
     keep_alive: KeepAlivePolicy,
+    /// Limits on requests that are started ahead; `None` if none is.
+    ahead: Option<AheadLimits>,
     stop: watch::Receiver<bool>,
     count: Arc<OpenConnections>,
     tasks: JoinSet<()>,
@@ -196,13 +227,13 @@
 
 impl<H: Handler> Connections<H> {
     fn add(&mut self, stream: TcpStream, permit: OwnedSemaphorePermit) {
-        let connection = serve_connection(
-            stream,
-            Arc::clone(&self.handler),
-            self.keep_alive.clone(),
-            Arc::clone(&self.count),
-            self.stop.clone(),
-        );
+        let context = ConnectionContext {
+            handler: Arc::clone(&self.handler),
+            keep_alive: self.keep_alive.clone(),
+            count: Arc::clone(&self.count),
+            stop: self.stop.clone(),
+        };
+        let connection = serve_connection(stream, context, self.ahead.clone());
         self.tasks.spawn(async move {
             connection.await;
             drop(permit);
@@ -211,12 +242,20 @@
     }
 }
 
-/// Returns once the listener stops and the first request on the connection has had time to arrive.
-async fn until_closable(stop: &mut watch::Receiver<bool>, activity: &Activity) {
+/// Returns once the listener stops, the first request on the connection has had time to arrive, and no request is
+/// unanswered that was started ahead.
+async fn until_closable<H: Handler>(
+    stop: &mut watch::Receiver<bool>,
+    activity: &Activity,
+    ahead: Option<&Ahead<H>>,
+) {
     stop_requested(stop).await;
     if !activity.has_received_request() {
         tokio::time::sleep(FIRST_REQUEST_TIMEOUT).await;
     }
+    if let Some(ahead) = ahead {
+        ahead.until_none_started().await;
+    }
 }
 
 /// Why a connection is closed.
@@ -228,71 +267,145 @@
     Idle,
 }
 
-async fn serve_connection<H: Handler>(
-    stream: TcpStream,
+/// What a connection of a listener is served with.
+struct ConnectionContext<H> {
     handler: Arc<H>,
     keep_alive: KeepAlivePolicy,
     count: Arc<OpenConnections>,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
+}
+
+async fn serve_connection<H: Handler>(
+    stream: TcpStream,
+    context: ConnectionContext<H>,
+    ahead: Option<AheadLimits>,
 ) {
-    let _open = count.enter();
+    let _open = context.count.enter();
     // Without TCP_NODELAY a short answer may wait for the peer's delayed acknowledgement. There is no time-out of
     // unacknowledged bytes, since a caller may read slowly.
     let _ = stream.set_nodelay(true);
-    let activity = Arc::new(Activity::begin());
+    let Some(limits) = ahead else {
+        return serve_stream(TokioIo::new(stream), context, None).await;
+    };
+    let (reader, writer) = stream.into_split();
+    let ahead = Ahead::new(reader, Arc::clone(&context.handler), limits);
+    let socket = AheadSocket::new(Arc::clone(&ahead), writer);
+    serve_stream(socket, context, Some(ahead)).await;
+}
+
+async fn serve_stream<S, H>(stream: S, context: ConnectionContext<H>, ahead: Option<Arc<Ahead<H>>>)
+where
+    S: Read + Write + Unpin + Send + 'static,
+    H: Handler,
+{
+    let ConnectionContext {
+        handler,
+        keep_alive,
+        count,
+        mut stop,
+    } = context;
     let KeepAlivePolicy {
         idle_timeout,
         max_idle,
     } = keep_alive;
-    let served = Arc::clone(&activity);
+    let activity = Arc::new(Activity::begin());
+    let served = Served {
+        handler,
+        ahead: ahead.clone(),
+        activity: Arc::clone(&activity),
+        count,
+        max_idle,
+    };
     let service = hyper::service::service_fn(move |request| {
-        let (handler, activity) = (Arc::clone(&handler), Arc::clone(&served));
-        let count = Arc::clone(&count);
         // Boxed because a connection reserves memory for a request's future even while it is idle, as most are.
-        Box::pin(answer(handler, request, activity, count, max_idle))
+        Box::pin(served.clone().answer(request))
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(READ_BUFFER)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
+    let ahead = ahead.as_deref();
     loop {
         let reason = tokio::select! {
-            // Errors of a connection are handled by the requests on it.
-            _ = connection.as_mut() => return,
-            () = until_closable(&mut stop, &activity) => CloseReason::Stop,
+            () = drive(connection.as_mut(), ahead) => return,
+            () = until_closable(&mut stop, &activity, ahead) => CloseReason::Stop,
             () = activity.until_idle_timeout(&idle_timeout) => CloseReason::Idle,
         };
-        if timeout(LAST_READ_TIME, connection.as_mut()).await.is_ok() {
+        let last_read = drive(connection.as_mut(), ahead);
+        if timeout(LAST_READ_TIME, last_read).await.is_ok() {
             return;
         }
         if reason == CloseReason::Stop || activity.has_timed_out(&idle_timeout) {
             break;
         }
     }
+    if let Some(ahead) = ahead {
+        ahead.close();
+    }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    drive(connection, ahead).await;
 }
 
-/// Answers a request; closes the connection after the answer if too many connections are idle.
-async fn answer<H: Handler>(
+/// Runs a connection and the requests that were sent ahead on it, until it ends or its caller has closed it. Errors of a
+/// connection are handled by the requests on it.
+async fn drive<C: Future, H: Handler>(mut connection: Pin<&mut C>, ahead: Option<&Ahead<H>>) {
+    std::future::poll_fn(|cx| {
+        if connection.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(());
+        }
+        ahead.map_or(Poll::Pending, |ahead| ahead.poll(cx))
+    })
+    .await;
+}
+
+/// Answers the requests of one connection.
+struct Served<H: Handler> {
     handler: Arc<H>,
-    request: Request<Incoming>,
+    ahead: Option<Arc<Ahead<H>>>,
     activity: Arc<Activity>,
     count: Arc<OpenConnections>,
+    /// Number of idle connections from which this one is closed after its first answer.
     max_idle: usize,
-) -> Result<Response<AnswerBody>, Infallible> {
-    activity.request_begins();
-    let busy = count.begin_request();
-    let mut response = handler.handle(request).await;
-    let has_too_many_idle = count.idle() >= max_idle;
-    if has_too_many_idle && !activity.is_reused() {
-        close_after(&mut response);
+}
+
+impl<H: Handler> Clone for Served<H> {
+    fn clone(&self) -> Self {
+        Self {
+            handler: Arc::clone(&self.handler),
+            ahead: self.ahead.clone(),
+            activity: Arc::clone(&self.activity),
+            count: Arc::clone(&self.count),
+            max_idle: self.max_idle,
+        }
+    }
+}
+
+impl<H: Handler> Served<H> {
+    /// Answers a request; closes the connection after the answer if too many connections are idle.
+    async fn answer(self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Infallible> {
+        self.activity.request_begins();
+        let busy = self.count.begin_request();
+        let request = request.map(ReceivedBody::Unread);
+        let mut response = match &self.ahead {
+            Some(ahead) => ahead.answer(request).await,
+            None => Arc::clone(&self.handler).handle(request).await,
+        };
+        let ahead = self.ahead.as_deref();
+        if ahead.is_some_and(Ahead::has_started) {
+            // Closing here would cut off the requests behind this one, which endpoints may already be running.
+            response.headers_mut().remove(CONNECTION);
+        }
+        let has_too_many_idle = self.count.idle() >= self.max_idle;
+        let is_reused = self.activity.is_reused() || ahead.is_some_and(Ahead::has_waiting);
+        if has_too_many_idle && !is_reused {
+            close_after(&mut response);
+        }
+        drop(busy);
+        self.activity.request_ends();
+        Ok(response)
     }
-    drop(busy);
-    activity.request_ends();
-    Ok(response)
 }
 
 /// Makes the connection close after this answer.
--- a/crates/bramblewheel-proxy/src/inbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/inbound/mod.rs
@@ -7,7 +7,7 @@
 mod late_start;
 mod statements;
 
-use crate::http::body::{self, AnswerBody};
+use crate::http::body::{self, AnswerBody, ReceivedBody};
 use crate::http::exchange::{Answer, Outgoing, OutgoingBody};
 use crate::http::fields;
 use crate::http::server::Handler;
@@ -20,7 +20,6 @@
 use dispatch::{DispatchOutcome, dispatch};
 use http::request::Parts;
 use http::{Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use std::sync::Arc;
 
 /// Serves the listener for other daemons.
@@ -37,7 +36,7 @@
 
     async fn answer(
         &self,
-        request: Request<Incoming>,
+        request: Request<ReceivedBody>,
         arrived: Timestamp,
         progress: &Progress,
     ) -> Response<AnswerBody> {
@@ -53,7 +52,7 @@
             }
         };
         // The sending daemon or its caller closed the connection.
-        let Ok(read) = body::read(incoming).await else {
+        let Ok(read) = body::read_received(incoming).await else {
             return self.without_attempt(AttemptResult::Unreachable);
         };
         // The caller's daemon has already bounded the length of the body.
@@ -141,7 +140,7 @@
 }
 
 impl Handler for Inbound {
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(self: Arc<Self>, request: Request<ReceivedBody>) -> Response<AnswerBody> {
         let arrived = self.shared.clock.now();
         let guard = self.shared.in_progress.begin(Sender::Daemon, arrived);
         let mut response = self.answer(request, arrived, guard.progress()).await;
--- a/crates/bramblewheel-proxy/src/lib.rs
+++ b/crates/bramblewheel-proxy/src/lib.rs
@@ -21,4 +21,5 @@
 
 pub use daemon::{Daemon, StartError};
 pub use dialect::Dialect;
+pub use http::ahead::AheadSettings;
 pub use settings::Settings;
--- a/crates/bramblewheel-proxy/src/metrics.rs
+++ b/crates/bramblewheel-proxy/src/metrics.rs
@@ -4,6 +4,7 @@
 //! influence decisions. Users' dashboards depend on the names and help texts; what they call "repeat" is a retry in
 //! the code.
 
+use crate::http::ahead::AheadEvent;
 use crate::in_progress::{Sender, Stage};
 use crate::wire::AttemptResult;
 use bramblewheel_decisions::machine_identity::IdentityMismatch;
@@ -202,6 +203,9 @@
     answers_after_silence: Family<FixedLabels, Counter> = Family::default() =>
         "bramblewheel_answers_after_silence":
         "Answers of daemons that had counted as silent, by result",
+    requests_ahead: Family<FixedLabels, Counter> = Family::default() =>
+        "bramblewheel_requests_ahead":
+        "Requests sent before the answer to the one before on their connection, by what happened to them",
     /// Version of the route table in force.
     pub table_version: Gauge = Gauge::default() =>
         "bramblewheel_table_version": "Route table in force",
@@ -271,6 +275,12 @@
         self.attempts.get_or_create(&labels).inc();
     }
 
+    /// Counts what happens to a request that was sent ahead on its connection.
+    pub fn ahead(&self, event: AheadEvent) {
+        let labels = vec![("event", event.as_str())];
+        self.requests_ahead.get_or_create(&labels).inc();
+    }
+
     /// Counts an answer of a daemon that counted as silent.
     pub fn answer_after_silence(&self, result: AttemptResult) {
         let labels = vec![("result", result.as_str())];
--- a/crates/bramblewheel-proxy/src/outbound/arrival.rs
+++ b/crates/bramblewheel-proxy/src/outbound/arrival.rs
@@ -3,7 +3,7 @@
 //! Each step may end with a reply, in which case nothing has run. `access` checks keys and quotas; a planned stop
 //! bounds the wait for the body.
 
-use crate::http::body;
+use crate::http::body::{self, ReceivedBody};
 use crate::http::exchange::{Outgoing, OutgoingBody};
 use crate::http::fields;
 use crate::in_progress::Progress;
@@ -22,7 +22,6 @@
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http::{HeaderValue, Request, StatusCode};
-use hyper::body::{Body, Incoming};
 use std::sync::Arc;
 
 /// Reads and admits a request.
@@ -31,7 +30,7 @@
 /// The reply to the caller if the request can't be served; nothing has run.
 pub(super) async fn read(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    request: Request<ReceivedBody>,
     arrived: Timestamp,
     progress: &Arc<Progress>,
 ) -> Result<(NewCallerRequest, Outgoing), Reply> {
@@ -98,17 +97,17 @@
 async fn read_body(
     shared: &Shared,
     id: &HeaderValue,
-    incoming: Incoming,
+    incoming: ReceivedBody,
     max_bytes: usize,
 ) -> Result<OutgoingBody, Reply> {
-    if incoming.size_hint().lower() > max_bytes as u64 {
+    if incoming.min_length() > max_bytes as u64 {
         slog::info!(shared.log, "request refused"; "id" => id_text(id),
             "reason" => "its body is too long", "longest" => max_bytes);
         return Err(Reply::Status(StatusCode::PAYLOAD_TOO_LARGE));
     }
     let read = tokio::select! {
         biased;
-        read = body::read(incoming) => read,
+        read = body::read_received(incoming) => read,
         () = shared.stop.answer_due(shared.clock, || false) => {
             slog::info!(shared.log, "request refused"; "id" => id_text(id),
                 "reason" => "the daemon stops before its body is there");
@@ -152,7 +151,7 @@
     content.digest()
 }
 
-fn host_of(head: &Parts) -> String {
+pub(super) fn host_of(head: &Parts) -> String {
     let stated = head.headers.get(HOST).and_then(|value| value.to_str().ok());
     let host = stated.or_else(|| head.uri.host());
     host.unwrap_or_default().to_owned()
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -24,16 +24,18 @@
 mod statements;
 mod stopping;
 
-use crate::http::body::AnswerBody;
+use crate::http::ahead::AheadEvent;
+use crate::http::body::{AnswerBody, ReceivedBody};
 use crate::http::fields::{self, KEEP_ALIVE};
 use crate::http::server::Handler;
 use crate::in_progress::{Progress, Sender, Stage};
+use crate::inbound::dispatch::id_text;
 use crate::shared::Shared;
 use bramblewheel_types::Timestamp;
 use caller_request::CallerRequest;
 use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response};
-use hyper::body::Incoming;
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, Response};
 use reply::Reply;
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,7 +70,7 @@
 
     async fn reply(
         &self,
-        request: Request<Incoming>,
+        request: Request<ReceivedBody>,
         arrived: Timestamp,
         progress: &Arc<Progress>,
     ) -> Reply {
@@ -86,7 +88,7 @@
 }
 
 impl Handler for Outbound {
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(self: Arc<Self>, request: Request<ReceivedBody>) -> Response<AnswerBody> {
         let arrived = self.shared.clock.now();
         let guard = self.shared.in_progress.begin(Sender::Caller, arrived);
         let reply = self.reply(request, arrived, guard.progress()).await;
@@ -101,4 +103,26 @@
         }
         response
     }
+
+    fn may_run_ahead(&self, head: &Parts) -> bool {
+        if self.shared.is_stopping() {
+            return false;
+        }
+        let router = self.shared.router.load();
+        let host = arrival::host_of(head);
+        let route = router
+            .as_ref()
+            .and_then(|router| router.find(&host, head.uri.path()));
+        route.is_some_and(|route| route.route.is_repeatable)
+    }
+
+    fn record_ahead(&self, event: AheadEvent, headers: Option<&HeaderMap>) {
+        let shared = &self.shared;
+        shared.metrics.ahead(event);
+        if matches!(event, AheadEvent::Cancelled | AheadEvent::Differs) {
+            let id = headers.and_then(|headers| shared.settings.dialect.id(headers));
+            slog::info!(shared.log, "request started ahead was cancelled";
+                "id" => id.map_or("", id_text), "reason" => event.as_str());
+        }
+    }
 }
--- a/crates/bramblewheel-proxy/src/settings.rs
+++ b/crates/bramblewheel-proxy/src/settings.rs
@@ -3,6 +3,7 @@
 //! They have no file format of their own: the program that starts the daemon reads and checks them.
 
 use crate::dialect::Dialect;
+use crate::http::ahead::AheadSettings;
 use bramblewheel_decisions::machine_identity::MachineIdentity;
 use bramblewheel_decisions::retry_budget::RetryBoundSettings;
 use bramblewheel_decisions::tenant_quota::QuotaSettings;
@@ -39,6 +40,8 @@
     pub key_revocation: Option<Duration>,
     /// Bound on the requests of tenants, shared by all daemons.
     pub quota: QuotaSettings,
+    /// Limits on requests that are started before the answers to those ahead of them on their connection.
+    pub requests_ahead: AheadSettings,
     /// Time between two heartbeats of an endpoint.
     pub heartbeat: Duration,
     /// Grace time: from the order to stop until the process is killed.
--- a/crates/bramblewheel-proxy/tests/sockets/connections.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/connections.rs
@@ -3,12 +3,11 @@
 use crate::support::wait_until;
 use bramblewheel_process::clock::Clock;
 use bramblewheel_process::logging::silent;
-use bramblewheel_proxy::http::body::AnswerBody;
+use bramblewheel_proxy::http::body::{AnswerBody, ReceivedBody};
 use bramblewheel_proxy::http::pool::{IdlePolicy, Pools};
 use bramblewheel_proxy::http::server::{Handler, KeepAlivePolicy, bind, serve};
 use bytes::Bytes;
 use http::{Request, Response};
-use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -23,7 +22,7 @@
 struct Answering;
 
 impl Handler for Answering {
-    async fn handle(self: Arc<Self>, _: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(self: Arc<Self>, _: Request<ReceivedBody>) -> Response<AnswerBody> {
         Response::new(AnswerBody::whole(Bytes::from_static(BODY.as_bytes())))
     }
 }
--- a/crates/bramblewheel-proxy/tests/sockets/liveness.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/liveness.rs
@@ -4,13 +4,12 @@
 use bramblewheel_process::clock::Clock;
 use bramblewheel_process::lateness::Lateness;
 use bramblewheel_process::logging::silent;
-use bramblewheel_proxy::http::body::AnswerBody;
+use bramblewheel_proxy::http::body::{AnswerBody, ReceivedBody};
 use bramblewheel_proxy::http::pool::{IdlePolicy, Pool, Pools};
 use bramblewheel_proxy::http::server::{Handler, KeepAlivePolicy, bind, serve};
 use bramblewheel_proxy::outbound::liveness::Liveness;
 use bytes::Bytes;
 use http::{Request, Response};
-use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -31,7 +30,7 @@
 }
 
 impl Handler for Daemon {
-    async fn handle(self: Arc<Self>, _: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(self: Arc<Self>, _: Request<ReceivedBody>) -> Response<AnswerBody> {
         self.probes.fetch_add(1, Ordering::Relaxed);
         if self.is_silent {
             std::future::pending::<()>().await;
--- a/crates/bramblewheel-proxy/tests/sockets/planned_stops.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/planned_stops.rs
@@ -16,11 +16,10 @@
 use bramblewheel_decisions::request_class::RequestClass;
 use bramblewheel_process::logging::silent;
 use bramblewheel_proxy::Daemon;
-use bramblewheel_proxy::http::body::AnswerBody;
+use bramblewheel_proxy::http::body::{AnswerBody, ReceivedBody};
 use bramblewheel_proxy::http::server::{Handler, KeepAlivePolicy, bind, serve};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -164,7 +163,7 @@
 struct Answering;
 
 impl Handler for Answering {
-    async fn handle(self: Arc<Self>, _: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(self: Arc<Self>, _: Request<ReceivedBody>) -> Response<AnswerBody> {
         let mut answer = Response::new(AnswerBody::whole(Bytes::new()));
         *answer.status_mut() = StatusCode::NO_CONTENT;
         answer
--- a/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
@@ -167,6 +167,7 @@
                 overshoot: 0.1,
                 slack: 20.0,
             },
+            requests_ahead: Default::default(),
             heartbeat: Duration::from_secs(30),
             stop_grace: Duration::from_secs(4),
         }
