Correct what a review of requests sent ahead found

- A head whose end came between hyper's read and the read ahead stayed unread until the caller sent more.
- A barrier ended with the head of its answer, not with the last byte.
- The idle time-out closed a connection whose caller read a long answer slowly, with started requests behind it.
- A wait for a permit outlived its reason: the permit was kept from other connections.
- The last answer during a planned stop did not ask to close if it was complete before the order.
- The time of a request behind a barrier started when hyper reached it, not when its head was read.
- Content-Length with a sign, which hyper refuses, was taken for a length.
- A started request that differs was counted as cancelled as well, and did not wake a planned stop that waits.
- Small heads held several times the bytes that may be read ahead.

--- a/crates/bramblewheel-proxy/src/daemon/listeners.rs
+++ b/crates/bramblewheel-proxy/src/daemon/listeners.rs
@@ -57,7 +57,7 @@
 ) {
     let log = shared.log.clone();
     let handler = Arc::new(Outbound::new(Arc::clone(&shared)));
-    let ahead = AheadLimits::new(shared.settings.requests_ahead);
+    let ahead = AheadLimits::new(shared.settings.requests_ahead, shared.clock);
     let keep_alive = KeepAlivePolicy {
         idle_timeout: Arc::new(move || caller_idle_timeout(&shared)),
         max_idle: MAX_IDLE_CALLER_CONNECTIONS,
--- a/crates/bramblewheel-proxy/src/http/ahead/heads.rs
+++ b/crates/bramblewheel-proxy/src/http/ahead/heads.rs
@@ -143,8 +143,7 @@
             return Following::Unknown;
         }
         if is("content-length") {
-            let stated = std::str::from_utf8(header.value).ok();
-            let stated = stated.and_then(|text| text.parse::<u64>().ok());
+            let stated = read_length(header.value);
             if stated.is_none() || length.is_some() {
                 return Following::Unknown;
             }
@@ -154,6 +153,13 @@
     Following::Body(length.unwrap_or(0))
 }
 
+/// A body length as hyper reads it: digits without a sign.
+fn read_length(value: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(value).ok()?;
+    let is_number = text.bytes().all(|byte| byte.is_ascii_digit());
+    text.parse().ok().filter(|_| is_number)
+}
+
 fn closes(value: &[u8]) -> bool {
     let mut options = value.split(|byte| *byte == b',');
     options.any(|option| !option.trim_ascii().eq_ignore_ascii_case(b"keep-alive"))
--- a/crates/bramblewheel-proxy/src/http/ahead/mod.rs
+++ b/crates/bramblewheel-proxy/src/http/ahead/mod.rs
@@ -12,8 +12,7 @@
 //!
 //! State: bytes read ahead and requests started ahead, by connection. Dropping the connection cancels them.
 //!
-//! Observability: metrics `bramblewheel_requests_ahead` (by `event`) and `bramblewheel_started_ahead`; log line `request
-//! started ahead was cancelled`.
+//! Observability: metric `bramblewheel_requests_ahead` (by `event`); log line `request started ahead was cancelled`.
 
 mod heads;
 mod queue;
@@ -21,10 +20,13 @@
 mod socket;
 
 pub use heads::{HeadScanner, RequestHead};
+pub use queue::HeadReadAt;
+pub(crate) use queue::Unanswered;
 pub use socket::AheadSocket;
 
 use crate::http::body::{AnswerBody, ReceivedBody};
 use crate::http::server::Handler;
+use bramblewheel_process::clock::Clock;
 use bramblewheel_process::invariants::lock;
 use http::{Request, Response};
 use queue::AheadQueue;
@@ -60,18 +62,23 @@
 #[derive(Clone, Debug)]
 pub struct AheadLimits {
     settings: AheadSettings,
+    clock: Clock,
     /// Permits of the requests that may be started ahead. Waiting connections get them in turn.
     permits: Arc<Semaphore>,
 }
 
 impl AheadLimits {
     /// The limits of the settings; none if nothing is started ahead.
-    pub fn new(settings: AheadSettings) -> Option<Self> {
+    pub fn new(settings: AheadSettings, clock: Clock) -> Option<Self> {
         if settings.per_connection == 0 {
             return None;
         }
         let permits = Arc::new(Semaphore::new(settings.per_daemon));
-        Some(Self { settings, permits })
+        Some(Self {
+            settings,
+            clock,
+            permits,
+        })
     }
 }
 
@@ -109,7 +116,7 @@
     handler: Arc<H>,
     limits: AheadLimits,
     state: Mutex<State<H>>,
-    /// Notified when an answer of a started request is taken.
+    /// Notified when hyper reaches a started request.
     taken: Notify,
 }
 
@@ -133,7 +140,7 @@
     /// Nothing is sent ahead on `reader` yet.
     pub fn new(reader: OwnedReadHalf, handler: Arc<H>, limits: AheadLimits) -> Arc<Self> {
         let state = State {
-            reader: ReadSide::new(reader, limits.settings.read_bytes),
+            reader: ReadSide::new(reader, limits.clock, limits.settings.read_bytes),
             queue: AheadQueue::default(),
             permit_wait: None,
             is_closing: false,
@@ -153,6 +160,8 @@
         let state = &mut *state;
         let is_behind = !state.queue.is_empty() || state.reader.has_partial_head();
         if !is_behind {
+            // A permit that is granted later would be kept from other connections.
+            state.permit_wait = None;
             return Poll::Pending;
         }
         state.reader.read_ahead(cx, &mut state.queue);
@@ -203,16 +212,15 @@
     }
 
     /// Answers the next request of the connection: by the one that was started, or by the handler.
-    pub async fn answer(&self, request: Request<ReceivedBody>) -> Response<AnswerBody> {
-        let started = lock(&self.state).queue.begin(&*self.handler, &request);
-        let response = match started {
-            Some(started) => {
-                self.taken.notify_waiters();
-                started.response().await
-            }
+    pub async fn answer(&self, mut request: Request<ReceivedBody>) -> Response<AnswerBody> {
+        let unanswered = Unanswered::default();
+        let started = lock(&self.state).queue.begin(&mut request, &unanswered);
+        self.taken.notify_waiters();
+        let mut response = match started {
+            Some(started) => started.response().await,
             None => Arc::clone(&self.handler).handle(request).await,
         };
-        lock(&self.state).queue.end();
+        response.body_mut().set_unanswered(unanswered);
         response
     }
 
@@ -239,6 +247,8 @@
 
     /// Starts nothing any more.
     pub fn close(&self) {
-        lock(&self.state).is_closing = true;
+        let mut state = lock(&self.state);
+        state.is_closing = true;
+        state.permit_wait = None;
     }
 }
--- a/crates/bramblewheel-proxy/src/http/ahead/queue.rs
+++ b/crates/bramblewheel-proxy/src/http/ahead/queue.rs
@@ -4,13 +4,21 @@
 use super::heads::RequestHead;
 use crate::http::body::{AnswerBody, ReceivedBody};
 use crate::http::server::Handler;
+use bramblewheel_types::Timestamp;
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, Uri};
 use std::collections::VecDeque;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::JoinHandle;
 
+/// When the head of a request was read, which may be long before hyper reaches it. An extension of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeadReadAt(pub Timestamp);
+
+/// A request is in progress until this value is dropped, which the body of its answer holds.
+pub(crate) type Unanswered = Arc<()>;
+
 /// A request that was started before hyper reached it. Dropping it cancels the request.
 #[derive(Debug)]
 pub(super) struct Started<H: Handler> {
@@ -19,6 +27,7 @@
     headers: HeaderMap,
     handler: Arc<H>,
     answer: JoinHandle<Response<AnswerBody>>,
+    /// Whether its answer was taken or it was cancelled.
     is_taken: bool,
     _permit: OwnedSemaphorePermit,
 }
@@ -36,32 +45,45 @@
         self.is_taken = true;
         match answered {
             Ok(response) => response,
-            // Only a panic ends the task while its handle exists; it is passed on as in a request served directly.
-            Err(error) => std::panic::resume_unwind(error.into_panic()),
+            Err(error) => match error.try_into_panic() {
+                // Passed on as in a request served directly.
+                Ok(panic) => std::panic::resume_unwind(panic),
+                // The runtime is being shut down, and the connection ends with it.
+                Err(_) => std::future::pending().await,
+            },
         }
     }
 }
 
-impl<H: Handler> Drop for Started<H> {
-    fn drop(&mut self) {
-        if self.is_taken {
+impl<H: Handler> Started<H> {
+    fn cancel(&mut self, event: AheadEvent) {
+        if std::mem::replace(&mut self.is_taken, true) {
             return;
         }
         self.answer.abort();
-        self.handler
-            .record_ahead(AheadEvent::Cancelled, Some(&self.headers));
+        self.handler.record_ahead(event, Some(&self.headers));
+    }
+}
+
+impl<H: Handler> Drop for Started<H> {
+    fn drop(&mut self) {
+        self.cancel(AheadEvent::Cancelled);
     }
 }
 
 /// A request that hyper has not reached yet.
 struct Waiting<H: Handler> {
     head: RequestHead,
-    started: Option<Started<H>>,
+    read_at: Timestamp,
+    /// Boxed because a connection may hold many requests, few of which are started.
+    started: Option<Box<Started<H>>>,
 }
 
 /// The request that is being served.
 struct Current {
     head: RequestHead,
+    /// Dangles once the last byte of the answer was given to hyper.
+    unanswered: Weak<()>,
     /// Whether requests behind it may be started; `None` if that was not asked yet.
     lets_others_start: Option<bool>,
 }
@@ -86,9 +108,10 @@
 
 impl<H: Handler> AheadQueue<H> {
     /// Adds the head of a further request.
-    pub(super) fn push(&mut self, head: RequestHead) {
+    pub(super) fn push(&mut self, head: RequestHead, read_at: Timestamp) {
         self.waiting.push_back(Waiting {
             head,
+            read_at,
             started: None,
         });
     }
@@ -98,9 +121,15 @@
         self.waiting.is_empty()
     }
 
+    /// Number of requests that hyper has not reached.
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Whether a request is served or was started.
     pub(super) fn is_in_progress(&self) -> bool {
-        self.current.is_some() || self.has_started()
+        let current = self.current.as_ref();
+        current.is_some_and(Current::is_unanswered) || self.has_started()
     }
 
     /// Whether a request was started and hyper has not reached it.
@@ -114,11 +143,13 @@
             return None;
         }
         let next = self.waiting.get(self.started)?;
-        read_if_ahead(handler, &next.head)
+        let mut head = read_if_ahead(handler, &next.head)?;
+        head.extensions.insert(HeadReadAt(next.read_at));
+        Some(head)
     }
 
     fn current_lets_others_start(&mut self, handler: &H) -> bool {
-        let Some(current) = &mut self.current else {
+        let Some(current) = self.current.as_mut().filter(|now| now.is_unanswered()) else {
             return true;
         };
         let head = &current.head;
@@ -137,7 +168,7 @@
         let request = Request::from_parts(head, ReceivedBody::Empty);
         handler.record_ahead(AheadEvent::Started, Some(&headers));
         let answer = tokio::spawn(Arc::clone(handler).handle(request));
-        waiting.started = Some(Started {
+        waiting.started = Some(Box::new(Started {
             method,
             target,
             headers,
@@ -145,33 +176,41 @@
             answer,
             is_taken: false,
             _permit: permit,
-        });
+        }));
         self.started += 1;
     }
 
-    /// Records that hyper has reached the next request; returns it if it was started.
+    /// Records that hyper has reached the next request; returns it if it was started. It is in progress until
+    /// `unanswered` is dropped.
     pub(super) fn begin(
         &mut self,
-        handler: &H,
-        request: &Request<ReceivedBody>,
-    ) -> Option<Started<H>> {
-        let Waiting { head, started } = self.waiting.pop_front()?;
+        request: &mut Request<ReceivedBody>,
+        unanswered: &Unanswered,
+    ) -> Option<Box<Started<H>>> {
+        let Waiting {
+            head,
+            read_at,
+            started,
+        } = self.waiting.pop_front()?;
         self.started -= usize::from(started.is_some());
         self.current = Some(Current {
             head,
+            unanswered: Arc::downgrade(unanswered),
             lets_others_start: started.is_some().then_some(true),
         });
-        let started = started?;
-        if started.is_same(request) {
-            return Some(started);
+        request.extensions_mut().insert(HeadReadAt(read_at));
+        let mut started = started?;
+        if !started.is_same(request) {
+            started.cancel(AheadEvent::Differs);
+            return None;
         }
-        handler.record_ahead(AheadEvent::Differs, Some(request.headers()));
-        None
+        Some(started)
     }
+}
 
-    /// Records that the answer to the current request is there.
-    pub(super) fn end(&mut self) {
-        self.current = None;
+impl Current {
+    fn is_unanswered(&self) -> bool {
+        self.unanswered.strong_count() > 0
     }
 }
 
--- a/crates/bramblewheel-proxy/src/http/ahead/read_side.rs
+++ b/crates/bramblewheel-proxy/src/http/ahead/read_side.rs
@@ -3,6 +3,7 @@
 use super::heads::HeadScanner;
 use super::queue::AheadQueue;
 use crate::http::server::Handler;
+use bramblewheel_process::clock::Clock;
 use bytes::{Buf, BytesMut};
 use hyper::rt::ReadBufCursor;
 use std::io;
@@ -14,6 +15,9 @@
 
 /// Most bytes taken from the socket at one time.
 const READ_SIZE: usize = 16 * 1024;
+/// Bytes counted for each request that waits, beside those read ahead. Without them, a connection with heads of 18 bytes
+/// would hold several times the bytes that it may read ahead.
+const BYTES_PER_REQUEST: usize = 128;
 
 /// How the connection's bytes ended.
 #[derive(Debug)]
@@ -26,21 +30,26 @@
 #[derive(Debug)]
 pub(super) struct ReadSide {
     reader: OwnedReadHalf,
+    clock: Clock,
     scanner: HeadScanner,
     /// Bytes read ahead of hyper.
     pending: BytesMut,
     max_pending: usize,
     end: Option<ReadEnd>,
+    /// Whether the last read of hyper found nothing, so that it waits for the next bytes.
+    is_awaited: bool,
 }
 
 impl ReadSide {
-    pub(super) fn new(reader: OwnedReadHalf, max_pending: usize) -> Self {
+    pub(super) fn new(reader: OwnedReadHalf, clock: Clock, max_pending: usize) -> Self {
         Self {
             reader,
+            clock,
             scanner: HeadScanner::default(),
             pending: BytesMut::new(),
             max_pending,
             end: None,
+            is_awaited: false,
         }
     }
 
@@ -62,8 +71,11 @@
         queue: &mut AheadQueue<H>,
     ) -> Poll<io::Result<()>> {
         if self.pending.is_empty() {
-            return self.poll_socket(cx, buffer, queue);
+            let read = self.poll_socket(cx, buffer, queue);
+            self.is_awaited = read.is_pending();
+            return read;
         }
+        self.is_awaited = false;
         let length = self.pending.len().min(buffer.remaining());
         buffer.put_slice(&self.pending[..length]);
         self.pending.advance(length);
@@ -92,20 +104,22 @@
         let length = bytes.len().min(buffer.remaining());
         let mut read = ReadBuf::uninit(&mut bytes[..length]);
         ready!(Pin::new(&mut self.reader).poll_read(cx, &mut read))?;
-        self.scanner.scan(read.filled(), |head| queue.push(head));
+        let now = self.clock.now();
+        self.scanner
+            .scan(read.filled(), |head| queue.push(head, now));
         buffer.put_slice(read.filled());
         Poll::Ready(Ok(()))
     }
 
-    /// Reads ahead until the limit or the end of what has come.
+    /// Reads ahead until the limit or the end of what has come. Wakes hyper if it waits for what was read.
     pub(super) fn read_ahead<H: Handler>(
         &mut self,
         cx: &mut Context<'_>,
         queue: &mut AheadQueue<H>,
     ) {
-        while self.end.is_none() && self.pending.len() < self.max_pending {
+        while let Some(room) = self.room(queue) {
             let mut bytes = [const { MaybeUninit::uninit() }; READ_SIZE];
-            let length = READ_SIZE.min(self.max_pending - self.pending.len());
+            let length = READ_SIZE.min(room);
             let mut read = ReadBuf::uninit(&mut bytes[..length]);
             match Pin::new(&mut self.reader).poll_read(cx, &mut read) {
                 Poll::Pending => return,
@@ -114,10 +128,22 @@
                     self.end = Some(ReadEnd::Closed);
                 }
                 Poll::Ready(Ok(())) => {
-                    self.scanner.scan(read.filled(), |head| queue.push(head));
+                    let now = self.clock.now();
+                    self.scanner
+                        .scan(read.filled(), |head| queue.push(head, now));
                     self.pending.extend_from_slice(read.filled());
                 }
             }
+            if std::mem::take(&mut self.is_awaited) {
+                cx.waker().wake_by_ref();
+            }
         }
     }
+
+    /// How many bytes may be read ahead now; none at the limit or the end.
+    fn room<H: Handler>(&self, queue: &AheadQueue<H>) -> Option<usize> {
+        let held = self.pending.len() + queue.len() * BYTES_PER_REQUEST;
+        let room = self.max_pending.saturating_sub(held);
+        (self.end.is_none() && room > 0).then_some(room)
+    }
 }
--- a/crates/bramblewheel-proxy/src/http/body.rs
+++ b/crates/bramblewheel-proxy/src/http/body.rs
@@ -3,6 +3,7 @@
 //! A buffered body can be sent again on another connection, a streamed one can't. A streamed answer keeps its
 //! connection and its slot until the last byte.
 
+use crate::http::ahead::Unanswered;
 use crate::http::pool::Lease;
 use crate::in_progress::InProgressGuard;
 use crate::local::Permit;
@@ -172,6 +173,7 @@
     first: Option<Bytes>,
     rest: Option<(Incoming, AnswerResources)>,
     _guard: Option<InProgressGuard>,
+    _unanswered: Option<Unanswered>,
 }
 
 impl AnswerBody {
@@ -181,6 +183,7 @@
             first: Some(bytes).filter(|bytes| !bytes.is_empty()),
             rest: None,
             _guard: None,
+            _unanswered: None,
         }
     }
 
@@ -191,9 +194,15 @@
             first: Some(first).filter(|bytes| !bytes.is_empty()),
             rest: Some((rest, resources)),
             _guard: None,
+            _unanswered: None,
         }
     }
 
+    /// Keeps requests behind this one on its connection waiting until the body is dropped.
+    pub(crate) fn set_unanswered(&mut self, unanswered: Unanswered) {
+        self._unanswered = Some(unanswered);
+    }
+
     /// Keeps the request in progress until the body is dropped.
     pub fn set_guard(&mut self, guard: InProgressGuard) {
         self._guard = Some(guard);
--- a/crates/bramblewheel-proxy/src/http/server.rs
+++ b/crates/bramblewheel-proxy/src/http/server.rs
@@ -65,6 +65,11 @@
     /// Records what happens to a request that was sent ahead; `headers` are those of the request, if it is a certain
     /// one.
     fn record_ahead(&self, _event: AheadEvent, _headers: Option<&HeaderMap>) {}
+
+    /// Whether connections are to be closed after the requests in progress on them.
+    fn closes_connections(&self) -> bool {
+        false
+    }
 }
 
 /// Returns the current idle time-out of connections, which may change while they are open.
@@ -258,6 +263,22 @@
     }
 }
 
+/// Returns once the connection has been idle for the time-out and nothing waits that was read ahead, which an answer that
+/// is read slowly may hold up.
+async fn until_idle<H: Handler>(
+    activity: &Activity,
+    idle_timeout: &IdleTimeout,
+    ahead: Option<&Ahead<H>>,
+) {
+    loop {
+        activity.until_idle_timeout(idle_timeout).await;
+        if !ahead.is_some_and(Ahead::has_waiting) {
+            return;
+        }
+        tokio::time::sleep(MIN_IDLE_CHECK_PERIOD).await;
+    }
+}
+
 /// Why a connection is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CloseReason {
@@ -331,13 +352,19 @@
         let reason = tokio::select! {
             () = drive(connection.as_mut(), ahead) => return,
             () = until_closable(&mut stop, &activity, ahead) => CloseReason::Stop,
-            () = activity.until_idle_timeout(&idle_timeout) => CloseReason::Idle,
+            () = until_idle(&activity, &idle_timeout, ahead) => CloseReason::Idle,
         };
         let last_read = drive(connection.as_mut(), ahead);
         if timeout(LAST_READ_TIME, last_read).await.is_ok() {
             return;
         }
-        if reason == CloseReason::Stop || activity.has_timed_out(&idle_timeout) {
+        let may_close = match reason {
+            CloseReason::Stop => !ahead.is_some_and(Ahead::has_started),
+            CloseReason::Idle => {
+                activity.has_timed_out(&idle_timeout) && !ahead.is_some_and(Ahead::has_waiting)
+            }
+        };
+        if may_close {
             break;
         }
     }
@@ -396,12 +423,20 @@
         if ahead.is_some_and(Ahead::has_started) {
             // Closing here would cut off the requests behind this one, which endpoints may already be running.
             response.headers_mut().remove(CONNECTION);
+        } else if ahead.is_some() && self.handler.closes_connections() {
+            // The answer of a started request may be older than the order to stop.
+            close_after(&mut response);
         }
         let has_too_many_idle = self.count.idle() >= self.max_idle;
         let is_reused = self.activity.is_reused() || ahead.is_some_and(Ahead::has_waiting);
         if has_too_many_idle && !is_reused {
             close_after(&mut response);
         }
+        if let Some(ahead) = ahead
+            && response.headers().contains_key(CONNECTION)
+        {
+            ahead.close();
+        }
         drop(busy);
         self.activity.request_ends();
         Ok(response)
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -24,7 +24,7 @@
 mod statements;
 mod stopping;
 
-use crate::http::ahead::AheadEvent;
+use crate::http::ahead::{AheadEvent, HeadReadAt};
 use crate::http::body::{AnswerBody, ReceivedBody};
 use crate::http::fields::{self, KEEP_ALIVE};
 use crate::http::server::Handler;
@@ -89,7 +89,8 @@
 
 impl Handler for Outbound {
     async fn handle(self: Arc<Self>, request: Request<ReceivedBody>) -> Response<AnswerBody> {
-        let arrived = self.shared.clock.now();
+        let read_at = request.extensions().get::<HeadReadAt>();
+        let arrived = read_at.map_or_else(|| self.shared.clock.now(), |read_at| read_at.0);
         let guard = self.shared.in_progress.begin(Sender::Caller, arrived);
         let reply = self.reply(request, arrived, guard.progress()).await;
         let mut response = reply.into_response(&self.shared);
@@ -116,6 +117,10 @@
         route.is_some_and(|route| route.route.is_repeatable)
     }
 
+    fn closes_connections(&self) -> bool {
+        self.shared.is_stopping()
+    }
+
     fn record_ahead(&self, event: AheadEvent, headers: Option<&HeaderMap>) {
         let shared = &self.shared;
         shared.metrics.ahead(event);
--- a/crates/bramblewheel-proxy/tests/sockets/main.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/main.rs
@@ -9,6 +9,7 @@
 mod liveness;
 mod pipelining;
 mod planned_stops;
+mod read_ahead;
 mod requests;
 mod restarts;
 mod retry_bound;
--- a/crates/bramblewheel-proxy/tests/sockets/pipelining.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/pipelining.rs
@@ -1,11 +1,12 @@
 //! Requests that a caller sends before the answers to the ones before them on its connection.
 
 use crate::support::endpoint::{Arrival, Behavior};
-use crate::support::{HOST, TEST_TIMEOUT, TestCluster, wait_until};
+use crate::support::{CALLER_IDLE_TIMEOUT, HOST, TEST_TIMEOUT, TestCluster, wait_until};
+use bramblewheel_proxy::{AheadSettings, Settings};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -247,6 +248,187 @@
     assert!(!metrics.contains("bramblewheel_requests_ahead_total{"));
 }
 
+/// Body that does not fit into the buffers of the sockets between an endpoint and a caller that does not read.
+const LONG: usize = 32 << 20;
+
+/// Guards against requests that are started behind one that may run once while its answer is still being written.
+#[tokio::test]
+async fn barrier_lasts_until_the_last_byte_of_its_answer() {
+    let cluster = TestCluster::start(1).await;
+    script_all(&cluster, &[Behavior::Long(LONG)]);
+    let mut caller = Caller::connect(&cluster).await;
+    let sent = request("once", "r-0") + &request("safe", "r-1");
+    caller.send(&sent).await;
+    wait_until(|| arrivals(&cluster).len() == 1).await;
+    tokio::time::sleep(SLOW).await;
+    assert_eq!(arrivals(&cluster).len(), 1);
+    let long = caller.answer().await.expect("an answer");
+    assert_eq!(long.body.len(), LONG);
+    let answer = caller.answer().await.expect("an answer");
+    assert!(answer.body.ends_with("for r-1"), "{answer:?}");
+}
+
+/// Guards against the idle time-out closing a connection whose caller reads a long answer slowly, with answers behind it.
+#[tokio::test]
+async fn slow_reader_keeps_the_answers_behind_a_long_one() {
+    let cluster = TestCluster::start(1).await;
+    script_all(&cluster, &[Behavior::Long(LONG)]);
+    let mut caller = Caller::connect(&cluster).await;
+    caller.send(&request("safe", "r-0")).await;
+    wait_until(|| arrivals(&cluster).len() == 1).await;
+    caller.send(&requests("safe", 1..4)).await;
+    tokio::time::sleep(CALLER_IDLE_TIMEOUT * 2).await;
+    let long = caller.answer().await.expect("an answer");
+    assert_eq!(long.body.len(), LONG);
+    for number in 1..4 {
+        let answer = caller.answer().await.expect("an answer");
+        assert!(
+            answer.body.ends_with(&format!("for r-{number}")),
+            "{answer:?}"
+        );
+    }
+}
+
+/// Guards against a caller that is not asked to close because its last answer is older than the order to stop.
+#[tokio::test]
+async fn planned_stop_closes_with_the_last_answer_also_if_that_was_complete_before() {
+    let mut cluster = TestCluster::start(1).await;
+    script_all(&cluster, &[Behavior::AnswerAfter(SLOW * 5)]);
+    let mut caller = Caller::connect(&cluster).await;
+    caller.send(&request("safe", "r-0")).await;
+    wait_until(|| arrivals(&cluster).len() == 1).await;
+    caller.send(&requests("safe", 1..3)).await;
+    wait_until(|| arrivals(&cluster).len() == 3).await;
+    tokio::time::sleep(SLOW).await;
+    let stopping = tokio::spawn(cluster.daemons.remove(0).stop());
+    for number in 0..3 {
+        let answer = caller.answer().await.expect("an answer");
+        assert_eq!(answer.status, 200, "{number}");
+        assert_eq!(answer.is_closing, number == 2, "{number}");
+    }
+    assert_eq!(caller.answer().await, None);
+    stopping.await.expect("a planned stop");
+}
+
+/// Guards against a request that is run after its time has passed, which it spent behind another one.
+#[tokio::test]
+async fn time_of_a_request_starts_when_its_head_is_read() {
+    let cluster = TestCluster::start(1).await;
+    script_all(&cluster, &[Behavior::AnswerAfter(SLOW * 3)]);
+    let mut caller = Caller::connect(&cluster).await;
+    let late = request("once", "r-1").replace("3000", "300");
+    caller.send(&(request("safe", "r-0") + &late)).await;
+    assert_eq!(caller.answer().await.map(|answer| answer.status), Some(200));
+    assert_eq!(caller.answer().await.map(|answer| answer.status), Some(503));
+    assert_eq!(arrivals(&cluster).len(), 1);
+}
+
+/// A cluster with one endpoint, whose daemon has these limits.
+async fn cluster_with(requests_ahead: AheadSettings) -> TestCluster {
+    let mut cluster = TestCluster::start(1).await;
+    let settings = Settings {
+        requests_ahead,
+        ..cluster.kill_daemon(0)
+    };
+    cluster.insert_daemon(0, settings).await;
+    cluster
+}
+
+/// Guards against requests that are started ahead although the settings allow none.
+#[tokio::test]
+async fn nothing_is_started_ahead_if_the_settings_allow_none() {
+    let cluster = cluster_with(AheadSettings {
+        per_connection: 0,
+        ..Default::default()
+    })
+    .await;
+    script_all(&cluster, &[Behavior::AnswerAfter(SLOW)]);
+    let mut caller = Caller::connect(&cluster).await;
+    caller.send(&requests("safe", 0..2)).await;
+    for number in 0..2 {
+        let answer = caller.answer().await.expect("an answer");
+        assert!(
+            answer.body.ends_with(&format!("for r-{number}")),
+            "{answer:?}"
+        );
+    }
+    let arrivals = arrivals(&cluster);
+    assert!(arrivals[1].received_at - arrivals[0].received_at >= SLOW);
+}
+
+/// Guards against a connection with many requests that takes the places of all others.
+#[tokio::test]
+async fn connections_get_the_places_of_the_daemon_in_turn() {
+    let cluster = cluster_with(AheadSettings {
+        per_daemon: 1,
+        ..Default::default()
+    })
+    .await;
+    script_all(&cluster, &[const { Behavior::AnswerAfter(SLOW) }; 40]);
+    let mut greedy = Caller::connect(&cluster).await;
+    let ids = (0..12).map(|number| request("safe", &format!("greedy-{number}")));
+    greedy.send(&ids.collect::<String>()).await;
+    wait_until(|| arrivals(&cluster).len() == 2).await;
+    let mut other = Caller::connect(&cluster).await;
+    let ids = (0..3).map(|number| request("safe", &format!("other-{number}")));
+    other.send(&ids.collect::<String>()).await;
+    for number in 0..3 {
+        let answer = other.answer().await.expect("an answer");
+        assert!(answer.body.ends_with(&format!("for other-{number}")));
+    }
+    let arrivals = arrivals(&cluster);
+    let place = |id: &str| arrivals.iter().position(|arrival| arrival.id == id);
+    let before = place("other-1").expect("it arrived");
+    assert!(before <= 6, "{before} requests were started before it");
+}
+
+/// Guards against a place that is granted to a connection which no longer needs it, and kept from all others.
+#[tokio::test]
+async fn place_is_not_granted_to_a_connection_that_does_not_need_it() {
+    let cluster = cluster_with(AheadSettings {
+        per_daemon: 1,
+        ..Default::default()
+    })
+    .await;
+    let endpoint = &cluster.endpoints[0];
+    // Each pair is sent on one connection; its second request takes a place, waits for one, and takes one.
+    endpoint.script(&[const { Behavior::AnswerAfter(SLOW.saturating_mul(4)) }; 2]);
+    let mut first = Caller::connect(&cluster).await;
+    first.send(&requests("safe", 0..2)).await;
+    wait_until(|| arrivals(&cluster).len() == 2).await;
+    endpoint.script(&[Behavior::AnswerAfter(SLOW), Behavior::Answer]);
+    let mut second = Caller::connect(&cluster).await;
+    second.send(&requests("safe", 2..4)).await;
+    for caller in [&mut second, &mut first] {
+        for _ in 0..2 {
+            assert_eq!(caller.answer().await.map(|answer| answer.status), Some(200));
+        }
+    }
+    endpoint.script(&[const { Behavior::AnswerAfter(SLOW) }; 2]);
+    let mut third = Caller::connect(&cluster).await;
+    third.send(&requests("safe", 4..6)).await;
+    for _ in 0..2 {
+        assert_eq!(third.answer().await.map(|answer| answer.status), Some(200));
+    }
+    let arrivals = arrivals(&cluster);
+    assert!(arrivals[5].received_at - arrivals[4].received_at < SLOW);
+}
+
+/// Guards against endpoints that go on working for a caller that has reset its connection.
+#[tokio::test]
+async fn requests_of_a_caller_that_resets_are_cancelled() {
+    let cluster = TestCluster::start(1).await;
+    script_all(&cluster, &[const { Behavior::Hang }; 5]);
+    let mut caller = Caller::connect(&cluster).await;
+    caller.send(&requests("safe", 0..5)).await;
+    wait_until(|| arrivals(&cluster).len() == 5).await;
+    caller.stream.set_zero_linger().expect("the socket is open");
+    let reset_at = Instant::now();
+    drop(caller);
+    wait_until(|| cluster.endpoints[0].cancelled() == 5).await;
+    assert!(reset_at.elapsed() < Duration::from_millis(500));
+}
+
 /// Behaviors of the endpoints on drawn connections. None of them rejects a request, so that each of a route that may run
 /// once arrives at most once.
 const DRAWN_BEHAVIORS: [Behavior; 4] = [
