--- a/crates/bramblewheel-proxy/tests/pinned_metrics.rs
+++ b/crates/bramblewheel-proxy/tests/pinned_metrics.rs
@@ -2,6 +2,7 @@
 
 use bramblewheel_decisions::machine_identity::IdentityMismatch;
 use bramblewheel_decisions::retry_budget::BoundUse;
+use bramblewheel_proxy::http::ahead::AheadEvent;
 use bramblewheel_proxy::in_progress::{Sender, Stage};
 use bramblewheel_proxy::metrics::Metrics;
 use bramblewheel_proxy::wire::AttemptResult;
@@ -9,7 +10,7 @@
 use std::time::Duration;
 
 /// Metrics of a daemon and their types, sorted by name.
-const METRICS: [&str; 32] = [
+const METRICS: [&str; 33] = [
     "bramblewheel_answers_after_silence counter",
     "bramblewheel_attempts counter",
     "bramblewheel_cancelled counter",
@@ -32,6 +33,7 @@
     "bramblewheel_repeats counter",
     "bramblewheel_request_seconds histogram",
     "bramblewheel_requests counter",
+    "bramblewheel_requests_ahead counter",
     "bramblewheel_retry_bound_allowed gauge",
     "bramblewheel_retry_bound_used gauge",
     "bramblewheel_sent_under_rate_limit counter",
@@ -45,10 +47,11 @@
 ];
 
 /// One line of each metric that has labels.
-const LABELLED: [&str; 13] = [
+const LABELLED: [&str; 14] = [
     "bramblewheel_requests_total{route=\"pay\",outcome=\"answered\"} 1",
     "bramblewheel_request_seconds_bucket{le=\"0.05\",route=\"pay\"} 1",
     "bramblewheel_attempts_total{result=\"full\"} 1",
+    "bramblewheel_requests_ahead_total{event=\"started\"} 1",
     "bramblewheel_answers_after_silence_total{result=\"answered\"} 1",
     "bramblewheel_timer_lateness_seconds_bucket{le=\"0.1\"} 1",
     "bramblewheel_inbound_total{result=\"answered\"} 1",
@@ -68,6 +71,7 @@
     metrics.request("pay", "answered", Duration::from_millis(30));
     metrics.attempt(AttemptResult::Full);
     metrics.inbound(AttemptResult::Answered);
+    metrics.ahead(AheadEvent::Started);
     metrics.answer_after_silence(AttemptResult::Answered);
     metrics.timer_lateness(Duration::from_millis(70));
     metrics.retry(&service, AttemptResult::Lost);
--- a/crates/bramblewheel-proxy/tests/sockets/pipelining.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/pipelining.rs
@@ -356,9 +356,9 @@
     assert!(arrivals[1].received_at - arrivals[0].received_at >= SLOW);
 }
 
-/// Guards against a connection with many requests that takes the places of all others.
+/// Guards against a connection with many requests that takes the permits of all others.
 #[tokio::test]
-async fn connections_get_the_places_of_the_daemon_in_turn() {
+async fn connections_get_the_permits_of_the_daemon_in_turn() {
     let cluster = cluster_with(AheadSettings {
         per_daemon: 1,
         ..Default::default()
@@ -377,21 +377,21 @@
         assert!(answer.body.ends_with(&format!("for other-{number}")));
     }
     let arrivals = arrivals(&cluster);
-    let place = |id: &str| arrivals.iter().position(|arrival| arrival.id == id);
-    let before = place("other-1").expect("it arrived");
+    let position = |id: &str| arrivals.iter().position(|arrival| arrival.id == id);
+    let before = position("other-1").expect("it arrived");
     assert!(before <= 6, "{before} requests were started before it");
 }
 
-/// Guards against a place that is granted to a connection which no longer needs it, and kept from all others.
+/// Guards against a permit that is granted to a connection which no longer needs it, and kept from all others.
 #[tokio::test]
-async fn place_is_not_granted_to_a_connection_that_does_not_need_it() {
+async fn permit_is_not_granted_to_a_connection_that_does_not_need_it() {
     let cluster = cluster_with(AheadSettings {
         per_daemon: 1,
         ..Default::default()
     })
     .await;
     let endpoint = &cluster.endpoints[0];
-    // Each pair is sent on one connection; its second request takes a place, waits for one, and takes one.
+    // Each pair is sent on one connection; its second request takes the permit, waits for it, and takes it.
     endpoint.script(&[const { Behavior::AnswerAfter(SLOW.saturating_mul(4)) }; 2]);
     let mut first = Caller::connect(&cluster).await;
     first.send(&requests("safe", 0..2)).await;
