--- a/crates/bramblewheel-proxy/src/http/body.rs
+++ b/crates/bramblewheel-proxy/src/http/body.rs
@@ -3,6 +3,7 @@
 //! A buffered body can be sent again on another connection, a streamed one can't. A streamed answer keeps its
 //! connection and its slot until the last byte.
 
+use crate::http::ahead::Unanswered;
 use crate::http::pool::Lease;
 use crate::in_progress::InProgressGuard;
 use crate::local::Permit;
@@ -26,6 +27,25 @@
 #[error("the body ended before it was complete")]
 pub struct BrokenBody;
 
+/// Body of a request as it is received.
+#[derive(Debug)]
+pub enum ReceivedBody {
+    /// There is none.
+    Empty,
+    /// It has not been read.
+    Unread(Incoming),
+}
+
+impl ReceivedBody {
+    /// Least length of the body, in bytes, as far as its head states it.
+    pub fn min_length(&self) -> u64 {
+        match self {
+            Self::Empty => 0,
+            Self::Unread(body) => body.size_hint().lower(),
+        }
+    }
+}
+
 /// A body that was read completely or in part.
 #[derive(Debug)]
 pub enum ReadBody {
@@ -35,6 +55,17 @@
     Partial(Bytes, Incoming),
 }
 
+/// Reads a request's body until its end or until it is longer than [`MAX_BUFFERED_BYTES`].
+///
+/// # Errors
+/// [`BrokenBody`] when it ends before it is complete.
+pub async fn read_received(body: ReceivedBody) -> Result<ReadBody, BrokenBody> {
+    match body {
+        ReceivedBody::Empty => Ok(ReadBody::Whole(Bytes::new())),
+        ReceivedBody::Unread(body) => read(body).await,
+    }
+}
+
 /// Reads a body until its end or until it is longer than [`MAX_BUFFERED_BYTES`].
 ///
 /// # Errors
@@ -142,6 +173,7 @@
     first: Option<Bytes>,
     rest: Option<(Incoming, AnswerResources)>,
     _guard: Option<InProgressGuard>,
+    _unanswered: Option<Unanswered>,
 }
 
 impl AnswerBody {
@@ -151,6 +183,7 @@
             first: Some(bytes).filter(|bytes| !bytes.is_empty()),
             rest: None,
             _guard: None,
+            _unanswered: None,
         }
     }
 
@@ -161,9 +194,15 @@
             first: Some(first).filter(|bytes| !bytes.is_empty()),
             rest: Some((rest, resources)),
             _guard: None,
+            _unanswered: None,
         }
     }
 
+    /// Keeps requests behind this one on its connection waiting until the body is dropped.
+    pub(crate) fn set_unanswered(&mut self, unanswered: Unanswered) {
+        self._unanswered = Some(unanswered);
+    }
+
     /// Keeps the request in progress until the body is dropped.
     pub fn set_guard(&mut self, guard: InProgressGuard) {
         self._guard = Some(guard);
