Refuse a request started ahead whose route is no longer repeatable

A table that comes into force between the check and the start may allow the request to run only once, while its caller may resend it. The test of requests that run together now also checks their times.

--- a/crates/bramblewheel-proxy/src/http/ahead/mod.rs
+++ b/crates/bramblewheel-proxy/src/http/ahead/mod.rs
@@ -20,8 +20,8 @@
 mod socket;
 
 pub use heads::{HeadScanner, RequestHead};
-pub use queue::HeadReadAt;
 pub(crate) use queue::Unanswered;
+pub use queue::{HeadReadAt, StartedAhead};
 pub use socket::AheadSocket;
 
 use crate::http::body::{AnswerBody, ReceivedBody};
--- a/crates/bramblewheel-proxy/src/http/ahead/queue.rs
+++ b/crates/bramblewheel-proxy/src/http/ahead/queue.rs
@@ -16,6 +16,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeadReadAt(pub Timestamp);
 
+/// The request was started ahead, and may be cancelled while an endpoint runs it. An extension of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartedAhead;
+
 /// A request is in progress until this value is dropped, which the body of its answer holds.
 pub(crate) type Unanswered = Arc<()>;
 
@@ -165,7 +169,8 @@
         };
         let (method, target, headers) =
             (head.method.clone(), head.uri.clone(), head.headers.clone());
-        let request = Request::from_parts(head, ReceivedBody::Empty);
+        let mut request = Request::from_parts(head, ReceivedBody::Empty);
+        request.extensions_mut().insert(StartedAhead);
         handler.record_ahead(AheadEvent::Started, Some(&headers));
         let answer = tokio::spawn(Arc::clone(handler).handle(request));
         waiting.started = Some(Box::new(Started {
--- a/crates/bramblewheel-proxy/src/outbound/arrival.rs
+++ b/crates/bramblewheel-proxy/src/outbound/arrival.rs
@@ -3,6 +3,7 @@
 //! Each step may end with a reply, in which case nothing has run. `access` checks keys and quotas; a planned stop
 //! bounds the wait for the body.
 
+use crate::http::ahead::StartedAhead;
 use crate::http::body::{self, ReceivedBody};
 use crate::http::exchange::{Outgoing, OutgoingBody};
 use crate::http::fields;
@@ -90,9 +91,24 @@
             "path" => path, "table" => router.version().0);
         return Err(Reply::Status(StatusCode::NOT_FOUND));
     };
+    let was_started_ahead = head.extensions.get::<StartedAhead>().is_some();
+    if was_started_ahead && !route.route.is_repeatable {
+        return Err(no_longer_repeatable(shared, id, route));
+    }
     Ok(Arc::clone(route))
 }
 
+/// A table that came into force since the request was started ahead allows it to run only once. Its caller would resend
+/// it behind an answer that closes the connection.
+fn no_longer_repeatable(shared: &Shared, id: &HeaderValue, route: &ActiveRoute) -> Reply {
+    slog::info!(shared.log, "request refused"; "id" => id_text(id),
+        "reason" => "it was started ahead and its route is no longer repeatable");
+    Reply::Refusal(RefusalReason::NoCapacity {
+        objective: route.route.objective,
+        refused_part: 0.0,
+    })
+}
+
 /// Reads a body of at most `max_bytes` bytes: whole, or only its beginning if it is too long to be buffered.
 async fn read_body(
     shared: &Shared,
--- a/crates/bramblewheel-proxy/tests/sockets/pipelining.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/pipelining.rs
@@ -2,10 +2,17 @@
 
 use crate::support::endpoint::{Arrival, Behavior};
 use crate::support::{CALLER_IDLE_TIMEOUT, HOST, TEST_TIMEOUT, TestCluster, wait_until};
+use bramblewheel_proxy::http::ahead::StartedAhead;
+use bramblewheel_proxy::http::body::ReceivedBody;
+use bramblewheel_proxy::http::server::Handler;
+use bramblewheel_proxy::outbound::Outbound;
 use bramblewheel_proxy::{AheadSettings, Settings};
+use http::header::RETRY_AFTER;
+use http::{Request, StatusCode};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -112,6 +119,8 @@
     let mut caller = Caller::connect(&cluster).await;
     caller.send(&requests("safe", 0..5)).await;
     wait_until(|| arrivals(&cluster).len() == 5).await;
+    let arrivals = arrivals(&cluster);
+    assert!(arrivals[4].received_at - arrivals[0].received_at < SLOW * 4);
     for number in 0..5 {
         let answer = caller.answer().await.expect("an answer");
         assert_eq!(answer.status, 200);
@@ -414,6 +423,24 @@
     assert!(arrivals[5].received_at - arrivals[4].received_at < SLOW);
 }
 
+/// Guards against a request that may run only once, by a table that came since it was started ahead, being run although its
+/// caller may resend it.
+#[tokio::test]
+async fn request_started_ahead_is_not_run_if_its_route_is_no_longer_repeatable() {
+    let cluster = TestCluster::start(1).await;
+    let shared = Arc::clone(cluster.daemons[0].shared());
+    let started = Request::get("/once/item")
+        .header("host", HOST)
+        .header("bw-request-id", "r-0")
+        .extension(StartedAhead)
+        .body(ReceivedBody::Empty)
+        .expect("a valid request");
+    let answer = Arc::new(Outbound::new(shared)).handle(started).await;
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers().contains_key(RETRY_AFTER));
+    assert!(arrivals(&cluster).is_empty());
+}
+
 /// Guards against endpoints that go on working for a caller that has reset its connection.
 #[tokio::test]
 async fn requests_of_a_caller_that_resets_are_cancelled() {
