Control: a replica whose disk is full stays up and waits for space

A control replica ended when a write failed for lack of space, and ended again at each start. Now the node keeps the output that could not be synced, resigns, processes no messages of other replicas, answers waiting clients (undecided or no quorum) and repeats the write every 250 ms. At the start it opens the data folder every 250 ms until that succeeds; meanwhile only the admin listener is served. Only a lack of space is treated so, and not at a sync: which bytes are durable is then unknown.

Storage: a torn record of a failed append is truncated durably before the next operation; an incomplete temporary file is removed. Durable::apply removes from the output what is synced, so that no part is written twice, and stores the group of the identity before it counts as stored.

Log lines "disk is full" (every 10 s at most) and "disk has space again"; metric bramblewheel_control_disk_full.

--- a/crates/bramblewheel-control/src/node/durable.rs
+++ b/crates/bramblewheel-control/src/node/durable.rs
@@ -1,7 +1,7 @@
 //! Persistence of a node for its driver, on any [`FileSystem`].
 
 use super::output::NodeOutput;
-use bramblewheel_replication::{ReplicaId, RestoredState};
+use bramblewheel_replication::{ReplicaId, RestoredState, Write};
 use bramblewheel_storage::{FileSystem, Identity, Storage, StorageConfig, StorageError};
 
 /// A node's data folder.
@@ -43,18 +43,26 @@
         &self.identity
     }
 
-    /// Syncs the writes of an output.
+    /// Syncs the writes of an output, and removes from the output what is synced.
     ///
     /// # Errors
-    /// [`StorageError`] if a write fails. The replica must stop then, and nothing of the output may be sent.
-    pub fn apply(&mut self, output: &NodeOutput) -> Result<(), StorageError> {
+    /// [`StorageError`] if a write fails; nothing of the output may be sent. If the error
+    /// [`is_retriable`](StorageError::is_retriable), the rest of the output may be passed again, after
+    /// [`ControlNode::disk_full`](super::ControlNode::disk_full); otherwise the replica must stop.
+    pub fn apply(&mut self, output: &mut NodeOutput) -> Result<(), StorageError> {
         self.storage.write(&output.write)?;
+        output.write = Write::default();
         if let Some(snapshot) = &output.snapshot {
             self.storage.compact(snapshot)?;
+            output.snapshot = None;
         }
         if output.joined_group.is_some() && output.joined_group != self.identity.group {
-            self.identity.group = output.joined_group;
-            self.storage.update_identity(self.identity.clone())?;
+            let identity = Identity {
+                group: output.joined_group,
+                ..self.identity.clone()
+            };
+            self.storage.update_identity(identity.clone())?;
+            self.identity = identity;
         }
         Ok(())
     }
--- a/crates/bramblewheel-control/src/node/events.rs
+++ b/crates/bramblewheel-control/src/node/events.rs
@@ -101,6 +101,22 @@
         /// Leader of the term, if known.
         leader: Option<ReplicaId>,
     },
+    /// The disk is full: nothing is stored, acknowledged or voted for until it has space.
+    DiskFull {
+        /// The operation that failed, with its file.
+        error: String,
+        /// Time since the first failed attempt.
+        since: Duration,
+        /// Failed attempts since then.
+        attempts: u64,
+    },
+    /// The disk has space again, and everything is synced.
+    DiskHasSpace {
+        /// Time since the first failed attempt.
+        after: Duration,
+        /// Attempts that failed.
+        attempts: u64,
+    },
     /// Reads or changes were refused because there was no quorum.
     RequestsRefused {
         /// How many since the last event that counts them.
--- a/crates/bramblewheel-control/src/node/group.rs
+++ b/crates/bramblewheel-control/src/node/group.rs
@@ -89,7 +89,7 @@
             position: self.state.position(),
             voters: addresses(&membership.voters),
             learners: addresses(&membership.learners),
-            has_quorum: self.replica.has_quorum(now.monotonic),
+            has_quorum: self.has_quorum_at(now.monotonic),
         }
     }
 }
--- a/crates/bramblewheel-control/src/node/housekeeping.rs
+++ b/crates/bramblewheel-control/src/node/housekeeping.rs
@@ -15,6 +15,9 @@
     /// Runs the periodic work that is due. Call at [`next_wakeup`](Self::next_wakeup) or more often.
     pub fn tick(&mut self, now: Now) {
         self.now = now;
+        if self.is_disk_full() {
+            return;
+        }
         // The replica comes first, so that a leader that was frozen steps down before it expires daemons.
         self.replica.tick(now.monotonic);
         let term = self.is_leader().then(|| self.replica.term());
@@ -32,6 +35,9 @@
 
     /// Latest time at which [`tick`](Self::tick) must be called.
     pub fn next_wakeup(&self) -> Timestamp {
+        if let Some(due) = self.disk_retry_due() {
+            return due;
+        }
         let own = self.housekeeping_due.min(self.exchange_due);
         self.replica.next_wakeup().min(own)
     }
--- a/crates/bramblewheel-control/src/node/inputs.rs
+++ b/crates/bramblewheel-control/src/node/inputs.rs
@@ -12,6 +12,10 @@
     /// Handles a message of another replica.
     pub fn receive(&mut self, now: Now, from: ReplicaId, message: PeerMessage) {
         self.now = now;
+        if self.is_disk_full() {
+            // Its processing could need a write. The sender treats it as lost and sends it again.
+            return;
+        }
         self.spares.note_contact(from, now.monotonic);
         match message {
             PeerMessage::Replication(message) => {
--- a/crates/bramblewheel-control/src/node/metrics.rs
+++ b/crates/bramblewheel-control/src/node/metrics.rs
@@ -11,6 +11,8 @@
     pub is_leader: bool,
     /// Whether contact with a quorum is proven within the lease.
     pub has_quorum: bool,
+    /// Whether the latest write failed because the disk was full.
+    pub disk_full: bool,
     /// Current term.
     pub term: u64,
     /// Index of the last applied entry.
@@ -68,7 +70,8 @@
         let membership = self.replica.membership();
         NodeMetrics {
             is_leader: self.is_leader(),
-            has_quorum: self.replica.has_quorum(now.monotonic),
+            has_quorum: self.has_quorum_at(now.monotonic),
+            disk_full: self.is_disk_full(),
             term: self.replica.term().0,
             applied_index: self.state.position().index,
             snapshot_index: self.replica.snapshot_index().0,
--- a/crates/bramblewheel-control/src/node/mod.rs
+++ b/crates/bramblewheel-control/src/node/mod.rs
@@ -15,6 +15,7 @@
 pub mod durable;
 mod election_events;
 pub mod events;
+pub mod full_disk;
 mod group;
 mod housekeeping;
 mod inputs;
@@ -57,6 +58,7 @@
 use bundle_updates::BundleUpdateCache;
 use clocks::Clocks;
 use election_events::ElectionReports;
+use full_disk::DiskSpace;
 use leases::Leases;
 use metrics::Counters;
 use peer_addresses::PeerAddresses;
@@ -124,6 +126,7 @@
     quorum_reports: QuorumReports,
     bootstrap_write: Option<Write>,
     own_snapshot: Option<Snapshot>,
+    disk_space: DiskSpace,
     recorded_group: Option<u64>,
     housekeeping_due: Timestamp,
     exchange_due: Timestamp,
@@ -180,6 +183,7 @@
             quorum_reports: QuorumReports::new(now.monotonic),
             bootstrap_write: None,
             own_snapshot: None,
+            disk_space: DiskSpace::default(),
             recorded_group: None,
             housekeeping_due: now.monotonic,
             exchange_due: now.monotonic,
@@ -192,6 +196,9 @@
     /// Returns what the driver must do now. Call until the output is empty.
     pub fn take_output(&mut self, now: Now) -> NodeOutput {
         self.now = now;
+        if let Some(output) = self.output_without_space() {
+            return output;
+        }
         if let Some(write) = self.bootstrap_write.take() {
             return NodeOutput {
                 write,
@@ -230,8 +237,10 @@
     /// Reports that everything in the outputs taken so far is synced.
     pub fn persisted(&mut self, now: Now) {
         self.now = now;
-        self.replica.persisted();
-        self.compact_if_due();
+        if self.note_synced() {
+            self.replica.persisted();
+            self.compact_if_due();
+        }
     }
 
     /// Allows operators to replace the route table without a signature.
@@ -253,7 +262,13 @@
     }
 
     fn has_quorum(&self) -> bool {
-        self.replica.has_quorum(self.now.monotonic)
+        self.has_quorum_at(self.now.monotonic)
+    }
+
+    /// Whether contact with a quorum is proven within the lease. Not while the disk is full: the replica then
+    /// learns nothing of what the group decides.
+    fn has_quorum_at(&self, now: Timestamp) -> bool {
+        !self.is_disk_full() && self.replica.has_quorum(now)
     }
 
     fn reply(&mut self, id: ClientRequestId, body: ReplyBody) {
--- a/crates/bramblewheel-control/src/node/reading.rs
+++ b/crates/bramblewheel-control/src/node/reading.rs
@@ -6,6 +6,7 @@
 use super::reads::Reader;
 use bramblewheel_protocol::control::{ReplyBody, Unavailable};
 use bramblewheel_replication::{ReadId, ReadResult, ReplicaId};
+use bramblewheel_types::Timestamp;
 use std::time::Duration;
 
 /// How long a follower waits for the leader's reply to a read request.
@@ -84,6 +85,13 @@
         }
     }
 
+    /// Fails all reads that wait for the leader.
+    pub(super) fn fail_waiting_reads(&mut self) {
+        for reader in self.reads.take_timed_out(Timestamp::NEVER) {
+            self.fail_read(reader);
+        }
+    }
+
     fn finish_read(&mut self, reader: Reader) {
         match reader {
             Reader::Poll(id, poll) => self.answer_or_hold(id, *poll),
--- a/crates/bramblewheel-control/src/node/requests.rs
+++ b/crates/bramblewheel-control/src/node/requests.rs
@@ -24,6 +24,7 @@
                 self.reply(id, ReplyBody::GroupStatus(status));
             }
             _ if self.is_stopping => self.reply_unavailable(id, Unavailable::Stopping),
+            _ if self.is_disk_full() => self.reply_no_quorum(id),
             RequestBody::Bootstrap(request) => self.on_bootstrap(id, request),
             _ if self.state.group().is_none() => {
                 self.reply_unavailable(id, Unavailable::Uninitialized);
--- a/crates/bramblewheel-control/src/server/admin.rs
+++ b/crates/bramblewheel-control/src/server/admin.rs
@@ -91,6 +91,7 @@
     let reason = match inspect(&inputs).await {
         None => "stopped\n",
         Some(inspection) if inspection.is_stopping => "stopping\n",
+        Some(inspection) if inspection.metrics.disk_full => "disk is full\n",
         Some(inspection) if !inspection.has_group => "not yet in a group\n",
         Some(inspection) if !inspection.metrics.has_quorum => "no quorum\n",
         Some(_) => return (StatusCode::OK, "ready\n"),
--- a/crates/bramblewheel-control/src/server/event_log.rs
+++ b/crates/bramblewheel-control/src/server/event_log.rs
@@ -4,6 +4,19 @@
 use bramblewheel_replication::ReplicaId;
 use bramblewheel_types::Millis;
 use slog::Logger;
+use std::time::Duration;
+
+/// Writes the line that the disk is full.
+pub(super) fn disk_full(log: &Logger, error: &str, since: Duration, attempts: u64) {
+    slog::error!(log, "disk is full"; "attempts" => attempts,
+        "since_ms" => Millis::of(since).0, "error" => error);
+}
+
+/// Writes the line that the disk has space again.
+pub(super) fn disk_has_space(log: &Logger, after: Duration, attempts: u64) {
+    slog::info!(log, "disk has space again"; "attempts" => attempts,
+        "after_ms" => Millis::of(after).0);
+}
 
 /// Writes one line for an event.
 pub(super) fn write(log: &Logger, event: &NodeEvent) {
@@ -54,6 +67,12 @@
             "silent" => list(&election.silent), "refused" => list(&election.refused),
             "granted" => list(&election.granted), "ballot" => %election.ballot,
             "term" => election.term.0),
+        NodeEvent::DiskFull {
+            error,
+            since,
+            attempts,
+        } => disk_full(log, error, *since, *attempts),
+        NodeEvent::DiskHasSpace { after, attempts } => disk_has_space(log, *after, *attempts),
         NodeEvent::QuorumLost {
             term,
             leader,
--- a/crates/bramblewheel-control/src/server/exposition.rs
+++ b/crates/bramblewheel-control/src/server/exposition.rs
@@ -43,6 +43,11 @@
             "1 if contact with a quorum is proven within the lease",
             u64::from(metrics.has_quorum),
         ),
+        (
+            "disk_full",
+            "1 if this replica waits for space on its disk",
+            u64::from(metrics.disk_full),
+        ),
         ("term", "Current term", metrics.term),
         ("applied_index", "Last entry applied", metrics.applied_index),
         (
--- a/crates/bramblewheel-control/src/server/listeners.rs
+++ b/crates/bramblewheel-control/src/server/listeners.rs
@@ -1,4 +1,5 @@
-//! The three listeners of a replica. They are bound together, and each is served by a task of its own.
+//! The three listeners of a replica. Each is served by a task of its own, the admin listener before the
+//! data folder is open.
 //!
 //! `accept` limits the number of connections.
 
@@ -25,33 +26,71 @@
     address: SocketAddr,
 }
 
-/// The listeners of a replica, bound but not served yet.
+/// The admin listener, bound but not served yet. It is served before the others.
+pub(super) struct AdminListener {
+    bound: Bound,
+    advertised: SocketAddr,
+}
+
+impl AdminListener {
+    /// Binds the admin listener named in the settings.
+    ///
+    /// # Errors
+    /// [`StartError::Bind`] if it can't be bound.
+    pub(super) async fn bind(listen: &ListenSettings, log: &Logger) -> Result<Self, StartError> {
+        let bound = bind("admin", listen.bind_address(listen.admin), log).await?;
+        let advertised = listen.advertised_address(listen.admin, bound.address);
+        Ok(Self { bound, advertised })
+    }
+
+    /// Starts the tasks that serve the listener until `stop`. Returns the address at which others reach it.
+    pub(super) fn serve(
+        self,
+        tasks: &mut JoinSet<()>,
+        settings: AdminSettings,
+        inputs: &Inputs,
+        stop: &watch::Sender<bool>,
+        log: &Logger,
+    ) -> SocketAddr {
+        let timer_lateness = exposition::lateness_histogram();
+        spawn_lateness(tasks, timer_lateness.clone(), stop, log);
+        let sources = admin::Sources {
+            inputs: inputs.clone(),
+            timer_lateness,
+        };
+        spawn_admin(tasks, self.bound.socket, settings, sources, stop, log);
+        self.advertised
+    }
+}
+
+/// The listeners for replicas and clients, bound but not served yet.
 pub(super) struct Listeners {
-    /// Addresses at which others reach the listeners.
+    /// Addresses at which others reach all listeners.
     pub(super) addresses: BoundAddresses,
     peer: TcpListener,
     service: TcpListener,
-    admin: TcpListener,
 }
 
 impl Listeners {
-    /// Binds the listeners named in the settings.
+    /// Binds the listeners named in the settings; `admin` is the address of the admin listener.
     ///
     /// # Errors
     /// [`StartError::Bind`] for the first listener that can't be bound.
-    pub(super) async fn bind(listen: &ListenSettings, log: &Logger) -> Result<Self, StartError> {
+    pub(super) async fn bind(
+        listen: &ListenSettings,
+        admin: SocketAddr,
+        log: &Logger,
+    ) -> Result<Self, StartError> {
         let peer = bind("peer", listen.bind_address(listen.peer), log).await?;
         let service = bind("service", listen.bind_address(listen.service), log).await?;
-        let admin = bind("admin", listen.bind_address(listen.admin), log).await?;
         Ok(Self {
             addresses: BoundAddresses {
                 peer: listen.advertised_address(listen.peer, peer.address),
                 service: listen.advertised_address(listen.service, service.address),
-                admin: listen.advertised_address(listen.admin, admin.address),
+                admin,
             },
             peer: peer.socket,
             service: service.socket,
-            admin: admin.socket,
         })
     }
 
@@ -59,20 +98,12 @@
     pub(super) fn serve(
         self,
         tasks: &mut JoinSet<()>,
-        admin: AdminSettings,
         inputs: &Inputs,
         stop: &watch::Sender<bool>,
         log: &Logger,
     ) {
         spawn_peer(tasks, self.peer, inputs, stop, log);
         spawn_service(tasks, self.service, inputs, stop, log);
-        let timer_lateness = exposition::lateness_histogram();
-        spawn_lateness(tasks, timer_lateness.clone(), stop, log);
-        let sources = admin::Sources {
-            inputs: inputs.clone(),
-            timer_lateness,
-        };
-        spawn_admin(tasks, self.admin, admin, sources, stop, log);
     }
 }
 
--- a/crates/bramblewheel-control/src/server/mod.rs
+++ b/crates/bramblewheel-control/src/server/mod.rs
@@ -10,6 +10,7 @@
 mod listener;
 mod listeners;
 mod node_thread;
+mod opening;
 mod peer_in;
 mod peer_out;
 mod peer_refusals;
--- a/crates/bramblewheel-control/src/server/node_thread.rs
+++ b/crates/bramblewheel-control/src/server/node_thread.rs
@@ -191,13 +191,20 @@
 
     fn execute_outputs(&mut self, clients: &mut Clients) -> Result<(), StorageError> {
         loop {
-            let output = self.node.take_output(self.clock.now());
+            let mut output = self.node.take_output(self.clock.now());
             if output.is_empty() {
                 return Ok(());
             }
-            self.durable.apply(&output)?;
-            self.node.persisted(self.clock.now());
-            self.send(output, clients);
+            match self.durable.apply(&mut output) {
+                Ok(()) => {
+                    self.node.persisted(self.clock.now());
+                    self.send(output, clients);
+                }
+                Err(error) if error.is_retriable() => {
+                    self.node.disk_full(self.clock.now(), output, &error);
+                }
+                Err(error) => return Err(error),
+            }
         }
     }
 
--- a/crates/bramblewheel-control/src/server/run.rs
+++ b/crates/bramblewheel-control/src/server/run.rs
@@ -25,13 +25,18 @@
     log: Logger,
 ) -> Result<(), Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
-    let mut handle = start(settings, log.clone()).await?;
     let stop_signal = async {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = tokio::signal::ctrl_c() => {}
         }
     };
+    let mut stop_signal = std::pin::pin!(stop_signal);
+    // The start waits while the disk is full.
+    let mut handle = tokio::select! {
+        started = start(settings, log.clone()) => started?,
+        () = &mut stop_signal => return Ok(()),
+    };
     tokio::select! {
         ended = handle.stopped() => return Ok(ended?),
         () = stop_signal => {}
--- a/crates/bramblewheel-control/src/server/start.rs
+++ b/crates/bramblewheel-control/src/server/start.rs
@@ -6,8 +6,9 @@
 use super::founding::{Founding, founding};
 use super::handle::{BoundAddresses, ControlHandle};
 use super::input::Input;
-use super::listeners::Listeners;
+use super::listeners::{AdminListener, Listeners};
 use super::node_thread::NodeThread;
+use super::opening::Opening;
 use super::peer_out::PeerSenders;
 use super::peer_refusals::PeerRefusals;
 use super::spare_offers::spawn_spare_offers;
@@ -19,6 +20,7 @@
 use bramblewheel_storage::{DiskFileSystem, FileSystem, StorageConfig, StorageError};
 use slog::Logger;
 use std::fs::File;
+use std::io;
 use std::path::Path;
 use std::sync::mpsc as blocking;
 use std::time::Duration;
@@ -31,7 +33,8 @@
 /// Name of the file that is locked while a process uses the data folder.
 const LOCK_FILE: &str = "lock";
 
-/// Starts a replica. Returns once it listens.
+/// Starts a replica. Returns once it listens. While the disk is full it waits, and only the admin listener
+/// answers.
 ///
 /// # Errors
 /// [`StartError`] if a listener or the data folder can't be used.
@@ -49,24 +52,34 @@
     log: Logger,
 ) -> Result<ControlHandle, StartError>
 where
-    F: FileSystem + Send + 'static,
+    F: FileSystem + Clone + Send + 'static,
     F::File: Send,
 {
-    let lock = lock_folder(&settings.data_folder)?;
+    let mut early_lock = lock_unless_full(&settings.data_folder)?;
     let founding = founding(&settings);
-    let (durable, restored) = open_storage(files, &settings, founding.as_ref())?;
-    let listeners = Listeners::bind(&settings.listen, &log).await?;
-    let addresses = listeners.addresses;
     let (inputs, to_node) = blocking::channel();
+    let stop = watch::Sender::new(false);
+    let mut tasks = JoinSet::new();
+    let admin = AdminListener::bind(&settings.listen, &log).await?;
+    let admin = admin.serve(&mut tasks, settings.admin, &inputs, &stop, &log);
+    let opening = Opening::new(to_node, log.clone());
+    let lock = || match early_lock.take() {
+        Some(lock) => Ok(lock),
+        None => lock_folder(&settings.data_folder),
+    };
+    let (opening, lock) = opening.retry_while_full(lock).await?;
+    let open = || open_storage(files.clone(), &settings, founding.as_ref());
+    let (opening, (durable, restored)) = opening.retry_while_full(open).await?;
+    let to_node = opening.into_inputs();
+    let listeners = Listeners::bind(&settings.listen, admin, &log).await?;
+    let addresses = listeners.addresses;
     let mut thread = create_node_thread(&settings, addresses, durable, restored, to_node, &log)?;
     if let Some(founding) = founding {
         founding.begin(&mut thread, &log);
     }
     let replica = thread.own.0;
     let ended = spawn_node(thread, lock)?;
-    let stop = watch::Sender::new(false);
-    let mut tasks = JoinSet::new();
-    listeners.serve(&mut tasks, settings.admin, &inputs, &stop, &log);
+    listeners.serve(&mut tasks, &inputs, &stop, &log);
     let interval = Duration::from_millis(settings.spare.offer_interval_ms);
     let offer_to = watch::Sender::new(settings.spare.offer_to);
     spawn_spare_offers(&mut tasks, offer_to.subscribe(), interval, &inputs, &stop);
@@ -126,14 +139,31 @@
     Ok(ended)
 }
 
+/// Locks the data folder; `None` if the disk is too full to create the lock file. Precedes the listeners, so
+/// that a second process on the folder names the lock as the reason, not a listener's address.
+fn lock_unless_full(folder: &Path) -> Result<Option<File>, StartError> {
+    match lock_folder(folder) {
+        Err(StartError::Storage(error)) if error.is_disk_full() => Ok(None),
+        locked => locked.map(Some),
+    }
+}
+
 fn lock_folder(folder: &Path) -> Result<File, StartError> {
     let path = folder.join(LOCK_FILE);
     let lock_error = |reason: String| StartError::Locked {
         path: path.clone(),
         reason,
     };
-    std::fs::create_dir_all(folder).map_err(|error| lock_error(error.to_string()))?;
-    let file = File::create(&path).map_err(|error| lock_error(error.to_string()))?;
+    let create_error = |source: io::Error| match source.kind() {
+        io::ErrorKind::StorageFull => StartError::Storage(StorageError::Io {
+            operation: "create",
+            path: path.clone(),
+            source,
+        }),
+        _ => lock_error(source.to_string()),
+    };
+    std::fs::create_dir_all(folder).map_err(create_error)?;
+    let file = File::create(&path).map_err(create_error)?;
     file.try_lock()
         .map_err(|error| lock_error(format!("in use by another process ({error})")))?;
     Ok(file)
--- a/crates/bramblewheel-replication/src/lib.rs
+++ b/crates/bramblewheel-replication/src/lib.rs
@@ -35,7 +35,7 @@
 pub use events::{Ballot, Event, FailedElection, LastEntry, RefusalReason, VoteRefusal};
 pub use membership::MembershipChange;
 pub use message::{AppendResult, Body, ContactToken, Message};
-pub use output::{Output, ProposalResult, ReadResult};
+pub use output::{Abandoned, Output, ProposalResult, ReadResult};
 pub use replica::Replica;
 pub use role::Role;
 pub use types::*;
--- a/crates/bramblewheel-replication/src/output.rs
+++ b/crates/bramblewheel-replication/src/output.rs
@@ -57,3 +57,12 @@
     /// The replica lost leadership first; ask the new leader.
     LeadershipLost,
 }
+
+/// Results of the proposals and reads that a replica can't complete after it resigned.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Abandoned {
+    /// Results of proposals.
+    pub proposals: Vec<(ProposalId, ProposalResult)>,
+    /// Results of reads.
+    pub reads: Vec<(ReadId, ReadResult)>,
+}
--- a/crates/bramblewheel-replication/src/transfer.rs
+++ b/crates/bramblewheel-replication/src/transfer.rs
@@ -1,14 +1,27 @@
-//! Leadership transfer before a planned stop.
+//! Leadership transfer before a planned stop, and resignation without a successor.
 
 use crate::error::TransferError;
 use crate::leadership::Transfer;
 use crate::message::Body;
+use crate::output::Abandoned;
 use crate::progress::Progress;
 use crate::replica::Replica;
 use crate::types::ReplicaId;
 use bramblewheel_types::Timestamp;
 
 impl Replica {
+    /// Gives up leadership or candidacy at once, without a successor, and restarts the election timer.
+    ///
+    /// Returns the results of the proposals and reads that can't be completed; those are not in a later output.
+    pub fn resign(&mut self, now: Timestamp) -> Abandoned {
+        self.advance_clock(now);
+        self.become_follower(self.hard_state.term, None);
+        Abandoned {
+            proposals: std::mem::take(&mut self.proposal_results),
+            reads: std::mem::take(&mut self.read_results),
+        }
+    }
+
     /// Starts to transfer leadership to the voter with the highest match index; returns that voter.
     ///
     /// Proposals are refused until it has taken over or an election time-out has passed.
--- a/crates/bramblewheel-sim/src/control/disk.rs
+++ b/crates/bramblewheel-sim/src/control/disk.rs
@@ -93,4 +93,8 @@
         }
         self.file.sync()
     }
+
+    fn truncate(&mut self, length: u64) -> io::Result<()> {
+        self.file.truncate(length)
+    }
 }
--- a/crates/bramblewheel-sim/src/requests/replica.rs
+++ b/crates/bramblewheel-sim/src/requests/replica.rs
@@ -225,13 +225,13 @@
             return;
         };
         loop {
-            let output = incarnation.node.take_output(now(context));
+            let mut output = incarnation.node.take_output(now(context));
             if output.is_empty() {
                 break;
             }
             incarnation
                 .durable
-                .apply(&output)
+                .apply(&mut output)
                 .expect("the simulated disk fails only by losing power");
             incarnation.node.persisted(now(context));
             incarnation.send(context, output);
--- a/crates/bramblewheel-storage/src/atomic.rs
+++ b/crates/bramblewheel-storage/src/atomic.rs
@@ -1,6 +1,6 @@
 //! Atomic writing of files.
 
-use crate::error::{IoContext, StorageError};
+use crate::error::{IoContext, SYNC, StorageError};
 use crate::file_system::{AppendFile, FileSystem};
 use std::path::Path;
 
@@ -20,8 +20,14 @@
     let path = folder.join(name);
     let temporary = folder.join(format!("{name}{TEMPORARY}"));
     let mut file = files.create(&temporary).during("create", &temporary)?;
-    file.append(bytes).during("append to", &temporary)?;
-    file.sync().during("sync", &temporary)?;
+    if let Err(error) = file.append(bytes).during("append to", &temporary) {
+        if error.is_disk_full() {
+            // The incomplete file would hold the last free space. It is also removed at the next opening.
+            let _ = files.remove(&temporary);
+        }
+        return Err(error);
+    }
+    file.sync().during(SYNC, &temporary)?;
     files.rename(&temporary, &path).during("rename to", &path)?;
-    files.sync_folder(folder).during("sync", folder)
+    files.sync_folder(folder).during(SYNC, folder)
 }
--- a/crates/bramblewheel-storage/src/error.rs
+++ b/crates/bramblewheel-storage/src/error.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
-/// An error of storage. None of these can be retried within the process.
+/// An error of storage. Only one that [`is_retriable`](Self::is_retriable) can be retried within the process.
 #[derive(Debug, Error)]
 pub enum StorageError {
     /// The file system refused an operation.
@@ -52,7 +52,24 @@
     },
 }
 
+/// Name of the operation of a sync in [`StorageError::Io`].
+pub(crate) const SYNC: &str = "sync";
+
 impl StorageError {
+    /// Whether there was no space left on the disk.
+    pub fn is_disk_full(&self) -> bool {
+        matches!(self, Self::Io { source, .. } if source.kind() == io::ErrorKind::StorageFull)
+    }
+
+    /// Whether the failed operation can be repeated on the same [`Storage`](crate::Storage).
+    ///
+    /// True if there was no space left, except for a sync: after a failed sync it is unknown which bytes
+    /// are durable, whatever the reason, so only opening the folder again gives a known state.
+    pub fn is_retriable(&self) -> bool {
+        let is_sync = matches!(self, Self::Io { operation, .. } if *operation == SYNC);
+        self.is_disk_full() && !is_sync
+    }
+
     pub(crate) fn damaged(path: &Path, offset: usize, reason: impl Into<String>) -> Self {
         Self::Damaged {
             path: path.to_owned(),
--- a/crates/bramblewheel-storage/src/file_system/disk.rs
+++ b/crates/bramblewheel-storage/src/file_system/disk.rs
@@ -2,7 +2,7 @@
 
 use super::{AppendFile, FileSystem};
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Write};
+use std::io::{self, Seek, SeekFrom, Write};
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
 
@@ -84,4 +84,11 @@
     fn sync(&mut self) -> io::Result<()> {
         self.0.sync_data()
     }
+
+    fn truncate(&mut self, length: u64) -> io::Result<()> {
+        self.0.set_len(length)?;
+        // A file from `create` is not in append mode: it would continue behind a hole.
+        self.0.seek(SeekFrom::Start(length))?;
+        self.0.sync_all()
+    }
 }
--- a/crates/bramblewheel-storage/src/file_system/memory.rs
+++ b/crates/bramblewheel-storage/src/file_system/memory.rs
@@ -111,6 +111,11 @@
         self.lock().capacity = bytes;
     }
 
+    /// Total size of all files, in bytes.
+    pub fn bytes_used(&self) -> usize {
+        self.lock().bytes_used()
+    }
+
     /// Flips one bit of a file, also on disk; `false` if there is no such byte.
     pub fn flip_bit(&self, path: &Path, offset: usize, bit: u8) -> bool {
         let mut state = self.lock();
@@ -369,6 +374,26 @@
         state.inodes[self.inode].sync();
         Ok(())
     }
+
+    fn truncate(&mut self, length: u64) -> io::Result<()> {
+        let mut state = lock(&self.state);
+        if state.generation != self.generation {
+            return Err(io::Error::other("opened before a crash"));
+        }
+        state.count_operation()?;
+        if state.sync_must_fail() {
+            return Err(io::Error::other("sync failed"));
+        }
+        let length = usize::try_from(length).map_err(io::Error::other)?;
+        let inode = &mut state.inodes[self.inode];
+        inode.content.truncate(length);
+        // Bytes that a failed sync dropped stay dropped.
+        let dropped = inode.dropped.take();
+        inode.dropped =
+            dropped.and_then(|(from, to)| (from < length).then(|| (from, to.min(length))));
+        inode.synced = inode.content.len();
+        Ok(())
+    }
 }
 
 /// Small seeded generator, so that a crash with the same seed has the same result.
--- a/crates/bramblewheel-storage/src/file_system/mod.rs
+++ b/crates/bramblewheel-storage/src/file_system/mod.rs
@@ -79,4 +79,10 @@
     /// # Errors
     /// The error of the file system; it is then unknown which bytes are durable.
     fn sync(&mut self) -> io::Result<()>;
+
+    /// Durably removes all bytes from `length` on; the next append continues there.
+    ///
+    /// # Errors
+    /// The error of the file system; the bytes may or may not be removed.
+    fn truncate(&mut self, length: u64) -> io::Result<()>;
 }
--- a/crates/bramblewheel-storage/src/segment.rs
+++ b/crates/bramblewheel-storage/src/segment.rs
@@ -1,7 +1,7 @@
 //! Log segments, named by the sequence of their first record.
 
 use crate::atomic;
-use crate::error::{IoContext, StorageError};
+use crate::error::{IoContext, SYNC, StorageError};
 use crate::file_system::{AppendFile, FileSystem};
 use crate::frame::{self, FrameFault};
 use crate::records::{self, LogRecord};
@@ -110,8 +110,10 @@
 pub(crate) struct SegmentWriter<A> {
     file: A,
     path: PathBuf,
-    /// Size of the segment, in bytes.
+    /// Size of the complete frames, in bytes.
     pub(crate) size: u64,
+    /// Whether a failed append may have left a torn frame behind the complete ones.
+    is_torn: bool,
 }
 
 impl<A: AppendFile> SegmentWriter<A> {
@@ -123,12 +125,13 @@
     ) -> Result<Self, StorageError> {
         let path = folder.join(name(start));
         let mut file = files.create(&path).during("create", &path)?;
-        file.sync().during("sync", &path)?;
-        files.sync_folder(folder).during("sync", folder)?;
+        file.sync().during(SYNC, &path)?;
+        files.sync_folder(folder).during(SYNC, folder)?;
         Ok(Self {
             file,
             path,
             size: 0,
+            is_torn: false,
         })
     }
 
@@ -149,13 +152,28 @@
             file,
             path,
             size: content.bytes.len() as u64,
+            is_torn: false,
         })
     }
 
+    /// Removes a torn frame that a failed append left. Recovery would ignore all that is behind it, or
+    /// refuse the segment if another one follows.
+    pub(crate) fn remove_torn_frame(&mut self) -> Result<(), StorageError> {
+        if self.is_torn {
+            self.file
+                .truncate(self.size)
+                .during("truncate", &self.path)?;
+            self.is_torn = false;
+        }
+        Ok(())
+    }
+
     /// Appends and syncs a frame.
     pub(crate) fn write(&mut self, frame: &[u8]) -> Result<(), StorageError> {
+        self.is_torn = true;
         self.file.append(frame).during("append to", &self.path)?;
-        self.file.sync().during("sync", &self.path)?;
+        self.is_torn = false;
+        self.file.sync().during(SYNC, &self.path)?;
         self.size += frame.len() as u64;
         Ok(())
     }
--- a/crates/bramblewheel-storage/src/storage.rs
+++ b/crates/bramblewheel-storage/src/storage.rs
@@ -1,6 +1,6 @@
 //! Storage of one replica in one folder.
 
-use crate::error::{IoContext, StorageError};
+use crate::error::{IoContext, SYNC, StorageError};
 use crate::file_system::FileSystem;
 use crate::identity::{IDENTITY, Identity};
 use crate::records::{self, LogRecord, SnapshotRecord};
@@ -40,7 +40,9 @@
 /// - a write that was not reported as done is restored completely or not at all, except that its
 ///   snapshot may be restored without its entries;
 /// - after a failed operation nothing is written any more, because the content of the disk is unknown
-///   until a new start reads it.
+///   until a new start reads it. The exception is an error that
+///   [`is_retriable`](StorageError::is_retriable): the same operation may be repeated, and what it left
+///   incomplete is removed first.
 #[derive(Debug)]
 pub struct Storage<F: FileSystem> {
     files: F,
@@ -80,7 +82,7 @@
         check_identity(&config, has_identity, &recovered)?;
         let latest_snapshot = recovered.snapshot_name.as_deref();
         recovery::remove_leftovers(&files, &folder, &names, latest_snapshot)?;
-        files.sync_folder(&folder).during("sync", &folder)?;
+        files.sync_folder(&folder).during(SYNC, &folder)?;
         let last = recovered.last.filter(|_| has_identity);
         let writer = last.map(|content| SegmentWriter::rewrite(&files, &folder, &content));
         let mut storage = Self {
@@ -135,7 +137,7 @@
     /// Writes and syncs the output of a replica, with one sync of the log and two more with a snapshot.
     ///
     /// # Errors
-    /// [`StorageError`]; the replica must stop.
+    /// [`StorageError`]; the replica must stop, or repeat the write if the error is retriable.
     pub fn write(&mut self, write: &Write) -> Result<(), StorageError> {
         if self.identity.is_none() {
             return Err(StorageError::IdentityAbsent);
@@ -149,7 +151,7 @@
     /// Stores a snapshot of the replica's own state machine and removes the segments that it covers.
     ///
     /// # Errors
-    /// [`StorageError`]; the replica must stop.
+    /// [`StorageError`]; the replica must stop, or repeat the call if the error is retriable.
     pub fn compact(&mut self, snapshot: &Snapshot) -> Result<(), StorageError> {
         if self.identity.is_none() {
             return Err(StorageError::IdentityAbsent);
@@ -257,7 +259,7 @@
             let name = segment::name(first.start);
             self.remove(&name)?;
             // Synced one by one, so that a crash never leaves a gap between segments.
-            self.files.sync_folder(&folder).during("sync", &folder)?;
+            self.files.sync_folder(&folder).during(SYNC, &folder)?;
             self.segments.remove(0);
         }
         Ok(())
@@ -275,16 +277,23 @@
         Ok(())
     }
 
-    /// Runs an operation; once one has failed, refuses all further ones.
+    /// Runs an operation; once one has failed other than for lack of space, refuses all further ones.
     fn guarded(
         &mut self,
         operation: impl FnOnce(&mut Self) -> Result<(), StorageError>,
     ) -> Result<(), StorageError> {
         self.check_usable()?;
-        let result = operation(self);
-        self.poisoned = result.is_err();
+        let result = self.remove_torn_frame().and_then(|()| operation(self));
+        self.poisoned = result.as_ref().is_err_and(|error| !error.is_retriable());
         result
     }
+
+    fn remove_torn_frame(&mut self) -> Result<(), StorageError> {
+        match &mut self.writer {
+            Some(writer) => writer.remove_torn_frame(),
+            None => Ok(()),
+        }
+    }
 }
 
 /// Checks that a folder has either both an identity and a log or neither.
