--- a/crates/bramblewheel-proxy/tests/pinned_metrics.rs
+++ b/crates/bramblewheel-proxy/tests/pinned_metrics.rs
@@ -1,5 +1,6 @@
 //! Names and labels of the metrics don't change: users' dashboards and alerts depend on them.
 
+use bramblewheel_decisions::admission::Displacement;
 use bramblewheel_decisions::machine_identity::IdentityMismatch;
 use bramblewheel_decisions::retry_budget::BoundUse;
 use bramblewheel_proxy::http::ahead::AheadEvent;
@@ -15,6 +16,7 @@
     "bramblewheel_attempts counter",
     "bramblewheel_cancelled counter",
     "bramblewheel_cut_off counter",
+    "bramblewheel_displaced counter",
     "bramblewheel_endpoint_ends counter",
     "bramblewheel_has_lease gauge",
     "bramblewheel_identity_mismatches counter",
@@ -54,6 +56,7 @@
     "bramblewheel_requests_ahead_total{event=\"started\"} 1",
     "bramblewheel_answers_after_silence_total{result=\"answered\"} 1",
     "bramblewheel_timer_lateness_seconds_bucket{le=\"0.1\"} 1",
+    "bramblewheel_displaced_total{by=\"tenant\"} 1",
     "bramblewheel_inbound_total{result=\"answered\"} 1",
     "bramblewheel_repeats_total{service=\"kassa\",after=\"lost\"} 1",
     "bramblewheel_over_budget_total{service=\"kassa\",after=\"rejected\"} 1",
@@ -70,6 +73,7 @@
     let service = ServiceName::new("kassa").expect("a name");
     metrics.request("pay", "answered", Duration::from_millis(30));
     metrics.attempt(AttemptResult::Full);
+    metrics.displaced(Displacement::ByTenant);
     metrics.inbound(AttemptResult::Answered);
     metrics.ahead(AheadEvent::Started);
     metrics.answer_after_silence(AttemptResult::Answered);
