--- a/crates/bramblewheel-proxy/tests/pinned_metrics.rs
+++ b/crates/bramblewheel-proxy/tests/pinned_metrics.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// Metrics of a daemon and their types, sorted by name.
-const METRICS: [&str; 33] = [
+const METRICS: [&str; 34] = [
     "bramblewheel_answers_after_silence counter",
     "bramblewheel_attempts counter",
     "bramblewheel_cancelled counter",
@@ -49,7 +49,7 @@
 ];
 
 /// One line of each metric that has labels.
-const LABELLED: [&str; 14] = [
+const LABELLED: [&str; 15] = [
     "bramblewheel_requests_total{route=\"pay\",outcome=\"answered\"} 1",
     "bramblewheel_request_seconds_bucket{le=\"0.05\",route=\"pay\"} 1",
     "bramblewheel_attempts_total{result=\"full\"} 1",
