Test: wait for the run of the retry before making its call

The test took the first daemon that had counted a retried run, although its endpoint may have rejected that run, so that none was running when the call was made.

--- a/crates/bramblewheel-proxy/tests/sockets/retry_bound.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/retry_bound.rs
@@ -30,9 +30,12 @@
         endpoint.script(&[Behavior::NotRun, slow.clone()]);
     }
     let (answer, daemon_beside) = tokio::join!(cluster.call(0, "/public/", "run"), async {
-        wait_until(|| (0..2).any(|daemon| retried_runs(&cluster, daemon) > 0)).await;
+        let runs_retry = |daemon: usize| {
+            cluster.endpoints[daemon].arrivals().len() > 1 && retried_runs(&cluster, daemon) > 0
+        };
+        wait_until(|| (0..2).any(runs_retry)).await;
         // The call's deadline is earlier than that of the run, so that the deadline doesn't identify its parent.
-        let daemon_beside = (0..2).find(|daemon| retried_runs(&cluster, *daemon) > 0);
+        let daemon_beside = (0..2).find(|daemon| runs_retry(*daemon));
         let daemon_beside = daemon_beside.expect("one sent the retry");
         let headers = [("bw-request-id", "call"), ("bw-remaining-ms", "400")];
         let call = cluster.call_with(daemon_beside, "/public/", &headers, Bytes::new());
