Read what endpoints state of their load and report it to senders

Endpoints state running and waiting requests, slots and their current work time, and nothing read it. Texts of three numbers are not used; nonsense is ignored, counted and logged with a bound. No choice depends on it yet.

--- a/crates/bramblewheel-decisions/src/directory/endpoint.rs
+++ b/crates/bramblewheel-decisions/src/directory/endpoint.rs
@@ -15,6 +15,7 @@
 use super::ejection::Ejection;
 use super::{AttemptEnd, LoadReport};
 use crate::decaying_share::{DecayingShare, remaining_weight};
+use crate::load_statement::NewestStatement;
 use bramblewheel_protocol::routing::EndpointRecord;
 use bramblewheel_types::{Timestamp, ZoneName};
 use std::time::Duration;
@@ -55,6 +56,8 @@
     /// This daemon's requests without an answer yet.
     pub(super) outstanding: u32,
     report: Option<ReceivedReport>,
+    /// What it stated last of its load.
+    pub(super) stated_load: NewestStatement,
     /// Mean of answer times relative to those of all endpoints on the same route; 1 is usual.
     slowness: f64,
     /// Share of failures among this daemon's requests.
@@ -99,6 +102,7 @@
             cold_until: now + Duration::from(record.cold_for),
             outstanding: 0,
             report: None,
+            stated_load: NewestStatement::default(),
             slowness: 1.0,
             failed_here: DecayingShare::default(),
             failed_reported: DecayingShare::default(),
--- a/crates/bramblewheel-decisions/src/directory/limits.rs
+++ b/crates/bramblewheel-decisions/src/directory/limits.rs
@@ -1,8 +1,9 @@
-//! Effect of what endpoints state on the choice: endpoints that drain, and endpoints with a rate limit.
+//! Effect of what endpoints state on the choice: endpoints that drain, endpoints with a rate limit, and stated loads.
 
 use super::Directory;
 use super::service::Service;
 use crate::endpoint_limit::LimitChange;
+use crate::load_statement::StatedLoad;
 use bramblewheel_types::{EndpointId, RateLimit, ServiceName, Timestamp};
 use rand::{Rng, RngExt};
 
@@ -54,6 +55,23 @@
         self.statements.record_limit(now, sent_at, endpoint, stated)
     }
 
+    /// Records what the daemon beside an endpoint reports of the load that the endpoint states.
+    pub fn record_stated_load(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        stated: StatedLoad,
+    ) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.stated_load.record(now, stated);
+        }
+    }
+
+    /// What an endpoint stated last of its load, with its age; `None` if nothing recent is known.
+    pub fn stated_load(&self, now: Timestamp, endpoint: &EndpointId) -> Option<StatedLoad> {
+        self.endpoints.get(endpoint)?.stated_load.at(now)
+    }
+
     /// Records that an endpoint has stated that it drains; returns whether that is new.
     pub fn record_drain(&mut self, now: Timestamp, endpoint: &EndpointId) -> bool {
         self.statements.record_drain(now, endpoint)
--- a/crates/bramblewheel-decisions/src/lib.rs
+++ b/crates/bramblewheel-decisions/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod endpoint_limit;
 pub mod exemption;
 pub mod incarnations;
+pub mod load_statement;
 pub mod machine_identity;
 pub mod nested_routes;
 pub mod quarantine;
--- a/crates/bramblewheel-proxy/src/dialect.rs
+++ b/crates/bramblewheel-proxy/src/dialect.rs
@@ -2,6 +2,7 @@
 //! head, and what the head states of the endpoint. The program that starts the daemon may replace the names.
 
 use crate::http::fields::set_or_remove;
+use bramblewheel_decisions::load_statement::{InvalidLoadStatement, LoadStatement};
 use bramblewheel_types::{EndpointId, InvalidRateLimit, Millis, RateLimit};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use std::time::Duration;
@@ -32,6 +33,9 @@
     pub rate_limit: HeaderName,
     /// On an answer: the endpoint drains.
     pub draining: HeaderName,
+    /// On an answer: the endpoint's running requests, waiting requests, slots and work time in percent of the usual,
+    /// separated by commas.
+    pub load: HeaderName,
 }
 
 impl Default for Dialect {
@@ -47,6 +51,7 @@
             proof: HeaderName::from_static("bw-proof"),
             rate_limit: HeaderName::from_static("bw-rate-limit"),
             draining: HeaderName::from_static("bw-draining"),
+            load: HeaderName::from_static("bw-endpoint-load"),
         }
     }
 }
@@ -73,6 +78,8 @@
     pub rate_limit: Result<Option<RateLimit>, InvalidRateLimit>,
     /// Whether it drains.
     pub drain: DrainStatement,
+    /// Its load, if it states one with a work time.
+    pub load: Result<Option<LoadStatement>, InvalidLoadStatement>,
 }
 
 /// What the head of an answer states of the endpoint's draining.
@@ -92,6 +99,7 @@
         EndpointStatement {
             rate_limit: self.stated_limit(headers),
             drain: self.stated_drain(headers),
+            load: self.stated_load(headers),
         }
     }
 
@@ -119,6 +127,24 @@
         stated
     }
 
+    fn stated_load(
+        &self,
+        headers: &HeaderMap,
+    ) -> Result<Option<LoadStatement>, InvalidLoadStatement> {
+        let mut stated = None;
+        for value in headers.get_all(&self.load) {
+            let text = value
+                .to_str()
+                .map_err(|_| InvalidLoadStatement::NoNumbers)?;
+            let load = LoadStatement::parse(text)?;
+            if stated.is_some_and(|earlier| earlier != load) {
+                return Err(InvalidLoadStatement::SeveralValues);
+            }
+            stated = Some(load);
+        }
+        Ok(stated.flatten())
+    }
+
     /// Id of a request or answer.
     pub fn id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue> {
         headers.get(&self.request_id)
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -87,6 +87,7 @@
         full_downstream,
         bound_used_percent: whole_percent(used),
         rate_limit: shared.local.limit_report(now, handover),
+        stated_load: shared.local.stated_load(now, &handover.endpoint),
         is_draining: shared.local.has_drain_notice(&handover.endpoint),
         needed_time: if dispatched.result() == AttemptResult::OutOfTime {
             late_start::needed_time(shared, handover)
--- a/crates/bramblewheel-proxy/src/inbound/statements.rs
+++ b/crates/bramblewheel-proxy/src/inbound/statements.rs
@@ -46,6 +46,17 @@
         let value = head.headers.get(&dialect.rate_limit);
         log_invalid(shared, handover, id, &error.to_string(), value);
     }
+    match statement.load {
+        Ok(Some(load)) => {
+            let percent = i64::from(load.work_percent);
+            shared.metrics.stated_work_percent.set(percent);
+        }
+        Ok(None) => {}
+        Err(error) => {
+            let value = head.headers.get(&dialect.load);
+            log_invalid(shared, handover, id, &error.to_string(), value);
+        }
+    }
     if statement.drain == DrainStatement::Invalid {
         let value = head.headers.get(&dialect.draining);
         log_invalid(shared, handover, id, "no drain notice", value);
--- a/crates/bramblewheel-proxy/src/local/mod.rs
+++ b/crates/bramblewheel-proxy/src/local/mod.rs
@@ -23,6 +23,7 @@
 use bramblewheel_decisions::endpoint_crash::EndpointCrash;
 use bramblewheel_decisions::endpoint_limit::{EndpointLimit, RateRefusal};
 use bramblewheel_decisions::incarnations::HeartbeatOrigin;
+use bramblewheel_decisions::load_statement::NewestStatement;
 use bramblewheel_decisions::machine_identity::{IdentityMismatch, MachineIdentity};
 use bramblewheel_decisions::request_class::RequestClass;
 use bramblewheel_decisions::table::ServiceSettings;
@@ -222,6 +223,7 @@
             unreachable_until: Timestamp::ZERO,
             rate_limit: EndpointLimit::default(),
             has_drain_notice: false,
+            stated_load: NewestStatement::default(),
         });
         Ok(())
     }
--- a/crates/bramblewheel-proxy/src/local/state.rs
+++ b/crates/bramblewheel-proxy/src/local/state.rs
@@ -12,6 +12,7 @@
 use bramblewheel_decisions::endpoint_crash::{CrashesByContent, UnansweredRequests};
 use bramblewheel_decisions::endpoint_limit::EndpointLimit;
 use bramblewheel_decisions::incarnations::{HeartbeatOrigin, Incarnations};
+use bramblewheel_decisions::load_statement::NewestStatement;
 use bramblewheel_decisions::request_class::RequestClass;
 use bramblewheel_decisions::run_time::RunTimes;
 use bramblewheel_decisions::running_requests::RunningRequests;
@@ -48,6 +49,8 @@
     pub(super) rate_limit: EndpointLimit,
     /// Whether it has stated in an answer that it drains.
     pub(super) has_drain_notice: bool,
+    /// What it stated last of its load.
+    pub(super) stated_load: NewestStatement,
 }
 
 /// A call of the endpoint that found no capacity.
@@ -305,6 +308,7 @@
             unreachable_until: Timestamp::ZERO,
             rate_limit: EndpointLimit::default(),
             has_drain_notice: false,
+            stated_load: NewestStatement::default(),
         });
         HeartbeatResult::Changed
     }
--- a/crates/bramblewheel-proxy/src/local/statements.rs
+++ b/crates/bramblewheel-proxy/src/local/statements.rs
@@ -1,4 +1,4 @@
-//! What the local endpoint states of itself in its answers: a rate limit, or that it drains.
+//! What the local endpoint states of itself in its answers: a rate limit, its load, or that it drains.
 //!
 //! The rule of the limit is in [`bramblewheel_decisions::endpoint_limit`]. A drain notice closes the incarnation that
 //! gave it at once, as a draining heartbeat does.
@@ -8,9 +8,11 @@
 use crate::dialect::{DrainStatement, EndpointStatement};
 use crate::wire::{Handover, LimitReport};
 use bramblewheel_decisions::endpoint_limit::LimitChange;
+use bramblewheel_decisions::load_statement::StatedLoad;
 use bramblewheel_protocol::routing::{EndpointRecord, EndpointState};
 use bramblewheel_types::{EndpointId, Timestamp};
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 /// Change that follows from a statement of the endpoint.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -70,6 +72,12 @@
         }
     }
 
+    /// What this incarnation stated last of its load; `None` if it stated nothing recently.
+    pub fn stated_load(&self, now: Timestamp, endpoint: &EndpointId) -> Option<StatedLoad> {
+        let mut state = self.lock();
+        state.current_mut(endpoint)?.stated_load.at(now)
+    }
+
     /// Whether this incarnation has stated in an answer that it drains.
     pub fn has_drain_notice(&self, endpoint: &EndpointId) -> bool {
         if !self.must_check_sends.load(Ordering::Relaxed) {
@@ -104,6 +112,14 @@
             Ok(stated) => current.rate_limit.record_answer(now, sent_at, stated),
             Err(_) => None,
         };
+        // Without a valid statement the previous one ages.
+        if let Ok(Some(load)) = statement.load {
+            let stated = StatedLoad {
+                statement: load,
+                age: Duration::ZERO,
+            };
+            current.stated_load.record(now, stated);
+        }
         let draining = match statement.drain {
             DrainStatement::Draining => self.record_drain_notice(endpoint),
             DrainStatement::None | DrainStatement::Invalid => None,
--- a/crates/bramblewheel-proxy/src/metrics.rs
+++ b/crates/bramblewheel-proxy/src/metrics.rs
@@ -178,6 +178,10 @@
     pub sent_under_rate_limit: Counter = Counter::default() =>
         "bramblewheel_sent_under_rate_limit":
         "Requests sent to the local endpoint while it had a rate limit",
+    /// Work time that the local endpoint stated last.
+    pub stated_work_percent: Gauge = Gauge::default() =>
+        "bramblewheel_stated_work_percent":
+        "Work time in percent of the usual, as the local endpoint stated it last",
     /// Statements of the local endpoint that can't be read.
     pub invalid_statements: Counter = Counter::default() =>
         "bramblewheel_invalid_statements":
--- a/crates/bramblewheel-proxy/src/outbound/statements.rs
+++ b/crates/bramblewheel-proxy/src/outbound/statements.rs
@@ -1,4 +1,5 @@
-//! Records what the daemon beside an endpoint reports of the endpoint's statements: that it drains, or its rate limit.
+//! Records what the daemon beside an endpoint reports of the endpoint's statements: that it drains, its rate limit, or
+//! its load.
 //!
 //! This daemon obeys them by itself, whether or not the control group and the daemon beside the endpoint remember them.
 //! The rule is in [`bramblewheel_decisions::directory`]. Appears in the log lines `endpoint drains` and `rate limit of
@@ -32,6 +33,9 @@
         Some(LimitReport::Limited(known)) => Some(Some(known.limit)),
     };
     let limit = stated.and_then(|stated| directory.record_limit(now, sent_at, endpoint, stated));
+    if let Some(stated_load) = report.stated_load {
+        directory.record_stated_load(now, endpoint, stated_load);
+    }
     let has_begun_draining = report.is_draining && directory.record_drain(now, endpoint);
     StatementNews {
         limit,
--- a/crates/bramblewheel-proxy/src/wire.rs
+++ b/crates/bramblewheel-proxy/src/wire.rs
@@ -6,6 +6,7 @@
 use crate::http::fields::set_or_remove;
 use bramblewheel_decisions::directory::LoadReport;
 use bramblewheel_decisions::endpoint_limit::KnownLimit;
+use bramblewheel_decisions::load_statement::{LoadStatement, StatedLoad};
 use bramblewheel_decisions::request_class::RequestClass;
 use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_types::{EndpointId, Millis, ServiceName};
@@ -57,6 +58,9 @@
 const OUT_OF_TIME: HeaderName = HeaderName::from_static("bw-out-of-time");
 /// On an answer: the endpoint has stated in an answer that it drains.
 const DRAIN_NOTICE: HeaderName = HeaderName::from_static("bw-drain-notice");
+/// On an answer: the endpoint's last statement of its load as running requests, waiting requests, slots and work time in
+/// percent of the usual, and its age in milliseconds, separated by commas.
+const STATED_LOAD: HeaderName = HeaderName::from_static("bw-stated-load");
 /// Load of the endpoint: busy slots, limit and percentage of failures, separated by commas.
 const LOAD: HeaderName = HeaderName::from_static("bw-load");
 
@@ -270,6 +274,26 @@
     read_known_limit(value).map(LimitReport::Limited)
 }
 
+fn stated_load_value(stated: StatedLoad) -> HeaderValue {
+    let LoadStatement {
+        running,
+        waiting,
+        slots,
+        work_percent,
+    } = stated.statement;
+    let age = Millis::of(stated.age).0;
+    let text = format!("{running},{waiting},{slots},{work_percent},{age}");
+    HeaderValue::try_from(text).expect("numbers consist of visible ASCII")
+}
+
+fn read_stated_load(value: &HeaderValue) -> Option<StatedLoad> {
+    let (statement, age) = value.to_str().ok()?.rsplit_once(',')?;
+    Some(StatedLoad {
+        statement: LoadStatement::parse(statement).ok()??,
+        age: Duration::from_millis(age.parse().ok()?),
+    })
+}
+
 fn millis(duration: Duration) -> HeaderValue {
     HeaderValue::from(Millis::of(duration).0)
 }
@@ -328,6 +352,8 @@
     /// With the result [`OutOfTime`](AttemptResult::OutOfTime): the time that the request would have needed; header
     /// `bw-out-of-time`. Zero if it is unknown or invalid, and with all other results.
     pub needed_time: Duration,
+    /// What the endpoint stated of its load; header `bw-stated-load`. `None` if it is missing or invalid.
+    pub stated_load: Option<StatedLoad>,
 }
 
 impl AnswerReport {
@@ -347,6 +373,8 @@
         set_or_remove(headers, &DRAIN_NOTICE, present(self.is_draining).as_ref());
         let rate_limit = self.rate_limit.map(limit_report_value);
         set_or_remove(headers, &RATE_LIMIT, rate_limit.as_ref());
+        let stated_load = self.stated_load.map(stated_load_value);
+        set_or_remove(headers, &STATED_LOAD, stated_load.as_ref());
         if let Some(load) = self.load {
             let load = format!("{},{},{}", load.busy, load.limit, load.failed_percent);
             let load = HeaderValue::try_from(load).expect("numbers consist of visible ASCII");
@@ -394,6 +422,10 @@
                 .as_ref()
                 .and_then(read_limit_report),
             is_draining: headers.remove(DRAIN_NOTICE).is_some(),
+            stated_load: headers
+                .remove(STATED_LOAD)
+                .as_ref()
+                .and_then(read_stated_load),
             needed_time: parse_number(needed_time).map_or(Duration::ZERO, Duration::from_millis),
         };
         Some((result, report))
--- a/crates/bramblewheel-proxy/tests/endpoint_statements.rs
+++ b/crates/bramblewheel-proxy/tests/endpoint_statements.rs
@@ -1,5 +1,6 @@
 //! What the head of an answer states of the endpoint: values that can't be read say nothing.
 
+use bramblewheel_decisions::load_statement::InvalidLoadStatement;
 use bramblewheel_proxy::Dialect;
 use bramblewheel_proxy::dialect::{DrainStatement, EndpointStatement};
 use bramblewheel_types::{InvalidRateLimit, RateLimit};
@@ -7,6 +8,7 @@
 
 const RATE_LIMIT: HeaderName = HeaderName::from_static("bw-rate-limit");
 const DRAINING: HeaderName = HeaderName::from_static("bw-draining");
+const LOAD: HeaderName = HeaderName::from_static("bw-endpoint-load");
 
 fn statement(name: &HeaderName, values: &[&[u8]]) -> EndpointStatement {
     let mut headers = HeaderMap::new();
@@ -68,3 +70,18 @@
     }
     assert_eq!(drain(&[b"1", b"0"]), DrainStatement::Invalid);
 }
+
+/// Guards against a choice between two different statements in one response.
+#[test]
+fn several_loads_are_no_statement_unless_they_are_equal() {
+    let load = |values: &[&[u8]]| statement(&LOAD, values).load;
+    assert_eq!(load(&[]), Ok(None));
+    assert_eq!(load(&[b"1,2,3"]), Ok(None));
+    let same = load(&[b"1,2,3,110", b"1, 2, 3, 110"]).expect("readable");
+    assert_eq!(same.map(|load| load.work_percent), Some(110));
+    for other in [&b"1,2,3,120"[..], b"1,2,3"] {
+        let stated = load(&[b"1,2,3,110", other]);
+        assert_eq!(stated, Err(InvalidLoadStatement::SeveralValues));
+    }
+    assert_eq!(load(&[b"\xff"]), Err(InvalidLoadStatement::NoNumbers));
+}
--- a/crates/bramblewheel-proxy/tests/pinned_metrics.rs
+++ b/crates/bramblewheel-proxy/tests/pinned_metrics.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Metrics of a daemon and their types, sorted by name.
-const METRICS: [&str; 32] = [
+const METRICS: [&str; 33] = [
     "bramblewheel_answers_after_silence counter",
     "bramblewheel_attempts counter",
     "bramblewheel_cancelled counter",
@@ -35,6 +35,7 @@
     "bramblewheel_retry_bound_allowed gauge",
     "bramblewheel_retry_bound_used gauge",
     "bramblewheel_sent_under_rate_limit counter",
+    "bramblewheel_stated_work_percent gauge",
     "bramblewheel_table_version gauge",
     "bramblewheel_timer_lateness_seconds histogram",
     "bramblewheel_unauthorized counter",
--- a/crates/bramblewheel-proxy/tests/pinned_wire.rs
+++ b/crates/bramblewheel-proxy/tests/pinned_wire.rs
@@ -2,6 +2,7 @@
 
 use bramblewheel_decisions::directory::LoadReport;
 use bramblewheel_decisions::endpoint_limit::KnownLimit;
+use bramblewheel_decisions::load_statement::{LoadStatement, StatedLoad};
 use bramblewheel_decisions::request_class::RequestClass;
 use bramblewheel_protocol::content::ContentDigest;
 use bramblewheel_proxy::wire::{AnswerReport, AttemptResult, Handover, LimitReport};
@@ -39,7 +40,7 @@
 ];
 
 /// An answer with all headers.
-const FULL_ANSWER: [(&str, &str); 7] = [
+const FULL_ANSWER: [(&str, &str); 8] = [
     ("bw-result", "answered"),
     ("bw-load", "3,18,4"),
     ("bw-nested", "1"),
@@ -47,6 +48,7 @@
     ("bw-bound-used", "42"),
     ("bw-known-rate-limit", "0.5,20"),
     ("bw-drain-notice", "1"),
+    ("bw-stated-load", "5,1,18,250,40"),
 ];
 
 const RESULTS: [(AttemptResult, &str); 9] = [
@@ -123,6 +125,15 @@
         rate_limit: Some(LimitReport::Limited(known_limit("0.5", 20))),
         is_draining: true,
         needed_time: Duration::ZERO,
+        stated_load: Some(StatedLoad {
+            statement: LoadStatement {
+                running: 5,
+                waiting: 1,
+                slots: 18,
+                work_percent: 250,
+            },
+            age: Duration::from_millis(40),
+        }),
     }
 }
 
--- a/crates/bramblewheel-proxy/tests/sockets/endpoint_statements.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/endpoint_statements.rs
@@ -2,6 +2,7 @@
 
 use crate::support::endpoint::{Behavior, ScriptedEndpoint};
 use crate::support::{TestCluster, call_on};
+use bramblewheel_decisions::load_statement::StatedLoad;
 use bytes::Bytes;
 use http::StatusCode;
 use std::net::SocketAddr;
@@ -16,6 +17,8 @@
 const LIMIT_LINE: &str = "bw-rate-limit: 5\r\n";
 /// Header line of an endpoint that drains.
 const DRAIN_LINE: &str = "bw-draining: 1\r\n";
+/// Header line with a load and a work time of 2.5 times the usual.
+const LOAD_LINE: &str = "bw-endpoint-load: 5,1,18,250\r\n";
 /// Time over which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 /// Requests beyond the limit that one window may hold.
@@ -146,3 +149,38 @@
         .filter(|status| **status == StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(refused.count(), statuses.len());
 }
+
+/// What the daemon `number` knows of the load that the first endpoint stated.
+fn load_known_at(cluster: &TestCluster, number: usize) -> Option<StatedLoad> {
+    let shared = cluster.daemons[number].shared();
+    let endpoint = cluster.daemons[0].shared().local.record()?.endpoint;
+    let now = shared.clock.now();
+    shared.routing().directory.stated_load(now, &endpoint)
+}
+
+/// Guards against senders that don't learn what an endpoint states of its load, against statements of no use that are
+/// passed on, and against an incarnation that inherits the statement of the one before.
+#[tokio::test]
+async fn stated_load_reaches_senders_and_ends_with_its_incarnation() {
+    let mut cluster = TestCluster::start(1).await;
+    let other = cluster.add_daemon().await;
+    let address = [cluster.daemons[other].shared().settings.outbound];
+    let useless = [
+        "bw-endpoint-load: 5,1,18\r\n",
+        "bw-endpoint-load: 5,1,0,250\r\n",
+    ];
+    for line in useless {
+        cluster.endpoints[0].state_in_answers(line);
+        send_load(&address, Duration::from_millis(60)).await;
+        assert_eq!(load_known_at(&cluster, other), None);
+    }
+    let metrics = cluster.daemons[0].shared().metrics.text();
+    assert!(!metrics.contains("bramblewheel_invalid_statements_total 0"));
+    cluster.endpoints[0].state_in_answers(LOAD_LINE);
+    send_load(&address, Duration::from_millis(60)).await;
+    let stated = load_known_at(&cluster, other).expect("stated just now");
+    assert_eq!(stated.statement.work_percent, 250);
+    cluster.restart_under_new_id(0).await;
+    send_load(&address, Duration::from_millis(60)).await;
+    assert_eq!(load_known_at(&cluster, other), None);
+}
--- a/crates/bramblewheel-proxy/tests/wire.rs
+++ b/crates/bramblewheel-proxy/tests/wire.rs
@@ -39,6 +39,7 @@
         rate_limit: None,
         is_draining: false,
         needed_time: Duration::ZERO,
+        stated_load: None,
     }
 }
 
