--- a/crates/bramblewheel-decisions/src/lib.rs
+++ b/crates/bramblewheel-decisions/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod exemption;
 pub mod fair_share;
 pub mod incarnations;
+pub mod load_statement;
 pub mod machine_identity;
 pub mod nested_routes;
 pub mod quarantine;
--- a/crates/bramblewheel-proxy/src/outbound/statements.rs
+++ b/crates/bramblewheel-proxy/src/outbound/statements.rs
@@ -1,4 +1,5 @@
-//! Records what the daemon beside an endpoint reports of the endpoint's statements: that it drains, or its rate limit.
+//! Records what the daemon beside an endpoint reports of the endpoint's statements: that it drains, its rate limit, or
+//! its load.
 //!
 //! This daemon obeys them by itself, whether or not the control group and the daemon beside the endpoint remember them.
 //! The rule is in [`bramblewheel_decisions::directory`]. Appears in the log lines `endpoint drains` and `rate limit of
@@ -50,6 +51,10 @@
     ) {
         let now = self.shared.clock.now();
         let mut routing = self.shared.routing();
+        if let Some(stated) = report.stated_load {
+            let directory = &mut routing.directory;
+            directory.record_stated_load(now, endpoint, stated);
+        }
         let news = record_statements(&mut routing.directory, now, endpoint, sent_at, report);
         drop(routing);
         self.log_statements(endpoint, daemon, news);
--- a/crates/bramblewheel-proxy/tests/pinned_metrics.rs
+++ b/crates/bramblewheel-proxy/tests/pinned_metrics.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// Metrics of a daemon and their types, sorted by name.
-const METRICS: [&str; 34] = [
+const METRICS: [&str; 35] = [
     "bramblewheel_answers_after_silence counter",
     "bramblewheel_attempts counter",
     "bramblewheel_cancelled counter",
@@ -39,6 +39,7 @@
     "bramblewheel_retry_bound_allowed gauge",
     "bramblewheel_retry_bound_used gauge",
     "bramblewheel_sent_under_rate_limit counter",
+    "bramblewheel_stated_work_percent gauge",
     "bramblewheel_table_version gauge",
     "bramblewheel_timer_lateness_seconds histogram",
     "bramblewheel_unauthorized counter",
--- a/crates/bramblewheel-proxy/tests/wire.rs
+++ b/crates/bramblewheel-proxy/tests/wire.rs
@@ -40,6 +40,7 @@
         rate_limit: None,
         is_draining: false,
         needed_time: Duration::ZERO,
+        stated_load: None,
     }
 }
 
