--- a/crates/bramblewheel-decisions/src/directory/endpoint.rs
+++ b/crates/bramblewheel-decisions/src/directory/endpoint.rs
@@ -31,9 +31,7 @@
 const IDLE_COST: f64 = 0.15;
 /// Largest load assumed for an endpoint of another zone without a report, in units of a full endpoint, where work times
 /// are stated. The candidates' mean is mostly that of the own zone: without this limit, senders of a full zone never try
-/// the others. On virtual time (`tests/expected_completion.rs`, five seeds) the mean time was 431 ms with 0.2, 437 with
-/// 0.5 and 460 with 0.8 instead of 1,018, with 0.35, 0.24 and 0.19 of the requests in other zones; a joining endpoint got
-/// bursts of up to 63, 60 and 47 requests.
+/// the others.
 const MAX_UNKNOWN_IN_OTHER_ZONE: f64 = 0.8;
 /// Load of the request itself at an endpoint with an expected completion, in units of a full endpoint.
 const OWN_LOAD: f64 = 1.0;
