--- a/crates/bramblewheel-proxy/src/http/server.rs
+++ b/crates/bramblewheel-proxy/src/http/server.rs
@@ -323,7 +323,7 @@
         handler,
         keep_alive,
         count,
-        mut stop,
+        stop,
     } = context;
     let KeepAlivePolicy {
         idle_timeout,
@@ -348,25 +348,13 @@
         .serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     let ahead = ahead.as_deref();
-    loop {
-        let reason = tokio::select! {
-            () = drive(connection.as_mut(), ahead) => return,
-            () = until_closable(&mut stop, &activity, ahead) => CloseReason::Stop,
-            () = until_idle(&activity, &idle_timeout, ahead) => CloseReason::Idle,
-        };
-        let last_read = drive(connection.as_mut(), ahead);
-        if timeout(LAST_READ_TIME, last_read).await.is_ok() {
-            return;
-        }
-        let may_close = match reason {
-            CloseReason::Stop => !ahead.is_some_and(Ahead::has_started),
-            CloseReason::Idle => {
-                activity.has_timed_out(&idle_timeout) && !ahead.is_some_and(Ahead::has_waiting)
-            }
-        };
-        if may_close {
-            break;
-        }
+    let mut closing = Closing {
+        stop,
+        activity: &activity,
+        idle_timeout: &idle_timeout,
+    };
+    if closing.serve_until_due(connection.as_mut(), ahead).await {
+        return;
     }
     if let Some(ahead) = ahead {
         ahead.close();
@@ -375,6 +363,48 @@
     drive(connection, ahead).await;
 }
 
+/// What decides when this side closes a connection.
+struct Closing<'a> {
+    stop: watch::Receiver<bool>,
+    activity: &'a Activity,
+    idle_timeout: &'a IdleTimeout,
+}
+
+impl Closing<'_> {
+    /// Serves a connection until it is to be closed; returns whether it has ended before.
+    async fn serve_until_due<C: Future, H: Handler>(
+        &mut self,
+        mut connection: Pin<&mut C>,
+        ahead: Option<&Ahead<H>>,
+    ) -> bool {
+        loop {
+            let reason = tokio::select! {
+                () = drive(connection.as_mut(), ahead) => return true,
+                () = until_closable(&mut self.stop, self.activity, ahead) => CloseReason::Stop,
+                () = until_idle(self.activity, self.idle_timeout, ahead) => CloseReason::Idle,
+            };
+            let last_read = drive(connection.as_mut(), ahead);
+            if timeout(LAST_READ_TIME, last_read).await.is_ok() {
+                return true;
+            }
+            if self.may_close(reason, ahead) {
+                return false;
+            }
+        }
+    }
+
+    /// Whether the reason still holds after the last read.
+    fn may_close<H: Handler>(&self, reason: CloseReason, ahead: Option<&Ahead<H>>) -> bool {
+        match reason {
+            CloseReason::Stop => !ahead.is_some_and(Ahead::has_started),
+            CloseReason::Idle => {
+                let is_idle = self.activity.has_timed_out(self.idle_timeout);
+                is_idle && !ahead.is_some_and(Ahead::has_waiting)
+            }
+        }
+    }
+}
+
 /// Runs a connection and the requests that were sent ahead on it, until it ends or its caller has closed it. Errors of a
 /// connection are handled by the requests on it.
 async fn drive<C: Future, H: Handler>(mut connection: Pin<&mut C>, ahead: Option<&Ahead<H>>) {
