--- a/review/harness.py
+++ b/review/harness.py
@@ -335,7 +335,10 @@
 
 
 class Endpoint:
-    """A server of a service. `serve(endpoint, connection, request)` runs a request and returns its answer."""
+    """A server of a service. `run(endpoint, connection, request)` runs a request and returns the bytes of its answer.
+
+    A request for another instance gets 421. Heartbeats go to the daemon on the same machine.
+    """
 
     def __init__(self, deployment, machine, service, run):
         self.deployment, self.machine, self.service, self.run = deployment, machine, service, run
@@ -442,7 +445,7 @@
                     endpoint.end()
 
         breaks = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # Any fault of the script itself: exit code 1 is for a broken rule only.
         record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(2)
