Log the connection of an endpoint's rejection

'endpoint refused' now states the number of its connection and how many requests were sent on it; with the id and the endpoint, which it stated already, a stale answer shows as two rejections of one request on one connection.

No change of behaviour.

--- a/crates/bramblewheel-proxy/src/http/exchange.rs
+++ b/crates/bramblewheel-proxy/src/http/exchange.rs
@@ -5,7 +5,7 @@
 
 use crate::http::body::{self, AnswerBody, AnswerResources, BrokenBody, ReadBody, RequestBody};
 use crate::http::fields;
-use crate::http::pool::{Lease, Pool};
+use crate::http::pool::{ConnectionUse, Lease, Pool};
 use crate::local::Permit;
 use bytes::Bytes;
 use http::response::Parts;
@@ -180,6 +180,7 @@
         }
         let body = outgoing.body.take(&lease).ok_or(NoAnswer::Lost)?;
         let request = build(outgoing, headers, body);
+        lease.usage.requests += 1;
         match lease.sender().try_send_request(request).await {
             Ok(response) => return Ok(received(lease, response)),
             // The request was returned unsent: a reused connection was being closed.
@@ -213,6 +214,11 @@
 }
 
 impl Received {
+    /// What its connection was used for, including this request.
+    pub fn connection_use(&self) -> &ConnectionUse {
+        &self.lease.usage
+    }
+
     /// Reads the answer completely, or up to the longest buffered body. `permit` is held until the last byte.
     ///
     /// # Errors
--- a/crates/bramblewheel-proxy/src/http/pool.rs
+++ b/crates/bramblewheel-proxy/src/http/pool.rs
@@ -14,7 +14,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use thiserror::Error;
@@ -85,6 +85,7 @@
                 clock: self.clock,
                 idle: Mutex::default(),
                 loss: Mutex::default(),
+                opened: AtomicU64::new(0),
             })
         });
         Arc::clone(pool)
@@ -113,6 +114,8 @@
     idle: Mutex<VecDeque<Idle>>,
     /// Last loss of a connection after it had been idle.
     loss: Mutex<Option<Loss>>,
+    /// Number of connections opened so far.
+    opened: AtomicU64,
 }
 
 /// A connection that broke during the first request after it had been idle; the peer had dropped it.
@@ -122,9 +125,19 @@
     at: Timestamp,
 }
 
+/// What a connection was used for.
+#[derive(Debug)]
+pub struct ConnectionUse {
+    /// Number of the connection among those opened to its address, from 1.
+    pub number: u64,
+    /// Number of requests sent on it.
+    pub requests: u64,
+}
+
 #[derive(Debug)]
 struct Idle {
     connection: Connection<RequestBody>,
+    usage: ConnectionUse,
     since: Timestamp,
     until: Timestamp,
 }
@@ -134,6 +147,8 @@
 pub struct Lease {
     connection: Connection<RequestBody>,
     pool: Arc<Pool>,
+    /// What the connection was used for.
+    pub usage: ConnectionUse,
     /// Whether it carried a request before, so that the peer may be closing it.
     pub is_reused: bool,
     /// How long it was idle before.
@@ -154,7 +169,7 @@
     pub async fn acquire(self: &Arc<Self>) -> Result<Lease, ConnectFailed> {
         if let Some(idle) = self.take_idle() {
             let idle_time = self.clock.since(idle.since);
-            return Ok(self.lease(idle.connection, true, idle_time));
+            return Ok(self.lease(idle.connection, idle.usage, true, idle_time));
         }
         self.open().await
     }
@@ -170,18 +185,24 @@
         let connection = Connection::open(stream, &builder)
             .await
             .map_err(|_| ConnectFailed::NotReached)?;
-        Ok(self.lease(connection, false, Duration::ZERO))
+        let usage = ConnectionUse {
+            number: self.opened.fetch_add(1, Ordering::Relaxed) + 1,
+            requests: 0,
+        };
+        Ok(self.lease(connection, usage, false, Duration::ZERO))
     }
 
     fn lease(
         self: &Arc<Self>,
         connection: Connection<RequestBody>,
+        usage: ConnectionUse,
         is_reused: bool,
         idle_time: Duration,
     ) -> Lease {
         Lease {
             connection,
             pool: Arc::clone(self),
+            usage,
             is_reused,
             idle_time,
             idle_timeout: None,
@@ -269,6 +290,7 @@
         let since = self.pool.clock.now();
         idle.push_back(Idle {
             connection: self.connection,
+            usage: self.usage,
             since,
             until: since + keep,
         });
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -316,8 +316,10 @@
                 }
             }
             AnswerKind::NotRun => {
+                let usage = received.connection_use();
                 slog::info!(self.shared.log, "endpoint refused"; "id" => id_text(&self.id),
-                    "endpoint" => %self.handover.endpoint, "status" => head.status.as_u16());
+                    "endpoint" => %self.handover.endpoint, "status" => head.status.as_u16(),
+                    "connection" => usage.number, "requests" => usage.requests);
                 // Read to its end, so that the connection can be reused.
                 let _ = received.read(None).await;
                 DispatchOutcome::Unanswered(AttemptResult::Rejected)
