A rejected request is not sent again on the connection of its rejection

Cause: an answer was matched to its request by the request's id alone. A rejected nested call is sent to one of the endpoints again under its id, as a rule on the connection of the rejection. A further copy of the rejection, late on that connection, then counts as the answer to the later send: "not run", while the endpoint runs it. The inference that a route is nested is not the cause: a request that its caller sends again under its id is refused after it ran, too.

Change: a connection remembers the requests rejected on it, and none of them is sent on it again; another connection is taken or opened. A stale copy can only come on the connection of the rejection, so that a rejection with the request's id on any other connection is the answer to this send. With 32 remembered rejections a connection carries no further request, which bounds the memory. Ruled out as fixes: closing the connection at each rejection (a new connection for each), not sending rejected calls again (loses call trees).

--- a/crates/bramblewheel-proxy/src/http/exchange.rs
+++ b/crates/bramblewheel-proxy/src/http/exchange.rs
@@ -9,7 +9,7 @@
 use crate::local::Permit;
 use bytes::Bytes;
 use http::response::Parts;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use std::convert::Infallible;
@@ -157,18 +157,20 @@
 }
 
 /// Sends a request and waits for the head of its answer. `before_send` is called right before each transmission; it sets
-/// headers that depend on the remaining time, and may refuse the transmission.
+/// headers that depend on the remaining time, and may refuse the transmission. With the `id` of the request, it is not sent
+/// on a connection on which the peer [rejected](Received::record_rejection) it.
 ///
 /// # Errors
 /// [`NoAnswer`], which tells whether the request may have been received.
 pub async fn send<Refusal>(
     pool: &Arc<Pool>,
     outgoing: &mut Outgoing,
+    id: Option<&HeaderValue>,
     before_send: impl Fn(&mut HeaderMap) -> Result<(), Refusal>,
 ) -> Result<Received, NoAnswer<Refusal>> {
     for attempt in 0..=MAX_REUSED_ATTEMPTS {
         let lease = if attempt < MAX_REUSED_ATTEMPTS {
-            pool.acquire().await
+            pool.acquire(id).await
         } else {
             pool.open().await
         };
@@ -219,6 +221,11 @@
         &self.lease.usage
     }
 
+    /// Records that the answer rejects the request `id`.
+    pub fn record_rejection(&mut self, id: &HeaderValue) {
+        self.lease.record_rejection(id);
+    }
+
     /// Reads the answer completely, or up to the longest buffered body. `permit` is held until the last byte.
     ///
     /// # Errors
--- a/crates/bramblewheel-proxy/src/http/pool.rs
+++ b/crates/bramblewheel-proxy/src/http/pool.rs
@@ -3,6 +3,9 @@
 //! Unlike the pool of the data path of signed bundles, a pool does not bound the connections in use: the number of
 //! requests to an address is decided elsewhere. Instead it learns which idle time is too long, since endpoints close
 //! idle connections without notice, and a request sent on a connection being closed may have run.
+//!
+//! A pool does not send a request again on a connection on which it was rejected: a further copy of the rejection, which
+//! may come at any time, could not be told from the answer to the later send.
 
 use crate::http::body::RequestBody;
 use bramblewheel_http::connection::Connection;
@@ -10,8 +13,10 @@
 use bramblewheel_process::invariants::lock;
 use bramblewheel_protocol::socket;
 use bramblewheel_types::Timestamp;
+use http::HeaderValue;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use std::collections::{HashMap, VecDeque};
+use std::hash::{BuildHasher, RandomState};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -27,6 +32,9 @@
 /// three seconds when all endpoints closed connections idle for 150 ms.
 const LOSS_MEMORY: Duration = Duration::from_secs(8);
 
+/// Most rejected requests that a connection remembers; with as many, it carries no further request.
+const MAX_REJECTED_REQUESTS: usize = 32;
+
 /// No connection could be opened; nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum ConnectFailed {
@@ -86,6 +94,7 @@
                 idle: Mutex::default(),
                 loss: Mutex::default(),
                 opened: AtomicU64::new(0),
+                digest_key: RandomState::new(),
             })
         });
         Arc::clone(pool)
@@ -116,6 +125,8 @@
     loss: Mutex<Option<Loss>>,
     /// Number of connections opened so far.
     opened: AtomicU64,
+    /// Key of the digests of request ids.
+    digest_key: RandomState,
 }
 
 /// A connection that broke during the first request after it had been idle; the peer had dropped it.
@@ -132,8 +143,14 @@
     pub number: u64,
     /// Number of requests sent on it.
     pub requests: u64,
+    /// The requests that the peer rejected on it.
+    rejected: Vec<RequestDigest>,
 }
 
+/// Keyed digest of a request's id. Two ids with the same digest cost a connection, nothing else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct RequestDigest(u64);
+
 #[derive(Debug)]
 struct Idle {
     connection: Connection<RequestBody>,
@@ -162,12 +179,16 @@
 }
 
 impl Pool {
-    /// Takes the idle connection that was used last, or opens a new one.
+    /// Takes the idle connection that was used last, or opens a new one. With `id`, connections on which the peer rejected
+    /// that request are left out.
     ///
     /// # Errors
     /// [`ConnectFailed`]; nothing was sent.
-    pub async fn acquire(self: &Arc<Self>) -> Result<Lease, ConnectFailed> {
-        if let Some(idle) = self.take_idle() {
+    pub async fn acquire(
+        self: &Arc<Self>,
+        id: Option<&HeaderValue>,
+    ) -> Result<Lease, ConnectFailed> {
+        if let Some(idle) = self.take_idle(id) {
             let idle_time = self.clock.since(idle.since);
             return Ok(self.lease(idle.connection, idle.usage, true, idle_time));
         }
@@ -188,6 +209,7 @@
         let usage = ConnectionUse {
             number: self.opened.fetch_add(1, Ordering::Relaxed) + 1,
             requests: 0,
+            rejected: Vec::new(),
         };
         Ok(self.lease(connection, usage, false, Duration::ZERO))
     }
@@ -229,19 +251,31 @@
         lock(&self.idle).iter().rev().any(is_usable)
     }
 
-    fn take_idle(&self) -> Option<Idle> {
+    fn take_idle(&self, id: Option<&HeaderValue>) -> Option<Idle> {
         let now = self.clock.now();
         let max_idle_time = self.max_idle_time(now);
+        let request = id.map(|id| self.digest(id));
         let mut idle = lock(&self.idle);
-        while let Some(last) = idle.pop_back() {
-            let is_fresh = last.until > now && now.since(last.since) <= max_idle_time;
-            if is_fresh && last.connection.sender.is_ready() {
-                return Some(last);
+        let mut index = idle.len();
+        while index > 0 {
+            index -= 1;
+            let candidate = &idle[index];
+            let is_fresh = candidate.until > now && now.since(candidate.since) <= max_idle_time;
+            if !is_fresh || !candidate.connection.sender.is_ready() {
+                idle.remove(index);
+                continue;
+            }
+            if !request.is_some_and(|request| candidate.usage.rejected.contains(&request)) {
+                return idle.remove(index);
             }
         }
         None
     }
 
+    fn digest(&self, id: &HeaderValue) -> RequestDigest {
+        RequestDigest(self.digest_key.hash_one(id.as_bytes()))
+    }
+
     fn close_stale(&self) {
         let now = self.clock.now();
         let is_open = |idle: &Idle| idle.until > now && !idle.connection.sender.is_closed();
@@ -264,6 +298,12 @@
         }
     }
 
+    /// Records that the peer rejected the request `id` on the connection.
+    pub fn record_rejection(&mut self, id: &HeaderValue) {
+        let request = self.pool.digest(id);
+        self.usage.rejected.push(request);
+    }
+
     /// Returns a connection that was opened but not used to the pool.
     pub fn give_back_unused(self) {
         self.is_request_sent.store(true, Ordering::Release);
@@ -273,7 +313,8 @@
     /// Returns the connection to the pool if it can carry another request; only allowed after the answer was read to
     /// its end.
     pub fn give_back(self) {
-        if self.is_closing || !self.is_request_sent.load(Ordering::Acquire) {
+        let has_ended = self.is_closing || self.usage.rejected.len() >= MAX_REJECTED_REQUESTS;
+        if has_ended || !self.is_request_sent.load(Ordering::Acquire) {
             return;
         }
         // The peer's time-out started earlier, and its clock may run faster.
--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -224,7 +224,7 @@
         }
         let sent = tokio::select! {
             biased;
-            sent = exchange::send(&pool, outgoing, |headers| self.before_send(headers)) => sent,
+            sent = exchange::send(&pool, outgoing, Some(&self.id), |headers| self.before_send(headers)) => sent,
             // Connections to an earlier incarnation that fell silent may stay open without ever carrying an answer.
             () = shared.local.until_later_start(&handover.endpoint) => Err(NoAnswer::Lost),
         };
@@ -281,7 +281,7 @@
     }
 
     /// Reads the endpoint's answer, which tells whether it ran the request.
-    async fn read(&self, mut permit: Permit, received: Received) -> RunOutcome {
+    async fn read(&self, mut permit: Permit, mut received: Received) -> RunOutcome {
         let head = &received.head;
         let dialect = &self.shared.settings.dialect;
         let kind = dialect.kind(head.status, &head.headers, &self.id);
@@ -320,6 +320,7 @@
                 slog::info!(self.shared.log, "endpoint refused"; "id" => id_text(&self.id),
                     "endpoint" => %self.handover.endpoint, "status" => head.status.as_u16(),
                     "connection" => usage.number, "requests" => usage.requests);
+                received.record_rejection(&self.id);
                 // Read to its end, so that the connection can be reused.
                 let _ = received.read(None).await;
                 DispatchOutcome::Unanswered(AttemptResult::Rejected)
--- a/crates/bramblewheel-proxy/src/outbound/hand_over.rs
+++ b/crates/bramblewheel-proxy/src/outbound/hand_over.rs
@@ -115,7 +115,7 @@
         handover.write(headers);
         Ok::<(), Infallible>(())
     };
-    let received = match exchange::send(&pool, &mut outgoing, before_send).await {
+    let received = match exchange::send(&pool, &mut outgoing, None, before_send).await {
         Ok(received) => received,
         Err(NoAnswer::NotSent) => {
             return without_report(AttemptResult::Unreachable);
--- a/crates/bramblewheel-proxy/src/outbound/liveness.rs
+++ b/crates/bramblewheel-proxy/src/outbound/liveness.rs
@@ -296,7 +296,7 @@
         headers: HeaderMap::new(),
         body: OutgoingBody::Whole(Bytes::new()),
     };
-    let sent = exchange::send(pool, &mut ping, |_| Ok::<(), Infallible>(())).await;
+    let sent = exchange::send(pool, &mut ping, None, |_| Ok::<(), Infallible>(())).await;
     let received = sent.map_err(|error| match error {
         NoAnswer::NotSent => ProbeFailure::NotConnected,
         NoAnswer::Lost => ProbeFailure::Closed,
--- a/crates/bramblewheel-proxy/tests/sockets/connections.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/connections.rs
@@ -133,7 +133,7 @@
     for is_first in [true, false] {
         let mut leases = Vec::new();
         for _ in 0..CONCURRENT {
-            leases.push(pool.acquire().await.expect("it listens"));
+            leases.push(pool.acquire(None).await.expect("it listens"));
         }
         let reused = leases.iter().filter(|lease| lease.is_reused).count();
         assert_eq!(reused, if is_first { 0 } else { CONCURRENT });
--- a/crates/bramblewheel-proxy/tests/sockets/main.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/main.rs
@@ -14,5 +14,6 @@
 mod restarts;
 mod retry_bound;
 mod support;
+mod surplus_answers;
 mod suspended_processes;
 mod tenants;
--- a/crates/bramblewheel-proxy/tests/sockets/planned_stops.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/planned_stops.rs
@@ -12,8 +12,7 @@
 //! had logged that the route is called by endpoints.
 
 use crate::support::endpoint::Behavior;
-use crate::support::{HOST, TestCluster, call_on, wait_until};
-use bramblewheel_decisions::request_class::RequestClass;
+use crate::support::{HOST, TestCluster, call_on, mark_route_as_nested, wait_until};
 use bramblewheel_process::logging::silent;
 use bramblewheel_proxy::Daemon;
 use bramblewheel_proxy::http::body::{AnswerBody, ReceivedBody};
@@ -57,17 +56,6 @@
     ids.iter().filter(|id| ran.contains(id)).cloned().collect()
 }
 
-/// Makes the daemon consider a route as called by endpoints only, as reports of other daemons do if it has few
-/// callers.
-fn mark_route_as_nested(daemon: &Daemon, path: &str) {
-    let shared = daemon.shared();
-    let router = shared.router.load();
-    let router = router.as_ref().expect("a table is in force");
-    let route = router.find(HOST, path).expect("a route");
-    let class = RequestClass(route.number);
-    shared.routing().reported_nested.insert(class);
-}
-
 /// During a planned stop, the daemon serves its callers and sends no more requests to its endpoint.
 #[tokio::test]
 async fn planned_stop_answers_all_requests() {
--- a/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
@@ -9,7 +9,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 
 /// Behavior of the endpoint for one request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Behavior {
     /// Answers with success and proof.
     Answer,
@@ -19,6 +19,9 @@
     Long(usize),
     /// Refuses with proof that it did not run the request.
     NotRun,
+    /// Refuses as [`NotRun`](Self::NotRun), and sends the refusal once more when the next request has come on the
+    /// connection.
+    NotRunTwice,
     /// Refuses because it is not the expected endpoint.
     OtherEndpoint,
     /// Runs the request and closes the connection without an answer.
@@ -41,6 +44,13 @@
     Early,
 }
 
+impl Behavior {
+    /// Whether the endpoint runs the request.
+    fn runs_request(&self) -> bool {
+        !matches!(self, Self::NotRun | Self::NotRunTwice | Self::OtherEndpoint)
+    }
+}
+
 /// One received request.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -57,6 +67,8 @@
 struct State {
     script: VecDeque<Behavior>,
     arrivals: Vec<Arrival>,
+    /// Ids of the requests that it ran.
+    runs: Vec<String>,
     cancelled: usize,
     written: usize,
     idle_limit: Option<Duration>,
@@ -130,6 +142,11 @@
         self.lock().arrivals.clone()
     }
 
+    /// How often it ran the request `id`.
+    pub fn run_count(&self, id: &str) -> usize {
+        self.lock().runs.iter().filter(|ran| *ran == id).count()
+    }
+
     /// Number of requests whose connection was closed while they were running.
     pub fn cancelled(&self) -> usize {
         self.lock().cancelled
@@ -163,6 +180,7 @@
             is_next.then(|| script.pop_front()).is_some()
         };
         let mut idle_since = Instant::now();
+        let mut surplus: Option<Vec<u8>> = None;
         while let Some(arrival) = read_request(&mut stream, &mut received, is_early).await {
             if self.has_dropped(idle_since.elapsed()) {
                 let _ = stream.set_zero_linger();
@@ -183,6 +201,17 @@
                     false => state.script.pop_front().unwrap_or(Behavior::Answer),
                 }
             };
+            if let Some(answer) = surplus.take()
+                && stream.write_all(&answer).await.is_err()
+            {
+                return;
+            }
+            if behavior == Behavior::NotRunTwice {
+                surplus = Some(self.refusal(&id).into_bytes());
+            }
+            if behavior.runs_request() {
+                self.lock().runs.push(id.clone());
+            }
             if !self.run_behavior(&behavior, &id, &mut stream).await {
                 return;
             }
@@ -190,6 +219,12 @@
         }
     }
 
+    fn refusal(&self, id: &str) -> String {
+        let statement = self.lock().statement.clone();
+        let fields = format!("bw-request-id: {id}\r\nbw-not-run: 1\r\n{statement}");
+        format!("HTTP/1.1 503 Service Unavailable\r\n{fields}content-length: 0\r\n\r\n")
+    }
+
     /// Carries out a behavior; returns whether the connection stays open.
     async fn run_behavior(&self, behavior: &Behavior, id: &str, stream: &mut TcpStream) -> bool {
         let name = &self.name;
@@ -206,10 +241,7 @@
         let (text, stays_open) = match behavior {
             Behavior::Answer | Behavior::AnswerAfter(_) => (answer("200 OK", &proof, &whole), true),
             Behavior::Long(bytes) => (answer("200 OK", &proof, &"x".repeat(*bytes)), true),
-            Behavior::NotRun => {
-                let refusal = format!("bw-request-id: {id}\r\nbw-not-run: 1\r\n{statement}");
-                (answer("503 Service Unavailable", &refusal, ""), true)
-            }
+            Behavior::NotRun | Behavior::NotRunTwice => (self.refusal(id), true),
             Behavior::OtherEndpoint => (answer("421 Misdirected Request", "", ""), true),
             Behavior::Lose => return false,
             Behavior::CutShort => {
--- a/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
@@ -9,6 +9,7 @@
 use self::replica::replica_settings;
 use self::suspendable::SuspendableProcess;
 use bramblewheel_decisions::machine_identity::MachineIdentity;
+use bramblewheel_decisions::request_class::RequestClass;
 use bramblewheel_decisions::retry_budget::RetryBoundSettings;
 use bramblewheel_decisions::table::{Route, RouteTable, ServiceSettings, Target};
 use bramblewheel_decisions::tenant_quota::QuotaSettings;
@@ -381,6 +382,17 @@
     }
 }
 
+/// Makes the daemon consider a route as called by endpoints only, as reports of other daemons do if it has few
+/// callers.
+pub fn mark_route_as_nested(daemon: &Daemon, path: &str) {
+    let shared = daemon.shared();
+    let router = shared.router.load();
+    let router = router.as_ref().expect("a table is in force");
+    let route = router.find(HOST, path).expect("a route");
+    let class = RequestClass(route.number);
+    shared.routing().reported_nested.insert(class);
+}
+
 /// Sends a request on a new connection.
 pub async fn call_on(
     stream: TcpStream,
