A rejection without an id does not prove that a request has not run

What callers would see: a request that may run once is answered 503 "not run", or sent to another endpoint, after an answer that states no id and may therefore belong to another request.

Cause: the id of an answer was compared only if it was there, although every answer of an endpoint carries it.

--- a/crates/bramblewheel-proxy/src/dialect.rs
+++ b/crates/bramblewheel-proxy/src/dialect.rs
@@ -183,18 +183,20 @@
     }
 
     /// Classifies an endpoint's answer to the request `id`. An answer with another request id is a late surplus
-    /// answer; a success without proof does not come from the endpoint.
+    /// answer; a rejection without an id may be one; a success without proof does not come from the endpoint.
     pub fn kind(&self, status: StatusCode, headers: &HeaderMap, id: &HeaderValue) -> AnswerKind {
         if status == StatusCode::MISDIRECTED_REQUEST {
             return AnswerKind::OtherEndpoint;
         }
-        if self.id(headers).is_some_and(|stated| stated != id) {
+        let stated = self.id(headers);
+        if stated.is_some_and(|stated| stated != id) {
             return AnswerKind::Foreign;
         }
         if headers.contains_key(&self.not_run) {
-            return AnswerKind::NotRun;
+            // Without an id it may be the rejection of another request.
+            return stated.map_or(AnswerKind::Foreign, |_| AnswerKind::NotRun);
         }
-        let has_proof = self.id(headers).is_some() && headers.contains_key(&self.proof);
+        let has_proof = stated.is_some() && headers.contains_key(&self.proof);
         if status.is_success() && !has_proof {
             return AnswerKind::Foreign;
         }
--- a/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
@@ -22,6 +22,8 @@
     /// Refuses as [`NotRun`](Self::NotRun), and sends the refusal once more when the next request has come on the
     /// connection.
     NotRunTwice,
+    /// Refuses as [`NotRun`](Self::NotRun), but without the id of the request.
+    NotRunWithoutId,
     /// Refuses because it is not the expected endpoint.
     OtherEndpoint,
     /// Runs the request and closes the connection without an answer.
@@ -47,7 +49,10 @@
 impl Behavior {
     /// Whether the endpoint runs the request.
     fn runs_request(&self) -> bool {
-        !matches!(self, Self::NotRun | Self::NotRunTwice | Self::OtherEndpoint)
+        !matches!(
+            self,
+            Self::NotRun | Self::NotRunTwice | Self::NotRunWithoutId | Self::OtherEndpoint
+        )
     }
 }
 
@@ -242,6 +247,10 @@
             Behavior::Answer | Behavior::AnswerAfter(_) => (answer("200 OK", &proof, &whole), true),
             Behavior::Long(bytes) => (answer("200 OK", &proof, &"x".repeat(*bytes)), true),
             Behavior::NotRun | Behavior::NotRunTwice => (self.refusal(id), true),
+            Behavior::NotRunWithoutId => (
+                answer("503 Service Unavailable", "bw-not-run: 1\r\n", ""),
+                true,
+            ),
             Behavior::OtherEndpoint => (answer("421 Misdirected Request", "", ""), true),
             Behavior::Lose => return false,
             Behavior::CutShort => {
--- a/crates/bramblewheel-proxy/tests/sockets/surplus_answers.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/surplus_answers.rs
@@ -54,3 +54,16 @@
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(run_count(&cluster, "r-1"), 1);
 }
+
+/// Guards against believing a rejection that may belong to another request.
+#[tokio::test]
+async fn rejection_without_an_id_does_not_prove_that_the_request_has_not_run() {
+    let cluster = TestCluster::start(2).await;
+    for endpoint in &cluster.endpoints {
+        endpoint.script(&[Behavior::NotRunWithoutId]);
+    }
+    let answer = cluster.call(0, "/once/", "r-1").await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    let arrivals = cluster.endpoints.iter().map(|e| e.arrivals().len());
+    assert_eq!(arrivals.sum::<usize>(), 1);
+}
