A long answer ends at the deadline of its request

An answer of more than 64 KiB went on after the caller's deadline and the route's time-out, for as long as caller and endpoint liked. The endpoint kept a slot and a connection.

Cause: a request is bounded until its answer is there, whole or its first 64 KiB; the body that passed on the rest had no deadline. It can't have one where it is polled: nobody polls it while its caller reads nothing, or while it waits for the answers before it on its connection.

Change: the rest of an answer has a timer beside the body. At the deadline it closes the connection to the endpoint and the connection on which the answer is passed on. An answer of a request sent ahead that is ended before its turn becomes a 504, so that the answers behind it are not cut off. Log line 'answer ended at its deadline', metric bramblewheel_overdue_answers.

slow_reader_keeps_the_answers_behind_a_long_one read its answer for 2 s, which is its route's time-out, and failed at the read. The time-out now ends such an answer, as the users ask. The test waits as long as before and checks the same, on a route with a longer time-out.

--- a/crates/bramblewheel-proxy/src/http/ahead/queue.rs
+++ b/crates/bramblewheel-proxy/src/http/ahead/queue.rs
@@ -5,8 +5,9 @@
 use crate::http::body::{AnswerBody, ReceivedBody};
 use crate::http::server::Handler;
 use bramblewheel_types::Timestamp;
+use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, Method, Request, Response, Uri};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use std::collections::VecDeque;
 use std::sync::{Arc, Weak};
 use tokio::sync::OwnedSemaphorePermit;
@@ -48,6 +49,7 @@
         let answered = (&mut self.answer).await;
         self.is_taken = true;
         match answered {
+            Ok(response) if response.body().is_broken() => timed_out(),
             Ok(response) => response,
             Err(error) => match error.try_into_panic() {
                 // Passed on as in a request served directly.
@@ -59,6 +61,13 @@
     }
 }
 
+/// Answers a request whose own answer was ended before its turn, so that the requests behind it are not cut off.
+fn timed_out() -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+    *response.status_mut() = StatusCode::GATEWAY_TIMEOUT;
+    response
+}
+
 impl<H: Handler> Started<H> {
     fn cancel(&mut self, event: AheadEvent) {
         if std::mem::replace(&mut self.is_taken, true) {
--- a/crates/bramblewheel-proxy/src/http/body.rs
+++ b/crates/bramblewheel-proxy/src/http/body.rs
@@ -4,6 +4,7 @@
 //! connection and its slot until the last byte.
 
 use crate::http::ahead::Unanswered;
+use crate::http::answer_rest::{AnswerDeadline, AnswerRest};
 use crate::http::pool::Lease;
 use crate::in_progress::InProgressGuard;
 use crate::local::Permit;
@@ -18,6 +19,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use thiserror::Error;
+use tokio::sync::Notify;
 
 /// Longest body that is buffered, in bytes; a longer one is streamed.
 pub const MAX_BUFFERED_BYTES: usize = COUNTED_BODY_BYTES;
@@ -143,16 +145,17 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        combined_size_hint(self.first.as_ref(), self.rest.as_ref())
+        let rest = self.rest.as_ref().map(Body::size_hint);
+        combined_size_hint(self.first.as_ref(), rest)
     }
 }
 
-fn combined_size_hint(first: Option<&Bytes>, rest: Option<&impl Body>) -> SizeHint {
+fn combined_size_hint(first: Option<&Bytes>, rest: Option<SizeHint>) -> SizeHint {
     let first = first.map_or(0, |bytes| bytes.len() as u64);
     let Some(rest) = rest else {
         return SizeHint::with_exact(first);
     };
-    match rest.size_hint().exact() {
+    match rest.exact() {
         Some(rest) => SizeHint::with_exact(first + rest),
         None => SizeHint::default(),
     }
@@ -171,7 +174,7 @@
 #[derive(Debug)]
 pub struct AnswerBody {
     first: Option<Bytes>,
-    rest: Option<(Incoming, AnswerResources)>,
+    rest: Option<AnswerRest>,
     _guard: Option<InProgressGuard>,
     _unanswered: Option<Unanswered>,
 }
@@ -189,15 +192,34 @@
 
     /// A streamed body. If it breaks, so does the connection to the receiver, which therefore can't mistake a part
     /// for the whole body.
-    pub fn streamed(first: Bytes, rest: Incoming, resources: AnswerResources) -> Self {
+    pub fn streamed(first: Bytes, rest: Incoming, resources: Box<AnswerResources>) -> Self {
         Self {
             first: Some(first).filter(|bytes| !bytes.is_empty()),
-            rest: Some((rest, resources)),
+            rest: Some(AnswerRest::new(rest, resources)),
             _guard: None,
             _unanswered: None,
         }
     }
 
+    /// Ends a streamed answer at its deadline, if it has not been received to its end by then.
+    pub fn set_deadline(&mut self, deadline: AnswerDeadline) {
+        if let Some(rest) = &mut self.rest {
+            rest.set_deadline(deadline);
+        }
+    }
+
+    /// Notifies `connection`, on which the answer is passed on, if the answer is ended at its deadline.
+    pub(crate) fn close_at_deadline(&self, connection: Arc<Notify>) {
+        if let Some(rest) = &self.rest {
+            rest.close_at_deadline(connection);
+        }
+    }
+
+    /// Whether the answer can't be passed on completely.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.rest.as_ref().is_some_and(AnswerRest::is_broken)
+    }
+
     /// Keeps requests behind this one on its connection waiting until the body is dropped.
     pub(crate) fn set_unanswered(&mut self, unanswered: Unanswered) {
         self._unanswered = Some(unanswered);
@@ -220,29 +242,18 @@
         if let Some(first) = self.first.take() {
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
-        let Some((rest, _)) = &mut self.rest else {
-            return Poll::Ready(None);
-        };
-        match std::task::ready!(Pin::new(rest).poll_frame(cx)) {
-            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
-            Some(Err(_)) => Poll::Ready(Some(Err(BrokenBody))),
-            None => {
-                if let Some((_, resources)) = self.rest.take() {
-                    resources.lease.give_back();
-                }
-                Poll::Ready(None)
-            }
+        match &mut self.rest {
+            Some(rest) => rest.poll_frame(cx),
+            None => Poll::Ready(None),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.first.is_none() && self.rest.is_none()
+        self.first.is_none() && self.rest.as_ref().is_none_or(AnswerRest::is_ended)
     }
 
     fn size_hint(&self) -> SizeHint {
-        combined_size_hint(
-            self.first.as_ref(),
-            self.rest.as_ref().map(|(rest, _)| rest),
-        )
+        let rest = self.rest.as_ref().map(AnswerRest::size_hint);
+        combined_size_hint(self.first.as_ref(), rest)
     }
 }
--- a/crates/bramblewheel-proxy/src/http/exchange.rs
+++ b/crates/bramblewheel-proxy/src/http/exchange.rs
@@ -146,7 +146,7 @@
         let (head, body) = match self {
             Self::Whole(head, bytes) => (head, AnswerBody::whole(bytes)),
             Self::Streamed(head, first, rest, resources) => {
-                (*head, AnswerBody::streamed(first, rest, *resources))
+                (*head, AnswerBody::streamed(first, rest, resources))
             }
         };
         let mut response = Response::new(body);
--- a/crates/bramblewheel-proxy/src/http/mod.rs
+++ b/crates/bramblewheel-proxy/src/http/mod.rs
@@ -6,6 +6,7 @@
 //! send it again.
 
 pub mod ahead;
+pub mod answer_rest;
 pub mod body;
 pub mod exchange;
 pub mod fields;
--- a/crates/bramblewheel-proxy/src/http/server.rs
+++ b/crates/bramblewheel-proxy/src/http/server.rs
@@ -28,7 +28,7 @@
 use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
 
@@ -94,6 +94,8 @@
     received: AtomicUsize,
     /// When the last request ended, or the connection was opened.
     idle_since: Mutex<Instant>,
+    /// Notified when an answer on the connection is ended at its deadline.
+    has_unfinished_answer: Arc<Notify>,
 }
 
 impl Activity {
@@ -102,6 +104,7 @@
             running: AtomicUsize::new(0),
             received: AtomicUsize::new(0),
             idle_since: Mutex::new(Instant::now()),
+            has_unfinished_answer: Arc::default(),
         }
     }
 
@@ -360,7 +363,10 @@
         ahead.close();
     }
     connection.as_mut().graceful_shutdown();
-    drive(connection, ahead).await;
+    tokio::select! {
+        () = drive(connection, ahead) => {}
+        () = activity.has_unfinished_answer.notified() => {}
+    }
 }
 
 /// What decides when this side closes a connection.
@@ -371,7 +377,8 @@
 }
 
 impl Closing<'_> {
-    /// Serves a connection until it is to be closed; returns whether it has ended before.
+    /// Serves a connection until it is to be closed; returns whether it has ended before. It ends with an answer that can't
+    /// be finished, also while its caller reads nothing.
     async fn serve_until_due<C: Future, H: Handler>(
         &mut self,
         mut connection: Pin<&mut C>,
@@ -380,6 +387,7 @@
         loop {
             let reason = tokio::select! {
                 () = drive(connection.as_mut(), ahead) => return true,
+                () = self.activity.has_unfinished_answer.notified() => return true,
                 () = until_closable(&mut self.stop, self.activity, ahead) => CloseReason::Stop,
                 () = until_idle(self.activity, self.idle_timeout, ahead) => CloseReason::Idle,
             };
@@ -449,6 +457,8 @@
             Some(ahead) => ahead.answer(request).await,
             None => Arc::clone(&self.handler).handle(request).await,
         };
+        let unfinished = Arc::clone(&self.activity.has_unfinished_answer);
+        response.body().close_at_deadline(unfinished);
         let ahead = self.ahead.as_deref();
         if ahead.is_some_and(Ahead::has_started) {
             // Closing here would cut off the requests behind this one, which endpoints may already be running.
--- a/crates/bramblewheel-proxy/src/in_progress.rs
+++ b/crates/bramblewheel-proxy/src/in_progress.rs
@@ -73,6 +73,16 @@
 }
 
 impl Progress {
+    /// Who sent the request.
+    pub fn sender(&self) -> Sender {
+        self.sender
+    }
+
+    /// When it arrived.
+    pub fn arrived(&self) -> Timestamp {
+        self.arrived
+    }
+
     /// Sets the id once it is read.
     pub fn set_id(&self, id: &HeaderValue) {
         // The id is read only once, so that this can't fail.
--- a/crates/bramblewheel-proxy/src/lib.rs
+++ b/crates/bramblewheel-proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod local;
 pub mod metrics;
 pub mod outbound;
+mod overdue;
 pub mod planned_stop;
 pub mod settings;
 pub mod shared;
--- a/crates/bramblewheel-proxy/src/metrics.rs
+++ b/crates/bramblewheel-proxy/src/metrics.rs
@@ -141,6 +141,9 @@
     cut_off: Family<FixedLabels, Counter> = Family::default() =>
         "bramblewheel_cut_off":
         "Requests that the end of a planned stop cut off, by who sent them and how far they were",
+    overdue_answers: Family<FixedLabels, Counter> = Family::default() =>
+        "bramblewheel_overdue_answers":
+        "Answers that had begun or were awaited from the endpoint and were ended at their deadline, by who sent the request",
     /// Early refusals: requests refused here because endpoints refuse others of their class.
     pub refused_early: Counter = Counter::default() =>
         "bramblewheel_refused_early":
@@ -273,6 +276,12 @@
         self.cut_off.get_or_create(&labels).inc();
     }
 
+    /// Counts an answer that is ended at its deadline while it is passed on.
+    pub fn overdue_answer(&self, sender: Sender) {
+        let labels = vec![("from", sender.as_str())];
+        self.overdue_answers.get_or_create(&labels).inc();
+    }
+
     /// Counts a heartbeat or record that differs from the machine's settings.
     pub fn identity_mismatch(&self, mismatch: IdentityMismatch) {
         let labels = vec![("differs", mismatch.as_str())];
--- a/crates/bramblewheel-proxy/src/outbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/outbound/mod.rs
@@ -82,8 +82,9 @@
         progress.set_stage(Stage::Waiting);
         let objective = request.route.route.objective;
         let request = CallerRequest::new(&self.shared, request);
+        let deadline = request.deadline;
         let outcome = request.run(outgoing).await;
-        outcome.into_reply(objective)
+        outcome.into_reply(objective, deadline)
     }
 }
 
@@ -93,7 +94,7 @@
         let arrived = read_at.map_or_else(|| self.shared.clock.now(), |read_at| read_at.0);
         let guard = self.shared.in_progress.begin(Sender::Caller, arrived);
         let reply = self.reply(request, arrived, guard.progress()).await;
-        let mut response = reply.into_response(&self.shared);
+        let mut response = reply.into_response(&self.shared, guard.progress());
         guard.progress().set_stage(Stage::Answering);
         response.body_mut().set_guard(guard);
         let headers = response.headers_mut();
--- a/crates/bramblewheel-proxy/src/outbound/outcome.rs
+++ b/crates/bramblewheel-proxy/src/outbound/outcome.rs
@@ -7,6 +7,7 @@
 use crate::http::exchange::Answer;
 use crate::outbound::reply::Reply;
 use bramblewheel_decisions::retry_after::RefusalReason;
+use bramblewheel_types::Timestamp;
 use http::StatusCode;
 use std::time::Duration;
 
@@ -71,10 +72,10 @@
         }
     }
 
-    /// Reply to the caller of a request with this latency objective.
-    pub(super) fn into_reply(self, objective: Duration) -> Reply {
+    /// Reply to the caller of a request with this latency objective and deadline.
+    pub(super) fn into_reply(self, objective: Duration, deadline: Timestamp) -> Reply {
         match self {
-            Self::Answered(answer) => Reply::Answer(answer),
+            Self::Answered(answer) => Reply::Answer { answer, deadline },
             Self::NotRun { refused_part } => Reply::Refusal(RefusalReason::NoCapacity {
                 objective,
                 refused_part,
--- a/crates/bramblewheel-proxy/src/outbound/reply.rs
+++ b/crates/bramblewheel-proxy/src/outbound/reply.rs
@@ -4,18 +4,25 @@
 
 use crate::http::body::AnswerBody;
 use crate::http::exchange::Answer;
+use crate::in_progress::Progress;
+use crate::overdue::answer_deadline;
 use crate::shared::Shared;
 use bramblewheel_decisions::retry_after::RefusalReason;
+use bramblewheel_types::Timestamp;
 use bytes::Bytes;
 use http::header::{RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderValue, Response, StatusCode};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Reply to a caller.
 #[derive(Debug)]
 pub(super) enum Reply {
-    /// The endpoint's answer.
-    Answer(Box<Answer>),
+    /// The endpoint's answer, which is passed on until the deadline of the request.
+    Answer {
+        answer: Box<Answer>,
+        deadline: Timestamp,
+    },
     /// The request is refused: it has not run and never will, and its caller may send it again later.
     Refusal(RefusalReason),
     /// The request has not run: its key is missing or belongs to no tenant.
@@ -26,9 +33,18 @@
 
 impl Reply {
     /// Builds the HTTP response; a refusal uses the daemon's random source.
-    pub(super) fn into_response(self, shared: &Shared) -> Response<AnswerBody> {
+    pub(super) fn into_response(
+        self,
+        shared: &Arc<Shared>,
+        progress: &Arc<Progress>,
+    ) -> Response<AnswerBody> {
         match self {
-            Self::Answer(answer) => answer.into_response(),
+            Self::Answer { answer, deadline } => {
+                let mut response = answer.into_response();
+                let deadline = answer_deadline(shared, progress, deadline);
+                response.body_mut().set_deadline(deadline);
+                response
+            }
             Self::Refusal(reason) => {
                 let retry_after = reason.retry_after(&mut shared.routing().random);
                 refusal(reason.status(), retry_after)
--- a/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
@@ -471,6 +471,10 @@
             route("safe", true),
             route("once", false),
             route("public", true),
+            Route {
+                timeout: Duration::from_secs(30),
+                ..route("patient", true)
+            },
         ],
         services: [(kassa.clone(), service_settings)].into(),
         caller_idle_timeout: Some(CALLER_IDLE_TIMEOUT),
