The daemon beside an endpoint stops waiting for it after the deadline

What callers saw: nothing reported. If the daemon that sent a request was cut off, the daemon beside the endpoint waited for an answer without an end, in its head or its body, until the connection to the other daemon broke. The request kept a slot of the endpoint meanwhile.

Cause: the deadline was kept by the daemon of the caller only, which closes its connection at that time.

Change: the daemon beside the endpoint ends the request itself, 0.25 s after the deadline. Before that the other daemon closes the connection or has the endpoint's own answer.

Evidence: deadline_ends_an_answer_at_the_endpoint_without_the_daemon_that_waits_for_it did not end within 20 s without the change; with it within 0.5 s of the deadline, in the head and in the body.

--- a/crates/bramblewheel-proxy/src/inbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/inbound/mod.rs
@@ -13,6 +13,7 @@
 use crate::http::server::Handler;
 use crate::in_progress::{Progress, Sender, Stage};
 use crate::outbound::liveness::PROBE_PATH;
+use crate::overdue::{answer_deadline, record_overdue};
 use crate::shared::Shared;
 use crate::wire::{AnswerReport, AttemptResult, Handover};
 use bramblewheel_types::Timestamp;
@@ -21,6 +22,11 @@
 use http::request::Parts;
 use http::{Method, Request, Response, StatusCode};
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Time after the deadline of a request in which the daemon that sent it closes its connection. One that is cut off does
+/// not, and the endpoint is no longer waited for.
+const CLOSE_TIME: Duration = Duration::from_millis(250);
 
 /// Serves the listener for other daemons.
 #[derive(Debug)]
@@ -38,7 +44,7 @@
         &self,
         request: Request<ReceivedBody>,
         arrived: Timestamp,
-        progress: &Progress,
+        progress: &Arc<Progress>,
     ) -> Response<AnswerBody> {
         let (mut head, incoming) = request.into_parts();
         if is_probe(&head) {
@@ -64,16 +70,26 @@
         }
         late_start::subtract_unread_time(shared, &mut handover, arrived, progress);
         progress.set_stage(Stage::Waiting);
+        let latest_end = arrived + handover.remaining + CLOSE_TIME;
         let attempted = tokio::select! {
             biased;
             attempted = dispatch(shared, &handover, arrived, &mut outgoing, progress) => attempted,
             () = shared.stop.answer_due(shared.clock, || may_have_run(progress)) => {
-                return self.without_attempt(result_at_stop(progress));
+                return self.without_attempt(result_without_answer(progress));
+            }
+            () = shared.clock.sleep_until(latest_end) => {
+                record_overdue(shared, progress);
+                return self.without_attempt(result_without_answer(progress));
             }
         };
         shared.metrics.inbound(attempted.dispatched.result());
         match attempted.dispatched {
-            DispatchOutcome::Answered(answer) => answered(*answer, &attempted.report),
+            DispatchOutcome::Answered(answer) => {
+                let mut response = answered(*answer, &attempted.report);
+                let deadline = answer_deadline(shared, progress, latest_end);
+                response.body_mut().set_deadline(deadline);
+                response
+            }
             DispatchOutcome::Unanswered(result) => without_answer(result, &attempted.report),
         }
     }
@@ -114,8 +130,8 @@
     }
 }
 
-/// Result of an attempt that the daemon can't wait for because it is stopping.
-fn result_at_stop(progress: &Progress) -> AttemptResult {
+/// Result of an attempt that the daemon no longer waits for.
+fn result_without_answer(progress: &Progress) -> AttemptResult {
     if may_have_run(progress) {
         AttemptResult::Lost
     } else {
--- a/crates/bramblewheel-proxy/src/overdue.rs
+++ b/crates/bramblewheel-proxy/src/overdue.rs
@@ -24,7 +24,7 @@
 }
 
 /// Records that the answer to a request was not received to its end by its deadline.
-fn record_overdue(shared: &Shared, progress: &Progress) {
+pub(crate) fn record_overdue(shared: &Shared, progress: &Progress) {
     let sender = progress.sender();
     shared.metrics.overdue_answer(sender);
     slog::info!(shared.log, "answer ended at its deadline"; "id" => progress.id().map_or("", id_text),
--- a/crates/bramblewheel-proxy/tests/answers_without_end/main.rs
+++ b/crates/bramblewheel-proxy/tests/answers_without_end/main.rs
@@ -12,6 +12,10 @@
 use self::places::{Place, Speed, places};
 use self::support::endpoint::{Behavior, WithoutEnd};
 use self::support::{HOST, TEST_TIMEOUT, TestCluster, wait_until};
+use bramblewheel_decisions::request_class::RequestClass;
+use bramblewheel_proxy::wire::Handover;
+use bramblewheel_types::EndpointId;
+use http::HeaderMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -316,3 +320,60 @@
     let (status, is_whole) = read_answer(&mut stream).await;
     assert!(!(status == Some(200) && is_whole));
 }
+
+/// Guards against an endpoint that keeps its connection because the daemon that sent the request is cut off and closes
+/// nothing.
+#[tokio::test]
+async fn deadline_ends_an_answer_at_the_endpoint_without_the_daemon_that_waits_for_it() {
+    for (path, behavior) in [
+        (
+            "/once/head",
+            Behavior::WithoutEnd(WithoutEnd {
+                begin: "HTTP/1.1 200 OK\r\nx-long: ".to_owned(),
+                piece: b"x".to_vec(),
+                pause: Some(Duration::from_millis(50)),
+            }),
+        ),
+        ("/once/body", long_answer(Some(Duration::from_millis(50)))),
+    ] {
+        let cluster = TestCluster::start(1).await;
+        let lateness = OwnLateness::measure();
+        cluster.endpoints[0].script_target(path, behavior);
+        let mut headers = HeaderMap::new();
+        handover(DEADLINE).write(&mut headers);
+        let mut request = format!("GET {path} HTTP/1.1\r\nhost: {HOST}\r\nbw-request-id: r-1\r\n");
+        for (name, value) in &headers {
+            let value = value.to_str().expect("text");
+            request += &format!("{name}: {value}\r\n");
+        }
+        request += "\r\n";
+        let inbound = cluster.daemons[0].shared().settings.inbound;
+        let mut stream = TcpStream::connect(inbound).await.expect("it listens");
+        let begun = Instant::now();
+        stream.write_all(request.as_bytes()).await.expect("open");
+        wait_until(|| cluster.endpoints[0].ended_at(path).is_some()).await;
+        let ended_at = cluster.endpoints[0].ended_at(path).expect("it ended");
+        let bound = DEADLINE + LATEST_END + lateness.longest();
+        assert!(ended_at - begun <= bound, "{path}: {:?}", ended_at - begun);
+        drop(stream);
+    }
+}
+
+fn handover(remaining: Duration) -> Handover {
+    Handover {
+        endpoint: EndpointId::new("e-0").expect("a name"),
+        rank: 1,
+        root_rank: 1,
+        class: RequestClass(1),
+        objective: Duration::from_secs(1),
+        remaining,
+        wait: remaining,
+        caller: None,
+        is_likely_nested: false,
+        tenant: None,
+        tree_tenant: None,
+        content: None,
+        retried_share: 0.0,
+        known_limit: None,
+    }
+}
