A rejection counts from its head on, whatever its body does

What callers saw: nothing reported. A request whose endpoint rejected it with a body that did not end was answered 504, "may have run", at the route's time-out, in place of 503 at once or another endpoint.

Cause: the body of a rejection was read to its end before the outcome was returned, so that the connection can be reused.

Change: its body is waited for 50 ms; then the connection is closed.

Evidence: rejection_with_a_body_without_an_end_is_passed_on_at_once got 504 without the change, 503 with it.

--- a/crates/bramblewheel-proxy/src/inbound/dispatch.rs
+++ b/crates/bramblewheel-proxy/src/inbound/dispatch.rs
@@ -18,6 +18,11 @@
 use http::{HeaderMap, HeaderValue};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::timeout;
+
+/// Time for the body of a rejection to arrive; after it the connection is closed. The head alone proves that the request
+/// was not run.
+const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// How a request ended at the endpoint.
 #[derive(Debug)]
@@ -322,7 +327,7 @@
                     "connection" => usage.number, "requests" => usage.requests);
                 received.record_rejection(&self.id);
                 // Read to its end, so that the connection can be reused.
-                let _ = received.read(None).await;
+                let _ = timeout(REJECTION_BODY_TIMEOUT, received.read(None)).await;
                 DispatchOutcome::Unanswered(AttemptResult::Rejected)
             }
             AnswerKind::OtherEndpoint => {
--- a/crates/bramblewheel-proxy/tests/answers_without_end/main.rs
+++ b/crates/bramblewheel-proxy/tests/answers_without_end/main.rs
@@ -321,6 +321,25 @@
     assert!(!(status == Some(200) && is_whole));
 }
 
+/// Guards against waiting for the end of a rejection, which is proved by its head.
+#[tokio::test]
+async fn rejection_with_a_body_without_an_end_is_passed_on_at_once() {
+    for pause in [None, Some(Duration::from_millis(20))] {
+        let cluster = TestCluster::start(1).await;
+        let begin = "HTTP/1.1 503 Service Unavailable\r\n{refusal}content-length: 9999\r\n\r\nx";
+        let rejection = WithoutEnd {
+            begin: begin.to_owned(),
+            piece: b"x".to_vec(),
+            pause,
+        };
+        cluster.endpoints[0].script_target("/once/full", Behavior::WithoutEnd(rejection));
+        let address = cluster.daemons[0].shared().settings.outbound;
+        let ending = call(address, "/once/full", "r-1", Duration::from_secs(2)).await;
+        assert_eq!((ending.status, ending.is_whole), (Some(503), true));
+        wait_until(|| cluster.endpoints[0].ended_at("/once/full").is_some()).await;
+    }
+}
+
 /// Guards against an endpoint that keeps its connection because the daemon that sent the request is cut off and closes
 /// nothing.
 #[tokio::test]
