Tests: an answer whose head breaks off is never taken for a success

Other operators report answers of 200 with an empty or short body after an endpoint stopped in the middle of the head and closed. It can't happen on the routed path: heads with each framing of a body, broken off after each byte by a close or a reset, give 502 to a request that may run once, from the local endpoint, through another daemon, and between answers of requests sent ahead, which stay whole.

--- a/crates/bramblewheel-proxy/tests/sockets/main.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the routed data path over sockets, with a real control replica and scripted endpoints.
 
 mod bounds;
+mod broken_heads;
 mod connections;
 mod crashing_requests;
 mod endpoint_statements;
--- a/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/endpoint.rs
@@ -44,6 +44,15 @@
     Endless,
     /// Answers before the body has arrived, and reads the rest of it afterwards.
     Early,
+    /// Writes the beginning of an answer, then closes or resets the connection.
+    BreakOff {
+        /// The answer; `{fields}` stands for the header lines with id and proof.
+        answer: &'static str,
+        /// Number of bytes that are written.
+        length: usize,
+        /// Whether the connection is reset.
+        is_reset: bool,
+    },
     /// Writes bytes that never become a whole answer, until the connection is closed.
     WithoutEnd(WithoutEnd),
 }
@@ -307,6 +316,17 @@
                 return false;
             }
             Behavior::Endless => return self.write_endlessly(&proof, stream).await,
+            Behavior::BreakOff {
+                answer,
+                length,
+                is_reset,
+            } => {
+                if *is_reset {
+                    let _ = stream.set_zero_linger();
+                }
+                let text = answer.replace("{fields}", &proof);
+                (text[..(*length).min(text.len())].to_owned(), false)
+            }
             Behavior::WithoutEnd(_) => unreachable!("written by the caller of this function"),
             Behavior::Early => unreachable!("answered as soon as its head was read"),
             Behavior::Fail => (answer("500 Internal Server Error", &proof, "failed"), true),
