A stopping daemon takes requests of any deadline for three seconds at most

What callers saw: reported for similar systems. With a grace time of 10 s a request that came 3.5 s after the order to stop was taken and passed on, and its caller got 502 at 9.5 s while the endpoint worked on it.

Cause: all requests were taken in the first half of the grace time, whatever their deadline. The users excuse a request that is given up at the end of a stop only if it was sent within 3 s: half of 6 s, but not of 10 s.

Change: the first part lasts 3 s at most. Later requests are taken if they end before the last answers are due, else refused at once as not run. Nothing changes at a grace time of up to 6 s.

Evidence: both new tests fail without the change (admitted at 8 s and more; 502 in place of 503) and pass with it.

--- a/crates/bramblewheel-decisions/src/stop_schedule.rs
+++ b/crates/bramblewheel-decisions/src/stop_schedule.rs
@@ -1,8 +1,8 @@
 //! Planned stops: which requests a stopping daemon still admits, and when everything must be answered.
 //!
-//! Rule: in the first half of the grace time all callers' requests are admitted. After that a request is admitted only
-//! if its deadline is before the last answers are due, or if a request running at the local endpoint made it or may
-//! have made it.
+//! Rule: in the first half of the grace time, and for three seconds at most, all callers' requests are admitted. After
+//! that a request is admitted only if its deadline is before the last answers are due, or if a request running at the
+//! local endpoint made it or may have made it.
 //!
 //! Inputs: the time of the stop order and the grace time (settings); for each request its deadline, whether the local
 //! endpoint runs a request with the same or a later deadline ([`crate::running_requests`]), and whether its class is
@@ -26,6 +26,9 @@
 /// `sockets/planned_stops.rs` 5 of 30 requests were cut off when all were admitted until 1 s before the forced stop,
 /// and none with half of the grace time.
 const ADMITTING_PART: f64 = 0.5;
+/// Longest time after the stop order in which all callers' requests are admitted. Users accept only of requests sent until
+/// then that they are given up at the forced stop while an endpoint works on them.
+const MAX_ADMITTING_TIME: Duration = Duration::from_secs(3);
 /// Time before the forced stop at which the listeners are closed.
 const CLOSED_LISTENERS_TIME: Duration = Duration::from_millis(1_000);
 /// Time between the last answers and the forced stop: for the answers to be written and the process to exit.
@@ -95,7 +98,7 @@
         let listening = grace.saturating_sub(CLOSED_LISTENERS_TIME);
         let admitting = grace
             .mul_f64(ADMITTING_PART)
-            .max(NOTICE_TIME)
+            .clamp(NOTICE_TIME, MAX_ADMITTING_TIME)
             .min(listening);
         let answers = grace.saturating_sub(ANSWER_TIME).max(admitting);
         Self {
--- a/crates/bramblewheel-decisions/tests/stop_schedule.rs
+++ b/crates/bramblewheel-decisions/tests/stop_schedule.rs
@@ -90,3 +90,16 @@
     let decision = schedule.decide(at(2_999), request(60_000));
     assert_eq!(decision, LateDecision::Early);
 }
+
+/// Guards against requests that are admitted late in a long grace time and given up at its end while they run.
+#[test]
+fn request_sent_after_three_seconds_ends_before_the_last_answers_for_any_grace_time() {
+    for grace in [4_000, 6_000, 8_000, 10_000, 30_000] {
+        let schedule = StopSchedule::new(at(0), Duration::from_millis(grace));
+        for now in (3_000..grace).step_by(50) {
+            let late = request(grace);
+            let decision = schedule.decide(at(now), late);
+            assert_eq!(decision, LateDecision::Refused, "{grace} {now}");
+        }
+    }
+}
--- a/crates/bramblewheel-proxy/src/planned_stop.rs
+++ b/crates/bramblewheel-proxy/src/planned_stop.rs
@@ -2,9 +2,9 @@
 //!
 //! 1. From the order to stop, the daemon reports not ready, accepts no more requests for its endpoint, and asks callers
 //!    with each answer to close their connections. It still serves callers, which notice the stop only after a while.
-//! 2. In the second half of the grace time it accepts only requests that end before the daemon does, and calls of
-//!    requests that the local endpoint is running ([`StopSchedule::decide`]). Others are refused at once as not run.
-//!    Callers with open connections keep sending until the process is gone.
+//! 2. In the second half of the grace time, and after three seconds in any case, it accepts only requests that end
+//!    before the daemon does, and calls of requests that the local endpoint is running ([`StopSchedule::decide`]). Others
+//!    are refused at once as not run. Callers with open connections keep sending until the process is gone.
 //! 3. Once nothing is in progress, or one second before the forced end, the listeners are closed.
 //! 4. Half a second before the forced end every request that is left gets an answer: a refusal if it has not run,
 //!    otherwise one that leaves open whether it ran. Only answers that are being passed on continue, until the
--- a/crates/bramblewheel-proxy/tests/sockets/planned_stops.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/planned_stops.rs
@@ -14,9 +14,9 @@
 use crate::support::endpoint::Behavior;
 use crate::support::{HOST, TestCluster, call_on, mark_route_as_nested, wait_until};
 use bramblewheel_process::logging::silent;
-use bramblewheel_proxy::Daemon;
 use bramblewheel_proxy::http::body::{AnswerBody, ReceivedBody};
 use bramblewheel_proxy::http::server::{Handler, KeepAlivePolicy, bind, serve};
+use bramblewheel_proxy::{Daemon, Settings};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use std::net::SocketAddr;
@@ -125,6 +125,52 @@
     );
 }
 
+/// Guards against a request that is taken late in a long grace time and given up at its end while its endpoint works.
+#[tokio::test]
+async fn request_that_may_outlast_a_long_grace_time_is_refused_at_once() {
+    let mut cluster = TestCluster::start(2).await;
+    let settings = Settings {
+        stop_grace: Duration::from_secs(10),
+        ..cluster.kill_daemon(1)
+    };
+    cluster.insert_daemon(1, settings).await;
+    let stopping = cluster.daemons.pop().expect("two daemons");
+    let address = stopping.shared().settings.outbound;
+    let late = ["/patient/late", "/patient-once/late"];
+    for endpoint in &cluster.endpoints {
+        for path in late {
+            let slow = Behavior::AnswerAfter(Duration::from_millis(6_500));
+            endpoint.script_target(path, slow);
+        }
+        // The listeners stay open while a request is in progress.
+        let held = Behavior::AnswerAfter(Duration::from_millis(4_500));
+        endpoint.script_target("/patient/held", held);
+    }
+    let arrival_count = || {
+        let counts = cluster.endpoints.iter().map(|e| e.arrivals().len());
+        counts.sum::<usize>()
+    };
+    let stream = TcpStream::connect(address).await.expect("it listens");
+    let held = tokio::spawn(async move {
+        let headers = [("bw-request-id", "held"), ("bw-remaining-ms", "9000")];
+        call_on(stream, "/patient/held", &headers, Bytes::new()).await
+    });
+    wait_until(|| arrival_count() == 1).await;
+    let stop = tokio::spawn(stopping.stop());
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    for path in late {
+        let stream = TcpStream::connect(address).await.expect("it listens");
+        let headers = [("bw-request-id", path), ("bw-remaining-ms", "6500")];
+        let answer = call_on(stream, path, &headers, Bytes::new()).await;
+        let status = answer.expect("an answer").status;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{path}");
+    }
+    assert_eq!(arrival_count(), 1);
+    let held = held.await.expect("no panic").expect("an answer");
+    assert_eq!(held.status, StatusCode::OK);
+    stop.await.expect("the stop ends");
+}
+
 /// A request whose body is incomplete when the daemon must stop has not run and is refused.
 #[tokio::test]
 async fn request_with_an_incomplete_body_at_the_end_of_the_stop_is_refused() {
--- a/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
+++ b/crates/bramblewheel-proxy/tests/sockets/support/mod.rs
@@ -475,6 +475,10 @@
                 timeout: Duration::from_secs(30),
                 ..route("patient", true)
             },
+            Route {
+                timeout: Duration::from_secs(30),
+                ..route("patient-once", false)
+            },
         ],
         services: [(kassa.clone(), service_settings)].into(),
         caller_idle_timeout: Some(CALLER_IDLE_TIMEOUT),
