The result of a run-once operation is not waited for without a limit

What callers saw: nothing reported. On the path of signed bundles, an endpoint that answered a call that may run once without an end kept its connection and its place for good, after the caller was answered at the deadline.

Cause: such a call runs on after its caller was answered, so that its result can be recorded; nothing ended the wait.

Change: it is given up 0.25 s after the deadline and recorded as lost, and its connection is closed. A result that came later than that was recorded before and no longer is.

--- a/crates/bramblewheel-daemon/src/inbound/attempt.rs
+++ b/crates/bramblewheel-daemon/src/inbound/attempt.rs
@@ -18,8 +18,12 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
 
+/// Time after the deadline of a run-once operation in which its result is still recorded.
+const LATE_RESULT_TIME: Duration = Duration::from_millis(250);
+
 /// Runs an attempt until the engine answers it.
 ///
 /// An attempt of a run-once operation runs in its own task, because its answer must be recorded
@@ -119,18 +123,19 @@
     }
 
     /// Waits for the result of a run-once operation whose caller has already been answered, so that
-    /// the result can be recorded.
+    /// the result can be recorded. An answer without an end is given up shortly after the deadline.
     async fn finish_detached(mut self) {
-        let dispatched = tokio::select! {
+        let latest_end = self.request.context.deadline + LATE_RESULT_TIME;
+        let clock = self.shared.driver.clock();
+        let result = tokio::select! {
             biased;
             _ = self.commands.recv() => return,
-            dispatched = ended(&mut self.dispatch) => dispatched,
-        };
-        let result = match dispatched {
-            Dispatched::Result(result, _) => result,
-            Dispatched::Streamed(streamed) => streamed.drain().await,
+            result = clock.timeout_at(latest_end, result(&mut self.dispatch)) => result,
         };
-        self.registration.end(result);
+        // Closes the connection to the endpoint.
+        self.dispatch = None;
+        self.registration
+            .end(result.unwrap_or(DispatchResult::Lost));
     }
 
     fn dispatch(&mut self) {
@@ -184,6 +189,14 @@
     }
 }
 
+/// Waits for the result of the dispatch; never returns if there is none.
+async fn result(dispatch: &mut Option<Dispatching>) -> DispatchResult {
+    match ended(dispatch).await {
+        Dispatched::Result(result, _) => result,
+        Dispatched::Streamed(streamed) => streamed.drain().await,
+    }
+}
+
 /// Registration of an attempt with the driver; removed when dropped.
 struct Registration {
     driver: Arc<Driver>,
--- a/crates/bramblewheel-daemon/tests/support/mod.rs
+++ b/crates/bramblewheel-daemon/tests/support/mod.rs
@@ -45,7 +45,9 @@
          [operators]\nrequired_signatures = 1\n\
          [[operators.key]]\nname = \"operator\"\npublic_key = \"{key}\"\n\
          [[service]]\nname = \"stock\"\ndeadline_ms = 60000\n\
-         [[service.route]]\nprefix = \"/pay\"\nrepeatable = false\n"
+         [[service.route]]\nprefix = \"/pay\"\nrepeatable = false\n\
+         [[service.route]]\nprefix = \"/quick\"\ndeadline_ms = 600\n\
+         [[service.route]]\nprefix = \"/hasty-pay\"\ndeadline_ms = 600\nrepeatable = false\n"
     );
     parse("trial.toml", &text).expect("the text is a valid bundle")
 }
--- a/crates/bramblewheel-daemon/tests/support/peer.rs
+++ b/crates/bramblewheel-daemon/tests/support/peer.rs
@@ -2,6 +2,7 @@
 
 use super::expect_in_time;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -128,6 +129,23 @@
         self
     }
 
+    /// Writes `begin`, then `piece` again and again, until the daemon closes the connection.
+    pub async fn write_without_end(mut self, begin: &str, piece: &[u8], pause: Duration) {
+        let (mut reader, mut writer) = self.stream.split();
+        let writing = async {
+            writer.write_all(begin.as_bytes()).await?;
+            loop {
+                writer.write_all(piece).await?;
+                tokio::time::sleep(pause).await;
+            }
+        };
+        let mut byte = [0];
+        let _: std::io::Result<()> = tokio::select! {
+            failed = writing => failed,
+            closed = reader.read(&mut byte) => closed.map(|_| ()),
+        };
+    }
+
     /// Writes raw bytes, then closes the connection.
     pub async fn answer_raw(mut self, bytes: &[u8]) {
         let _ = self.stream.write_all(bytes).await;
