The daemon beside an endpoint waits as long as a stopping daemon may

Cause: ended a request 0.25 s after the time that was handed over. A daemon that read its order to stop late hands over the time until its earliest end, and waits for what may have run until the latest one; the time also loses what a suspension of the daemon beside the endpoint took.

Change: that daemon ends the request the grace time of a stop after the time handed over, before what a suspension takes off it. As before, the closed connection of a daemon that is not cut off ends it earlier.

--- a/crates/bramblewheel-proxy/src/inbound/mod.rs
+++ b/crates/bramblewheel-proxy/src/inbound/mod.rs
@@ -22,11 +22,6 @@
 use http::request::Parts;
 use http::{Method, Request, Response, StatusCode};
 use std::sync::Arc;
-use std::time::Duration;
-
-/// Time after the deadline of a request in which the daemon that sent it closes its connection. One that is cut off does
-/// not, and the endpoint is no longer waited for.
-const CLOSE_TIME: Duration = Duration::from_millis(250);
 
 /// Serves the listener for other daemons.
 #[derive(Debug)]
@@ -68,9 +63,11 @@
         if let Some(id) = shared.settings.dialect.id(&outgoing.headers) {
             progress.set_id(id);
         }
+        // The daemon that sent the request closes its connection when it no longer waits, unless it is cut off. It may wait
+        // for longer than the endpoint may work: while it stops, until the end of its grace time.
+        let latest_end = arrived + handover.remaining + shared.settings.stop_grace;
         late_start::subtract_unread_time(shared, &mut handover, arrived, progress);
         progress.set_stage(Stage::Waiting);
-        let latest_end = arrived + handover.remaining + CLOSE_TIME;
         let attempted = tokio::select! {
             biased;
             attempted = dispatch(shared, &handover, arrived, &mut outgoing, progress) => attempted,
