--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -88,10 +88,11 @@
 
     PORTS = {"inbound": 0, "outbound": 1, "ready": 2, "admin": 3, "app": 4, "first": 8}
 
-    def __init__(self, record, services, replicas=3, has_links=False):
-        """With `has_links` the replicas reach each other through a `Link`, by the setting for translated addresses."""
+    def __init__(self, record, services, replicas=3, has_links=False, bounds=None):
+        """With `has_links` the replicas are reached through a `Link`, by the setting for translated addresses."""
         self.record = record
         self.has_links = has_links
+        self.bounds = {**BOUNDS, **(bounds or {})}
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.network = f"127.{random.randrange(10, 250)}.{random.randrange(1, 250)}"
         self.base = random.randrange(10_000, 28_000)
@@ -122,7 +123,7 @@
             "service": self.daemons.get(ip), "appAddr": self.address(ip, "app") if role == "daemon" else None,
             "dataDir": os.path.join(self.folder, f"data-{ip}") if role == "control" else None,
             "seeds": [self.address(seed, "admin") for seed in self.control],
-            "heartbeatMs": int(HEARTBEAT_S * 1000), "bounds": BOUNDS, "faultTolerance": {"machines": 1},
+            "heartbeatMs": int(HEARTBEAT_S * 1000), "bounds": self.bounds, "faultTolerance": {"machines": 1},
             "listen": {name: self.address(ip, name) for name in names},
         }
         with open(os.path.join(ROOT, "deploy/settings.toml"), encoding="utf-8") as file:
@@ -170,7 +171,8 @@
         if not names:
             return ""
         with open(os.path.join(self.folder, names[-1]), encoding="utf-8", errors="replace") as file:
-            return " | ".join(file.read().strip().splitlines()[-lines:])
+            found = [line for line in file.read().strip().splitlines() if line and "/" not in line]
+            return " | ".join(found[-lines:])
 
     def close(self):
         for process in self.processes.values():
@@ -372,6 +374,7 @@
     def __init__(self, machines):
         self.machines = machines
         self.version = 0
+        self.tenants = {}
 
     def configuration(self, version, routes):
         services = sorted(set(self.machines.daemons.values()))
@@ -379,6 +382,8 @@
                      for number, route in enumerate(routes)]
         resources += [{"typeUrl": "services", "metadata": {"name": name}, "spec": {
             "healthPath": "/healthz", "maxConnections": 100, "protocol": "h1", "tls": False}} for name in services]
+        resources += [{"typeUrl": "tenants", "metadata": {"name": name}, "spec": {"apiKeys": keys, "priority": 1}}
+                      for name, keys in self.tenants.items()]
         resources.append({"typeUrl": "limits", "metadata": {}, "spec": {
             "maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
         return json.dumps({"version": f"{version:08x}", "resources": resources}).encode()
@@ -412,9 +417,10 @@
             "priority": 0, "service": service, "maxAttempts": 2, **more}
 
 
-def request_message(method, path, request, deadline_ms=4000, body=b""):
+def request_message(method, path, request, deadline_ms=4000, body=b"", more=None):
     return write_message(f"{method} {path} HTTP/1.1", {
-        "Host": HOST, "Bramblewheel-Request-Id": request, "Bramblewheel-Deadline-Ms": str(deadline_ms)}, body)
+        "Host": HOST, "Bramblewheel-Request-Id": request, "Bramblewheel-Deadline-Ms": str(deadline_ms),
+        **(more or {})}, body)
 
 
 class Client:
@@ -424,10 +430,10 @@
         self.machines, self.ip = machines, ip
         self.answers = {}
 
-    async def send(self, method, path, body=b"", deadline_ms=4000):
+    async def send(self, method, path, body=b"", deadline_ms=4000, more=None):
         request = f"{random.randrange(16 ** 16):016x}"
         self.machines.record.write(f"client at {self.ip} sends {request}: {method} {path}")
-        message = request_message(method, path, request, deadline_ms, body)
+        message = request_message(method, path, request, deadline_ms, body, more)
         try:
             status, headers, answer = await exchange(self.ip, self.machines.port("outbound"), message,
                                                      deadline_ms / 1000 + 1)
